Start the workspace, the design and the shared interfaces

Cause: the repository was empty; several people start at the same time and need one design and fixed interfaces. Change: design page, workspace with lint and formatter settings, peer protocol with generated code, configuration document, and the types between components.

--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,8 @@
+//! Decisions without I/O, clocks or threads.
+//!
+//! Each module is a state machine that takes the time and an input and returns actions.
+
+pub mod fleet;
+pub mod hash;
+pub mod time;
+pub mod traffic;
--- /dev/null
+++ b/components/control/src/traffic/mod.rs
@@ -0,0 +1,9 @@
+//! Online requests and the share of batch work at each upstream.
+//!
+//! Combines routing, admission, retry and pacing, which share the state of the upstreams.
+
+mod message;
+
+pub use message::{
+    Action, Attempt, AttemptId, Demand, Input, Load, Outcome, Refusal, Request, RequestId, Settings,
+};
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,3 @@
+//! The daemon: actors around the decisions, and the traffic between peers.
+
+pub mod node;
--- /dev/null
+++ b/components/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library with which operators build a configuration, and the admin client.
--- /dev/null
+++ b/components/peer/src/lib.rs
@@ -0,0 +1,7 @@
+//! Communication between daemons.
+
+/// Generated messages and services; see `proto/peer.proto`.
+#[allow(missing_docs, clippy::all, clippy::use_self, clippy::unwrap_used)]
+#[rustfmt::skip]
+#[path = "generated/cyclamengrade.peer.v1.rs"]
+pub mod wire;
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,56 @@
+//! Client for the platform's table service, object store and VM list.
+
+mod error;
+pub mod table;
+
+use std::{future::Future, pin::Pin};
+
+use bytes::Bytes;
+
+pub use crate::error::Error;
+
+/// A boxed future, so that the traits can be used as trait objects.
+pub type Boxed<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
+
+/// The platform's transactional table service.
+pub trait Table: Send + Sync {
+    /// Reads rows by key; `None` for a row that does not exist.
+    fn read(&self, keys: Vec<String>) -> Boxed<'_, Vec<Option<table::Row>>>;
+
+    /// Reads at most `limit` rows whose keys start with `prefix` and are greater than `after`, in
+    /// order of key.
+    fn scan(&self, prefix: String, after: String, limit: usize) -> Boxed<'_, Vec<table::Row>>;
+
+    /// Applies all writes if all conditions hold, and none otherwise.
+    fn commit(&self, transaction: table::Transaction) -> Boxed<'_, table::Commit>;
+}
+
+/// The platform's object store.
+pub trait Objects: Send + Sync {
+    /// Writes an object unless one with this key exists; returns whether it was written.
+    fn put_new(&self, key: String, content: Bytes) -> Boxed<'_, bool>;
+
+    /// Reads an object; `None` when it does not exist.
+    fn get(&self, key: String) -> Boxed<'_, Option<Bytes>>;
+}
+
+/// The platform's list of vms, which lags behind reality.
+pub trait Vms: Send + Sync {
+    /// The list, or `None` when it still has the given entity tag.
+    fn list(&self, tag: Option<String>) -> Boxed<'_, Option<(String, Vec<Vm>)>>;
+}
+
+/// A vm as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Vm {
+    /// Name of the vm.
+    pub name: String,
+    /// Address and port of its process.
+    pub address: std::net::SocketAddr,
+    /// Data centre that it is in.
+    pub data_centre: String,
+    /// Deployment that it serves; `cyclamengrade` for a daemon.
+    pub service: String,
+    /// Whether the platform is about to take it away.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/components/standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Runs one stand-in process.
+fn main() {}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events, metrics and trace spans.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! cyclamengrade.
+fn main() {}
