--- a/components/settings/src/daemon.rs
+++ b/components/settings/src/daemon.rs
@@ -33,6 +33,9 @@
     /// Periods and timeouts.
     #[serde(default)]
     pub timers: Timers,
+    /// Logs and traces.
+    #[serde(default)]
+    pub telemetry: Telemetry,
 }
 
 /// The platform's services.
@@ -185,3 +188,43 @@
         }
     }
 }
+
+/// Logs and traces.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Telemetry {
+    /// Least severe level that is logged.
+    pub log_level: Level,
+    /// Share of requests without a `traceparent` header whose spans are logged, from 0 to 1.
+    pub trace_share: f64,
+}
+
+/// Severity of a log event.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Level {
+    /// Something failed and an operator should act.
+    Error,
+    /// Something failed and the system acts by itself.
+    Warn,
+    /// A state changed.
+    #[default]
+    Info,
+    /// Details of single requests.
+    Debug,
+    /// Every step.
+    Trace,
+}
+
+impl Level {
+    /// The name in the settings file.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/logs.rs
@@ -0,0 +1,100 @@
+//! Structured log lines on standard error.
+
+use std::{collections::BTreeMap, io, time::SystemTime};
+
+use log::{
+    LevelFilter, Record, SetLoggerError,
+    kv::{self, Key, Value, VisitSource, VisitValue},
+};
+use serde_json::json;
+
+/// Writes log lines of at least this level to standard error, one JSON object a line.
+///
+/// Lines of libraries are written from level `warn` on.
+///
+/// # Errors
+///
+/// The process already has a logger.
+pub fn install(level: LevelFilter) -> Result<(), SetLoggerError> {
+    dispatch(level).chain(io::stderr()).apply()
+}
+
+/// The formatter and filter, without an output.
+pub fn dispatch(level: LevelFilter) -> fern::Dispatch {
+    fern::Dispatch::new()
+        .level(level.min(LevelFilter::Warn))
+        .level_for(crate::event::TARGET, level)
+        .format(|out, _, record| out.finish(format_args!("{}", line(record, SystemTime::now()))))
+}
+
+/// One log line without the line end.
+pub fn line(record: &Record<'_>, time: SystemTime) -> String {
+    let mut fields = Fields::default();
+    // A field that cannot be read is left out; the rest of the line is still useful.
+    let _ = record.key_values().visit(&mut fields);
+    fields.set("time", json!(humantime::format_rfc3339_millis(time).to_string()));
+    fields.set("level", json!(record.level().as_str().to_ascii_lowercase()));
+    if record.target() != crate::event::TARGET {
+        fields.set("target", json!(record.target()));
+    }
+    fields.set("message", json!(record.args().to_string()));
+    json!(fields.0).to_string()
+}
+
+/// Collects the key-value fields of a record as JSON values.
+#[derive(Default)]
+struct Fields(BTreeMap<String, serde_json::Value>);
+
+impl Fields {
+    fn set(&mut self, key: &str, value: serde_json::Value) {
+        self.0.insert(key.into(), value);
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        let mut json = Json(serde_json::Value::Null);
+        value.visit(&mut json)?;
+        self.set(key.as_str(), json.0);
+        Ok(())
+    }
+}
+
+struct Json(serde_json::Value);
+
+impl VisitValue<'_> for Json {
+    fn visit_any(&mut self, value: Value<'_>) -> Result<(), kv::Error> {
+        self.0 = json!(value.to_string());
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), kv::Error> {
+        self.0 = serde_json::Value::Null;
+        Ok(())
+    }
+
+    fn visit_u64(&mut self, value: u64) -> Result<(), kv::Error> {
+        self.0 = json!(value);
+        Ok(())
+    }
+
+    fn visit_i64(&mut self, value: i64) -> Result<(), kv::Error> {
+        self.0 = json!(value);
+        Ok(())
+    }
+
+    fn visit_f64(&mut self, value: f64) -> Result<(), kv::Error> {
+        self.0 = json!(value);
+        Ok(())
+    }
+
+    fn visit_bool(&mut self, value: bool) -> Result<(), kv::Error> {
+        self.0 = json!(value);
+        Ok(())
+    }
+
+    fn visit_str(&mut self, value: &str) -> Result<(), kv::Error> {
+        self.0 = json!(value);
+        Ok(())
+    }
+}
