Add the operator library, the admin client and the subcommands

Cause: operators need to build, check and apply configurations and to run batch jobs. Change: builder and plans in components/operator, admin client over hyper that resolves lost replies by change identifier, all subcommands with exit codes by kind, examples of both sites. The subcommand daemon is a stub until the daemon's run is there.

--- a/components/configuration/src/document.rs
+++ b/components/configuration/src/document.rs
@@ -76,6 +76,18 @@
         Self { fencing, ..self }
     }
 
+    /// Adds an adapter that the upstreams load beside the model.
+    pub fn with_adapter(mut self, adapter: impl Into<String>) -> Self {
+        self.adapters.push(adapter.into());
+        self
+    }
+
+    /// Sets the targets for the time to first token and the time between two tokens, in
+    /// milliseconds.
+    pub fn with_targets_ms(self, first_token_ms: u32, between_tokens_ms: u32) -> Self {
+        Self { first_token_ms, between_tokens_ms, ..self }
+    }
+
     const fn default_first_token_ms() -> u32 {
         2_000
     }
@@ -114,6 +126,19 @@
     pub versions: BTreeMap<String, Version>,
 }
 
+impl Model {
+    /// A model without versions.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a version with the key of its weights in the weight store.
+    pub fn with_version(mut self, name: impl Into<String>, weights: impl Into<String>) -> Self {
+        self.versions.insert(name.into(), Version { weights: weights.into() });
+        self
+    }
+}
+
 /// One version of a model.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -148,13 +173,18 @@
         self
     }
 
+    /// Sets the share of batch capacity relative to other clients, from 1 to 1000.
+    pub fn with_weight(self, weight: u32) -> Self {
+        Self { weight, ..self }
+    }
+
     const fn default_weight() -> u32 {
         1
     }
 }
 
 /// Limits of one client at one deployment, over the whole fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limit {
     /// Online requests a second; absent means unlimited.
@@ -168,6 +198,28 @@
     pub open_jobs: Option<u32>,
 }
 
+impl Limit {
+    /// A limit that restricts nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Limits online requests a second.
+    pub fn with_requests_per_s(self, requests_per_s: f64) -> Self {
+        Self { requests_per_s: Some(requests_per_s), ..self }
+    }
+
+    /// Limits online requests in flight.
+    pub fn with_concurrent_requests(self, concurrent_requests: u32) -> Self {
+        Self { concurrent_requests: Some(concurrent_requests), ..self }
+    }
+
+    /// Limits open batch jobs.
+    pub fn with_open_jobs(self, open_jobs: u32) -> Self {
+        Self { open_jobs: Some(open_jobs), ..self }
+    }
+}
+
 impl Document {
     /// Digest of the canonical JSON form, as 16 hexadecimal digits (SipHash-1-3, zero key).
     ///
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -1,1 +1,38 @@
 //! Library with which operators build a configuration, and the admin client.
+//!
+//! An operator's program states the whole configuration in code and prints it; `cyclamengrade
+//! config plan` then shows what would change.
+//!
+//! ```
+//! use cyclamengrade_operator::{Client, Configuration, Deployment, Limit, Model};
+//!
+//! let document = Configuration::new()
+//!     .with_model("wording", Model::new().with_version("3", "wording/3"))
+//!     .with_deployment("wording-llm", Deployment::model("wording", "3"))
+//!     .with_client(
+//!         "labels",
+//!         Client::new("token-of-labels")
+//!             .with_limit("wording-llm", Limit::new().with_requests_per_s(40.0)),
+//!     )
+//!     .finish()?;
+//! println!("{}", cyclamengrade_operator::print(&document)?);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod admin;
+mod build;
+mod error;
+pub mod plan;
+mod wire;
+
+pub use cyclamengrade_caller::backend::{HistoryEntry, Job, JobState, Revision, Upstream};
+pub use cyclamengrade_configuration::{
+    Client, Deployment, Document, Fencing, Kind, Limit, Model, Problem, Version,
+};
+
+pub use crate::{
+    admin::{Admin, Attempts},
+    build::{Configuration, Refused, parse, print},
+    error::Error,
+    plan::Plan,
+};
--- /dev/null
+++ b/src/cmd/daemon.rs
@@ -0,0 +1,34 @@
+//! `daemon FILE`
+
+use cyclamengrade_settings as settings;
+use cyclamengrade_telemetry::{logs, trace};
+
+use crate::{
+    cli::{Call, Exit, Failure},
+    cmd::settings::refused,
+};
+
+/// Help of this subcommand.
+pub const HELP: &str = "\
+Usage: cyclamengrade daemon FILE
+
+Runs a daemon with the settings in FILE until it gets the
+signal TERM or INT; then it finishes the requests in flight
+and ends with exit code 0. Log events are JSON lines on
+standard error.";
+
+/// Runs the subcommand.
+pub fn run(mut call: Call) -> Result<(), Failure> {
+    let path = call.free("the settings FILE")?;
+    call.finish()?;
+    let settings = settings::Daemon::read(&path).map_err(|error| refused(&error))?;
+    let level = settings.telemetry.log_level.name().parse().map_err(Failure::usage)?;
+    logs::install(level).map_err(|cause| Failure::new(Exit::Internal, cause))?;
+    trace::install(settings.telemetry.trace_share);
+    serve(settings)
+}
+
+/// Runs the daemon.
+fn serve(_settings: settings::Daemon) -> Result<(), Failure> {
+    Err(Failure::new(Exit::Internal, "this build holds no daemon yet"))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,11 @@
-//! cyclamengrade.
-fn main() {}
+//! The cyclamengrade program: parses arguments, prints and exits.
+
+mod cli;
+mod cmd;
+mod print;
+
+use std::{env, process::ExitCode};
+
+fn main() -> ExitCode {
+    cli::run(env::args_os().skip(1).collect())
+}
