Add membership, revision, order and drain decisions

Cause: daemons need to agree on who is reachable, which configuration is in force and who gives orders, without a coordination service of their own. Change: state machines for the four, the peer package (tonic and UDP), and the actors that follow the configuration and probe the other daemons.

--- a/components/control/src/fleet.rs
+++ b/components/control/src/fleet.rs
@@ -32,7 +32,7 @@
 pub struct Vm {
     /// Name of the vm.
     pub name: String,
-    /// Where its process listens.
+    /// Where its process listens; of a daemon, the address for other daemons.
     pub address: SocketAddr,
     /// Data centre that it is in.
     pub data_centre: String,
--- /dev/null
+++ b/components/control/src/membership/machine.rs
@@ -0,0 +1,391 @@
+//! The membership state machine.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
+
+use super::{
+    demand::Reports,
+    message::{Action, Candidate, Datagram, Input, Kind, Member, Settings, State},
+    table::Table,
+};
+use crate::{time::Time, traffic::Demand};
+
+/// Changes in one datagram; about 60 bytes each, so that a datagram fits an Ethernet frame.
+const CHANGES_PER_DATAGRAM: usize = 8;
+/// Clients with the highest demand that one datagram carries.
+const DEMAND_PER_DATAGRAM: usize = 24;
+/// One probe in this many goes to a listed daemon that counts as gone.
+const PROBES_PER_REVIVAL: u64 = 4;
+
+/// A probe that was not answered yet.
+struct Pending {
+    subject: String,
+    sent: Time,
+    /// Whether the indirect probes were sent.
+    indirect: bool,
+}
+
+/// A probe on behalf of another daemon.
+struct Relay {
+    requester: SocketAddr,
+    sequence: u64,
+    sent: Time,
+}
+
+/// Membership as one daemon sees it.
+pub struct Machine {
+    settings: Settings,
+    rng: StdRng,
+    table: Table,
+    reports: Reports,
+    incarnation: u64,
+    leaving: bool,
+    revision: u64,
+    demand: Vec<Demand>,
+    sequence: u64,
+    probes: u64,
+    last_probe: Option<Time>,
+    round: Vec<String>,
+    pending: BTreeMap<u64, Pending>,
+    relays: BTreeMap<u64, Relay>,
+}
+
+impl Machine {
+    /// Membership that knows only this daemon.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(settings.seed),
+            incarnation: settings.incarnation,
+            settings,
+            table: Table::default(),
+            reports: Reports::default(),
+            leaving: false,
+            revision: 0,
+            demand: Vec::new(),
+            sequence: 0,
+            probes: 0,
+            last_probe: None,
+            round: Vec::new(),
+            pending: BTreeMap::new(),
+            relays: BTreeMap::new(),
+        }
+    }
+
+    /// Takes an input and returns what to do.
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Listed(candidates) => self.list(now, candidates),
+            Input::Received { from, datagram } => self.receive(now, from, datagram),
+            Input::Revision(revision) => {
+                self.revision = self.revision.max(revision);
+                Vec::new()
+            }
+            Input::Demand(demand) => {
+                self.demand = largest(demand);
+                Vec::new()
+            }
+            Input::Leave => self.leave(),
+        }
+    }
+
+    /// Members that may get work, without this daemon: alive or only suspected.
+    pub fn live(&self) -> Vec<Candidate> {
+        let states = [State::Alive, State::Suspect];
+        let live = self.table.entries.values().filter(|e| states.contains(&e.member.state));
+        live.map(|entry| Candidate {
+            name: entry.member.name.clone(),
+            address: entry.member.address,
+            data_centre: entry.member.data_centre.clone(),
+        })
+        .collect()
+    }
+
+    /// Demand of all other live daemons together.
+    pub fn demand_of_others(&mut self, now: Time) -> Vec<Demand> {
+        let others = self.live().len();
+        self.reports.total(now, others)
+    }
+
+    /// Whether every listed daemon has answered or had the time to answer.
+    pub fn settled(&self) -> bool {
+        self.last_probe.is_some() && self.pending.is_empty()
+    }
+
+    fn own(&self) -> Member {
+        Member {
+            name: self.settings.own.name.clone(),
+            address: self.settings.own.address,
+            data_centre: self.settings.own.data_centre.clone(),
+            incarnation: self.incarnation,
+            state: if self.leaving { State::Leaving } else { State::Alive },
+        }
+    }
+
+    fn datagram(&mut self, sequence: u64, kind: Kind) -> Datagram {
+        let mut changes = vec![self.own()];
+        changes.extend(self.table.take_changes(CHANGES_PER_DATAGRAM));
+        Datagram {
+            from: self.settings.own.name.clone(),
+            sequence,
+            kind,
+            changes,
+            revision: self.revision,
+            demand: self.demand.clone(),
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, sequence: u64, kind: Kind) -> Action {
+        Action::Send { to, datagram: self.datagram(sequence, kind) }
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    fn list(&mut self, now: Time, mut candidates: Vec<Candidate>) -> Vec<Action> {
+        candidates.retain(|candidate| candidate.name != self.settings.own.name);
+        let unknown: Vec<String> = candidates
+            .iter()
+            .map(|candidate| candidate.name.clone())
+            .filter(|name| !self.table.entries.contains_key(name))
+            .collect();
+        self.table.list(now, &candidates);
+        unknown.into_iter().filter_map(|name| self.probe(now, name)).collect()
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = self.expire_probes(now);
+        actions.extend(self.expire_suspicions(now));
+        let timeout = self.settings.probe_period * 2;
+        self.relays.retain(|_, relay| now.since(relay.sent) < timeout);
+        let due = self.last_probe.is_none_or(|last| now.since(last) >= self.settings.probe_period);
+        if due {
+            self.last_probe = Some(now);
+            if let Some(subject) = self.next_subject() {
+                actions.extend(self.probe(now, subject));
+            }
+        }
+        actions
+    }
+
+    /// The next member in a random order in which each appears once.
+    fn next_subject(&mut self) -> Option<String> {
+        self.probes += 1;
+        if self.probes.is_multiple_of(PROBES_PER_REVIVAL) {
+            let dead = self.table.names_in(&[State::Dead]);
+            if !dead.is_empty() {
+                let index = self.rng.random_range(0..dead.len());
+                return dead.into_iter().nth(index);
+            }
+        }
+        let reachable = [State::Alive, State::Suspect, State::Leaving];
+        if self.round.is_empty() {
+            self.round = self.table.names_in(&reachable);
+            self.round.shuffle(&mut self.rng);
+        }
+        while let Some(name) = self.round.pop() {
+            let state = self.table.entries.get(&name).map(|entry| entry.member.state);
+            if state.is_some_and(|state| reachable.contains(&state)) {
+                return Some(name);
+            }
+        }
+        None
+    }
+
+    fn probe(&mut self, now: Time, subject: String) -> Option<Action> {
+        let address = self.table.entries.get(&subject)?.member.address;
+        let sequence = self.next_sequence();
+        self.pending.insert(sequence, Pending { subject, sent: now, indirect: false });
+        Some(self.send(address, sequence, Kind::Probe))
+    }
+
+    fn expire_probes(&mut self, now: Time) -> Vec<Action> {
+        let timeout = self.settings.probe_timeout;
+        let mut actions = Vec::new();
+        let late: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, probe)| !probe.indirect && now.since(probe.sent) >= timeout)
+            .map(|(sequence, _)| *sequence)
+            .collect();
+        for sequence in late {
+            actions.extend(self.probe_indirectly(sequence));
+        }
+        // An indirect probe takes two round trips.
+        let expired: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, probe)| now.since(probe.sent) >= timeout * 3)
+            .map(|(sequence, _)| *sequence)
+            .collect();
+        for sequence in expired {
+            if let Some(probe) = self.pending.remove(&sequence) {
+                actions.extend(self.degrade(now, &probe.subject, State::Suspect));
+            }
+        }
+        actions
+    }
+
+    fn probe_indirectly(&mut self, sequence: u64) -> Vec<Action> {
+        let Some(probe) = self.pending.get_mut(&sequence) else { return Vec::new() };
+        probe.indirect = true;
+        let subject = probe.subject.clone();
+        let Some(entry) = self.table.entries.get(&subject) else { return Vec::new() };
+        if entry.member.state == State::Dead {
+            return Vec::new();
+        }
+        let address = entry.member.address;
+        let mut helpers = self.live();
+        helpers.retain(|helper| helper.name != subject);
+        helpers.shuffle(&mut self.rng);
+        helpers.truncate(self.settings.indirect_probes);
+        helpers
+            .into_iter()
+            .map(|helper| {
+                let kind = Kind::IndirectProbe { subject: subject.clone(), address };
+                self.send(helper.address, sequence, kind)
+            })
+            .collect()
+    }
+
+    fn expire_suspicions(&mut self, now: Time) -> Vec<Action> {
+        let suspicion = self.settings.suspicion;
+        // A daemon that announced its leave is gone once it stops answering; it needs no chance
+        // to refute.
+        let expired: Vec<String> = self
+            .table
+            .entries
+            .values()
+            .filter(|entry| entry.member.state == State::Suspect)
+            .filter(|entry| now.since(entry.since) >= suspicion)
+            .map(|entry| entry.member.name.clone())
+            .collect();
+        expired.iter().flat_map(|name| self.degrade(now, name, State::Dead)).collect()
+    }
+
+    /// Lowers the state of a member that is alive or suspected.
+    fn degrade(&mut self, now: Time, name: &str, state: State) -> Vec<Action> {
+        let Some(entry) = self.table.entries.get(name) else { return Vec::new() };
+        let state = match entry.member.state {
+            State::Leaving => State::Dead,
+            State::Dead => return Vec::new(),
+            State::Alive | State::Suspect => state,
+        };
+        let change = Member { state, ..entry.member.clone() };
+        let changed = self.table.merge(now, &change);
+        if state == State::Dead {
+            self.reports.remove(name);
+        }
+        changed.map(Action::Changed).into_iter().collect()
+    }
+
+    fn receive(&mut self, now: Time, from: SocketAddr, datagram: Datagram) -> Vec<Action> {
+        if datagram.from == self.settings.own.name {
+            return Vec::new();
+        }
+        let mut actions: Vec<Action> = Vec::new();
+        let sender = datagram.from.clone();
+        let known_as_gone = self.table.entries.get(&sender).is_some_and(|entry| {
+            entry.member.incarnation > 0
+                && matches!(entry.member.state, State::Dead | State::Leaving)
+        });
+        for change in &datagram.changes {
+            actions.extend(self.merge(now, change));
+        }
+        // The sender still counts as gone: it must hear so, to refute with a higher incarnation.
+        if known_as_gone && let Some(entry) = self.table.entries.get_mut(&sender) {
+            entry.repeats = entry.repeats.max(1);
+        }
+        let address = self.table.entries.get(&sender).map_or(from, |entry| entry.member.address);
+        self.reports.record(now, &sender, datagram.demand);
+        if datagram.revision > self.revision {
+            let revision = datagram.revision;
+            actions.push(Action::NewerRevision { revision, from: sender, address });
+        }
+        actions.extend(self.answer(now, from, datagram.sequence, datagram.kind));
+        actions
+    }
+
+    fn answer(&mut self, now: Time, from: SocketAddr, sequence: u64, kind: Kind) -> Vec<Action> {
+        match kind {
+            Kind::Probe => {
+                let subject = self.settings.own.name.clone();
+                vec![self.send(from, sequence, Kind::Ack { subject })]
+            }
+            Kind::IndirectProbe { subject: _, address } => {
+                let own_sequence = self.next_sequence();
+                self.relays.insert(own_sequence, Relay { requester: from, sequence, sent: now });
+                vec![self.send(address, own_sequence, Kind::Probe)]
+            }
+            Kind::Ack { subject } => self.acknowledge(now, sequence, &subject),
+        }
+    }
+
+    fn acknowledge(&mut self, now: Time, sequence: u64, subject: &str) -> Vec<Action> {
+        if let Some(relay) = self.relays.remove(&sequence) {
+            let kind = Kind::Ack { subject: subject.into() };
+            return vec![self.send(relay.requester, relay.sequence, kind)];
+        }
+        let answered = self.pending.get(&sequence).is_some_and(|probe| probe.subject == subject);
+        if !answered {
+            return Vec::new();
+        }
+        self.pending.remove(&sequence);
+        let Some(entry) = self.table.entries.get_mut(subject) else { return Vec::new() };
+        // The answer itself shows that the suspect is alive; others learn it from the suspect.
+        if entry.member.state != State::Suspect {
+            return Vec::new();
+        }
+        entry.member.state = State::Alive;
+        entry.since = now;
+        vec![Action::Changed(entry.member.clone())]
+    }
+
+    fn merge(&mut self, now: Time, change: &Member) -> Option<Action> {
+        if change.name == self.settings.own.name {
+            self.refute(change);
+            return None;
+        }
+        let changed = self.table.merge(now, change)?;
+        if changed.state == State::Dead {
+            self.reports.remove(&changed.name);
+        }
+        Some(Action::Changed(changed))
+    }
+
+    /// Raises the incarnation when another daemon holds this one for suspect, gone, or in an
+    /// earlier life.
+    fn refute(&mut self, change: &Member) {
+        let own = self.own();
+        if (change.incarnation, change.state) > (own.incarnation, own.state) {
+            self.incarnation = change.incarnation + 1;
+        }
+    }
+
+    /// Tells every live member, since a daemon that leaves has no time for gossip.
+    fn leave(&mut self) -> Vec<Action> {
+        self.leaving = true;
+        let members = self.live();
+        members
+            .into_iter()
+            .map(|member| {
+                let sequence = self.next_sequence();
+                self.send(member.address, sequence, Kind::Probe)
+            })
+            .collect()
+    }
+
+    /// Longest time until an unreachable member counts as gone, once it is probed.
+    pub fn detection(&self) -> Duration {
+        self.settings.probe_timeout * 3 + self.settings.suspicion
+    }
+}
+
+fn largest(mut demand: Vec<Demand>) -> Vec<Demand> {
+    demand.sort_by(|a, b| b.requests_per_s.total_cmp(&a.requests_per_s));
+    demand.truncate(DEMAND_PER_DATAGRAM);
+    demand
+}
--- /dev/null
+++ b/components/control/src/order/machine.rs
@@ -0,0 +1,302 @@
+//! The order state machine.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use cyclamengrade_configuration::{Deployment, Document, Fencing, Kind};
+
+use super::{
+    message::{Action, Input, Ownership, Settings},
+    rollout,
+};
+use crate::{fleet::Vm, hash, time::Time};
+
+/// Time after which a step that brought no answer is repeated.
+const STEP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two identical orders to an upstream that has not reached the wanted state.
+const ORDER_PERIOD: Duration = Duration::from_secs(10);
+
+/// How far this daemon is with the orders of one upstream.
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    /// Nothing was done yet, or ownership must be checked again.
+    Idle,
+    /// The row is being read or claimed.
+    Claiming { since: Time, ownership: Option<Ownership>, held: Option<Held> },
+    /// This daemon holds the row.
+    Held { held: Held, trusted_until: Time },
+}
+
+/// A row that this daemon holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Held {
+    fence: u64,
+    /// When an upstream that ignores fencing numbers may get the first order.
+    first_order: Time,
+    last_order: Option<Time>,
+}
+
+/// The version that takes the requests of a deployment.
+#[derive(Clone, Debug, PartialEq)]
+struct Serving {
+    /// Label that takes requests.
+    current: String,
+    /// Label that took requests before, and when they moved.
+    previous: Option<(String, Time)>,
+}
+
+/// Orders as one daemon sees them.
+#[derive(Debug)]
+pub struct Machine {
+    settings: Settings,
+    vms: Arc<Vec<Vm>>,
+    document: Arc<Document>,
+    members: Vec<String>,
+    models: BTreeMap<String, Vec<String>>,
+    steps: BTreeMap<String, Step>,
+    serving: BTreeMap<String, Serving>,
+}
+
+impl Machine {
+    /// A daemon that has given no orders.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            vms: Arc::default(),
+            document: Arc::default(),
+            members: Vec::new(),
+            models: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            serving: BTreeMap::new(),
+        }
+    }
+
+    /// Takes an input and returns what to do.
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
+        match input {
+            Input::Tick => return self.tick(now),
+            Input::Fleet { vms, document } => {
+                self.models.retain(|name, _| vms.iter().any(|vm| vm.name == *name));
+                self.steps.retain(|name, _| vms.iter().any(|vm| vm.name == *name));
+                self.vms = vms;
+                self.document = document;
+            }
+            Input::Members(members) => self.members = members,
+            Input::Models { upstream, models } => {
+                self.models.insert(upstream, models);
+            }
+            Input::RowRead { upstream, row } => {
+                return self.claim(now, upstream, row).into_iter().collect();
+            }
+            Input::Claimed { upstream, held } => self.claimed(now, &upstream, held),
+            Input::Ordered { upstream, accepted } => self.ordered(&upstream, accepted),
+        }
+        Vec::new()
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let document = Arc::clone(&self.document);
+        let mut changed = false;
+        for (name, deployment) in &document.deployments {
+            if deployment.kind == Kind::Service {
+                continue;
+            }
+            let Some(wanted) = rollout::wanted(deployment) else { continue };
+            changed |= self.update_serving(now, name, &wanted);
+            actions.extend(self.roll_out(now, name, deployment, &wanted));
+        }
+        self.serving.retain(|name, _| document.deployments.contains_key(name));
+        if changed {
+            let serving = self.serving.iter().map(|(name, s)| (name.clone(), s.current.clone()));
+            actions.push(Action::Serving(serving.collect()));
+        }
+        actions
+    }
+
+    /// Models by upstream for one deployment; upstreams that leave are passed over.
+    fn reports(&self, deployment: &str) -> BTreeMap<&str, Option<&Vec<String>>> {
+        self.vms
+            .iter()
+            .filter(|vm| vm.service == deployment && !vm.leaving)
+            .map(|vm| (vm.name.as_str(), self.models.get(&vm.name)))
+            .collect()
+    }
+
+    /// Moves requests to the wanted label once half of the upstreams have it; returns whether
+    /// anything changed.
+    fn update_serving(&mut self, now: Time, name: &str, wanted: &str) -> bool {
+        let reports = self.reports(name);
+        let Some(serving) = self.serving.get(name) else {
+            let current = first_label(&reports, wanted);
+            self.serving.insert(name.into(), Serving { current, previous: None });
+            return true;
+        };
+        if serving.current == wanted || !rollout::has_half(wanted, &reports) {
+            return false;
+        }
+        let previous = Some((serving.current.clone(), now));
+        self.serving.insert(name.into(), Serving { current: wanted.into(), previous });
+        true
+    }
+
+    fn roll_out(
+        &mut self,
+        now: Time,
+        name: &str,
+        deployment: &Deployment,
+        wanted: &str,
+    ) -> Vec<Action> {
+        let reports = self.reports(name);
+        let loading = rollout::admitted(wanted, &reports);
+        let mut orders: Vec<(String, Vec<String>)> = Vec::new();
+        for (upstream, models) in reports {
+            let Some(models) = models else { continue };
+            let target = if loading.contains(&upstream) {
+                self.labels_while_loading(name, wanted, models)
+            } else if self.may_drop_others(now, name, wanted, models) {
+                vec![wanted.to_owned()]
+            } else {
+                continue;
+            };
+            if self.owns(upstream) {
+                orders.push((upstream.to_owned(), target));
+            }
+        }
+        let fencing = deployment.fencing;
+        orders.into_iter().filter_map(|(name, t)| self.advance(now, &name, fencing, t)).collect()
+    }
+
+    /// The wanted label first, then the label that takes requests now if the upstream has it.
+    fn labels_while_loading(&self, name: &str, wanted: &str, models: &[String]) -> Vec<String> {
+        let mut labels = vec![wanted.to_owned()];
+        if let Some(serving) = self.serving.get(name)
+            && serving.current != wanted
+            && models.contains(&serving.current)
+        {
+            labels.push(serving.current.clone());
+        }
+        labels
+    }
+
+    fn may_drop_others(&self, now: Time, name: &str, wanted: &str, models: &[String]) -> bool {
+        let Some(serving) = self.serving.get(name) else { return false };
+        let others = models.iter().any(|label| label != wanted);
+        let settled = match &serving.previous {
+            Some((_, moved)) => now.since(*moved) >= self.settings.longest_request * 2,
+            None => true,
+        };
+        others && settled && serving.current == wanted
+    }
+
+    fn owns(&self, upstream: &str) -> bool {
+        let owner = hash::owner(self.members.iter().map(String::as_str), upstream);
+        owner == Some(self.settings.daemon.as_str())
+    }
+
+    /// The next step towards an order for one upstream.
+    fn advance(
+        &mut self,
+        now: Time,
+        upstream: &str,
+        fencing: Fencing,
+        models: Vec<String>,
+    ) -> Option<Action> {
+        let address = self.vms.iter().find(|vm| vm.name == upstream)?.address;
+        let step = self.steps.entry(upstream.into()).or_insert(Step::Idle);
+        let held = match step {
+            Step::Claiming { since, .. } if now.since(*since) < STEP_TIMEOUT => return None,
+            Step::Held { held, trusted_until } if now < *trusted_until => held,
+            Step::Held { held, .. } => {
+                *step = Step::Claiming { since: now, ownership: None, held: Some(*held) };
+                return Some(Action::ReadRow { upstream: upstream.into() });
+            }
+            Step::Claiming { held, .. } => {
+                *step = Step::Claiming { since: now, ownership: None, held: *held };
+                return Some(Action::ReadRow { upstream: upstream.into() });
+            }
+            Step::Idle => {
+                *step = Step::Claiming { since: now, ownership: None, held: None };
+                return Some(Action::ReadRow { upstream: upstream.into() });
+            }
+        };
+        let early = fencing == Fencing::Ignored && now < held.first_order;
+        let repeated = held.last_order.is_some_and(|last| now.since(last) < ORDER_PERIOD);
+        if early || repeated {
+            return None;
+        }
+        held.last_order = Some(now);
+        let fence = held.fence;
+        Some(Action::Order { upstream: upstream.into(), address, fence, models })
+    }
+
+    fn claim(
+        &mut self,
+        now: Time,
+        upstream: String,
+        row: Option<(u64, Option<Ownership>)>,
+    ) -> Option<Action> {
+        let Some((version, current)) = row else {
+            self.steps.insert(upstream, Step::Idle);
+            return None;
+        };
+        let Settings { daemon, epoch, .. } = &self.settings;
+        let own = current.as_ref().is_some_and(|c| c.holder == *daemon && c.epoch == *epoch);
+        let fence = current.as_ref().map_or(0, |current| current.fence);
+        if own {
+            self.hold(now, &upstream, fence);
+            return None;
+        }
+        let ownership =
+            Ownership { holder: daemon.clone(), epoch: *epoch, fence: fence.saturating_add(1) };
+        let claimed = Some(ownership.clone());
+        let step = Step::Claiming { since: now, ownership: claimed, held: None };
+        self.steps.insert(upstream.clone(), step);
+        Some(Action::Claim { upstream, version, ownership })
+    }
+
+    fn claimed(&mut self, now: Time, upstream: &str, held: bool) {
+        let Some(Step::Claiming { ownership: Some(ownership), .. }) = self.steps.get(upstream)
+        else {
+            return;
+        };
+        let fence = ownership.fence;
+        if held {
+            self.hold(now, upstream, fence);
+        } else {
+            self.steps.insert(upstream.into(), Step::Idle);
+        }
+    }
+
+    fn hold(&mut self, now: Time, upstream: &str, fence: u64) {
+        let known = match self.steps.get(upstream) {
+            Some(Step::Claiming { held: Some(held), .. }) if held.fence == fence => Some(*held),
+            _ => None,
+        };
+        // An earlier holder trusts its row for one lease after its last read of it.
+        let first_order = now + self.settings.lease + self.settings.margin;
+        let held = known.unwrap_or(Held { fence, first_order, last_order: None });
+        let trusted_until = now + self.settings.lease;
+        self.steps.insert(upstream.into(), Step::Held { held, trusted_until });
+    }
+
+    /// A refused order means that another daemon has a higher fencing number.
+    fn ordered(&mut self, upstream: &str, accepted: bool) {
+        if !accepted && let Some(step) = self.steps.get_mut(upstream) {
+            *step = Step::Idle;
+        }
+    }
+}
+
+/// What a daemon that has just started sends requests to: the wanted label when half have it, else
+/// the label that most upstreams have.
+fn first_label(reports: &BTreeMap<&str, Option<&Vec<String>>>, wanted: &str) -> String {
+    if rollout::has_half(wanted, reports) {
+        return wanted.into();
+    }
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for label in reports.values().flatten().flat_map(|models| models.iter()) {
+        *counts.entry(label).or_default() += 1;
+    }
+    let common = counts.into_iter().max_by_key(|(_, count)| *count);
+    common.map_or_else(|| wanted.to_owned(), |(label, _)| label.to_owned())
+}
--- /dev/null
+++ b/components/daemon/src/configuration/actor.rs
@@ -0,0 +1,184 @@
+//! Actor that keeps the newest accepted revision in force.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use cyclamengrade_configuration::Document;
+use cyclamengrade_control::revision::{Action, Entry, Input, Machine, Snapshot, Source};
+use cyclamengrade_peer::{self as peer, wire};
+use kameo::{
+    Reply,
+    prelude::{Actor, ActorRef, Context, Message, Spawn},
+};
+use tokio::sync::watch;
+
+use super::store;
+use crate::node::{Accepted, Node};
+
+/// Time between two ticks of the state machine.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Follows the configuration log.
+#[derive(Actor)]
+pub struct Follower {
+    machine: Machine,
+    node: Arc<Node>,
+    peers: Arc<peer::Client>,
+    accepted: watch::Sender<Arc<Accepted>>,
+    ready: watch::Sender<bool>,
+}
+
+/// Asks for the content that another daemon needs above a revision.
+pub struct Content {
+    /// Revision that the other daemon has in force.
+    pub after: u64,
+}
+
+/// The part of the configuration log that another daemon needs.
+#[derive(Reply)]
+pub struct Extract {
+    snapshot: Option<Snapshot>,
+    entries: Vec<Entry>,
+}
+
+impl Extract {
+    /// The wire form.
+    pub fn encode(self) -> wire::FetchReply {
+        encode(self.snapshot, self.entries)
+    }
+}
+
+impl Follower {
+    /// Starts following; must run on the control thread's runtime.
+    pub fn start(
+        node: Arc<Node>,
+        peers: Arc<peer::Client>,
+        accepted: watch::Sender<Arc<Accepted>>,
+        ready: watch::Sender<bool>,
+    ) -> ActorRef<Self> {
+        let poll = Duration::from_millis(node.settings.timers.config_poll_ms);
+        let machine = Machine::new(poll);
+        let actor = Self::spawn(Self { machine, node, peers, accepted, ready });
+        let ticking = actor.clone();
+        tokio::spawn(async move {
+            let mut interval = tokio::time::interval(TICK);
+            while ticking.tell(Input::Tick).await.is_ok() {
+                interval.tick().await;
+            }
+        });
+        actor
+    }
+
+    fn act(&self, action: Action, actor: &ActorRef<Self>) {
+        match action {
+            Action::ReadHead => self.read_head(actor.clone()),
+            Action::ReadContent { source: Source::Table, after, newest, snapshot } => {
+                self.read_table(actor.clone(), after, newest, snapshot);
+            }
+            Action::ReadContent { source: Source::Peer { address }, after, .. } => {
+                self.read_peer(actor.clone(), address, after);
+            }
+            Action::InForce(Snapshot { number, document }) => {
+                self.accepted.send_replace(Arc::new(Accepted { revision: number, document }));
+            }
+            Action::Ready => {
+                self.ready.send_replace(true);
+            }
+            Action::Mismatch { number } => {
+                log::warn!("revision {number} does not fit the document; reading a snapshot");
+            }
+        }
+    }
+
+    fn read_head(&self, actor: ActorRef<Self>) {
+        let table = Arc::clone(&self.node.table);
+        self.node.traffic.spawn(async move {
+            let input = match store::read_head(table.as_ref()).await {
+                Ok((head, _)) => Input::Head { newest: head.newest, snapshot: head.snapshot },
+                Err(_) => Input::TableDown,
+            };
+            let _ = actor.tell(input).await;
+        });
+    }
+
+    fn read_table(
+        &self,
+        actor: ActorRef<Self>,
+        after: u64,
+        newest: u64,
+        snapshot: Option<u64>,
+    ) {
+        let table = Arc::clone(&self.node.table);
+        self.node.traffic.spawn(async move {
+            let content = store::read_content(table.as_ref(), after, newest, snapshot).await;
+            let _ = actor.tell(content.unwrap_or(Input::ContentFailed)).await;
+        });
+    }
+
+    fn read_peer(&self, actor: ActorRef<Self>, address: SocketAddr, after: u64) {
+        let peers = Arc::clone(&self.peers);
+        self.node.traffic.spawn(async move {
+            let reply = peers.fetch(address, after).await;
+            let input = reply.ok().and_then(decode).unwrap_or(Input::ContentFailed);
+            let _ = actor.tell(input).await;
+        });
+    }
+}
+
+impl Message<Input> for Follower {
+    type Reply = ();
+
+    async fn handle(&mut self, input: Input, context: &mut Context<Self, ()>) {
+        let now = self.node.clock.now();
+        for action in self.machine.handle(now, input) {
+            self.act(action, context.actor_ref());
+        }
+    }
+}
+
+impl Message<Content> for Follower {
+    type Reply = Extract;
+
+    async fn handle(
+        &mut self,
+        Content { after }: Content,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Extract {
+        let (snapshot, entries) = self.machine.content_after(after);
+        Extract { snapshot, entries }
+    }
+}
+
+fn encode(snapshot: Option<Snapshot>, entries: Vec<Entry>) -> wire::FetchReply {
+    let snapshot = snapshot.map(|snapshot| wire::Snapshot {
+        number: snapshot.number,
+        document: serde_json::to_vec(snapshot.document.as_ref()).unwrap_or_default(),
+    });
+    let revisions = entries
+        .into_iter()
+        .map(|entry| wire::Revision {
+            number: entry.number,
+            delta: serde_json::to_vec(&entry.delta).unwrap_or_default(),
+            digest: entry.digest,
+        })
+        .collect();
+    wire::FetchReply { revisions, snapshot }
+}
+
+fn decode(reply: wire::FetchReply) -> Option<Input> {
+    let snapshot = match reply.snapshot {
+        Some(snapshot) => {
+            let document: Document = serde_json::from_slice(&snapshot.document).ok()?;
+            Some(Snapshot { number: snapshot.number, document: Arc::new(document) })
+        }
+        None => None,
+    };
+    let entries = reply
+        .revisions
+        .into_iter()
+        .map(|revision| {
+            let delta = serde_json::from_slice(&revision.delta).ok()?;
+            Some(Entry { number: revision.number, delta, digest: revision.digest })
+        })
+        .collect::<Option<Vec<_>>>()?;
+    Some(Input::Content { snapshot, entries })
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,3 +1,9 @@
 //! The daemon: actors around the decisions, and the traffic between peers.
 
+pub mod configuration;
+mod error;
+pub mod membership;
 pub mod node;
+mod vms;
+
+pub use crate::error::Error;
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -7,6 +7,7 @@
 };
 
 use cyclamengrade_configuration::Document;
+pub use cyclamengrade_control::drain::Phase;
 use cyclamengrade_control::{fleet::Vm, time::Time, traffic::Demand};
 use cyclamengrade_platform as platform;
 use cyclamengrade_settings as settings;
@@ -68,21 +69,6 @@
     pub data_centre: String,
 }
 
-/// Phase of a daemon's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Not yet ready for requests.
-    Starting,
-    /// In service.
-    Ready,
-    /// Not ready for new requests, but still accepts them until the load balancer has noticed.
-    Leaving,
-    /// Finishes the requests in flight and accepts none.
-    Draining,
-    /// Everything has ended.
-    Stopped,
-}
-
 /// Monotonic clock whose origin is the start of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- /dev/null
+++ b/components/daemon/src/vms.rs
@@ -0,0 +1,32 @@
+//! Reads the platform's list of vms.
+
+use std::{sync::Arc, time::Duration};
+
+use cyclamengrade_control::fleet::Vm;
+use cyclamengrade_platform as platform;
+use tokio::sync::watch;
+
+use crate::node::Node;
+
+/// Reads the list periodically and publishes changes; the last list stays while reads fail.
+pub async fn poll(node: Arc<Node>, fleet: watch::Sender<Arc<Vec<Vm>>>) {
+    let period = Duration::from_millis(node.settings.timers.vms_poll_ms);
+    let mut interval = tokio::time::interval(period);
+    let mut tag = None;
+    loop {
+        interval.tick().await;
+        match node.vms.list(tag.clone()).await {
+            Ok(Some((new_tag, vms))) => {
+                tag = Some(new_tag);
+                fleet.send_replace(Arc::new(vms.into_iter().map(convert).collect()));
+            }
+            Ok(None) => {}
+            Err(error) => log::debug!("the list of vms was not read: {error}"),
+        }
+    }
+}
+
+fn convert(vm: platform::Vm) -> Vm {
+    let platform::Vm { name, address, data_centre, service, leaving } = vm;
+    Vm { name, address, data_centre, service, leaving }
+}
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -1,5 +1,16 @@
 //! Communication between daemons.
 
+mod client;
+mod convert;
+mod server;
+mod socket;
+
+pub use crate::{
+    client::{Client, Error},
+    server::{Handler, serve},
+    socket::Socket,
+};
+
 /// Generated messages and services; see `proto/peer.proto`.
 #[allow(missing_docs, clippy::all, clippy::use_self, clippy::unwrap_used)]
 #[rustfmt::skip]
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -45,7 +45,7 @@
 pub struct Vm {
     /// Name of the vm.
     pub name: String,
-    /// Address and port of its process.
+    /// Address and port of its process; of a daemon, the address for other daemons.
     pub address: std::net::SocketAddr,
     /// Data centre that it is in.
     pub data_centre: String,
