--- a/components/control/tests/revision_follow.rs
+++ b/components/control/tests/revision_follow.rs
@@ -69,8 +69,7 @@
     machine.handle(now(0), Input::Head { newest: 2, snapshot: 1 });
     let mut wrong = entry(1);
     wrong.digest = "0".into();
-    let actions =
-        machine.handle(now(1), Input::Content { snapshot: None, entries: vec![wrong] });
+    let actions = machine.handle(now(1), Input::Content { snapshot: None, entries: vec![wrong] });
     expect_that!(actions, contains(eq(&Action::Mismatch { number: 1 })));
     expect_that!(machine.current().number, eq(0));
 }
@@ -82,12 +81,8 @@
     let snapshot = Snapshot { number: 1, document: Arc::new(document(1)) };
     machine.handle(now(1), Input::Content { snapshot: Some(snapshot), entries: vec![] });
     let actions = machine.handle(now(2), Input::Head { newest: 305, snapshot: 300 });
-    let read = Action::ReadContent {
-        source: Source::Table,
-        after: 1,
-        newest: 305,
-        snapshot: Some(300),
-    };
+    let read =
+        Action::ReadContent { source: Source::Table, after: 1, newest: 305, snapshot: Some(300) };
     expect_that!(actions, contains(eq(&read)));
 }
 
--- a/components/daemon/src/configuration/actor.rs
+++ b/components/daemon/src/configuration/actor.rs
@@ -100,13 +100,7 @@
         });
     }
 
-    fn read_table(
-        &self,
-        actor: ActorRef<Self>,
-        after: u64,
-        newest: u64,
-        snapshot: Option<u64>,
-    ) {
+    fn read_table(&self, actor: ActorRef<Self>, after: u64, newest: u64, snapshot: Option<u64>) {
         let table = Arc::clone(&self.node.table);
         self.node.traffic.spawn(async move {
             let content = store::read_content(table.as_ref(), after, newest, snapshot).await;
--- a/components/daemon/src/configuration/apply.rs
+++ b/components/daemon/src/configuration/apply.rs
@@ -125,9 +125,8 @@
         );
         return Err(Failure::not_run(Kind::Conflict, message));
     }
-    let records = store::read_records(table, change.expected_revision, head.newest)
-        .await
-        .map_err(unknown)?;
+    let records =
+        store::read_records(table, change.expected_revision, head.newest).await.map_err(unknown)?;
     match records.first() {
         Some(first) if first.change_id == change.change_id => {
             if first.digest == document.digest() {
--- a/components/daemon/src/configuration/store.rs
+++ b/components/daemon/src/configuration/store.rs
@@ -51,9 +51,7 @@
 }
 
 /// Reads the head with its row version; both zero before the first revision.
-pub(super) async fn read_head(
-    table: &dyn platform::Table,
-) -> Result<(Head, u64), platform::Error> {
+pub(super) async fn read_head(table: &dyn platform::Table) -> Result<(Head, u64), platform::Error> {
     let rows = table.read(vec![HEAD_KEY.into()]).await?;
     match rows.into_iter().next().flatten() {
         Some(row) => Ok((parse(&row)?, row.version)),
--- a/components/peer/src/client.rs
+++ b/components/peer/src/client.rs
@@ -10,9 +10,7 @@
     transport::{Channel, Endpoint},
 };
 
-use crate::wire::{
-    FetchReply, FetchRequest, JobNotice, OnlineNotice, peer_client::PeerClient,
-};
+use crate::wire::{FetchReply, FetchRequest, JobNotice, OnlineNotice, peer_client::PeerClient};
 
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
