--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,6 @@
 mod error;
 pub mod membership;
 pub mod node;
-mod vms;
+pub mod vms;
 
 pub use crate::error::Error;
