--- a/components/control/tests/revision_follow.rs
+++ b/components/control/tests/revision_follow.rs
@@ -1,6 +1,6 @@
 //! Guards against a daemon that moves to a lower revision, skips one, or is ready too early.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cyclamengrade_configuration::{Client, Delta, Document};
 use cyclamengrade_control::{
@@ -49,7 +49,7 @@
     let mut machine = machine();
     machine.handle(now(0), Input::TableDown);
     expect_that!(machine.handle(now(1), Input::PeersAsked), not(contains(eq(&Action::Ready))));
-    let address = "127.0.0.1:1".parse().unwrap();
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let actions = machine.handle(now(2), Input::PeerRevision { revision: 3, address });
     let read = Action::ReadContent {
         source: Source::Peer { address },
@@ -87,7 +87,7 @@
 }
 
 fn step() -> impl Strategy<Value = Input> {
-    let address = "127.0.0.1:1".parse().unwrap();
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
     prop_oneof![
         Just(Input::Tick),
         Just(Input::TableDown),
