--- a/components/configuration/src/lib.rs
+++ b/components/configuration/src/lib.rs
@@ -3,9 +3,11 @@
 mod delta;
 mod document;
 mod problem;
+mod schema;
 
 pub use crate::{
     delta::{Change, Delta},
     document::{Client, Deployment, Document, Fencing, Kind, Limit, Model, Version},
-    problem::Problem,
+    problem::{NAME_BYTES, Problem},
+    schema::schema,
 };
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -94,10 +94,14 @@
     };
     match (key.kind, value) {
         (Kind::Name, Value::String(text)) => out(is_name(text)),
-        (Kind::Address, Value::String(text)) => match text.parse::<SocketAddr>() {
+        (Kind::Listener, Value::String(text)) => match text.parse::<SocketAddr>() {
             Ok(_) => None,
             Err(_) => wrong(),
         },
+        (Kind::Address, Value::String(text)) => match text.parse::<SocketAddr>() {
+            Ok(address) => out(!address.ip().is_unspecified() && address.port() != 0),
+            Err(_) => wrong(),
+        },
         (Kind::Whole { least, most }, Value::Number(number)) => match number.as_u64() {
             Some(whole) => out((least..=most).contains(&whole)),
             None if number.as_i64().is_some() => out(false),
@@ -252,12 +256,16 @@
             advice: "write another port or address".into(),
         });
     };
-    if own[0].1 == own[1].1 && own[0].1.port() != 0 {
+    let (left, right) = (own[0].1, own[1].1);
+    let same_ip =
+        left.ip() == right.ip() || left.ip().is_unspecified() || right.ip().is_unspecified();
+    if same_ip && left.port() == right.port() && left.port() != 0 {
         refuse(own[1].0, own[0].0, own[1].1);
     }
     for (path, address) in platform {
         for (other, listener) in own {
-            if address == listener {
+            let local = address.ip().is_loopback() && listener.ip().is_unspecified();
+            if address == listener || (local && address.port() == listener.port()) {
                 refuse(path, other, address);
             }
         }
--- a/components/settings/src/key.rs
+++ b/components/settings/src/key.rs
@@ -22,7 +22,9 @@
 pub enum Kind {
     /// A name: 1 to 63 lower-case letters, digits and hyphens.
     Name,
-    /// An IP address and a port.
+    /// An IP address and a port on which this process listens; port 0 takes a free port.
+    Listener,
+    /// An IP address and a port to which this process connects.
     Address,
     /// A whole number.
     Whole {
@@ -90,14 +92,14 @@
     key("data_centre", Kind::Name, "", Default::Required, "Data centre of this vm."),
     key(
         "listen",
-        Kind::Address,
+        Kind::Listener,
         "",
         Default::Required,
         "Where callers, operators and the load balancer connect. Port 0 takes a free port.",
     ),
     key(
         "peer_listen",
-        Kind::Address,
+        Kind::Listener,
         "",
         Default::Required,
         "Where other daemons connect, by TCP and UDP. Port 0 takes a free port.",
@@ -322,7 +324,8 @@
     pub fn range(&self) -> String {
         match self.kind {
             Kind::Name => format!("1 to {NAME_BYTES} of a-z, 0-9 and -"),
-            Kind::Address => "IP:port".into(),
+            Kind::Listener => "IP:port".into(),
+            Kind::Address => "IP:port, neither unspecified".into(),
             Kind::Whole { least, most } => format!("{least} to {most}"),
             Kind::Number { least, most } => format!("{least} to {most}"),
             Kind::Switch => "true, false".into(),
@@ -335,6 +338,7 @@
         let unit = if self.unit.is_empty() { String::new() } else { format!(" ({})", self.unit) };
         match self.kind {
             Kind::Name => format!("a string of {}", self.range()),
+            Kind::Listener => "a string with IP address and port such as \"0.0.0.0:8080\"".into(),
             Kind::Address => "a string with IP address and port such as \"10.0.0.1:8080\"".into(),
             Kind::Whole { .. } => format!("a whole number from {}{unit}", self.range()),
             Kind::Number { .. } => format!("a number from {}{unit}", self.range()),
@@ -348,6 +352,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Name => "name",
+            Self::Listener => "listener",
             Self::Address => "address",
             Self::Whole { .. } => "whole number",
             Self::Number { .. } => "number",
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -33,6 +33,11 @@
                 match self { $(Self::$event => $name),+ }
             }
 
+            /// What the event means and which fields it has, as the catalogue page shows it.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$event => concat!($($doc),+)),+ }
+            }
+
             /// Message of the log line.
             pub const fn text(self) -> &'static str {
                 match self { $(Self::$event => $text),+ }
--- /dev/null
+++ b/components/telemetry/tests/log_lines.rs
@@ -0,0 +1,71 @@
+//! Log lines as a reader of standard error sees them.
+
+use std::sync::{Mutex, mpsc};
+
+use cyclamengrade_telemetry::{event, event::Event, logs};
+use googletest::prelude::*;
+use log::LevelFilter;
+use serde_json::{Value, json};
+
+/// Lines that the one logger of this process wrote.
+static LINES: Mutex<Option<mpsc::Receiver<String>>> = Mutex::new(None);
+
+/// Runs `body` and returns the log lines that it caused.
+fn lines(body: impl FnOnce()) -> Vec<Value> {
+    let mut lines = LINES.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let receiver = lines.get_or_insert_with(|| {
+        let (sender, receiver) = mpsc::channel();
+        logs::dispatch(LevelFilter::Info).chain(fern::Output::sender(sender, "")).apply().unwrap();
+        receiver
+    });
+    receiver.try_iter().for_each(drop);
+    body();
+    receiver.try_iter().map(|line| serde_json::from_str(&line).unwrap()).collect()
+}
+
+/// Guards against numbers written as text and against lost fields.
+#[gtest]
+fn fields_typed() -> Result<()> {
+    let found = lines(|| {
+        let error = std::io::Error::other("a \"quoted\"\nline");
+        event!(ConfigurationInForce, revision = 7_u64, digest = "9f0c");
+        event!(UpstreamUnreachable, upstream = "tl-1", share = 0.5, late = true, error:% = error);
+    });
+    expect_that!(found.len(), eq(2));
+    let mut first = found[0].clone();
+    let time = first["time"].take();
+    expect_that!(time.as_str(), some(ends_with("Z")));
+    expect_that!(
+        first,
+        eq(&json!({
+            "time": null, "level": "info", "event": 200, "name": "configuration_in_force",
+            "message": Event::ConfigurationInForce.text(), "revision": 7, "digest": "9f0c",
+        }))
+    );
+    expect_that!(found[1]["share"], eq(&json!(0.5)));
+    expect_that!(found[1]["late"], eq(&json!(true)));
+    verify_that!(found[1]["error"], eq(&json!("a \"quoted\"\nline")))
+}
+
+/// Guards against a field that overwrites the level or the message of the line.
+#[gtest]
+fn fixed_fields() -> Result<()> {
+    let found = lines(|| event!(Ready, level = "none", message = "none", time = "none"));
+    expect_that!(found[0]["level"], eq(&json!("info")));
+    expect_that!(found[0]["time"], not(eq(&json!("none"))));
+    verify_that!(found[0]["message"], eq(&json!(Event::Ready.text())))
+}
+
+/// Guards against details in the log at the default level, and against chatty libraries.
+#[gtest]
+fn level_filter() -> Result<()> {
+    let found = lines(|| {
+        event!(RequestRefused, client = "a");
+        log::info!(target: "hyper", "connection");
+        log::warn!(target: "hyper", "broken");
+        event!(Stopped);
+    });
+    let messages: Vec<_> = found.iter().map(|line| line["message"].as_str().unwrap()).collect();
+    expect_that!(messages, elements_are![eq(&"broken"), eq(&Event::Stopped.text())]);
+    verify_that!(found[0]["target"], eq(&json!("hyper")))
+}
