--- a/components/upstream/src/error.rs
+++ b/components/upstream/src/error.rs
@@ -50,4 +50,22 @@
     },
 }
 
+impl Error {
+    /// What is known of the run of the request.
+    ///
+    /// An engine that answers with a 4xx status, or with 503, refuses before it admits the
+    /// request. Any other status says nothing about how far the request got.
+    pub const fn ran(&self) -> Ran {
+        match self {
+            Self::Connect { .. } => Ran::No,
+            Self::Refused { status, .. } => match status {
+                400..=407 | 409..=499 | 503 => Ran::No,
+                _ => Ran::Unknown,
+            },
+            Self::Broken { ran, .. } => *ran,
+            Self::Protocol { .. } => Ran::Yes,
+        }
+    }
+}
+
 impl std::error::Error for Error {}
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -1,6 +1,16 @@
 //! HTTP client for model engines and plain services.
 
+mod client;
 mod error;
+mod event;
+mod pool;
+mod stream;
 pub mod wire;
 
-pub use crate::error::{Error, Ran};
+pub use crate::{
+    client::{Answer, Call, Client, Open},
+    error::{Error, Ran},
+    event::Token,
+    pool::Options,
+    stream::{Progress, Stream},
+};
--- /dev/null
+++ b/components/upstream/src/pool.rs
@@ -0,0 +1,198 @@
+//! Pooled connections, one request at a time on each.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+
+use crate::{Error, Ran};
+
+/// Sizes and times of the client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time for a short call: load, cache events, cancel and orders.
+    pub call: Duration,
+    /// Time after which an idle connection is not used again.
+    pub idle: Duration,
+    /// Idle connections that are kept for each upstream.
+    pub idle_connections: usize,
+    /// Largest body of a whole answer, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            call: Duration::from_secs(2),
+            // Shorter than the keep-alive time of common servers, so that a request seldom meets
+            // a connection that the server is closing.
+            idle: Duration::from_secs(4),
+            idle_connections: 64,
+            body_bytes: 16 << 20,
+        }
+    }
+}
+
+/// A connection that carries no more than one request; closed when dropped.
+pub(crate) struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    idle_since: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Idle connections by address.
+pub(crate) struct Pool {
+    pub(crate) options: Options,
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Pool {
+    pub(crate) fn new(options: Options) -> Self {
+        Self { options, idle: Mutex::default() }
+    }
+
+    /// Sends a request on an idle connection, or on a new one.
+    ///
+    /// A request that an idle connection gave back unsent goes to a new connection.
+    pub(crate) async fn send(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        fresh: bool,
+    ) -> Result<(Response<Incoming>, Lease), Error> {
+        while let Some(mut connection) = (!fresh).then(|| self.take(address)).flatten() {
+            if connection.sender.ready().await.is_err() {
+                continue;
+            }
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, self.lease(connection))),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(broken(address, &error.into_error(), Ran::Unknown)),
+                },
+            }
+        }
+        let mut connection = self.connect(address).await?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, self.lease(connection))),
+            Err(mut error) => {
+                let ran = if error.take_message().is_some() { Ran::No } else { Ran::Unknown };
+                Err(broken(address, &error.into_error(), ran))
+            }
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        let closed = self.idle().remove(&address);
+        drop(closed);
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+        let error = |cause: String| Error::Connect { address: address.to_string(), cause };
+        let socket = timeout(self.options.connect, TcpStream::connect(address))
+            .await
+            .map_err(|_| error(format!("no answer within {:?}", self.options.connect)))?
+            .map_err(|cause| error(cause.to_string()))?;
+        // Without it, small requests would wait for the acknowledgement of the previous one.
+        socket.set_nodelay(true).map_err(|cause| error(cause.to_string()))?;
+        let (sender, driver) = http1::handshake(TokioIo::new(socket))
+            .await
+            .map_err(|cause| error(cause.to_string()))?;
+        let task = tokio::spawn(async move {
+            // The result of the request reports the error.
+            let _ = driver.await;
+        });
+        Ok(Connection {
+            address,
+            sender,
+            task: task.abort_handle(),
+            idle_since: Instant::now(),
+        })
+    }
+
+    fn lease(self: &Arc<Self>, connection: Connection) -> Lease {
+        Lease { pool: Arc::clone(self), connection }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle();
+        let connections = idle.get_mut(&address)?;
+        // The newest connection is the least likely to be closed by the server.
+        while let Some(connection) = connections.pop() {
+            if !connection.sender.is_closed()
+                && connection.idle_since.elapsed() < self.options.idle
+            {
+                return Some(connection);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    fn put(&self, mut connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.idle_since = Instant::now();
+        let mut idle = self.idle();
+        let connections = idle.entry(connection.address).or_default();
+        connections.retain(|other| other.idle_since.elapsed() < self.options.idle);
+        if connections.len() < self.options.idle_connections {
+            connections.push(connection);
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A connection in use; dropping it closes the connection.
+pub(crate) struct Lease {
+    pool: Arc<Pool>,
+    connection: Connection,
+}
+
+impl Lease {
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.connection.address
+    }
+
+    /// Returns the connection to the pool; the body of the answer must have ended.
+    pub(crate) fn give_back(self) {
+        self.pool.put(self.connection);
+    }
+}
+
+/// The connection broke.
+pub(crate) fn broken(address: SocketAddr, cause: &hyper::Error, ran: Ran) -> Error {
+    use std::error::Error as _;
+    let cause = match cause.source() {
+        Some(source) => format!("{cause}: {source}"),
+        None => cause.to_string(),
+    };
+    Error::Broken { address: address.to_string(), cause, ran }
+}
