Run online requests through the traffic machine

Cause: completions and service calls had no path from the caller to an upstream. Change: the actor Traffic around control::traffic::Machine, a task for each completion and service call that runs attempts, resumes streams and reports merged samples, the load poller, and the trait Claims for non-idempotent requests.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod error;
 pub mod membership;
 pub mod node;
+pub mod online;
 pub mod vms;
 
 pub use crate::error::Error;
