Add platform adapters and the stand-in processes

Cause: the daemon needs clients for the platform, and tests need the platform, engines and plain services as processes with faults that can be switched. Change: cyclamengrade-platform gets an HTTP adapter, which tells writes that had certainly no effect from those that may have had one, and adapters in memory with fault switches. cyclamengrade-standins gets the program standin with the subcommands platform, engine and service.

--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,6 +1,8 @@
 //! Client for the platform's table service, object store and VM list.
 
 mod error;
+pub mod http;
+pub mod memory;
 pub mod table;
 
 use std::{future::Future, pin::Pin};
--- /dev/null
+++ b/components/standins/src/cli.rs
@@ -0,0 +1,167 @@
+//! Command line of the program `standin`.
+
+use std::{
+    io::{Read, Write},
+    net::SocketAddr,
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
+
+use pico_args::Arguments;
+use tokio::{net::TcpListener, runtime::Builder};
+
+use crate::{
+    engine::{self, Engine},
+    faults::Switches,
+    platform::{self, Platform},
+    server::{self, Handler},
+    service::Service,
+};
+
+const HELP: &str = "\
+Stand-ins for the platform and the upstreams, and a load tool.
+
+standin platform [--listen A] [--lag-ms N] [--writes-per-s N] [--reads-per-s N]
+standin engine   [--listen A] [--models M@V,...] [--slots N] [--step-ms X]
+                 [--stream-ms X] [--prefill-us-per-byte X] [--cached-share X]
+                 [--cache-entries N] [--cache-lag-ms N] [--cache-gap N]
+                 [--capacity N] [--load-ms N] [--report-ms N] [--queue N]
+                 [--fencing checked|ignored]
+standin service  [--listen A] [--work-ms N]
+
+Each prints one line `listening ADDRESS`. With --exit-with-stdin it ends when
+its standard input is closed.
+";
+
+type Failure = Box<dyn std::error::Error>;
+
+/// Runs the program.
+pub fn main() -> ExitCode {
+    match run(Arguments::from_env()) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    match arguments.subcommand()?.as_deref() {
+        Some("platform") => platform(arguments),
+        Some("engine") => engine(arguments),
+        Some("service") => service(arguments),
+        Some(other) => Err(format!("unknown subcommand {other:?}; see --help").into()),
+        None => Err("a subcommand is missing; see --help".into()),
+    }
+}
+
+fn platform(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+    let options = platform::Options {
+        lag: milliseconds(&mut arguments, "--lag-ms", 0)?,
+        writes_per_s: arguments.opt_value_from_str("--writes-per-s")?.unwrap_or(500.0),
+        reads_per_s: arguments.opt_value_from_str("--reads-per-s")?.unwrap_or(2_000.0),
+    };
+    serve(arguments, |switches| Arc::new(Platform::new(switches, options)), |_| {})
+}
+
+fn engine(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+    let default = engine::Options::default();
+    let models: String = arguments.opt_value_from_str("--models")?.unwrap_or_default();
+    let fencing: Option<String> = arguments.opt_value_from_str("--fencing")?;
+    let options = engine::Options {
+        slots: arguments.opt_value_from_str("--slots")?.unwrap_or(default.slots),
+        queue: arguments.opt_value_from_str("--queue")?.unwrap_or(default.queue),
+        step_ms: arguments.opt_value_from_str("--step-ms")?.unwrap_or(default.step_ms),
+        stream_ms: arguments.opt_value_from_str("--stream-ms")?.unwrap_or(default.stream_ms),
+        prefill_us_per_byte: arguments
+            .opt_value_from_str("--prefill-us-per-byte")?
+            .unwrap_or(default.prefill_us_per_byte),
+        cached_share: arguments
+            .opt_value_from_str("--cached-share")?
+            .unwrap_or(default.cached_share),
+        cache_entries: arguments
+            .opt_value_from_str("--cache-entries")?
+            .unwrap_or(default.cache_entries),
+        cache_lag: milliseconds(&mut arguments, "--cache-lag-ms", 200)?,
+        cache_gap: arguments.opt_value_from_str("--cache-gap")?.unwrap_or(default.cache_gap),
+        models: models.split(',').filter(|name| !name.is_empty()).map(Into::into).collect(),
+        capacity: arguments.opt_value_from_str("--capacity")?.unwrap_or(default.capacity),
+        load_time: milliseconds(&mut arguments, "--load-ms", 500)?,
+        report_period: milliseconds(&mut arguments, "--report-ms", 250)?,
+        fencing_checked: match fencing.as_deref() {
+            None | Some("ignored") => false,
+            Some("checked") => true,
+            Some(other) => return Err(format!("--fencing {other:?}: checked or ignored").into()),
+        },
+    };
+    if options.slots == 0 || options.step_ms <= 0.0 || options.report_period.is_zero() {
+        return Err("--slots, --step-ms and --report-ms must be above 0".into());
+    }
+    serve(
+        arguments,
+        |switches| Arc::new(Engine::new(switches, options)),
+        |engine| drop(tokio::spawn(engine.run())),
+    )
+}
+
+fn service(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+    let work = milliseconds(&mut arguments, "--work-ms", 20)?;
+    serve(arguments, |switches| Arc::new(Service::new(switches, work)), |_| {})
+}
+
+fn milliseconds(
+    arguments: &mut Arguments,
+    name: &'static str,
+    default: u64,
+) -> Result<Duration, Failure> {
+    let value = arguments.opt_value_from_str(name)?.unwrap_or(default);
+    Ok(Duration::from_millis(value))
+}
+
+/// Serves on one thread, so that a large fleet of stand-ins needs few threads.
+fn serve<H: Handler>(
+    mut arguments: Arguments,
+    handler: impl FnOnce(Arc<Switches>) -> Arc<H>,
+    start: impl FnOnce(Arc<H>),
+) -> Result<ExitCode, Failure> {
+    let listen: SocketAddr = match arguments.opt_value_from_str("--listen")? {
+        Some(listen) => listen,
+        None => SocketAddr::from(([127, 0, 0, 1], 0)),
+    };
+    let exit_with_stdin = arguments.contains("--exit-with-stdin");
+    finish(arguments)?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let listener = TcpListener::bind(listen).await?;
+        let mut output = std::io::stdout();
+        writeln!(output, "listening {}", listener.local_addr()?)?;
+        output.flush()?;
+        if exit_with_stdin {
+            std::thread::spawn(exit_at_end_of_input);
+        }
+        let switches = Arc::new(Switches::default());
+        let handler = handler(Arc::clone(&switches));
+        start(Arc::clone(&handler));
+        server::serve(listener, switches, handler).await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+fn finish(arguments: Arguments) -> Result<(), Failure> {
+    match arguments.finish().first() {
+        None => Ok(()),
+        Some(rest) => Err(format!("unknown argument {rest:?}; see --help").into()),
+    }
+}
+
+fn exit_at_end_of_input() {
+    let mut buffer = [0; 64];
+    while matches!(std::io::stdin().read(&mut buffer), Ok(count) if count > 0) {}
+    std::process::exit(0);
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -1,1 +1,11 @@
 //! Stand-ins for the platform and the upstreams, and a load tool.
+
+pub mod answer;
+pub mod cli;
+pub mod client;
+pub mod engine;
+pub mod faults;
+pub mod platform;
+pub mod process;
+pub mod server;
+pub mod service;
--- a/components/standins/src/main.rs
+++ b/components/standins/src/main.rs
@@ -1,2 +1,7 @@
 //! Runs one stand-in process.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cyclamengrade_standins::cli::main()
+}
