--- a/components/configuration/tests/document_delta.rs
+++ b/components/configuration/tests/document_delta.rs
@@ -1,4 +1,5 @@
 //! Differences between documents.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use cyclamengrade_configuration::{
     Change, Client, Delta, Deployment, Document, Fencing, Limit, Model,
--- a/components/configuration/tests/document_problems.rs
+++ b/components/configuration/tests/document_problems.rs
@@ -1,4 +1,5 @@
 //! Documents that are refused.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use cyclamengrade_configuration::{Client, Deployment, Document, Limit, Model};
 use googletest::prelude::*;
--- a/components/settings/tests/read_file.rs
+++ b/components/settings/tests/read_file.rs
@@ -1,4 +1,5 @@
 //! Reading and refusing settings files.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::path::Path;
 
--- a/components/telemetry/tests/log_lines.rs
+++ b/components/telemetry/tests/log_lines.rs
@@ -1,4 +1,5 @@
 //! Log lines as a reader of standard error sees them.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::sync::{Mutex, mpsc};
 
--- a/components/telemetry/tests/span_lines.rs
+++ b/components/telemetry/tests/span_lines.rs
@@ -1,4 +1,5 @@
 //! Finished spans in the log.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::sync::mpsc;
 
--- a/components/telemetry/tests/telemetry_pages.rs
+++ b/components/telemetry/tests/telemetry_pages.rs
@@ -1,4 +1,5 @@
 //! The pages of events and metrics against the code.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::{collections::BTreeSet, fs, path::PathBuf};
 
--- a/components/telemetry/tests/trace_context.rs
+++ b/components/telemetry/tests/trace_context.rs
@@ -1,4 +1,5 @@
 //! Trace context and spans.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::sync::{Arc, Mutex};
 
