--- a/components/operator/src/plan.rs
+++ b/components/operator/src/plan.rs
@@ -136,8 +136,8 @@
                 flatten(&path, value, values);
             }
         }
-        // Empty sections carry no setting, but an empty entry exists.
-        Value::Object(_) if path.split('.').count() != 2 => {}
+        // Empty sections carry no setting, but a model without versions is an entry.
+        Value::Object(_) if !path.starts_with("models.") => {}
         Value::String(token) if path.starts_with("clients.") && path.ends_with(".token") => {
             values.insert(path.into(), format!("(hidden, digest {})", &hash(&[token])[..8]));
         }
--- /dev/null
+++ b/components/operator/tests/admin_client.rs
@@ -0,0 +1,222 @@
+//! The admin client against lost replies, refusals and unreachable daemons.
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod support;
+
+use std::{
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use cyclamengrade_operator::{
+    Admin, Attempts, Configuration, Deployment, Error, JobState, Plan, Revision,
+};
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{Daemon, Reply, Request};
+
+fn admin(daemon: &Daemon) -> Admin {
+    Admin::new(&daemon.address)
+        .with_token("secret")
+        .with_attempts(Attempts { count: 3, pause: Duration::from_millis(1) })
+}
+
+fn plan() -> Plan {
+    let base = Revision { revision: 4, digest: String::new(), document: Value::Null };
+    let document =
+        Configuration::new().with_deployment("relay", Deployment::service()).finish().unwrap();
+    Plan::new(&base, document)
+}
+
+fn job(state: &str) -> Value {
+    json!({
+        "id": "j-1", "deployment": "d", "state": state, "items": 2, "succeeded": 1, "failed": 0,
+        "due_unix_ms": 5,
+    })
+}
+
+fn accepted(plan: &Plan) -> Value {
+    json!({ "revision": 5, "digest": plan.document.digest(), "document": plan.document })
+}
+
+/// Guards against a lost reply that is reported as a failure or repeated as another change.
+#[gtest]
+#[tokio::test]
+async fn lost_reply() -> Result<()> {
+    let plan = plan();
+    let calls = Arc::new(AtomicUsize::new(0));
+    let (counter, body) = (Arc::clone(&calls), accepted(&plan));
+    let daemon = Daemon::start(move |_| match counter.fetch_add(1, Ordering::Relaxed) {
+        0 => Reply::Silence,
+        1 => Reply::Partial(body.to_string()),
+        _ => Reply::json(&body),
+    });
+    let revision = admin(&daemon).apply(&plan, "anna").await.or_fail()?;
+    expect_that!(revision.revision, eq(5));
+    let requests = daemon.requests();
+    expect_that!(requests.len(), eq(3));
+    for request in &requests {
+        expect_that!(request.line(), eq("POST /admin/config"));
+        expect_that!(request.header("authorization"), some(eq("Bearer secret")));
+        expect_that!(
+            request.json(),
+            eq(&json!({
+                "expected_revision": 4, "change_id": plan.change_id, "author": "anna",
+                "document": plan.document,
+            }))
+        );
+    }
+    Ok(())
+}
+
+/// Guards against a conflict that is reported although the own change caused it: the first call
+/// took effect, its reply was lost, and the second call met the higher revision.
+#[gtest]
+#[tokio::test]
+async fn own_conflict() -> Result<()> {
+    let plan = plan();
+    let change_id = plan.change_id.clone();
+    let daemon = Daemon::start(move |request: &Request| {
+        if request.method == "GET" {
+            Reply::json(&json!([
+                { "revision": 6, "change_id": "other", "author": "b", "accepted_unix_ms": 2, "changes": [] },
+                { "revision": 5, "change_id": change_id, "author": "a", "accepted_unix_ms": 1, "changes": [] },
+            ]))
+        } else {
+            Reply::refusal(409, "conflict", "the newest revision is 6")
+        }
+    });
+    let revision = admin(&daemon).apply(&plan, "anna").await.or_fail()?;
+    expect_that!(revision.revision, eq(5));
+    verify_that!(
+        daemon.lines(),
+        elements_are![eq("POST /admin/config"), eq("GET /admin/config/history?limit=100")]
+    )
+}
+
+/// Guards against a conflict with another operator that is taken for success.
+#[gtest]
+#[tokio::test]
+async fn other_conflict() -> Result<()> {
+    let daemon = Daemon::start(|request| match request.method.as_str() {
+        "GET" => Reply::json(&json!([])),
+        _ => Reply::refusal(409, "conflict", "the newest revision is 6"),
+    });
+    let error = admin(&daemon).apply(&plan(), "anna").await.unwrap_err();
+    expect_that!(error.is_conflict(), eq(true));
+    verify_that!(error.to_string(), eq("conflict: the newest revision is 6"))
+}
+
+/// Guards against an outcome that is stated although no reply ever came.
+#[gtest]
+#[tokio::test]
+async fn never_answered() -> Result<()> {
+    let daemon = Daemon::start(|_| Reply::Silence);
+    let error = admin(&daemon).apply(&plan(), "anna").await.unwrap_err();
+    expect_that!(error, matches_pattern!(Error::Lost { .. }));
+    verify_that!(daemon.requests().len(), eq(4))
+}
+
+/// Guards against treating a call that never reached a daemon as one that may have taken effect.
+#[gtest]
+#[tokio::test]
+async fn nobody_listens() -> Result<()> {
+    let address = TcpListener::bind("127.0.0.1:0").or_fail()?.local_addr().or_fail()?;
+    let error = Admin::new(address.to_string()).configuration().await.unwrap_err();
+    verify_that!(error, matches_pattern!(Error::Unreachable { .. }))
+}
+
+/// Guards against refusals that lose their kind or the time after which to retry, and against
+/// answers of a load balancer that are not understood.
+#[gtest]
+#[tokio::test]
+async fn refusal_kinds() -> Result<()> {
+    let daemon = Daemon::start(|_| Reply::refusal(503, "unavailable", "the table is down"));
+    let error = admin(&daemon).upstreams().await.unwrap_err();
+    expect_that!(
+        error,
+        eq(&Error::Refused {
+            kind: "unavailable".into(),
+            message: "the table is down".into(),
+            not_run: true,
+            retry_after: Some(Duration::from_millis(1_500)),
+        })
+    );
+    for (status, body) in [(503, "<html>"), (502, ""), (404, ""), (200, "<html>"), (504, "")] {
+        let daemon = Daemon::start(move |_| Reply::Answer(status, body.into()));
+        let error = admin(&daemon).upstreams().await.unwrap_err();
+        let expected = match status {
+            502 | 503 => matches!(error, Error::Unreachable { .. }),
+            504 => matches!(error, Error::Lost { .. }),
+            404 => matches!(error, Error::Refused { not_run: true, .. }),
+            _ => matches!(error, Error::Protocol { .. }),
+        };
+        expect_that!(expected, eq(true), "{status}: {error:?}");
+    }
+    Ok(())
+}
+
+/// Guards against a second job after a lost reply.
+#[gtest]
+#[tokio::test]
+async fn job_key_repeated() -> Result<()> {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&calls);
+    let daemon = Daemon::start(move |_| match counter.fetch_add(1, Ordering::Relaxed) {
+        0 => Reply::Silence,
+        _ => Reply::json(&job("open")),
+    });
+    let due = Duration::from_secs(60);
+    let job = admin(&daemon).submit("a b/c", "key-1", due, "{}\n").await.or_fail()?;
+    expect_that!(job.id, eq("j-1"));
+    for request in daemon.requests() {
+        expect_that!(request.line(), eq("POST /v1/batches?deployment=a%20b%2Fc&due_s=60"));
+        expect_that!(request.header("idempotency-key"), some(eq("key-1")));
+        expect_that!(request.body, eq(b"{}\n"));
+    }
+    verify_that!(daemon.requests().len(), eq(2))
+}
+
+/// Guards against giving up a job because its daemon restarts, and against waiting for a job that
+/// does not exist.
+#[gtest]
+#[tokio::test]
+async fn wait_survives() -> Result<()> {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&calls);
+    let daemon = Daemon::start(move |_| match counter.fetch_add(1, Ordering::Relaxed) {
+        0 => Reply::json(&job("open")),
+        1 => Reply::Silence,
+        2 => Reply::refusal(503, "unavailable", "starting"),
+        _ => Reply::json(&job("completed")),
+    });
+    let (period, patience) = (Duration::from_millis(1), Duration::from_secs(60));
+    let mut states = Vec::new();
+    let show = |job: &cyclamengrade_operator::Job| states.push(job.state);
+    let ended = admin(&daemon).wait("j-1", period, patience, show).await.or_fail()?;
+    expect_that!(ended.state, eq(JobState::Completed));
+    expect_that!(states, elements_are![eq(&JobState::Open), eq(&JobState::Completed)]);
+
+    let daemon = Daemon::start(|_| Reply::refusal(404, "not_found", "no such job"));
+    let error = admin(&daemon).wait("j-2", period, patience, |_| ()).await.unwrap_err();
+    expect_that!(error.to_string(), eq("not_found: no such job"));
+    verify_that!(daemon.requests().len(), eq(1))
+}
+
+/// Guards against results that end early and are taken for all.
+#[gtest]
+#[tokio::test]
+async fn results_whole() -> Result<()> {
+    let daemon = Daemon::start(|_| Reply::Answer(200, "{\"id\":\"1\"}\n".into()));
+    let mut output = Vec::new();
+    expect_that!(admin(&daemon).results("j-1", &mut output).await, ok(eq(&11)));
+    expect_that!(output, eq(b"{\"id\":\"1\"}\n"));
+
+    let daemon = Daemon::start(|_| Reply::Partial("{\"id\":\"1\"}\n".into()));
+    let error = admin(&daemon).results("j-1", &mut Vec::new()).await.unwrap_err();
+    verify_that!(error, matches_pattern!(Error::Lost { .. }))
+}
