--- a/components/configuration/src/delta.rs
+++ b/components/configuration/src/delta.rs
@@ -60,7 +60,14 @@
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.value {
-            Some(value) => write!(f, "set {}.{} = {value}", self.section, self.name),
+            Some(value) => {
+                // The text is shown in the history and in logs, where a token must not appear.
+                let mut value = value.clone();
+                if let Some(token) = value.get_mut("token").filter(|_| self.section == "clients") {
+                    *token = "(hidden)".into();
+                }
+                write!(f, "set {}.{} = {value}", self.section, self.name)
+            }
             None => write!(f, "remove {}.{}", self.section, self.name),
         }
     }
--- a/components/configuration/tests/document_delta.rs
+++ b/components/configuration/tests/document_delta.rs
@@ -96,3 +96,18 @@
     expect_that!(change("clients", Some(5.into())).apply(&document), none());
     verify_that!(change("clients", None).apply(&document), some(eq(&document)))
 }
+
+/// Guards against tokens in the history of revisions.
+#[gtest]
+fn tokens_hidden() -> Result<()> {
+    let mut document = Document::default();
+    document.clients.insert("labels".into(), Client::new("secret"));
+    document.deployments.insert("relay".into(), Deployment::service());
+    let delta = Delta::new(&Document::default(), &document);
+    let shown: Vec<_> = delta.changes.iter().map(ToString::to_string).collect();
+    expect_that!(
+        shown[0],
+        all![starts_with("set clients.labels = "), not(contains_substring("secret"))]
+    );
+    verify_that!(shown[1], contains_substring("\"kind\":\"service\""))
+}
