--- a/components/control/src/order/machine.rs
+++ b/components/control/src/order/machine.rs
@@ -40,8 +40,8 @@
 struct Serving {
     /// Label that takes requests.
     current: String,
-    /// Label that took requests before, and when they moved.
-    previous: Option<(String, Time)>,
+    /// When requests moved to it from another label.
+    moved: Option<Time>,
 }
 
 /// Orders as one daemon sees them.
@@ -96,20 +96,15 @@
     fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         let document = Arc::clone(&self.document);
-        let mut changed = false;
         for (name, deployment) in &document.deployments {
             if deployment.kind == Kind::Service {
                 continue;
             }
             let Some(wanted) = rollout::wanted(deployment) else { continue };
-            changed |= self.update_serving(now, name, &wanted);
+            self.update_serving(now, name, &wanted);
             actions.extend(self.roll_out(now, name, deployment, &wanted));
         }
         self.serving.retain(|name, _| document.deployments.contains_key(name));
-        if changed {
-            let serving = self.serving.iter().map(|(name, s)| (name.clone(), s.current.clone()));
-            actions.push(Action::Serving(serving.collect()));
-        }
         actions
     }
 
@@ -122,21 +117,19 @@
             .collect()
     }
 
-    /// Moves requests to the wanted label once half of the upstreams have it; returns whether
-    /// anything changed.
-    fn update_serving(&mut self, now: Time, name: &str, wanted: &str) -> bool {
+    /// Records that requests moved to the wanted label once half of the upstreams have it.
+    fn update_serving(&mut self, now: Time, name: &str, wanted: &str) {
         let reports = self.reports(name);
         let Some(serving) = self.serving.get(name) else {
             let current = first_label(&reports, wanted);
-            self.serving.insert(name.into(), Serving { current, previous: None });
-            return true;
+            self.serving.insert(name.into(), Serving { current, moved: None });
+            return;
         };
         if serving.current == wanted || !rollout::has_half(wanted, &reports) {
-            return false;
+            return;
         }
-        let previous = Some((serving.current.clone(), now));
-        self.serving.insert(name.into(), Serving { current: wanted.into(), previous });
-        true
+        let serving = Serving { current: wanted.into(), moved: Some(now) };
+        self.serving.insert(name.into(), serving);
     }
 
     fn roll_out(
@@ -181,8 +174,8 @@
     fn may_drop_others(&self, now: Time, name: &str, wanted: &str, models: &[String]) -> bool {
         let Some(serving) = self.serving.get(name) else { return false };
         let others = models.iter().any(|label| label != wanted);
-        let settled = match &serving.previous {
-            Some((_, moved)) => now.since(*moved) >= self.settings.longest_request * 2,
+        let settled = match serving.moved {
+            Some(moved) => now.since(moved) >= self.settings.longest_request * 2,
             None => true,
         };
         others && settled && serving.current == wanted
--- a/components/control/src/order/message.rs
+++ b/components/control/src/order/message.rs
@@ -1,6 +1,6 @@
 //! Inputs and actions of the order decisions.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cyclamengrade_configuration::Document;
 use serde::{Deserialize, Serialize};
@@ -90,8 +90,6 @@
         /// Labels of the models to have.
         models: Vec<String>,
     },
-    /// Versions that take requests, by deployment.
-    Serving(BTreeMap<String, String>),
 }
 
 /// Parameters of the order decisions.
--- a/components/control/src/order/mod.rs
+++ b/components/control/src/order/mod.rs
@@ -1,9 +1,9 @@
-//! Which model versions upstreams load, and which version of a deployment takes requests.
+//! Which model versions upstreams load, and when they drop old ones.
 //!
 //! The daemon that rendezvous hashing names gives the orders of an upstream, after it has claimed
 //! the upstream's row in the table, which raises the fencing number. A rollout loads the new
-//! version beside the old one on a few upstreams at a time, moves requests once half of the
-//! upstreams have the new version, and drops the old version when no request can need it.
+//! version beside the old one on a few upstreams at a time, and drops the old version when no
+//! request can need it. Requests move once half of the upstreams have the new version.
 
 mod machine;
 mod message;
