--- /dev/null
+++ b/components/daemon/src/peers.rs
@@ -0,0 +1,98 @@
+//! Answers calls of other daemons, and tells them of jobs and online work.
+
+use std::sync::Arc;
+
+use cyclamengrade_control::traffic::{Action, Input};
+use cyclamengrade_peer::{
+    self as peer,
+    wire::{FetchReply, FetchRequest, JobNotice, OnlineNotice},
+};
+use kameo::prelude::ActorRef;
+use tokio::sync::mpsc;
+
+use crate::{
+    batch::{self, BatchLimit, Dispatcher},
+    configuration::{Content, Follower},
+    node::Node,
+    online::Online,
+};
+
+/// Handles the calls of other daemons.
+pub struct Handler {
+    /// Online requests of this daemon.
+    pub online: Online,
+    /// Batch work of this daemon.
+    pub dispatcher: ActorRef<Dispatcher>,
+    /// Configuration of this daemon.
+    pub follower: ActorRef<Follower>,
+}
+
+impl peer::Handler for Handler {
+    fn online_notice(&self, notice: OnlineNotice) {
+        let OnlineNotice { from, upstream, in_flight } = notice;
+        self.online.feed(Input::OnlineNotice { from, upstream, in_flight });
+    }
+
+    fn job_notice(&self, notice: JobNotice) {
+        let _ = self.dispatcher.tell(batch::JobNotice { job: notice.job }).try_send();
+    }
+
+    async fn fetch(&self, request: FetchRequest) -> FetchReply {
+        let content = self.follower.ask(Content { after: request.after }).await;
+        content.map(|extract| extract.encode()).unwrap_or_default()
+    }
+}
+
+/// Carries out the traffic actions that concern the batch work, here and at other daemons.
+pub async fn relay(
+    node: Arc<Node>,
+    peers: Arc<peer::Client>,
+    dispatcher: ActorRef<Dispatcher>,
+    online: Online,
+    mut effects: mpsc::UnboundedReceiver<Action>,
+) {
+    while let Some(action) = effects.recv().await {
+        match action {
+            Action::BatchLimit { upstream, deployment, streams } => {
+                let limit = BatchLimit { upstream, deployment, streams };
+                let _ = dispatcher.tell(limit).try_send();
+            }
+            Action::Notify { dispatcher: name, upstream, in_flight } => {
+                notify(&node, &peers, &online, &name, upstream, in_flight);
+            }
+            Action::Dispatch(_) | Action::Cancel { .. } | Action::Refuse { .. } => {}
+        }
+    }
+}
+
+fn notify(
+    node: &Node,
+    peers: &peer::Client,
+    online: &Online,
+    dispatcher: &str,
+    upstream: String,
+    in_flight: u32,
+) {
+    let from = node.settings.name.clone();
+    if dispatcher == from {
+        online.feed(Input::OnlineNotice { from, upstream, in_flight });
+        return;
+    }
+    let members = Arc::clone(&node.members.borrow());
+    if let Some(member) = members.daemons.iter().find(|member| member.name == dispatcher) {
+        peers.notify(member.address, OnlineNotice { from, upstream, in_flight });
+    }
+}
+
+/// Tells every live daemon that a job was accepted or cancelled; a lost notice is made good by the
+/// next poll of the open jobs.
+pub fn announce_job(node: &Node, peers: &Arc<peer::Client>, job: &str, cancelled: bool) {
+    let members = Arc::clone(&node.members.borrow());
+    for member in members.daemons.iter().filter(|member| member.name != node.settings.name) {
+        let (peers, address) = (Arc::clone(peers), member.address);
+        let notice = JobNotice { job: job.to_owned(), cancelled };
+        node.traffic.spawn(async move {
+            let _ = peers.notify_job(address, notice).await;
+        });
+    }
+}
--- /dev/null
+++ b/components/daemon/src/serve.rs
@@ -0,0 +1,158 @@
+//! What the HTTP server gets from the parts of the daemon.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use cyclamengrade_caller::{
+    Failure,
+    backend::{
+        Apply, Backend, Boxed, Completion, Event, HistoryEntry, Job, Revision, ServiceAnswer,
+        ServiceCall, Submission, Upstream,
+    },
+};
+use cyclamengrade_control::traffic::Status;
+use cyclamengrade_peer as peer;
+use cyclamengrade_telemetry::metrics;
+use kameo::prelude::ActorRef;
+use serde_json::json;
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    batch::{self, Dispatcher, Jobs},
+    configuration,
+    node::{Node, Phase},
+    online::Online,
+    peers,
+};
+
+/// The daemon as the HTTP server sees it.
+#[derive(Clone)]
+pub struct Service {
+    /// State that the parts share.
+    pub node: Arc<Node>,
+    /// Online requests.
+    pub online: Online,
+    /// Batch jobs.
+    pub jobs: Arc<Jobs>,
+    /// Batch work of this daemon.
+    pub dispatcher: ActorRef<Dispatcher>,
+    /// Connections to other daemons.
+    pub peers: Arc<peer::Client>,
+    /// Names of the clients by token.
+    pub tokens: watch::Receiver<Arc<BTreeMap<String, String>>>,
+    /// Metrics of the process.
+    pub metrics: Option<metrics::Handle>,
+}
+
+impl Service {
+    fn announce(&self, job: &Job, cancelled: bool) {
+        let _ = self.dispatcher.tell(batch::JobNotice { job: job.id.clone() }).try_send();
+        peers::announce_job(&self.node, &self.peers, &job.id, cancelled);
+    }
+}
+
+impl Backend for Service {
+    fn client(&self, token: &str) -> Option<String> {
+        self.tokens.borrow().get(token).cloned()
+    }
+
+    fn complete(&self, call: Completion) -> Boxed<mpsc::Receiver<Event>> {
+        let online = self.online.clone();
+        Box::pin(async move { online.complete(call).await })
+    }
+
+    fn call_service(&self, call: ServiceCall) -> Boxed<ServiceAnswer> {
+        let online = self.online.clone();
+        Box::pin(async move { online.call_service(call).await })
+    }
+
+    fn submit(&self, submission: Submission) -> Boxed<Job> {
+        let service = self.clone();
+        Box::pin(async move {
+            let job = service.jobs.submit(submission).await?;
+            service.announce(&job, false);
+            Ok(job)
+        })
+    }
+
+    fn job(&self, client: String, id: String) -> Boxed<Job> {
+        let jobs = Arc::clone(&self.jobs);
+        Box::pin(async move { jobs.job(&client, &id).await })
+    }
+
+    fn results(&self, client: String, id: String) -> Boxed<mpsc::Receiver<Result<Bytes, Failure>>> {
+        let jobs = Arc::clone(&self.jobs);
+        Box::pin(async move { jobs.results(&client, &id).await })
+    }
+
+    fn cancel(&self, client: String, id: String) -> Boxed<Job> {
+        let service = self.clone();
+        Box::pin(async move {
+            let job = service.jobs.cancel(&client, &id).await?;
+            service.announce(&job, true);
+            Ok(job)
+        })
+    }
+
+    fn configuration(&self) -> Boxed<Revision> {
+        let accepted = Arc::clone(&self.node.configuration.borrow());
+        Box::pin(async move {
+            Ok(Revision {
+                revision: accepted.revision,
+                digest: accepted.document.digest(),
+                document: json!(accepted.document.as_ref()),
+            })
+        })
+    }
+
+    fn apply(&self, change: Apply) -> Boxed<Revision> {
+        let table = Arc::clone(&self.node.table);
+        let unix_ms = self.node.clock.unix_ms();
+        Box::pin(async move { configuration::apply(table.as_ref(), unix_ms, change).await })
+    }
+
+    fn history(&self, limit: usize) -> Boxed<Vec<HistoryEntry>> {
+        let table = Arc::clone(&self.node.table);
+        Box::pin(async move { configuration::history(table.as_ref(), limit).await })
+    }
+
+    fn upstreams(&self) -> Boxed<Vec<Upstream>> {
+        let online = self.online.clone();
+        Box::pin(async move { Ok(online.status().await.into_iter().map(upstream).collect()) })
+    }
+
+    fn ready(&self) -> bool {
+        *self.node.phase.borrow() == Phase::Ready
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.as_ref().map(metrics::Handle::render).unwrap_or_default()
+    }
+}
+
+fn upstream(status: Status) -> Upstream {
+    Upstream {
+        name: status.name,
+        deployment: status.deployment,
+        data_centre: status.data_centre,
+        state: status.state.name().into(),
+        online: status.online,
+        batch: status.batch,
+        reported_running: status.reported_running,
+        first_token_ms: status.first_token_ms,
+    }
+}
+
+/// Publishes the names of the clients by token whenever the configuration changes.
+pub async fn index_tokens(node: Arc<Node>, tokens: watch::Sender<Arc<BTreeMap<String, String>>>) {
+    let mut configuration = node.configuration.clone();
+    loop {
+        let document = Arc::clone(&configuration.borrow_and_update().document);
+        let clients = document.clients.iter();
+        let index = clients.map(|(name, client)| (client.token.clone(), name.clone())).collect();
+        tokens.send_replace(Arc::new(index));
+        if configuration.changed().await.is_err() {
+            return;
+        }
+    }
+}
