Add batch jobs, the dispatcher and the lease keeper

Cause: batch jobs need durable acceptance, claiming and committing. Change: pure machines for acceptance, cancellation, dispatch and lease in control; Jobs, the Dispatcher actor and the lease keeper in daemon.

--- /dev/null
+++ b/components/control/src/job/dispatch/claim.rs
@@ -0,0 +1,405 @@
+//! Claims, takeovers, and the outcome of transactions.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{
+    BACKOFF_MIN, ChunkId, Dispatch, ISOLATION_CLAIMS, Pending,
+    chunk::{Cut, Held},
+};
+use crate::{
+    job::row::{Chunk, ChunkState, Job, State, job_key},
+    lease::{self, Verdict},
+    store::{Call, Reply, Transaction},
+};
+
+/// A transaction on a chunk, for as long as its outcome is not known.
+#[derive(Clone, Debug)]
+pub(super) struct Write {
+    pub chunk: ChunkId,
+    /// The chunk's row after the transaction, by which this daemon recognises its own write.
+    pub row: Chunk,
+    pub kind: Kind,
+}
+
+/// What a transaction does.
+#[derive(Clone, Debug)]
+pub(super) enum Kind {
+    /// Claims the chunk and leaves the job's row like this.
+    Claim { deployment: String, job: Job },
+    /// Takes the chunk over from a holder that is gone.
+    Takeover,
+    /// Records the item that runs next in isolation.
+    Mark,
+    /// Commits or hands back; leaves the job's row like this, and a new chunk with the rest.
+    Commit { cut: Cut, job: Job, rest: Option<(ChunkId, Chunk)> },
+}
+
+impl Dispatch {
+    /// Whether more items of a deployment could run than are at hand.
+    pub(super) fn wants_work(&self, deployment: &str) -> bool {
+        let streams: usize = self.streams(deployment);
+        let at_hand: usize = self
+            .held
+            .iter()
+            .filter(|(id, _)| self.deployment(id) == Some(deployment))
+            .map(|(_, held)| held.unfinished())
+            .sum();
+        // A quarter more than can run, so that slots are not idle during a claim.
+        self.drain.is_none() && streams > 0 && at_hand < streams + streams.div_ceil(4)
+    }
+
+    pub(super) fn deployment(&self, id: &ChunkId) -> Option<&str> {
+        self.views.get(&id.job).map(|view| view.row.deployment.as_str())
+    }
+
+    /// Claims chunks for deployments with room.
+    pub(super) fn claim(&mut self) {
+        let Some(epoch) = self.lease.epoch.filter(|_| self.leased_now()) else { return };
+        if self.now < self.claim_after || self.result_bytes() >= self.settings.memory_bytes {
+            return;
+        }
+        let deployments: Vec<_> = self.polls.keys().cloned().collect();
+        for deployment in deployments {
+            let claiming = self.polls.get(&deployment).is_none_or(|poll| poll.claiming);
+            if claiming || !self.wants_work(&deployment) {
+                continue;
+            }
+            let Some(id) = self.choose(&deployment) else { continue };
+            self.claim_from(&deployment, &id, epoch);
+        }
+    }
+
+    /// The job whose chunk is claimed next: one close to due, else one of the client that received
+    /// least relative to its weight.
+    fn choose(&mut self, deployment: &str) -> Option<String> {
+        let listed = &self.polls.get(deployment)?.listed;
+        let jobs: Vec<_> = listed
+            .iter()
+            .filter_map(|id| self.views.get(id).map(|view| (id, &view.row)))
+            .filter(|(_, job)| job.claimable())
+            .collect();
+        let urgent = u64::try_from(self.settings.urgent.as_millis()).unwrap_or(u64::MAX);
+        let close = |job: &Job| job.due_unix_ms <= self.unix_ms.saturating_add(urgent);
+        let first =
+            jobs.iter().filter(|(_, job)| close(job)).min_by_key(|(_, job)| job.due_unix_ms);
+        if let Some((id, _)) = first {
+            return Some((*id).clone());
+        }
+        // A client without a record starts level with the one that received least.
+        let least = jobs
+            .iter()
+            .filter_map(|(_, job)| self.service.get(&job.client).copied())
+            .min_by(f64::total_cmp)
+            .unwrap_or_default();
+        for (_, job) in &jobs {
+            self.service.entry(job.client.clone()).or_insert(least);
+        }
+        let service = |job: &Job| self.service.get(&job.client).copied().unwrap_or_default();
+        jobs.iter()
+            .min_by(|(_, a), (_, b)| {
+                service(a).total_cmp(&service(b)).then(a.due_unix_ms.cmp(&b.due_unix_ms))
+            })
+            .map(|(id, _)| (*id).clone())
+    }
+
+    fn claim_from(&mut self, deployment: &str, id: &str, epoch: u64) {
+        let Some(view) = self.views.get(id) else { return };
+        let mut job = view.row.clone();
+        let key = job_key(id);
+        let transaction = Transaction::new().with_condition(&*key, view.version);
+        let number = match job.returned.pop() {
+            Some(number) => number,
+            None => {
+                job.next += 1;
+                job.next - 1
+            }
+        };
+        let chunk = ChunkId { job: id.to_owned(), number };
+        if view.row.returned.is_empty() {
+            let row = self.fresh_row(epoch);
+            self.send_claim(deployment, chunk, row, job, transaction, 0);
+        } else {
+            // The row of a returned chunk must be read first.
+            let row = self.fresh_row(epoch);
+            let kind = Kind::Claim { deployment: deployment.to_owned(), job };
+            if let Some(poll) = self.polls.get_mut(deployment) {
+                poll.claiming = true;
+            }
+            self.resolve(Box::new(Write { chunk, row, kind }));
+        }
+    }
+
+    fn fresh_row(&self, epoch: u64) -> Chunk {
+        Chunk {
+            holder: self.settings.daemon.clone(),
+            epoch,
+            fence: 1,
+            claims: 1,
+            state: ChunkState::Held,
+            current: None,
+            attempts: BTreeMap::new(),
+            object: None,
+            items: None,
+            split: None,
+        }
+    }
+
+    fn send_claim(
+        &mut self,
+        deployment: &str,
+        chunk: ChunkId,
+        row: Chunk,
+        job: Job,
+        transaction: Transaction,
+        version: u64,
+    ) {
+        let key = chunk.key();
+        let transaction = transaction
+            .with_condition(&*key, version)
+            .with_write(key, &row)
+            .with_write(job_key(&chunk.job), &job);
+        if let Some(poll) = self.polls.get_mut(deployment) {
+            poll.claiming = true;
+        }
+        let kind = Kind::Claim { deployment: deployment.to_owned(), job };
+        self.write(transaction, Write { chunk, row, kind });
+    }
+
+    /// Takes over chunks whose holder is gone.
+    pub(super) fn take_over(&mut self) {
+        let Some(epoch) = self.lease.epoch.filter(|_| self.leased_now()) else { return };
+        let ids: Vec<_> = self
+            .suspects
+            .iter()
+            .filter(|(id, suspect)| {
+                let wants = self.deployment(id).is_some_and(|name| self.wants_work(name));
+                !suspect.taking && wants && !self.held.contains_key(id)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        // One takeover at a time, because the chunk that it brings may be enough.
+        if self.suspects.values().any(|suspect| suspect.taking) {
+            return;
+        }
+        for id in ids {
+            let Some(suspect) = self.suspects.get(&id) else { continue };
+            let row = &suspect.row;
+            let own = row.holder == self.settings.daemon && row.epoch <= epoch;
+            let verdict = match self.observer.verdict(&row.holder, row.epoch) {
+                // A chunk of this process that it does not work on: its claim was given up when
+                // the reply was lost.
+                _ if own => Verdict::Ended,
+                verdict => verdict,
+            };
+            let mut transaction = Transaction::new().with_condition(id.key(), suspect.version);
+            match verdict {
+                Verdict::Live => continue,
+                Verdict::Ended => {}
+                Verdict::Expired(version) => {
+                    transaction = transaction.with_condition(lease::key(&row.holder), version);
+                }
+            }
+            let row = self.taken(row, epoch);
+            let transaction = transaction.with_write(id.key(), &row);
+            if let Some(suspect) = self.suspects.get_mut(&id) {
+                suspect.taking = true;
+            }
+            return self.write(transaction, Write { chunk: id, row, kind: Kind::Takeover });
+        }
+    }
+
+    /// The row of a chunk after a takeover.
+    fn taken(&self, row: &Chunk, epoch: u64) -> Chunk {
+        let mut taken = Chunk {
+            holder: self.settings.daemon.clone(),
+            epoch,
+            fence: row.fence + 1,
+            claims: row.claims + 1,
+            state: ChunkState::Held,
+            current: None,
+            ..row.clone()
+        };
+        if let Some(item) = row.current.filter(|_| row.claims >= ISOLATION_CLAIMS) {
+            *taken.attempts.entry(item).or_default() += 1;
+        }
+        taken
+    }
+
+    /// Whether a transaction on this chunk is in flight.
+    pub(super) fn writing(&self, id: &ChunkId) -> bool {
+        let this = |pending: &Pending| match pending {
+            Pending::Write(write) | Pending::Resolve(write) => write.chunk == *id,
+            _ => false,
+        };
+        self.calls.values().any(this) || self.unresolved.iter().any(|(_, write)| write.chunk == *id)
+    }
+
+    pub(super) fn write(&mut self, transaction: Transaction, write: Write) {
+        if let Some(held) = self.held.get_mut(&write.chunk) {
+            held.busy = true;
+        }
+        self.call(Call::Commit(transaction), Pending::Write(Box::new(write)));
+    }
+
+    /// Reads the rows that a transaction touched.
+    pub(super) fn resolve(&mut self, write: Box<Write>) {
+        let mut keys = vec![write.chunk.key(), job_key(&write.chunk.job)];
+        if let Kind::Commit { rest: Some((rest, _)), .. } = &write.kind {
+            keys.push(rest.key());
+        }
+        self.call(Call::Read(keys), Pending::Resolve(write));
+    }
+
+    pub(super) fn wrote(&mut self, write: Box<Write>, reply: Reply) {
+        match reply {
+            Reply::Done(versions) => {
+                let version = |key: &str| versions.get(key).copied();
+                let chunk = version(&write.chunk.key()).unwrap_or_default();
+                let job = version(&job_key(&write.chunk.job));
+                self.applied(*write, chunk, job, &versions);
+            }
+            Reply::Failed => self.not_applied(*write, true),
+            _ => self.resolve(write),
+        }
+    }
+
+    pub(super) fn resolved(&mut self, write: Box<Write>, reply: Reply) {
+        if !matches!(reply, Reply::Rows(_)) {
+            self.unresolved.push((self.now + self.backoff, write));
+            return;
+        }
+        let rows = reply.rows();
+        if let Some(row) = rows.get(&job_key(&write.chunk.job)) {
+            self.saw_job(row);
+        }
+        let current = rows.get(&write.chunk.key());
+        let (version, chunk) = match current {
+            Some(row) => (row.version, row.decode::<Chunk>()),
+            None => (0, None),
+        };
+        if chunk.as_ref() == Some(&write.row) {
+            let mut versions = BTreeMap::new();
+            // The rest may have been taken over since; then it has another row.
+            if let Kind::Commit { rest: Some((rest, expected)), .. } = &write.kind
+                && let Some(row) = rows.get(&rest.key())
+                && row.decode::<Chunk>().as_ref() == Some(expected)
+            {
+                versions.insert(rest.key(), row.version);
+            }
+            self.applied(*write, version, None, &versions);
+        } else if let (Kind::Claim { deployment, .. }, Some(chunk)) = (&write.kind, &chunk) {
+            let deployment = deployment.clone();
+            self.claim_returned(&deployment, write.chunk, version, chunk);
+        } else if self.held.get(&write.chunk).is_some_and(|held| held.version != version) {
+            self.drop_chunk(&write.chunk);
+        } else {
+            self.not_applied(*write, false);
+        }
+    }
+
+    /// Claims a chunk that was handed back and whose row is now known.
+    fn claim_returned(&mut self, deployment: &str, id: ChunkId, version: u64, row: &Chunk) {
+        if let Some(poll) = self.polls.get_mut(deployment) {
+            poll.claiming = false;
+        }
+        let Some(epoch) = self.lease.epoch.filter(|_| self.leased_now()) else { return };
+        let Some(view) = self.views.get(&id.job) else { return };
+        let place = view.row.returned.iter().position(|number| *number == id.number);
+        let (true, Some(place)) = (row.state == ChunkState::Returned, place) else { return };
+        if view.row.state != State::Open || self.drain.is_some() {
+            return;
+        }
+        let mut job = view.row.clone();
+        job.returned.remove(place);
+        let transaction = Transaction::new().with_condition(job_key(&id.job), view.version);
+        // A chunk that was handed back did not kill its holder, so its claims stay.
+        let row = Chunk { claims: row.claims, ..self.taken(row, epoch) };
+        self.send_claim(deployment, id, row, job, transaction, version);
+    }
+
+    fn not_applied(&mut self, write: Write, failed: bool) {
+        let delay = if failed { self.backoff } else { Duration::ZERO };
+        match write.kind {
+            Kind::Claim { deployment, .. } => {
+                if let Some(poll) = self.polls.get_mut(&deployment) {
+                    poll.claiming = false;
+                }
+                self.claim_after = self.now + delay;
+            }
+            Kind::Takeover => {
+                self.suspects.remove(&write.chunk);
+            }
+            Kind::Mark | Kind::Commit { .. } => {
+                if let Some(held) = self.held.get_mut(&write.chunk) {
+                    held.busy = false;
+                    held.retry_at = self.now + delay;
+                }
+            }
+        }
+    }
+
+    fn applied(
+        &mut self,
+        write: Write,
+        version: u64,
+        job_version: Option<u64>,
+        versions: &BTreeMap<String, u64>,
+    ) {
+        let Write { chunk: id, row, kind } = write;
+        match kind {
+            Kind::Claim { deployment, job } => {
+                if let Some(poll) = self.polls.get_mut(&deployment) {
+                    poll.claiming = false;
+                }
+                let items = row.items.clone().unwrap_or_else(|| job.items_of(id.number));
+                let weight = self.weights.get(&job.client).copied().unwrap_or(1).max(1);
+                #[expect(
+                    clippy::cast_precision_loss,
+                    reason = "chunks have at most thousands of items"
+                )]
+                let service = items.len() as f64 / f64::from(weight);
+                *self.service.entry(job.client.clone()).or_default() += service;
+                self.set_job(&id.job, job, job_version);
+                self.hold(id, version, row, items);
+            }
+            Kind::Takeover => {
+                self.suspects.remove(&id);
+                let job = self.views.get(&id.job).map(|view| view.row.items_of(id.number));
+                let items = row.items.clone().or(job).unwrap_or_default();
+                self.hold(id, version, row, items);
+            }
+            Kind::Mark => self.marked(&id, version, row),
+            Kind::Commit { cut, job, rest } => {
+                self.set_job(&id.job, job, job_version);
+                let rest = rest.map(|(id, row)| {
+                    let version = versions.get(&id.key()).copied().unwrap_or_default();
+                    (id, version, row)
+                });
+                self.committed(&id, &cut, rest);
+            }
+        }
+    }
+
+    /// Takes over the row that an own transaction left behind.
+    fn set_job(&mut self, id: &str, job: Job, version: Option<u64>) {
+        if let (Some(version), Some(view)) = (version, self.views.get_mut(id))
+            && view.version < version
+        {
+            (view.version, view.row) = (version, job);
+        }
+    }
+
+    fn hold(&mut self, id: ChunkId, version: u64, row: Chunk, items: Vec<u32>) {
+        if self.lease.superseded {
+            return;
+        }
+        let held = Held::new(self.now, version, row, items);
+        self.held.insert(id.clone(), held);
+        self.load(&id);
+    }
+
+    /// Delay after failures of the platform; zero while it answers.
+    pub(super) fn failure_delay(&self) -> Duration {
+        if self.backoff > BACKOFF_MIN { self.backoff } else { Duration::ZERO }
+    }
+}
--- /dev/null
+++ b/components/control/src/lease/keeper.rs
@@ -0,0 +1,208 @@
+//! The daemon's own lease.
+
+use std::time::Duration;
+
+use super::{Row, key};
+use crate::{
+    store::{Call, Reply, Transaction},
+    time::Time,
+};
+
+/// Parameters of the own lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the daemon.
+    pub daemon: String,
+    /// Random number of the process.
+    pub instance: u64,
+    /// Length of the lease.
+    pub length: Duration,
+    /// Time between two renewals.
+    pub renewal: Duration,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// The call in flight was answered.
+    Reply(Reply),
+    /// The daemon gives up its lease.
+    Release,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Call the table; at most one call is in flight.
+    Call(Call),
+    /// The lease is held until this time.
+    Held {
+        /// Number of the process.
+        epoch: u64,
+        /// End of the lease.
+        until: Time,
+    },
+    /// A renewal failed because the table is down.
+    Failing,
+    /// Another process with this name has started; this one has lost its lease for good.
+    Superseded,
+    /// The lease is given up.
+    Released,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Idle,
+    Reading,
+    Writing { row: Row, sent: Time },
+    Resolving { row: Row, sent: Time },
+    Unresolved { row: Row, sent: Time },
+}
+
+/// The state machine of the own lease.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    settings: Settings,
+    held: Option<(u64, Row)>,
+    step: Step,
+    next: Time,
+    releasing: bool,
+    ended: bool,
+}
+
+/// Time between two attempts while the table is down.
+const RETRY: Duration = Duration::from_millis(500);
+
+impl Keeper {
+    /// A keeper that acquires the lease at its first tick.
+    pub const fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            held: None,
+            step: Step::Idle,
+            next: Time(0),
+            releasing: false,
+            ended: false,
+        }
+    }
+
+    /// Handles an input.
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
+        if self.ended {
+            return Vec::new();
+        }
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Release => {
+                self.releasing = true;
+                self.next = now;
+                self.tick(now)
+            }
+            Input::Reply(reply) => self.reply(now, reply),
+        }
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Action> {
+        if now < self.next {
+            return Vec::new();
+        }
+        match &self.step {
+            Step::Idle => {}
+            Step::Unresolved { row, sent } => {
+                self.step = Step::Resolving { row: row.clone(), sent: *sent };
+                return vec![Action::Call(Call::Read(vec![key(&self.settings.daemon)]))];
+            }
+            _ => return Vec::new(),
+        }
+        match &self.held {
+            None if self.releasing => self.finish(Action::Released),
+            None => {
+                self.step = Step::Reading;
+                vec![Action::Call(Call::Read(vec![key(&self.settings.daemon)]))]
+            }
+            Some((version, row)) => {
+                let row = Row { counter: row.counter + 1, released: self.releasing, ..row.clone() };
+                self.write(now, *version, row)
+            }
+        }
+    }
+
+    fn write(&mut self, now: Time, version: u64, row: Row) -> Vec<Action> {
+        let key = key(&self.settings.daemon);
+        let transaction = Transaction::new().with_condition(&*key, version).with_write(key, &row);
+        self.step = Step::Writing { row, sent: now };
+        vec![Action::Call(Call::Commit(transaction))]
+    }
+
+    fn reply(&mut self, now: Time, reply: Reply) -> Vec<Action> {
+        let key = key(&self.settings.daemon);
+        match (std::mem::replace(&mut self.step, Step::Idle), reply) {
+            (Step::Reading, Reply::Rows(rows)) => {
+                let current = rows.into_iter().flatten().next();
+                let version = current.as_ref().map_or(0, |row| row.version);
+                let epoch = current.and_then(|row| row.decode::<Row>()).map_or(0, |row| row.epoch);
+                let row = Row {
+                    epoch: epoch + 1,
+                    counter: 0,
+                    instance: self.settings.instance,
+                    length_ms: u64::try_from(self.settings.length.as_millis()).unwrap_or(u64::MAX),
+                    released: false,
+                };
+                self.write(now, version, row)
+            }
+            (Step::Writing { row, sent }, Reply::Done(versions)) => {
+                let version = versions.get(&key).copied().unwrap_or_default();
+                self.renewed(version, row, sent)
+            }
+            (Step::Writing { row, sent }, Reply::Conflict(_) | Reply::Unknown) => {
+                self.step = Step::Resolving { row, sent };
+                vec![Action::Call(Call::Read(vec![key]))]
+            }
+            (Step::Resolving { row, sent }, Reply::Rows(rows)) => {
+                let current = rows.into_iter().flatten().next();
+                let seen = current.as_ref().and_then(|row| row.decode::<Row>());
+                match (seen, &self.held) {
+                    (Some(seen), _) if seen == row => {
+                        let version = current.map_or(0, |row| row.version);
+                        self.renewed(version, row, sent)
+                    }
+                    // An earlier write of this process: continue from its version.
+                    (Some(seen), Some(_)) if seen.instance == row.instance => {
+                        self.held = Some((current.map_or(0, |row| row.version), seen));
+                        self.next = now;
+                        self.tick(now)
+                    }
+                    (_, Some(_)) => self.finish(Action::Superseded),
+                    (_, None) => self.later(now),
+                }
+            }
+            (Step::Resolving { row, sent }, _) => {
+                self.step = Step::Unresolved { row, sent };
+                self.later(now)
+            }
+            _ => self.later(now),
+        }
+    }
+
+    fn renewed(&mut self, version: u64, row: Row, sent: Time) -> Vec<Action> {
+        if row.released {
+            return self.finish(Action::Released);
+        }
+        let held = Action::Held { epoch: row.epoch, until: sent + self.settings.length };
+        self.held = Some((version, row));
+        self.next = if self.releasing { sent } else { sent + self.settings.renewal };
+        vec![held]
+    }
+
+    fn later(&mut self, now: Time) -> Vec<Action> {
+        self.next = now + RETRY;
+        vec![Action::Failing]
+    }
+
+    fn finish(&mut self, action: Action) -> Vec<Action> {
+        self.ended = true;
+        vec![action]
+    }
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -4,5 +4,8 @@
 
 pub mod fleet;
 pub mod hash;
+pub mod job;
+pub mod lease;
+pub mod store;
 pub mod time;
 pub mod traffic;
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,3 +1,6 @@
 //! The daemon: actors around the decisions, and the traffic between peers.
 
+pub mod batch;
+pub mod lease;
 pub mod node;
+pub mod store;
