--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -2,10 +2,14 @@
 //!
 //! Each module is a state machine that takes the time and an input and returns actions.
 
+pub mod drain;
 pub mod fleet;
 pub mod hash;
 pub mod job;
 pub mod lease;
+pub mod membership;
+pub mod order;
+pub mod revision;
 pub mod store;
 pub mod time;
 pub mod traffic;
