--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -10,6 +10,7 @@
 mod stream;
 
 use std::{
+    collections::BTreeMap,
     hash::Hasher,
     sync::{
         Arc,
@@ -208,6 +209,11 @@
         self.shared.traffic.ask(ReadStatus).await.unwrap_or_default()
     }
 
+    /// Models that the upstreams reported last, by name of the vm.
+    pub fn models(&self) -> BTreeMap<String, Vec<String>> {
+        self.shared.reported.models()
+    }
+
     /// Requests a second that this daemon sees, to be reported to the other daemons.
     pub async fn demand(&self) -> Vec<Demand> {
         self.shared.traffic.ask(ReadDemand).await.unwrap_or_default()
--- a/components/daemon/src/online/poller.rs
+++ b/components/daemon/src/online/poller.rs
@@ -33,6 +33,11 @@
 }
 
 impl Reported {
+    /// Models that the upstreams reported last, by name of the vm.
+    pub(super) fn models(&self) -> BTreeMap<String, Vec<String>> {
+        self.models.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Whether an upstream reported the version that its deployment wants.
     pub(super) fn has_wanted(&self, upstream: &str, deployment: &Deployment) -> bool {
         let models = self.models.read().unwrap_or_else(PoisonError::into_inner);
