--- /dev/null
+++ b/components/daemon/tests/configuration_apply.rs
@@ -0,0 +1,118 @@
+//! Guards against a configuration that is lost, accepted twice, or accepted over another one.
+
+use std::sync::Arc;
+
+use cyclamengrade_caller::{Failure, Kind, backend::Apply};
+use cyclamengrade_configuration::{Client, Deployment, Document};
+use cyclamengrade_daemon::configuration::{apply, history};
+use cyclamengrade_platform::memory::Table;
+use googletest::prelude::*;
+use serde_json::json;
+
+fn document(clients: &[&str]) -> Document {
+    let mut document = Document::default();
+    document.deployments.insert("print-relay".into(), Deployment::service());
+    for name in clients {
+        document.clients.insert((*name).into(), Client::new(format!("token-{name}")));
+    }
+    document
+}
+
+fn change(expected_revision: u64, id: &str, clients: &[&str]) -> Apply {
+    Apply {
+        expected_revision,
+        change_id: id.into(),
+        author: "asha".into(),
+        document: json!(document(clients)),
+    }
+}
+
+async fn accept(table: &Table, change: Apply) -> std::result::Result<u64, Failure> {
+    apply(table, 1, change).await.map(|revision| revision.revision)
+}
+
+#[gtest]
+#[tokio::test]
+async fn racing_operators() {
+    let table = Arc::new(Table::new());
+    let changes = (0..8).map(|index| {
+        let table = Arc::clone(&table);
+        let id = format!("change-{index}");
+        tokio::spawn(async move { accept(&table, change(0, &id, &[&id])).await })
+    });
+    let mut outcomes = Vec::new();
+    for task in changes.collect::<Vec<_>>() {
+        outcomes.push(task.await.unwrap());
+    }
+    expect_that!(outcomes.iter().filter(|outcome| outcome.is_ok()).count(), eq(1));
+    for failure in outcomes.into_iter().filter_map(std::result::Result::err) {
+        expect_that!(failure.kind, eq(Kind::Conflict));
+        expect_that!(failure.not_run, eq(true));
+        expect_that!(failure.message, contains_substring("clients.change-"));
+        expect_that!(failure.message, contains_substring("asha"));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn lost_reply() {
+    let table = Table::new();
+    table.faults().set_lose_replies(1);
+    expect_that!(accept(&table, change(0, "first", &["a"])).await, ok(eq(&1)));
+    expect_that!(accept(&table, change(0, "first", &["a"])).await, ok(eq(&1)));
+    expect_that!(table.rows("config/revision/").len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn resend_after_another_change() {
+    let table = Table::new();
+    expect_that!(accept(&table, change(0, "first", &["a"])).await, ok(eq(&1)));
+    expect_that!(accept(&table, change(1, "second", &["a", "b"])).await, ok(eq(&2)));
+    expect_that!(accept(&table, change(0, "first", &["a"])).await, ok(eq(&1)));
+    let reused = accept(&table, change(0, "first", &["other"])).await;
+    expect_that!(reused.unwrap_err().kind, eq(Kind::Conflict));
+}
+
+#[gtest]
+#[tokio::test]
+async fn bad_document() {
+    let table = Table::new();
+    let mut bad = change(0, "bad", &["a"]);
+    bad.document["deployments"]["telaio-lm"] =
+        json!({ "kind": "model", "model": "absent", "version": "1" });
+    let failure = accept(&table, bad).await.unwrap_err();
+    expect_that!(failure.kind, eq(Kind::Invalid));
+    expect_that!(failure.message, contains_substring("deployments.telaio-lm.model"));
+    expect_that!(table.rows("").len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn table_down() {
+    let table = Table::new();
+    table.faults().set_down(true);
+    let failure = accept(&table, change(0, "first", &["a"])).await.unwrap_err();
+    expect_that!(failure.kind, eq(Kind::Unavailable));
+    expect_that!(failure.not_run, eq(true));
+    expect_that!(failure.retry_after, some(anything()));
+    table.faults().set_down(false);
+    expect_that!(table.rows("").len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn long_history() {
+    let table = Table::new();
+    for number in 0..205_u64 {
+        let name = format!("client-{number}");
+        let accepted = accept(&table, change(number, &name, &[&name])).await;
+        expect_that!(accepted, ok(eq(&(number + 1))));
+    }
+    expect_that!(table.rows("config/snapshot/").len(), eq(3));
+    let entries = history(&table, 2).await.unwrap();
+    let revisions: Vec<u64> = entries.iter().map(|entry| entry.revision).collect();
+    expect_that!(revisions, elements_are![eq(&205), eq(&204)]);
+    // Each revision replaces one client by another: two changes, whatever the document's size.
+    expect_that!(entries[0].changes.len(), eq(2));
+}
