Run the daemon from the command line

Cause: the subcommand had no daemon behind it. Change: it calls the assembled daemon and maps its end to an exit code.

--- a/components/caller/src/admin.rs
+++ b/components/caller/src/admin.rs
@@ -33,13 +33,11 @@
 pub(crate) async fn history(server: &Context, uri: &Uri) -> Result<Answer, Failure> {
     let limit = match input::query(uri.query(), "limit")? {
         None => DEFAULT_HISTORY,
-        Some(limit) => limit
-            .parse()
-            .ok()
-            .filter(|limit| (1..=MAX_HISTORY).contains(limit))
-            .ok_or_else(|| {
-                invalid(format!("the query parameter `limit` is not from 1 to {MAX_HISTORY}"))
-            })?,
+        Some(limit) => {
+            limit.parse().ok().filter(|limit| (1..=MAX_HISTORY).contains(limit)).ok_or_else(
+                || invalid(format!("the query parameter `limit` is not from 1 to {MAX_HISTORY}")),
+            )?
+        }
     };
     answer::json(&server.backend.history(limit).await?)
 }
--- a/components/caller/src/answer.rs
+++ b/components/caller/src/answer.rs
@@ -43,8 +43,12 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
         match &mut *self {
             Self::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            Self::Events(events) => events.poll(cx).map(|data| data.map(|data| Ok(Frame::data(data)))),
-            Self::Parts(parts) => parts.poll_recv(cx).map(|part| part.map(|part| part.map(Frame::data))),
+            Self::Events(events) => {
+                events.poll(cx).map(|data| data.map(|data| Ok(Frame::data(data))))
+            }
+            Self::Parts(parts) => {
+                parts.poll_recv(cx).map(|part| part.map(|part| part.map(Frame::data)))
+            }
         }
     }
 
@@ -105,8 +109,8 @@
 
 /// The answer to a request that failed.
 pub(crate) fn failure(failure: &Failure) -> Answer {
-    let status = StatusCode::from_u16(failure.kind.status())
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status =
+        StatusCode::from_u16(failure.kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut answer = whole(status, JSON, Bytes::from(failure_json(failure)));
     if let Some(after) = failure.retry_after {
         answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds(after)));
--- a/components/caller/src/batch.rs
+++ b/components/caller/src/batch.rs
@@ -34,13 +34,11 @@
         .ok_or_else(|| invalid("the query parameter `deployment` is missing"))?;
     let due_s = match input::query(uri.query(), "due_s")? {
         None => DEFAULT_DUE_S,
-        Some(due) => due
-            .parse()
-            .ok()
-            .filter(|due| (1..=MAX_DUE_S).contains(due))
-            .ok_or_else(|| {
+        Some(due) => {
+            due.parse().ok().filter(|due| (1..=MAX_DUE_S).contains(due)).ok_or_else(|| {
                 invalid(format!("the query parameter `due_s` is not from 1 to {MAX_DUE_S}"))
-            })?,
+            })?
+        }
     };
     let limit = server.options.batch_body_bytes;
     let (body, _share) = input::batch_body(body, limit, &server.batch_memory).await?;
--- a/components/caller/src/input.rs
+++ b/components/caller/src/input.rs
@@ -107,9 +107,8 @@
     if values.next().is_some() {
         return Err(invalid(format!("the header {name} occurs more than once")));
     }
-    let value = value
-        .to_str()
-        .map_err(|_| invalid(format!("the header {name} is not printable ASCII")))?;
+    let value =
+        value.to_str().map_err(|_| invalid(format!("the header {name} is not printable ASCII")))?;
     Ok(Some(value.trim()))
 }
 
--- a/components/caller/src/render.rs
+++ b/components/caller/src/render.rs
@@ -28,13 +28,15 @@
             Form::Plain => format!("cmpl-{number:x}"),
             Form::Chat => format!("chatcmpl-{number:x}"),
         };
-        let mut renderer =
-            Self { form, id, created, model: model.to_owned(), chunk: Vec::new() };
+        let mut renderer = Self { form, id, created, model: model.to_owned(), chunk: Vec::new() };
         let mut chunk = b"data: ".to_vec();
-        renderer.head(&mut chunk, match form {
-            Form::Plain => "text_completion",
-            Form::Chat => "chat.completion.chunk",
-        });
+        renderer.head(
+            &mut chunk,
+            match form {
+                Form::Plain => "text_completion",
+                Form::Chat => "chat.completion.chunk",
+            },
+        );
         chunk.extend_from_slice(br#","choices":[{"index":0,"#);
         renderer.chunk = chunk;
         renderer
@@ -92,10 +94,13 @@
     /// The whole answer as one JSON object.
     pub(crate) fn whole(&self, text: &str, finish_reason: &str, tokens: u64) -> Vec<u8> {
         let mut out = Vec::with_capacity(text.len() + 256);
-        self.head(&mut out, match self.form {
-            Form::Plain => "text_completion",
-            Form::Chat => "chat.completion",
-        });
+        self.head(
+            &mut out,
+            match self.form {
+                Form::Plain => "text_completion",
+                Form::Chat => "chat.completion",
+            },
+        );
         out.extend_from_slice(br#","choices":[{"index":0,"#);
         match self.form {
             Form::Plain => {
--- a/components/caller/src/route.rs
+++ b/components/caller/src/route.rs
@@ -88,10 +88,9 @@
         (&Method::GET, ["livez"]) => Ok(admin::live()),
         (&Method::GET, ["readyz"]) => Ok(admin::ready(server)),
         (&Method::GET, ["metrics"]) => Ok(admin::metrics(server)),
-        (method, _) => Err(Failure::not_run(
-            Kind::NotFound,
-            format!("no route for {method} {}", uri.path()),
-        )),
+        (method, _) => {
+            Err(Failure::not_run(Kind::NotFound, format!("no route for {method} {}", uri.path())))
+        }
     }
 }
 
--- a/components/caller/src/service.rs
+++ b/components/caller/src/service.rs
@@ -47,10 +47,8 @@
         let message = format!("the service answered with the status {}", result.status);
         Failure::ran(Kind::UpstreamFailed, message)
     })?;
-    let content_type = result
-        .content_type
-        .and_then(|value| HeaderValue::try_from(value).ok())
-        .unwrap_or(BINARY);
+    let content_type =
+        result.content_type.and_then(|value| HeaderValue::try_from(value).ok()).unwrap_or(BINARY);
     Ok(answer::whole(status, content_type, result.body))
 }
 
--- a/components/daemon/src/assembly.rs
+++ b/components/daemon/src/assembly.rs
@@ -101,8 +101,7 @@
 
     let (tokens, token_index) = watch::channel(Arc::new(BTreeMap::new()));
     node.traffic.spawn(serve::index_tokens(Arc::clone(&node), tokens));
-    let handler =
-        Handler { online: online.clone(), dispatcher: dispatcher.clone(), follower };
+    let handler = Handler { online: online.clone(), dispatcher: dispatcher.clone(), follower };
     let stop = shutdown::Stop::new(Arc::clone(&node), publishers.phase);
     node.traffic.spawn(peer::serve(daemons, Arc::new(handler), stop.ended()));
     let service = Service {
@@ -131,15 +130,19 @@
     address: SocketAddr,
     traffic: &Handle,
 ) -> Result<TcpListener, Error> {
-    on_traffic(traffic, TcpListener::bind(address))
-        .await
-        .map_err(|cause| Error::Listen { setting, address, cause })
+    on_traffic(traffic, TcpListener::bind(address)).await.map_err(|cause| Error::Listen {
+        setting,
+        address,
+        cause,
+    })
 }
 
 async fn bind_udp(address: SocketAddr, traffic: &Handle) -> Result<peer::Socket, Error> {
-    on_traffic(traffic, peer::Socket::bind(address))
-        .await
-        .map_err(|cause| Error::Listen { setting: "peer_listen", address, cause })
+    on_traffic(traffic, peer::Socket::bind(address)).await.map_err(|cause| Error::Listen {
+        setting: "peer_listen",
+        address,
+        cause,
+    })
 }
 
 /// Runs a future on the traffic runtime, whose driver then owns the sockets that it opens.
--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -143,11 +143,12 @@
             call.deadline,
             idempotent,
         );
-        let claim = shared.claim(&call.client, call.idempotency_key, idempotent, &[
-            call.deployment.as_bytes(),
-            &call.max_tokens.to_le_bytes(),
-            call.prompt.as_bytes(),
-        ]);
+        let claim = shared.claim(
+            &call.client,
+            call.idempotency_key,
+            idempotent,
+            &[call.deployment.as_bytes(), &call.max_tokens.to_le_bytes(), call.prompt.as_bytes()],
+        );
         let body = wire::Completion {
             model: deployment.model.clone().unwrap_or_default(),
             version: None,
@@ -191,11 +192,12 @@
         let idempotent = call.idempotent.unwrap_or(deployment.idempotent);
         let (deadline, request) =
             shared.request(&call.client, &call.deployment, 0, call.deadline, idempotent);
-        let claim = shared.claim(&call.client, call.idempotency_key.clone(), idempotent, &[
-            call.deployment.as_bytes(),
-            call.path.as_bytes(),
-            &call.body,
-        ]);
+        let claim = shared.claim(
+            &call.client,
+            call.idempotency_key.clone(),
+            idempotent,
+            &[call.deployment.as_bytes(), call.path.as_bytes(), &call.body],
+        );
         let session = Session::new(shared.traffic.clone(), request);
         let task =
             service::Task::new(Arc::clone(shared), session, call, idempotent, deadline, claim);
@@ -297,10 +299,7 @@
     fn version(&self, deployment: &str, upstream: &str) -> Option<String> {
         let document = Arc::clone(&self.node.configuration.borrow().document);
         let deployment = document.deployments.get(deployment)?;
-        deployment
-            .version
-            .clone()
-            .filter(|_| self.reported.has_wanted(upstream, deployment))
+        deployment.version.clone().filter(|_| self.reported.has_wanted(upstream, deployment))
     }
 
     /// Time between two reports of one attempt, which keeps all reports within their rate.
--- a/components/daemon/src/online/poller.rs
+++ b/components/daemon/src/online/poller.rs
@@ -80,10 +80,7 @@
     let base = format!("{model}@{version}");
     let loaded = models.iter().any(|entry| entry.split('+').next() == Some(base.as_str()));
     loaded
-        && deployment
-            .adapters
-            .iter()
-            .all(|adapter| models.contains(&format!("{base}+{adapter}")))
+        && deployment.adapters.iter().all(|adapter| models.contains(&format!("{base}+{adapter}")))
 }
 
 fn has_model(models: &[String], deployment: &Deployment) -> bool {
@@ -115,7 +112,8 @@
                 target.due = now + period;
                 target.reading = true;
                 target.reads += 1;
-                let cache = (target.reads % LOADS_PER_CACHE_READ == 1).then_some(target.cache_number);
+                let cache =
+                    (target.reads % LOADS_PER_CACHE_READ == 1).then_some(target.cache_number);
                 reads.push(read(Arc::clone(&shared), target.vm.clone(), cache));
             }
         }
@@ -162,7 +160,8 @@
         wanted.extend(
             of_deployment()
                 .filter(|vm| {
-                    subset.contains(vm.name.as_str()) || hash::owner(daemons(), &vm.name) == Some(me)
+                    subset.contains(vm.name.as_str())
+                        || hash::owner(daemons(), &vm.name) == Some(me)
                 })
                 .map(|vm| (vm.name.as_str(), vm)),
         );
--- a/components/daemon/src/online/service.rs
+++ b/components/daemon/src/online/service.rs
@@ -216,7 +216,8 @@
         let now = Instant::now();
         if now >= self.deadline + DEADLINE_MARGIN {
             let not_run = !self.may_have_run && self.attempts.is_empty();
-            let kind = if not_run || self.idempotent { Kind::Expired } else { Kind::OutcomeUnknown };
+            let kind =
+                if not_run || self.idempotent { Kind::Expired } else { Kind::OutcomeUnknown };
             let message = "the deadline passed before the answer was complete";
             return Break(Err(Failure { not_run, ..Failure::ran(kind, message) }));
         }
--- a/components/daemon/src/online/session.rs
+++ b/components/daemon/src/online/session.rs
@@ -98,11 +98,8 @@
         Some(error) => format!("{message}: {error}"),
         None => message.to_owned(),
     };
-    let failure = if refused.not_run {
-        Failure::not_run(kind, message)
-    } else {
-        Failure::ran(kind, message)
-    };
+    let failure =
+        if refused.not_run { Failure::not_run(kind, message) } else { Failure::ran(kind, message) };
     failure.with_retry_after(refused.retry_after)
 }
 
--- a/components/daemon/src/online/stream.rs
+++ b/components/daemon/src/online/stream.rs
@@ -93,9 +93,7 @@
             let step = self.step(timer.as_mut(), &mut tokens).await;
             let flow = match step {
                 Step::Order(Some(order)) => self.obey(order).await,
-                Step::Order(None) => {
-                    Break(Err(session::stopping(!self.progress.may_have_run)))
-                }
+                Step::Order(None) => Break(Err(session::stopping(!self.progress.may_have_run))),
                 Step::Attempt(index, result) => self.advance(index, result, &mut tokens).await,
                 Step::Gone => return,
                 Step::Time => self.check(),
@@ -285,7 +283,10 @@
             } else {
                 Kind::Expired
             };
-            return Break(Err(Failure { not_run: self.nothing_ran(), ..Failure::ran(kind, message) }));
+            return Break(Err(Failure {
+                not_run: self.nothing_ran(),
+                ..Failure::ran(kind, message)
+            }));
         }
         let list = self.attempts.list();
         let silent: Vec<_> = (0..list.len()).filter(|&i| list[i].silent_at() <= now).collect();
--- a/components/daemon/src/orders.rs
+++ b/components/daemon/src/orders.rs
@@ -137,10 +137,7 @@
     format!("order/{upstream}")
 }
 
-async fn read(
-    table: &dyn platform::Table,
-    upstream: &str,
-) -> Option<(u64, Option<Ownership>)> {
+async fn read(table: &dyn platform::Table, upstream: &str) -> Option<(u64, Option<Ownership>)> {
     let rows = table.read(vec![key(upstream)]).await.ok()?;
     match rows.into_iter().next().flatten() {
         // A row that is not understood is replaced; its fencing number is lost with it.
--- a/components/upstream/src/client.rs
+++ b/components/upstream/src/client.rs
@@ -146,11 +146,7 @@
     /// Calls a plain service and returns its answer, also one with an error status.
     ///
     /// Sets no time limit on the answer; drop the future to close the connection.
-    pub async fn call_service(
-        &self,
-        address: SocketAddr,
-        call: Call<'_>,
-    ) -> Result<Answer, Error> {
+    pub async fn call_service(&self, address: SocketAddr, call: Call<'_>) -> Result<Answer, Error> {
         let request = request(address, Method::POST, call.path);
         let request = optional(request, CONTENT_TYPE, call.content_type);
         let request = optional(request, IDEMPOTENCY_KEY, call.idempotency_key);
@@ -202,11 +198,9 @@
         let address = lease.address();
         let status = response.status().as_u16();
         // The status alone decides; the body only explains.
-        let body = timeout(
-            self.pool.options.call,
-            whole(address, response, lease, ERROR_BODY_BYTES),
-        )
-        .await;
+        let body =
+            timeout(self.pool.options.call, whole(address, response, lease, ERROR_BODY_BYTES))
+                .await;
         let message = match body {
             Ok(Ok(body)) => String::from_utf8_lossy(&body).chars().take(QUOTED_BYTES).collect(),
             _ => String::new(),
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -125,12 +125,7 @@
             // The result of the request reports the error.
             let _ = driver.await;
         });
-        Ok(Connection {
-            address,
-            sender,
-            task: task.abort_handle(),
-            idle_since: Instant::now(),
-        })
+        Ok(Connection { address, sender, task: task.abort_handle(), idle_since: Instant::now() })
     }
 
     fn lease(self: &Arc<Self>, connection: Connection) -> Lease {
@@ -142,8 +137,7 @@
         let connections = idle.get_mut(&address)?;
         // The newest connection is the least likely to be closed by the server.
         while let Some(connection) = connections.pop() {
-            if !connection.sender.is_closed()
-                && connection.idle_since.elapsed() < self.options.idle
+            if !connection.sender.is_closed() && connection.idle_since.elapsed() < self.options.idle
             {
                 return Some(connection);
             }
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -29,6 +29,13 @@
 }
 
 /// Runs the daemon.
-fn serve(_settings: settings::Daemon) -> Result<(), Failure> {
-    Err(Failure::new(Exit::Internal, "this build holds no daemon yet"))
+fn serve(settings: settings::Daemon) -> Result<(), Failure> {
+    match cyclamengrade_daemon::run(settings) {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(Failure::new(
+            Exit::Internal,
+            "the time limit of the graceful shutdown cut off work; see timers.drain_ms",
+        )),
+        Err(cause) => Err(Failure::new(Exit::Internal, cause)),
+    }
 }
