--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -11,7 +11,7 @@
 
 use std::{
     collections::BTreeMap,
-    hash::Hasher,
+    hash::{BuildHasher, Hasher, RandomState},
     sync::{
         Arc,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -87,7 +87,7 @@
         effects: mpsc::UnboundedSender<Action>,
     ) -> Self {
         let settings = &node.settings;
-        let scope = rand::random();
+        let scope = RandomState::new().build_hasher().finish();
         let arguments = Arguments {
             settings: Settings {
                 daemon: settings.name.clone(),
