--- a/components/caller/src/answer.rs
+++ b/components/caller/src/answer.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use cyclamengrade_telemetry::trace::Span;
 use hyper::{
     Response, StatusCode,
     body::{Body, Frame, SizeHint},
@@ -23,8 +24,24 @@
 const TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
 const NO_CACHE: HeaderValue = HeaderValue::from_static("no-cache");
 
-/// Body of a response.
-pub(crate) enum Content {
+/// Body of a response, with the span that ends with it.
+pub(crate) struct Content {
+    part: Part,
+    span: Span,
+}
+
+impl Content {
+    const fn new(part: Part) -> Self {
+        Self { part, span: Span::absent() }
+    }
+
+    /// Sets the span that ends when the caller has the whole body or has gone away.
+    pub(crate) fn set_span(&mut self, span: Span) {
+        self.span = span;
+    }
+}
+
+enum Part {
     /// A whole body.
     Whole(Option<Bytes>),
     /// Server-sent events of a completion.
@@ -41,25 +58,25 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
-        match &mut *self {
-            Self::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            Self::Events(events) => {
+        match &mut self.part {
+            Part::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            Part::Events(events) => {
                 events.poll(cx).map(|data| data.map(|data| Ok(Frame::data(data))))
             }
-            Self::Parts(parts) => {
+            Part::Parts(parts) => {
                 parts.poll_recv(cx).map(|part| part.map(|part| part.map(Frame::data)))
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        matches!(self.part, Part::Whole(None))
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => SizeHint::with_exact(body.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Events(_) | Self::Parts(_) => SizeHint::default(),
+        match &self.part {
+            Part::Whole(body) => SizeHint::with_exact(body.as_ref().map_or(0, Bytes::len) as u64),
+            Part::Events(_) | Part::Parts(_) => SizeHint::default(),
         }
     }
 }
@@ -69,7 +86,7 @@
 
 /// A whole body with a status and a content type.
 pub(crate) fn whole(status: StatusCode, content_type: HeaderValue, body: Bytes) -> Answer {
-    let mut answer = Response::new(Content::Whole((!body.is_empty()).then_some(body)));
+    let mut answer = Response::new(Content::new(Part::Whole((!body.is_empty()).then_some(body))));
     *answer.status_mut() = status;
     answer.headers_mut().insert(CONTENT_TYPE, content_type);
     answer
@@ -94,7 +111,7 @@
 
 /// A stream of server-sent events.
 pub(crate) fn events(events: Events) -> Answer {
-    let mut answer = Response::new(Content::Events(Box::new(events)));
+    let mut answer = Response::new(Content::new(Part::Events(Box::new(events))));
     answer.headers_mut().insert(CONTENT_TYPE, EVENT_STREAM);
     answer.headers_mut().insert(CACHE_CONTROL, NO_CACHE);
     answer
@@ -102,7 +119,7 @@
 
 /// JSON lines that arrive over time.
 pub(crate) fn lines(parts: mpsc::Receiver<Result<Bytes, Failure>>) -> Answer {
-    let mut answer = Response::new(Content::Parts(parts));
+    let mut answer = Response::new(Content::new(Part::Parts(parts)));
     answer.headers_mut().insert(CONTENT_TYPE, JSON_LINES);
     answer
 }
--- a/components/caller/src/completion.rs
+++ b/components/caller/src/completion.rs
@@ -3,6 +3,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use cyclamengrade_telemetry::trace::Span;
 use hyper::{HeaderMap, body::Incoming};
 use tokio::sync::mpsc;
 
@@ -23,10 +24,11 @@
 pub(crate) async fn complete(
     server: &Server,
     headers: &HeaderMap,
+    span: &Span,
     body: Incoming,
     form: Form,
 ) -> Result<Answer, Failure> {
-    let common = Common::read(headers, &*server.backend)?;
+    let common = Common::read(headers, &*server.backend, span)?;
     let body = input::body(body, server.options.body_bytes).await?;
     let Wanted { model, prompt, max_tokens, stream } = match form {
         Form::Plain => input::json::<Plain>(&body)?.wanted()?,
--- a/components/caller/src/input.rs
+++ b/components/caller/src/input.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
+use cyclamengrade_telemetry::trace::Span;
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap,
@@ -44,18 +45,26 @@
 
 impl Common {
     /// Checks the bearer token and reads the headers.
-    pub(crate) fn read(headers: &HeaderMap, backend: &dyn Backend) -> Result<Self, Failure> {
+    pub(crate) fn read(
+        headers: &HeaderMap,
+        backend: &dyn Backend,
+        span: &Span,
+    ) -> Result<Self, Failure> {
         Ok(Self {
             client: client(headers, backend)?,
             deadline: deadline(headers)?,
             idempotent: idempotent(headers)?,
             idempotency_key: idempotency_key(headers)?,
-            // A malformed trace context must not fail the request.
-            traceparent: text(headers, "traceparent").ok().flatten().map(str::to_owned),
+            traceparent: span.traceparent(),
         })
     }
 }
 
+/// The trace context of the caller; a malformed one does not fail the request.
+pub(crate) fn traceparent(headers: &HeaderMap) -> Option<&str> {
+    text(headers, "traceparent").ok().flatten()
+}
+
 /// The client that the bearer token names.
 pub(crate) fn client(headers: &HeaderMap, backend: &dyn Backend) -> Result<String, Failure> {
     let unauthorized = |message: &str| Failure::not_run(Kind::Unauthorized, message);
--- a/components/caller/src/route.rs
+++ b/components/caller/src/route.rs
@@ -8,6 +8,7 @@
     },
 };
 
+use cyclamengrade_telemetry::trace::{self, Span};
 use hyper::{
     Method, Request,
     body::Incoming,
@@ -19,7 +20,7 @@
     answer::{self, Answer},
     backend::Backend,
     batch, completion,
-    input::Memory,
+    input::{self, Memory},
     render::Form,
     service,
 };
@@ -46,7 +47,12 @@
     server: Arc<Context>,
     request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
-    let mut answer = match dispatch(&server, request).await {
+    let mut span = trace::start("request", input::traceparent(request.headers()));
+    if span.is_sampled() {
+        span.set("method", request.method().to_string());
+        span.set("path", request.uri().path().to_owned());
+    }
+    let mut answer = match dispatch(&server, request, &span).await {
         Ok(answer) => answer,
         Err(failure) => answer::failure(&failure),
     };
@@ -54,20 +60,25 @@
         // The load balancer should open its next connection to another daemon.
         answer.headers_mut().insert(CONNECTION, CLOSE);
     }
+    answer.body_mut().set_span(span);
     Ok(answer)
 }
 
-async fn dispatch(server: &Context, request: Request<Incoming>) -> Result<Answer, Failure> {
+async fn dispatch(
+    server: &Context,
+    request: Request<Incoming>,
+    span: &Span,
+) -> Result<Answer, Failure> {
     check_size(server, &request)?;
     let (head, body) = request.into_parts();
     let (uri, headers) = (&head.uri, &head.headers);
     let segments: Vec<&str> = uri.path().split('/').skip(1).collect();
     match (&head.method, segments.as_slice()) {
         (&Method::POST, ["v1", "completions"]) => {
-            completion::complete(server, headers, body, Form::Plain).await
+            completion::complete(server, headers, span, body, Form::Plain).await
         }
         (&Method::POST, ["v1", "chat", "completions"]) => {
-            completion::complete(server, headers, body, Form::Chat).await
+            completion::complete(server, headers, span, body, Form::Chat).await
         }
         (&Method::GET, ["v1", "models"]) => admin::models(server, headers).await,
         (&Method::POST, ["v1", "batches"]) => batch::submit(server, uri, headers, body).await,
@@ -79,7 +90,7 @@
             batch::cancel(server, headers, id).await
         }
         (&Method::POST, ["v1", "services", deployment, ..]) => {
-            service::call(server, uri, headers, body, deployment).await
+            service::call(server, uri, headers, span, body, deployment).await
         }
         (&Method::GET, ["admin", "config"]) => admin::configuration(server).await,
         (&Method::POST, ["admin", "config"]) => admin::apply(server, body).await,
--- a/components/caller/src/service.rs
+++ b/components/caller/src/service.rs
@@ -1,5 +1,6 @@
 //! Calls of plain services.
 
+use cyclamengrade_telemetry::trace::Span;
 use hyper::{
     HeaderMap, StatusCode, Uri,
     body::Incoming,
@@ -21,10 +22,11 @@
     server: &Context,
     uri: &Uri,
     headers: &HeaderMap,
+    span: &Span,
     body: Incoming,
     deployment: &str,
 ) -> Result<Answer, Failure> {
-    let common = Common::read(headers, &*server.backend)?;
+    let common = Common::read(headers, &*server.backend, span)?;
     let content_type = headers
         .get(CONTENT_TYPE)
         .map(|value| value.to_str().map(str::to_owned))
--- /dev/null
+++ b/components/caller/tests/routes.rs
@@ -0,0 +1,146 @@
+//! Routes other than completions.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use support::Running;
+
+async fn server() -> Running {
+    Running::start(Vec::new()).await
+}
+
+/// Guards against jobs that are accepted with other parameters than the caller sent.
+#[gtest]
+#[tokio::test]
+async fn batches() {
+    let server = server().await;
+    let input = b"{\"id\":\"a\",\"prompt\":\"b\",\"max_tokens\":1}\n";
+    let path = "/v1/batches?due_s=60&deployment=wording%2Dllm";
+    let answer = server.post(path, "idempotency-key: k\r\n", input).await;
+    expect_that!(answer.json()["state"].as_str(), some(eq("open")));
+    let submission = server.seen.submissions.lock().unwrap().remove(0);
+    expect_that!(submission.client, eq("himal"));
+    expect_that!(submission.key, eq("k"));
+    expect_that!(submission.deployment, eq("wording-llm"));
+    expect_that!(submission.due, eq(Duration::from_secs(60)));
+    expect_that!(&*submission.input, eq(input.as_slice()));
+
+    expect_that!(server.get("/v1/batches/j1").await.json()["id"].as_str(), some(eq("j1")));
+    expect_that!(server.get("/v1/batches/j1/results").await.text(), eq("{\"id\":\"a\"}\n"));
+    let answer = server.post("/v1/batches/j1/cancel", "", b"").await;
+    expect_that!(answer.json()["state"].as_str(), some(eq("cancelled")));
+    for (path, headers) in [
+        (path, ""),
+        ("/v1/batches", "idempotency-key: k\r\n"),
+        ("/v1/batches?deployment=a&due_s=0", "idempotency-key: k\r\n"),
+        ("/v1/batches?deployment=a&due_s=x", "idempotency-key: k\r\n"),
+    ] {
+        expect_that!(server.post(path, headers, input).await.status, eq(400), "{path}");
+    }
+}
+
+/// Guards against results that were cut off but look whole.
+#[gtest]
+#[tokio::test]
+async fn results_cut_off() {
+    use tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    };
+    let server = server().await;
+    let mut socket = TcpStream::connect(server.address).await.unwrap();
+    let request = "GET /v1/batches/broken/results HTTP/1.1\r\nhost: x\r\n\
+        authorization: Bearer secret\r\n\r\n";
+    socket.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = socket.read_to_end(&mut answer).await;
+    let answer = String::from_utf8(answer).unwrap();
+    // The last chunk of the transfer encoding is missing.
+    expect_that!(answer, not(ends_with("0\r\n\r\n")));
+}
+
+/// Guards against batch input that takes more memory than all jobs together may.
+#[gtest]
+#[tokio::test]
+async fn batch_memory() {
+    use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
+    let server = server().await;
+    let path = "/v1/batches?deployment=wording-llm";
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer secret\r\n\
+         idempotency-key: k\r\ncontent-length: 4000\r\n\r\n"
+    );
+    let mut slow = TcpStream::connect(server.address).await.unwrap();
+    slow.write_all(&[head.as_bytes(), &[b'\n'; 3_000]].concat()).await.unwrap();
+    let mut refused = None;
+    for _ in 0..500 {
+        let answer = server.post(path, "idempotency-key: k\r\n", &[b'\n'; 4_000]).await;
+        if answer.status != 200 {
+            refused = Some(answer);
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    let answer = refused.unwrap();
+    expect_that!((answer.status, answer.kind().as_str()), eq((503, "overloaded")));
+    expect_that!(answer.head, contains_substring("retry-after"));
+    drop(slow);
+    for _ in 0..500 {
+        if server.post(path, "idempotency-key: k\r\n", &[b'\n'; 4_000]).await.status == 200 {
+            return;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    expect_that!("the memory of a caller that went away", eq("free again"));
+}
+
+/// Guards against calls of plain services that lose their path, query, key or answer.
+#[gtest]
+#[tokio::test]
+async fn services() {
+    let server = server().await;
+    let headers = "idempotency-key: k\r\nx-idempotent: false\r\ncontent-type: image/png\r\n";
+    let answer = server.post("/v1/services/print-relay/a/b?c=d%20e", headers, b"\x89\xff").await;
+    expect_that!((answer.status, answer.text()), eq((418, "teapot")));
+    expect_that!(answer.head, contains_substring("content-type: text/plain"));
+    let call = server.seen.calls.lock().unwrap().remove(0);
+    expect_that!(call.deployment, eq("print-relay"));
+    expect_that!(call.path, eq("/a/b?c=d%20e"));
+    expect_that!(&*call.body, eq(b"\x89\xff".as_slice()));
+    expect_that!(call.content_type.as_deref(), some(eq("image/png")));
+    expect_that!(call.idempotency_key.as_deref(), some(eq("k")));
+    expect_that!(call.idempotent, some(eq(false)));
+    server.post("/v1/services/print-relay", "", b"").await;
+    expect_that!(server.seen.calls.lock().unwrap().remove(0).path, eq("/"));
+}
+
+/// Guards against operators' routes that lose a field of the change.
+#[gtest]
+#[tokio::test]
+async fn admin() {
+    let server = server().await;
+    expect_that!(server.get("/admin/config").await.json()["revision"].as_u64(), some(eq(7)));
+    let change = br#"{"expected_revision":7,"change_id":"c","author":"me","document":{"a":1}}"#;
+    let answer = server.post("/admin/config", "", change).await;
+    expect_that!(answer.json()["revision"].as_u64(), some(eq(8)));
+    let change = server.seen.changes.lock().unwrap().remove(0);
+    expect_that!(change.expected_revision, eq(7));
+    expect_that!(change.document["a"].as_u64(), some(eq(1)));
+    expect_that!(server.post("/admin/config", "", b"{}").await.status, eq(400));
+    expect_that!(server.get("/admin/config/history?limit=5").await.text(), eq("[]"));
+    expect_that!(server.get("/admin/config/history?limit=0").await.status, eq(400));
+    expect_that!(server.get("/admin/upstreams").await.text(), eq("[]"));
+    expect_that!(server.get("/metrics").await.text(), eq("requests_total 1\n"));
+}
+
+/// Guards against services in the list of models.
+#[gtest]
+#[tokio::test]
+async fn models() {
+    let document = server().await.get("/v1/models").await.json();
+    expect_that!(document["data"].as_array().map(Vec::len), some(eq(1)));
+    expect_that!(document["data"][0]["id"].as_str(), some(eq("wording-llm")));
+}
--- a/components/daemon/src/online/attempt.rs
+++ b/components/daemon/src/online/attempt.rs
@@ -8,6 +8,7 @@
 };
 
 use cyclamengrade_control::traffic::AttemptId;
+use cyclamengrade_telemetry::trace::Span;
 use cyclamengrade_upstream::{Client, Error, Open, Progress, Stream, Token, wire};
 use tokio::runtime::Handle;
 
@@ -25,6 +26,7 @@
     pub(super) dispatch: Dispatch,
     stream_id: String,
     state: State,
+    span: Span,
     /// When the attempt began, or when its last token arrived.
     pub(super) progress: Instant,
     /// Samples of its tokens; absent before the first one.
@@ -63,7 +65,7 @@
 pub(super) struct Attempts {
     client: Client,
     request: wire::Completion,
-    traceparent: Option<String>,
+    span: Span,
     /// Distinguishes the streams of this process from those of all others.
     scope: u64,
     /// Whether each attempt gets a new connection.
@@ -75,11 +77,11 @@
     pub(super) const fn new(
         client: Client,
         request: wire::Completion,
-        traceparent: Option<String>,
+        span: Span,
         scope: u64,
         fresh: bool,
     ) -> Self {
-        Self { client, request, traceparent, scope, fresh, list: Vec::new() }
+        Self { client, request, span, scope, fresh, list: Vec::new() }
     }
 
     pub(super) fn list(&self) -> &[Attempt] {
@@ -94,11 +96,16 @@
     pub(super) fn start(&mut self, dispatch: Dispatch, version: Option<String>, received: u32) {
         self.request.version = version;
         let stream_id = format!("{:016x}-{:x}", self.scope, dispatch.id.0);
-        let state = self.opening(&dispatch, &stream_id, received, self.fresh);
+        let mut span = self.span.child("attempt");
+        if span.is_sampled() {
+            span.set("upstream", dispatch.upstream.clone());
+        }
+        let state = self.opening(&dispatch, &stream_id, &span, received, self.fresh);
         self.list.push(Attempt {
             dispatch,
             stream_id,
             state,
+            span,
             progress: Instant::now(),
             samples: None,
             silences: 0,
@@ -109,16 +116,24 @@
     pub(super) fn reopen(&mut self, index: usize, received: u32) {
         let attempt = &self.list[index];
         self.client.close_idle(attempt.dispatch.address);
-        let state = self.opening(&attempt.dispatch, &attempt.stream_id, received, true);
+        let state =
+            self.opening(&attempt.dispatch, &attempt.stream_id, &attempt.span, received, true);
         self.list[index].state = state;
     }
 
-    fn opening(&self, dispatch: &Dispatch, stream_id: &str, received: u32, fresh: bool) -> State {
+    fn opening(
+        &self,
+        dispatch: &Dispatch,
+        stream_id: &str,
+        span: &Span,
+        received: u32,
+        fresh: bool,
+    ) -> State {
         let client = self.client.clone();
         let address = dispatch.address;
         let body = wire::Completion { resume_from: received, ..self.request.clone() };
         let stream_id = stream_id.to_owned();
-        let traceparent = self.traceparent.clone();
+        let traceparent = span.traceparent();
         State::Opening(Box::pin(async move {
             let traceparent = traceparent.as_deref();
             client.open(address, Open { stream_id: &stream_id, body, traceparent, fresh }).await
--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod claim;
 mod claims;
+mod meter;
 mod poller;
 mod service;
 mod session;
@@ -24,6 +25,7 @@
 };
 use cyclamengrade_configuration as configuration;
 use cyclamengrade_control::traffic::{Action, Demand, Input, Request, RequestId, Settings, Status};
+use cyclamengrade_telemetry::trace;
 use cyclamengrade_upstream::{Client, wire};
 use kameo::{
     actor::{ActorRef, Spawn},
@@ -37,6 +39,7 @@
     actor::{Arguments, ReadDemand, ReadStatus, Report, Traffic},
     attempt::Attempts,
     claim::Claim,
+    meter::Meter,
     poller::Reported,
     session::Session,
 };
@@ -159,10 +162,13 @@
         let (out, events) = mpsc::channel(EVENTS);
         let (opened, first) = oneshot::channel();
         let client = shared.client.clone();
+        let span = trace::start("online", call.traceparent.as_deref());
         let task = stream::Task {
             session: Session::new(shared.traffic.clone(), request),
-            attempts: Attempts::new(client, body, call.traceparent, shared.scope, !idempotent),
+            attempts: Attempts::new(client, body, span, shared.scope, !idempotent),
             idempotent,
+            meter: Meter::new(&call.deployment),
+            client: call.client,
             deployment: call.deployment,
             deadline,
             claim,
--- a/components/daemon/src/online/service.rs
+++ b/components/daemon/src/online/service.rs
@@ -14,6 +14,7 @@
     backend::{ServiceAnswer, ServiceCall},
 };
 use cyclamengrade_control::traffic::{AttemptId, Input, Outcome};
+use cyclamengrade_telemetry::trace::{self, Span};
 use cyclamengrade_upstream::{Answer, Call, Error};
 use tokio::{
     sync::oneshot,
@@ -25,6 +26,7 @@
     actor::{Dispatch, Order},
     claim::Claim,
     claims::{End, Record},
+    meter::Meter,
     session::{self, Session},
 };
 
@@ -61,6 +63,8 @@
     /// An answer that asks to come back later, kept in case that no attempt does better.
     busy: Option<Answer>,
     last_error: Option<Error>,
+    meter: Meter,
+    span: Span,
 }
 
 enum Step {
@@ -90,6 +94,8 @@
         Self {
             shared,
             session,
+            meter: Meter::new(&call.deployment),
+            span: trace::start("online", call.traceparent.as_deref()),
             call: Arc::new(call),
             idempotent,
             deadline,
@@ -171,13 +177,19 @@
         let address = dispatch.address;
         // An idle connection that the service closes at this moment leaves the outcome unknown.
         let fresh = !self.idempotent;
+        self.meter.attempt(self.attempts.len(), 0);
+        let mut span = self.span.child("attempt");
+        if span.is_sampled() {
+            span.set("upstream", dispatch.upstream.clone());
+        }
         let calling = Box::pin(async move {
+            let traceparent = span.traceparent();
             let call = Call {
                 path: &call.path,
                 body: &call.body,
                 content_type: call.content_type.as_deref(),
                 idempotency_key: call.idempotency_key.as_deref(),
-                traceparent: call.traceparent.as_deref(),
+                traceparent: traceparent.as_deref(),
                 fresh,
             };
             client.call_service(address, call).await
@@ -230,6 +242,7 @@
             attempt.silences += 1;
             let id = attempt.dispatch.id;
             self.session.report(Input::Silent { attempt: id });
+            self.meter.silent();
             if attempt.silences == 1 && !self.idempotent {
                 // A second run is not allowed, so the answer may still come.
                 index += 1;
@@ -245,6 +258,17 @@
 
     async fn end(mut self, end: Result<Done, Failure>) -> Result<ServiceAnswer, Failure> {
         self.attempts.clear();
+        match &end {
+            Ok(Done::Refused(failure)) | Err(failure) => {
+                session::log(failure, &self.call.client, &self.call.deployment);
+                self.meter.failed(failure);
+            }
+            Ok(Done::Whole(..)) => {
+                self.meter.first_token(Instant::now());
+                self.meter.whole(1);
+            }
+            Ok(Done::Before(_)) => {}
+        }
         match end {
             Ok(Done::Whole(attempt, answer)) => {
                 if let Some(claim) = &mut self.claim {
--- a/components/daemon/src/online/session.rs
+++ b/components/daemon/src/online/session.rs
@@ -4,6 +4,7 @@
 
 use cyclamengrade_caller::{Failure, Kind};
 use cyclamengrade_control::traffic::{AttemptId, Input, Outcome, Refusal, Request, RequestId};
+use cyclamengrade_telemetry::event;
 use cyclamengrade_upstream::{Error, Ran};
 use kameo::actor::ActorRef;
 use tokio::sync::mpsc;
@@ -103,6 +104,24 @@
     failure.with_retry_after(refused.retry_after)
 }
 
+/// Logs a request that ended without an answer.
+pub(super) fn log(failure: &Failure, client: &str, deployment: &str) {
+    let kind = failure.kind.name();
+    if failure.not_run {
+        let retry_after = failure.retry_after.unwrap_or_default();
+        let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+        event!(
+            RequestRefused,
+            client = client,
+            deployment = deployment,
+            kind = kind,
+            retry_after_ms = retry_after_ms
+        );
+    } else {
+        event!(RequestGivenUp, client = client, deployment = deployment, kind = kind);
+    }
+}
+
 /// The daemon stops before the request was answered.
 pub(super) fn stopping(not_run: bool) -> Failure {
     let message = "the daemon is stopping";
--- a/components/daemon/src/online/stream.rs
+++ b/components/daemon/src/online/stream.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use cyclamengrade_caller::{Failure, Kind, backend::Event};
 use cyclamengrade_control::traffic::{AttemptId, Input, Outcome};
+use cyclamengrade_telemetry::event;
 use cyclamengrade_upstream::{Error, Progress, Token};
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -23,6 +24,7 @@
     attempt::Attempts,
     claim::Claim,
     claims::{End, Record},
+    meter::Meter,
     session::{self, Samples, Session},
 };
 
@@ -42,7 +44,9 @@
     pub(super) session: Session,
     pub(super) attempts: Attempts,
     pub(super) idempotent: bool,
+    pub(super) client: String,
     pub(super) deployment: String,
+    pub(super) meter: Meter,
     pub(super) deadline: Instant,
     pub(super) claim: Option<Claim>,
     pub(super) out: mpsc::Sender<Event>,
@@ -163,6 +167,7 @@
                 }
             }
         }
+        self.meter.attempt(self.attempts.list().len(), self.progress.received);
         let version = self.shared.version(&self.deployment, &dispatch.upstream);
         self.attempts.start(dispatch, version, self.progress.received);
         Continue(())
@@ -211,6 +216,7 @@
             Some(samples) => samples.add(count, now, period),
             none => {
                 *none = Some(Samples::new(attempt.dispatch.id, now));
+                self.meter.first_token(now);
                 Some(Input::FirstToken { attempt: attempt.dispatch.id })
             }
         };
@@ -307,10 +313,13 @@
         let (id, silences) = (attempt.dispatch.id, attempt.silences);
         let streaming = attempt.samples.is_some();
         self.session.report(Input::Silent { attempt: id });
+        self.meter.silent();
         if silences == 1 && !self.idempotent {
             // A second run is not allowed, so the answer may still come.
         } else if silences == 1 && streaming {
-            self.attempts.reopen(index, self.progress.received);
+            let (upstream, received) = (&attempt.dispatch.upstream, self.progress.received);
+            event!(StreamResumed, upstream:% = upstream, received = received);
+            self.attempts.reopen(index, received);
         } else {
             let attempt = self.attempts.cancel_at(index);
             self.shared.client.close_idle(attempt.dispatch.address);
@@ -320,8 +329,18 @@
         }
     }
 
+    fn failure(&mut self, failure: &Failure) {
+        session::log(failure, &self.client, &self.deployment);
+        self.meter.failed(failure);
+    }
+
     async fn end(mut self, end: Result<Done, Failure>) {
         self.attempts.cancel_all();
+        match &end {
+            Ok(Done::Refused(failure)) | Err(failure) => self.failure(failure),
+            Ok(Done::Whole { .. }) => self.meter.whole(self.progress.received),
+            Ok(Done::Before(_) | Done::Gone) => {}
+        }
         match end {
             Ok(Done::Whole { attempt, finish_reason }) => {
                 let text = std::mem::take(&mut self.progress.text);
--- a/components/upstream/src/stream.rs
+++ b/components/upstream/src/stream.rs
@@ -127,8 +127,16 @@
             return;
         }
         tokio::spawn(async move {
-            let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-            if timeout(REST_TIMEOUT, rest).await.is_ok() && body.is_end_stream() {
+            let rest = async {
+                loop {
+                    match body.frame().await {
+                        Some(Ok(_)) => {}
+                        Some(Err(_)) => return false,
+                        None => return true,
+                    }
+                }
+            };
+            if timeout(REST_TIMEOUT, rest).await == Ok(true) {
                 lease.give_back();
             }
         });
