--- a/components/daemon/src/online/actor.rs
+++ b/components/daemon/src/online/actor.rs
@@ -1,7 +1,7 @@
 //! The actor that owns the traffic decisions.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
     sync::{
         Arc,
@@ -10,15 +10,21 @@
     time::Duration,
 };
 
-use cyclamengrade_control::traffic::{
-    Action, AttemptId, Demand, Input, Machine, Refusal, Request, RequestId, Settings, Status,
+use cyclamengrade_control::{
+    time::Time,
+    traffic::{
+        Action, AttemptId, Demand, Input, Machine, Refusal, Request, RequestId, Settings, State,
+        Status,
+    },
 };
+use cyclamengrade_telemetry::metrics::{CONTROL_SECONDS, UPSTREAMS};
 use kameo::{
     Actor,
     actor::{ActorRef, WeakActorRef},
     error::Infallible,
     message::{Context, Message},
 };
+use metrics::{Histogram, gauge, histogram};
 use tokio::{
     sync::{Notify, mpsc},
     time::sleep,
@@ -31,6 +37,12 @@
 /// Time between two ticks otherwise.
 const IDLE_TICK: Duration = Duration::from_millis(100);
 
+/// Time between two counts of the upstreams by state.
+const GAUGE_PERIOD: Duration = Duration::from_secs(5);
+/// States of an upstream.
+const STATES: [State; 5] =
+    [State::Ready, State::Loading, State::Ejected, State::Leaving, State::Unreachable];
+
 /// What a request task is told to do.
 #[derive(Debug)]
 pub(super) enum Order {
@@ -68,6 +80,8 @@
     waiting: usize,
     pace: Arc<Pace>,
     effects: mpsc::UnboundedSender<Action>,
+    steps: Histogram,
+    gauges_at: Time,
 }
 
 struct Entry {
@@ -103,6 +117,8 @@
             waiting: 0,
             pace,
             effects: arguments.effects,
+            steps: histogram!(CONTROL_SECONDS, "actor" => "traffic"),
+            gauges_at: Time::default(),
         })
     }
 }
@@ -154,6 +170,11 @@
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
         self.drive(Input::Tick);
+        let now = self.clock.now();
+        if now.since(self.gauges_at) >= GAUGE_PERIOD {
+            self.gauges_at = now;
+            self.set_gauges();
+        }
     }
 }
 
@@ -202,6 +223,7 @@
 
 impl Traffic {
     fn drive(&mut self, input: Input) {
+        let started = self.clock.now();
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
             for action in self.machine.handle(self.clock.now(), input) {
@@ -210,6 +232,7 @@
                 }
             }
         }
+        self.steps.record(self.clock.now().since(started));
     }
 
     /// Carries out an action; returns the request of a dispatch whose task has already ended.
@@ -247,6 +270,20 @@
         }
     }
 
+    /// Counts the upstreams by state; a state without upstreams is set to zero.
+    fn set_gauges(&self) {
+        let mut counts: BTreeMap<(String, &str), u32> = BTreeMap::new();
+        for upstream in self.machine.status() {
+            for state in STATES {
+                let count = counts.entry((upstream.deployment.clone(), state.name())).or_default();
+                *count += u32::from(state == upstream.state);
+            }
+        }
+        for ((deployment, state), count) in counts {
+            gauge!(UPSTREAMS, "deployment" => deployment, "state" => state).set(count);
+        }
+    }
+
     fn order(&self, request: RequestId, order: Order) -> bool {
         self.requests.get(&request).is_some_and(|entry| entry.orders.send(order).is_ok())
     }
--- a/components/daemon/src/online/poller.rs
+++ b/components/daemon/src/online/poller.rs
@@ -12,8 +12,10 @@
     hash,
     traffic::{Input, Load},
 };
+use cyclamengrade_telemetry::metrics::{CACHE_EVENTS_LOST, LOAD_REPORTS};
 use cyclamengrade_upstream::wire;
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use metrics::counter;
 use tokio::time::sleep;
 
 use super::Shared;
@@ -184,8 +186,12 @@
 /// Reads one upstream; returns its name and the number of its last cache event.
 async fn read(shared: Arc<Shared>, vm: Vm, cache_after: Option<u64>) -> (String, Option<u64>) {
     match shared.client.load(vm.address).await {
-        Ok(load) => loaded(&shared, &vm, load),
+        Ok(load) => {
+            counter!(LOAD_REPORTS, "outcome" => "ok").increment(1);
+            loaded(&shared, &vm, load);
+        }
         Err(error) => {
+            counter!(LOAD_REPORTS, "outcome" => "error").increment(1);
             log::debug!("the load of {} cannot be read: {error}", vm.name);
             return (vm.name, None);
         }
@@ -194,6 +200,10 @@
     match shared.client.cache_events(vm.address, after).await {
         Ok(events) => {
             let last = events.events.iter().map(|event| event.number).max();
+            if let Some(last) = last.filter(|_| after > 0) {
+                let lost = (last - after.min(last)).saturating_sub(events.events.len() as u64);
+                counter!(CACHE_EVENTS_LOST).increment(lost);
+            }
             for event in events.events.into_iter().filter(|event| event.stored) {
                 if let Ok(prefix) = u64::from_str_radix(&event.prefix, 16) {
                     shared.feed(Input::Cached { upstream: vm.name.clone(), prefix });
--- a/components/daemon/src/online/stream.rs
+++ b/components/daemon/src/online/stream.rs
@@ -269,8 +269,13 @@
             return Break(Err(Failure::not_run(Kind::Invalid, message)));
         }
         let mut outcome = session::outcome(&error);
-        if attempt.samples.is_some() && outcome == Outcome::NotRun {
-            outcome = Outcome::Failed;
+        if outcome == Outcome::NotRun {
+            // The first connection of a reopened stream carried the request.
+            outcome = match (&attempt.samples, attempt.silences) {
+                (Some(_), _) => Outcome::Failed,
+                (None, 1..) => Outcome::Unknown,
+                (None, 0) => outcome,
+            };
         }
         self.progress.may_have_run |= outcome != Outcome::NotRun;
         self.progress.last_error = Some(error);
@@ -314,19 +319,18 @@
         let streaming = attempt.samples.is_some();
         self.session.report(Input::Silent { attempt: id });
         self.meter.silent();
-        if silences == 1 && !self.idempotent {
-            // A second run is not allowed, so the answer may still come.
-        } else if silences == 1 && streaming {
-            let (upstream, received) = (&attempt.dispatch.upstream, self.progress.received);
-            event!(StreamResumed, upstream:% = upstream, received = received);
-            self.attempts.reopen(index, received);
-        } else {
+        if silences > 1 {
             let attempt = self.attempts.cancel_at(index);
             self.shared.client.close_idle(attempt.dispatch.address);
             self.progress.may_have_run = true;
             let outcome = if streaming { Outcome::Failed } else { Outcome::Unknown };
             self.session.attempt_ended(id, outcome, self.progress.received > 0);
+        } else if self.idempotent {
+            let received = self.progress.received;
+            event!(StreamResumed, upstream:% = attempt.dispatch.upstream, received = received);
+            self.attempts.reopen(index, received);
         }
+        // A second run of other requests is not allowed, but the answer may still come.
     }
 
     fn failure(&mut self, failure: &Failure) {
--- a/components/daemon/tests/support/engine.rs
+++ b/components/daemon/tests/support/engine.rs
@@ -76,6 +76,7 @@
         tokio::spawn(async move {
             let mut connection = 0;
             while let Ok((socket, _)) = listener.accept().await {
+                socket.set_nodelay(true).unwrap();
                 tokio::spawn(serve(socket, connection, Arc::clone(&requests), Arc::clone(&script)));
                 connection += 1;
             }
