--- a/components/daemon/src/online/stream.rs
+++ b/components/daemon/src/online/stream.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use cyclamengrade_caller::{Failure, Kind, backend::Event};
 use cyclamengrade_control::traffic::{AttemptId, Input, Outcome};
+use cyclamengrade_telemetry::event;
 use cyclamengrade_upstream::{Error, Progress, Token};
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -23,6 +24,7 @@
     attempt::Attempts,
     claim::Claim,
     claims::{End, Record},
+    meter::Meter,
     session::{self, Samples, Session},
 };
 
@@ -42,7 +44,9 @@
     pub(super) session: Session,
     pub(super) attempts: Attempts,
     pub(super) idempotent: bool,
+    pub(super) client: String,
     pub(super) deployment: String,
+    pub(super) meter: Meter,
     pub(super) deadline: Instant,
     pub(super) claim: Option<Claim>,
     pub(super) out: mpsc::Sender<Event>,
@@ -163,6 +167,7 @@
                 }
             }
         }
+        self.meter.attempt(self.attempts.list().len(), self.progress.received);
         let version = self.shared.version(&self.deployment, &dispatch.upstream);
         self.attempts.start(dispatch, version, self.progress.received);
         Continue(())
@@ -211,6 +216,7 @@
             Some(samples) => samples.add(count, now, period),
             none => {
                 *none = Some(Samples::new(attempt.dispatch.id, now));
+                self.meter.first_token(now);
                 Some(Input::FirstToken { attempt: attempt.dispatch.id })
             }
         };
@@ -263,8 +269,13 @@
             return Break(Err(Failure::not_run(Kind::Invalid, message)));
         }
         let mut outcome = session::outcome(&error);
-        if attempt.samples.is_some() && outcome == Outcome::NotRun {
-            outcome = Outcome::Failed;
+        if outcome == Outcome::NotRun {
+            // The first connection of a reopened stream carried the request.
+            outcome = match (&attempt.samples, attempt.silences) {
+                (Some(_), _) => Outcome::Failed,
+                (None, 1..) => Outcome::Unknown,
+                (None, 0) => outcome,
+            };
         }
         self.progress.may_have_run |= outcome != Outcome::NotRun;
         self.progress.last_error = Some(error);
@@ -307,21 +318,33 @@
         let (id, silences) = (attempt.dispatch.id, attempt.silences);
         let streaming = attempt.samples.is_some();
         self.session.report(Input::Silent { attempt: id });
-        if silences == 1 && !self.idempotent {
-            // A second run is not allowed, so the answer may still come.
-        } else if silences == 1 && streaming {
-            self.attempts.reopen(index, self.progress.received);
-        } else {
+        self.meter.silent();
+        if silences > 1 {
             let attempt = self.attempts.cancel_at(index);
             self.shared.client.close_idle(attempt.dispatch.address);
             self.progress.may_have_run = true;
             let outcome = if streaming { Outcome::Failed } else { Outcome::Unknown };
             self.session.attempt_ended(id, outcome, self.progress.received > 0);
+        } else if self.idempotent {
+            let received = self.progress.received;
+            event!(StreamResumed, upstream:% = attempt.dispatch.upstream, received = received);
+            self.attempts.reopen(index, received);
         }
+        // A second run of other requests is not allowed, but the answer may still come.
+    }
+
+    fn failure(&mut self, failure: &Failure) {
+        session::log(failure, &self.client, &self.deployment);
+        self.meter.failed(failure);
     }
 
     async fn end(mut self, end: Result<Done, Failure>) {
         self.attempts.cancel_all();
+        match &end {
+            Ok(Done::Refused(failure)) | Err(failure) => self.failure(failure),
+            Ok(Done::Whole { .. }) => self.meter.whole(self.progress.received),
+            Ok(Done::Before(_) | Done::Gone) => {}
+        }
         match end {
             Ok(Done::Whole { attempt, finish_reason }) => {
                 let text = std::mem::take(&mut self.progress.text);
