--- a/components/daemon/tests/support/node.rs
+++ b/components/daemon/tests/support/node.rs
@@ -1,4 +1,5 @@
 //! A node without platform, and its online requests.
+#![allow(dead_code)]
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -114,10 +115,12 @@
 impl Daemon {
     /// Online requests to upstreams that have reported that they are ready.
     pub async fn start(vms: Vec<Vm>, claims: Option<Arc<dyn Claims>>) -> Self {
-        Self::start_with(vms, claims, settings()).await
+        Self::start_on(Handle::current(), vms, claims, settings()).await
     }
 
-    pub async fn start_with(
+    /// Online requests whose tasks run on the given runtime.
+    pub async fn start_on(
+        traffic: Handle,
         vms: Vec<Vm>,
         claims: Option<Arc<dyn Claims>>,
         settings: settings::Daemon,
@@ -139,7 +142,7 @@
             objects: Arc::new(Down),
             vms: Arc::new(Down),
             clock: Clock::new(),
-            traffic: Handle::current(),
+            traffic: traffic.clone(),
             configuration: configuration_receiver,
             fleet: fleet_receiver,
             members: members_receiver,
@@ -149,7 +152,7 @@
         let client = upstream::Client::new(upstream::Options::default());
         let online = Online::new(node, client, claims, effects_sender);
         let running = online.clone();
-        tokio::spawn(async move { running.run().await });
+        traffic.spawn(async move { running.run().await });
         let daemon = Self { online, effects, fleet, _rest: (configuration, members, phase) };
         daemon.settle().await;
         daemon
