--- a/components/control/src/job/dispatch/mod.rs
+++ b/components/control/src/job/dispatch/mod.rs
@@ -207,8 +207,9 @@
             .held
             .iter()
             .filter(|(id, held)| {
-                let row = rows.get(&id.key());
-                !self.writing(id) && row.map_or(0, |row| row.version) != held.version
+                // Versions rise, so a lower one was read before an own write took effect.
+                let newer = rows.get(&id.key()).is_some_and(|row| row.version > held.version);
+                newer && !self.writing(id)
             })
             .map(|(id, _)| id.clone())
             .collect();
