--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod lease;
 pub mod membership;
 pub mod node;
+pub mod online;
 pub mod store;
 pub mod vms;
 
