--- a/components/control/src/job/dispatch/claim.rs
+++ b/components/control/src/job/dispatch/claim.rs
@@ -64,7 +64,8 @@
             if claiming || !self.wants_work(&deployment) {
                 continue;
             }
-            let Some(id) = self.choose(&deployment) else { continue };
+            let id = self.choose(&deployment);
+            let Some(id) = id.filter(|id| !self.writing_job(id)) else { continue };
             self.claim_from(&deployment, &id, epoch);
         }
     }
@@ -234,6 +235,18 @@
         self.calls.values().any(this) || self.unresolved.iter().any(|(_, write)| write.chunk == *id)
     }
 
+    /// Whether a transaction on the row of this job is in flight; another one would conflict.
+    pub(super) fn writing_job(&self, job: &str) -> bool {
+        let this = |write: &Write| {
+            write.chunk.job == job && matches!(write.kind, Kind::Claim { .. } | Kind::Commit { .. })
+        };
+        self.unresolved.iter().any(|(_, write)| this(write))
+            || self.calls.values().any(|pending| match pending {
+                Pending::Write(write) | Pending::Resolve(write) => this(write),
+                _ => false,
+            })
+    }
+
     pub(super) fn write(&mut self, transaction: Transaction, write: Write) {
         if let Some(held) = self.held.get_mut(&write.chunk) {
             held.busy = true;
--- a/components/control/src/job/dispatch/commit.rs
+++ b/components/control/src/job/dispatch/commit.rs
@@ -98,6 +98,9 @@
     }
 
     fn commit(&mut self, id: &ChunkId, cut: Cut) {
+        if self.writing_job(&id.job) {
+            return;
+        }
         let (Some(held), Some(view)) = (self.held.get(id), self.views.get(&id.job)) else { return };
         let mut job = view.row.clone();
         let mut row = Chunk { current: None, attempts: held.attempts(), ..held.row.clone() };
--- a/components/daemon/src/batch/jobs.rs
+++ b/components/daemon/src/batch/jobs.rs
@@ -195,10 +195,10 @@
     }
 
     async fn upload(&self, id: &str, parts: &[Bytes]) -> bool {
-        let puts = parts
-            .iter()
-            .enumerate()
-            .map(|(part, content)| self.objects.put_new(job::input_key(id, part), content.clone()));
+        let mut puts = Vec::with_capacity(parts.len());
+        for (part, content) in parts.iter().enumerate() {
+            puts.push(self.objects.put_new(job::input_key(id, part), content.clone()));
+        }
         // An object that exists already holds the same content, because the identifier of the job
         // contains the digest of the input.
         stream::iter(puts).buffer_unordered(UPLOADS).try_for_each(async |_| Ok(())).await.is_ok()
--- /dev/null
+++ b/components/daemon/tests/batch_run.rs
@@ -0,0 +1,297 @@
+//! Guards against items that are lost, repeated or out of order on the way through a daemon.
+
+mod durable;
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use cyclamengrade_caller::backend::JobState;
+use cyclamengrade_daemon::batch::{Dispatcher, End};
+use durable::{CLIENT, Platform, Scripted, Step, answer, eventually, texts};
+use googletest::prelude::*;
+
+#[gtest]
+#[tokio::test]
+async fn whole_job() {
+    let platform = Platform::new();
+    let runner = Scripted::quick();
+    let _daemon = platform.daemon("entry-0", runner.clone(), 5).await;
+    let job = platform.submit("k", 100).await;
+    let job = platform.until(&job.id, JobState::Completed).await;
+    expect_that!((job.items, job.succeeded, job.failed), eq((100, 100, 0)));
+    let results = platform.results(&job.id).await;
+    let expected: Vec<_> = (0..100).map(|index| format!("item-{index}")).collect();
+    let ids: Vec<_> = results.iter().map(|result| result.id.clone()).collect();
+    expect_that!(ids, eq(&expected));
+    for result in &results {
+        expect_that!(result.text, some(eq(&answer(&result.id, 2))));
+    }
+    expect_that!(runner.calls.lock().unwrap().len(), eq(100));
+    expect_that!(runner.most.load(Ordering::SeqCst), le(5));
+}
+
+/// The reply of each transaction and object write in turn is lost after its effect.
+#[gtest]
+#[tokio::test]
+async fn lost_replies() {
+    let mut number = 0;
+    loop {
+        let platform = Platform::new();
+        platform.table.lose(number);
+        platform.objects.faults().set_lose_replies(u64::from(number % 2 == 1));
+        let _daemon = platform.daemon("entry-0", Scripted::quick(), 3).await;
+        let job = platform.submit("k", 20).await;
+        let job = platform.until(&job.id, JobState::Completed).await;
+        expect_that!((job.succeeded, job.failed), eq((20, 0)), "lost reply {number}");
+        expect_that!(platform.results(&job.id).await, len(eq(20)), "lost reply {number}");
+        number += 1;
+        if number >= platform.table.commits() {
+            break;
+        }
+    }
+    // Acceptance, and claim and commit of three chunks.
+    expect_that!(number, ge(7));
+}
+
+/// An item that always fails must not keep the others from their results.
+#[gtest]
+#[tokio::test]
+async fn failing_item() {
+    let platform = Platform::new();
+    let runner = Scripted::new(|call| {
+        let end = match call.prompt.as_str() {
+            "item-3" => End::Failed,
+            "item-5" => End::Rejected("the prompt is too long".into()),
+            _ => End::Done,
+        };
+        vec![Step::Tokens(1), Step::End(end)]
+    });
+    let _daemon = platform.daemon("entry-0", runner.clone(), 4).await;
+    let job = platform.submit("k", 10).await;
+    let job = platform.until(&job.id, JobState::Completed).await;
+    expect_that!((job.succeeded, job.failed), eq((8, 2)));
+    expect_that!(runner.calls_for("item-3"), len(eq(3)));
+    expect_that!(runner.calls_for("item-5"), len(eq(1)));
+    let results = platform.results(&job.id).await;
+    expect_that!(results[3].error, some(contains_substring("every attempt failed")));
+    expect_that!(results[5].error, some(contains_substring("too long")));
+}
+
+/// A limit that drops must pause streams at once, and a resumed item must keep its text.
+#[gtest]
+#[tokio::test]
+async fn pause_and_resume() {
+    let platform = Platform::new();
+    let runner = Scripted::new(|call| match call.resume_from {
+        0 => vec![Step::Tokens(3), Step::Hang],
+        _ => vec![Step::Tokens(2), Step::End(End::Done)],
+    });
+    let daemon = platform.daemon("entry-0", runner.clone(), 4).await;
+    let job = platform.submit("k", 4).await;
+    eventually(async || (runner.open() == 4).then_some(())).await;
+    daemon.limit(1).await;
+    eventually(async || (runner.open() == 1).then_some(())).await;
+    daemon.limit(0).await;
+    eventually(async || (runner.open() == 0).then_some(())).await;
+    daemon.limit(4).await;
+    let job = platform.until(&job.id, JobState::Completed).await;
+    let results = platform.results(&job.id).await;
+    for result in &results {
+        expect_that!(result.text, some(eq(&answer(&result.id, 5))));
+    }
+    expect_that!(results, len(eq(4)));
+    expect_that!(runner.calls.lock().unwrap().len(), eq(8));
+    expect_that!(job.failed, eq(0));
+}
+
+/// A straggler must not hold back the results of the short items of its chunk.
+#[gtest]
+#[tokio::test]
+async fn straggler() {
+    let platform = Platform::new();
+    let runner = Scripted::new(|call| match call.prompt.as_str() {
+        "item-2" if call.resume_from == 0 => vec![Step::Tokens(1), Step::Hang],
+        _ => vec![Step::Tokens(1), Step::End(End::Done)],
+    });
+    let daemon = platform.daemon("entry-0", runner.clone(), 4).await;
+    let job = platform.submit("k", 8).await;
+    let committed = eventually(async || {
+        let results = platform.results(&job.id).await;
+        (results.len() == 7).then_some(results)
+    });
+    let committed = committed.await;
+    expect_that!(texts(&committed).contains_key("item-2"), is_false());
+    expect_that!(runner.calls_for("item-2"), len(eq(1)), "the split restarted the straggler");
+    daemon.limit(0).await;
+    eventually(async || (runner.open() == 0).then_some(())).await;
+    daemon.limit(4).await;
+    platform.until(&job.id, JobState::Completed).await;
+    let results = platform.results(&job.id).await;
+    let ids: Vec<_> = results.iter().map(|result| result.id.as_str()).collect();
+    expect_that!(ids, eq(&(0..8).map(|index| format!("item-{index}")).collect::<Vec<_>>()));
+}
+
+/// Results wait in memory while the platform is down, and are committed afterwards.
+#[gtest]
+#[tokio::test]
+async fn platform_down() {
+    let platform = Platform::new();
+    let runner = Scripted::new(|_| {
+        vec![Step::Tokens(1), Step::Pause(Duration::from_millis(300)), Step::End(End::Done)]
+    });
+    let _daemon = platform.daemon("entry-0", runner.clone(), 8).await;
+    let job = platform.submit("k", 8).await;
+    eventually(async || (runner.open() > 0).then_some(())).await;
+    platform.table.memory.faults().set_down(true);
+    platform.objects.faults().set_down(true);
+    eventually(async || (runner.open() == 0).then_some(())).await;
+    // Longer than the lease, which cannot be renewed.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    platform.table.memory.faults().set_down(false);
+    platform.objects.faults().set_down(false);
+    let job = platform.until(&job.id, JobState::Completed).await;
+    expect_that!(job.succeeded, eq(8));
+    expect_that!(runner.calls.lock().unwrap().len(), eq(8), "an item ran again");
+}
+
+/// A slow platform delays the job and changes nothing else.
+#[gtest]
+#[tokio::test]
+async fn platform_slow() {
+    let platform = Platform::new();
+    let runner = Scripted::quick();
+    let _daemon = platform.daemon("entry-0", runner.clone(), 8).await;
+    platform.table.memory.faults().set_slow(Duration::from_millis(150));
+    platform.objects.faults().set_slow(Duration::from_millis(150));
+    let job = platform.submit("k", 40).await;
+    platform.until(&job.id, JobState::Completed).await;
+    expect_that!(runner.calls.lock().unwrap().len(), eq(40));
+    expect_that!(platform.results(&job.id).await, len(eq(40)));
+}
+
+/// A cancelled job must stop its streams within seconds and commit nothing afterwards.
+#[gtest]
+#[tokio::test]
+async fn cancel() {
+    let platform = Platform::new();
+    let runner = Scripted::new(|call| match call.prompt.as_str() {
+        "item-0" | "item-1" => vec![Step::Tokens(1), Step::Hang],
+        _ => vec![Step::Tokens(1), Step::End(End::Done)],
+    });
+    let _daemon = platform.daemon("entry-0", runner.clone(), 4).await;
+    let job = platform.submit("k", 16).await;
+    eventually(async || (runner.open() == 2).then_some(())).await;
+    eventually(async || (platform.results(&job.id).await.len() >= 8).then_some(())).await;
+    let cancelled = platform.jobs().cancel(CLIENT, &job.id).await.unwrap();
+    expect_that!(cancelled.state, eq(JobState::Cancelled));
+    let start = std::time::Instant::now();
+    eventually(async || (runner.open() == 0).then_some(())).await;
+    expect_that!(start.elapsed(), lt(Duration::from_secs(2)));
+    let rows = platform.table.memory.rows("chunk/");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    expect_that!(platform.table.memory.rows("chunk/"), eq(&rows));
+    let after = platform.jobs().job(CLIENT, &job.id).await.unwrap();
+    expect_that!(after, eq(&cancelled));
+}
+
+/// Whichever of cancellation and last commit comes first wins, and the other changes nothing.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cancel_race() {
+    for delay in 0..20 {
+        let platform = Platform::new();
+        let _daemon = platform.daemon("entry-0", Scripted::quick(), 8).await;
+        let job = platform.submit("k", 16).await;
+        tokio::time::sleep(Duration::from_millis(delay * 10)).await;
+        let ended = platform.jobs().cancel(CLIENT, &job.id).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let later = platform.jobs().job(CLIENT, &job.id).await.unwrap();
+        expect_that!(later, eq(&ended));
+        let results = platform.results(&job.id).await.len() as u64;
+        expect_that!(results, eq(ended.succeeded));
+        if ended.state == JobState::Completed {
+            expect_that!(results, eq(16));
+        }
+    }
+}
+
+/// A daemon that stops hands back its chunks; another goes on at once, without a lease to wait for.
+#[gtest]
+#[tokio::test]
+async fn drain() {
+    let platform = Platform::new();
+    let stuck = Scripted::new(|call| match call.prompt.as_str() {
+        "item-0" | "item-1" => vec![Step::Tokens(1), Step::Hang],
+        _ => vec![Step::Tokens(1), Step::End(End::Done)],
+    });
+    let first = platform.daemon("entry-0", stuck.clone(), 3).await;
+    let job = platform.submit("k", 30).await;
+    eventually(async || (stuck.calls.lock().unwrap().len() >= 5).then_some(())).await;
+    Dispatcher::drain(&first.dispatcher, Duration::from_millis(300)).await;
+    first.keeper.release().await;
+    expect_that!(stuck.open(), eq(0));
+    expect_that!(first.keeper.state().borrow().released, is_true());
+    let held = platform.table.memory.rows("chunk/").into_iter();
+    expect_that!(held.filter(|row| row.value["state"] == "held").count(), eq(0));
+    let ran = stuck.calls.lock().unwrap().len();
+    let runner = Scripted::quick();
+    let _second = platform.daemon("entry-1", runner.clone(), 3).await;
+    let job = platform.until(&job.id, JobState::Completed).await;
+    expect_that!((job.succeeded, job.failed), eq((30, 0)));
+    expect_that!(platform.results(&job.id).await, len(eq(30)));
+    // Results from before the drain were kept, so only the two stuck items ran twice.
+    expect_that!(ran + runner.calls.lock().unwrap().len(), eq(32));
+}
+
+/// The chunks of a daemon that died are taken over after its lease.
+#[gtest]
+#[tokio::test]
+async fn dead_holder() {
+    let platform = Platform::new();
+    let stuck = Scripted::new(|_| vec![Step::Tokens(1), Step::Hang]);
+    let first = platform.daemon("entry-0", stuck.clone(), 3).await;
+    let job = platform.submit("k", 8).await;
+    eventually(async || (stuck.open() == 3).then_some(())).await;
+    let start = std::time::Instant::now();
+    first.kill();
+    let _second = platform.daemon("entry-1", Scripted::quick(), 3).await;
+    let job = platform.until(&job.id, JobState::Completed).await;
+    expect_that!((job.succeeded, job.failed), eq((8, 0)));
+    expect_that!(start.elapsed(), gt(Duration::from_millis(2000)));
+}
+
+/// A process that starts anew under the name of a dead one has a higher epoch, so nobody waits.
+#[gtest]
+#[tokio::test]
+async fn raised_epoch() {
+    let platform = Platform::new();
+    let stuck = Scripted::new(|_| vec![Step::Tokens(1), Step::Hang]);
+    let first = platform.daemon("entry-0", stuck.clone(), 3).await;
+    let job = platform.submit("k", 8).await;
+    eventually(async || (stuck.open() == 3).then_some(())).await;
+    let old = first.keeper.state();
+    let second = platform.daemon("entry-0", Scripted::quick(), 3).await;
+    let job = platform.until(&job.id, JobState::Completed).await;
+    expect_that!(job.succeeded, eq(8));
+    // The old process notices that it was superseded and stops its streams.
+    eventually(async || old.borrow().superseded.then_some(())).await;
+    eventually(async || (stuck.open() == 0).then_some(())).await;
+    expect_that!(second.keeper.state().borrow().epoch, some(eq(2)));
+}
+
+/// Store calls for a thousand items in chunks of 64, as the design counts them.
+#[gtest]
+#[tokio::test]
+async fn store_cost() {
+    let platform = Platform::new();
+    let jobs = platform.jobs_with_chunks(64);
+    let job = jobs.submit(durable::submission("k", 1000)).await.unwrap();
+    let (table, objects) = (platform.table.commits(), platform.objects.counts().writes);
+    let _daemon = platform.daemon("entry-0", Scripted::quick(), 64).await;
+    platform.until(&job.id, JobState::Completed).await;
+    let chunks = 16; // 1000 items in chunks of 64
+    let table = platform.table.commits() - table;
+    let objects = platform.objects.counts().writes - objects;
+    println!("per 1000 items: {table} table writes, {objects} object writes, {chunks} chunks");
+    expect_that!(table, eq(2 * chunks));
+    expect_that!(i64::try_from(objects).unwrap(), eq(chunks));
+}
--- /dev/null
+++ b/components/daemon/tests/durable/mod.rs
@@ -0,0 +1,341 @@
+//! Daemons with batch work on a platform in memory, and a runner that follows a script.
+#![allow(dead_code, missing_docs, clippy::unwrap_used, clippy::panic)]
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicI64, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use cyclamengrade_caller::backend::{Item, ItemResult, Job, JobState, Submission};
+use cyclamengrade_configuration::{Client, Deployment, Document};
+use cyclamengrade_control::{fleet::Vm, traffic};
+use cyclamengrade_daemon::{
+    batch::{BatchLimit, Call, Dispatcher, End, Finish, Jobs, Parts, Runner, Running, Transcript},
+    lease::Keeper,
+    node::{Accepted, Clock},
+};
+use cyclamengrade_platform::{
+    Boxed, Error, memory,
+    table::{Commit, Row, Transaction},
+};
+use cyclamengrade_settings as settings;
+use kameo::actor::ActorRef;
+use tokio::{runtime::Handle, sync::watch, time::sleep};
+
+pub const DEPLOYMENT: &str = "wording-llm";
+pub const CLIENT: &str = "himal";
+
+/// A limit that only a test that hangs reaches.
+pub const LONG: Duration = Duration::from_secs(60);
+
+/// A table in memory that can lose the reply of one commit, by its number.
+pub struct Table {
+    pub memory: memory::Table,
+    commits: AtomicI64,
+    lost: AtomicI64,
+}
+
+impl Table {
+    pub fn new() -> Arc<Self> {
+        let (commits, lost) = (AtomicI64::new(0), AtomicI64::new(-1));
+        Arc::new(Self { memory: memory::Table::new(), commits, lost })
+    }
+
+    /// Loses the reply of the commit with this number, after its effect.
+    pub fn lose(&self, number: i64) {
+        self.lost.store(number, Ordering::SeqCst);
+    }
+
+    pub fn commits(&self) -> i64 {
+        self.commits.load(Ordering::SeqCst)
+    }
+}
+
+impl cyclamengrade_platform::Table for Table {
+    fn read(&self, keys: Vec<String>) -> Boxed<'_, Vec<Option<Row>>> {
+        self.memory.read(keys)
+    }
+
+    fn scan(&self, prefix: String, after: String, limit: usize) -> Boxed<'_, Vec<Row>> {
+        self.memory.scan(prefix, after, limit)
+    }
+
+    fn commit(&self, transaction: Transaction) -> Boxed<'_, Commit> {
+        let lease = transaction.writes.iter().any(|write| write.key.starts_with("daemon/"));
+        Box::pin(async move {
+            let reply = self.memory.commit(transaction).await?;
+            // Renewals of the lease depend on time, so they are not counted.
+            let number = if lease { -2 } else { self.commits.fetch_add(1, Ordering::SeqCst) };
+            if number == self.lost.load(Ordering::SeqCst) {
+                return Err(Error::Unknown("reply lost by the test".into()));
+            }
+            Ok(reply)
+        })
+    }
+}
+
+/// What a scripted run does.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Pushes this many tokens of the answer, after those received before.
+    Tokens(u32),
+    Pause(Duration),
+    /// Waits without end, until the run is cancelled.
+    Hang,
+    End(End),
+}
+
+type Script = dyn Fn(&Call) -> Vec<Step> + Send + Sync;
+
+/// A runner that follows a script and records its calls.
+pub struct Scripted {
+    script: Box<Script>,
+    pub calls: Mutex<Vec<Call>>,
+    pub open: Arc<AtomicU64>,
+    pub most: AtomicU64,
+}
+
+impl Scripted {
+    pub fn new(script: impl Fn(&Call) -> Vec<Step> + Send + Sync + 'static) -> Arc<Self> {
+        Arc::new(Self {
+            script: Box::new(script),
+            calls: Mutex::default(),
+            open: Arc::default(),
+            most: AtomicU64::new(0),
+        })
+    }
+
+    /// A runner that answers every item with its tokens at once.
+    pub fn quick() -> Arc<Self> {
+        Self::new(|_| vec![Step::Tokens(2), Step::End(End::Done)])
+    }
+
+    /// Calls for the item with this prompt.
+    pub fn calls_for(&self, prompt: &str) -> Vec<Call> {
+        let calls = self.calls.lock().unwrap();
+        calls.iter().filter(|call| call.prompt == prompt).cloned().collect()
+    }
+
+    pub fn open(&self) -> u64 {
+        self.open.load(Ordering::SeqCst)
+    }
+}
+
+/// Counts a stream as closed when its run ends or is dropped.
+struct Stream(Arc<AtomicU64>);
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Runner for Scripted {
+    fn run(&self, call: Call, transcript: Transcript) -> Running {
+        let steps = (self.script)(&call);
+        self.calls.lock().unwrap().push(call.clone());
+        let open = self.open.fetch_add(1, Ordering::SeqCst) + 1;
+        self.most.fetch_max(open, Ordering::SeqCst);
+        let stream = Stream(self.open.clone());
+        Box::pin(async move {
+            let _stream = stream;
+            let mut index = call.resume_from;
+            for step in steps {
+                match step {
+                    Step::Tokens(count) => {
+                        for _ in 0..count {
+                            transcript.push(&token(&call.prompt, index));
+                            index += 1;
+                        }
+                    }
+                    Step::Pause(time) => sleep(time).await,
+                    Step::Hang => std::future::pending().await,
+                    Step::End(end) => {
+                        let first_token = Some(Duration::from_millis(1));
+                        return Finish { end, first_token, between_tokens: None };
+                    }
+                }
+            }
+            panic!("a script must end");
+        })
+    }
+}
+
+/// The token that an engine gives at a position of the answer to a prompt.
+pub fn token(prompt: &str, index: u32) -> String {
+    format!("{prompt}-{index} ")
+}
+
+/// The answer of this many tokens.
+pub fn answer(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
+/// Table and object store that several daemons share.
+#[derive(Clone)]
+pub struct Platform {
+    pub table: Arc<Table>,
+    pub objects: Arc<memory::Objects>,
+    configuration: Arc<watch::Sender<Arc<Accepted>>>,
+}
+
+impl Platform {
+    pub fn new() -> Self {
+        let mut document = Document::default();
+        document.deployments.insert(DEPLOYMENT.into(), Deployment::model("m", "1"));
+        document.deployments.insert("print-relay".into(), Deployment::service());
+        document.clients.insert(CLIENT.into(), Client::new("token-himal"));
+        let accepted = Accepted { revision: 1, document: Arc::new(document) };
+        let configuration = Arc::new(watch::channel(Arc::new(accepted)).0);
+        Self { table: Table::new(), objects: Arc::default(), configuration }
+    }
+
+    pub fn jobs(&self) -> Jobs {
+        let (table, objects) = (self.table.clone(), self.objects.clone());
+        let configuration = self.configuration.subscribe();
+        Jobs::new(table, objects, Clock::new(), settings("entry").limits, configuration)
+    }
+
+    /// Jobs that are cut into chunks of this many items.
+    pub fn jobs_with_chunks(&self, chunk_items: usize) -> Jobs {
+        let (table, objects) = (self.table.clone(), self.objects.clone());
+        let limits = settings::Limits { chunk_items, ..settings::Limits::default() };
+        Jobs::new(table, objects, Clock::new(), limits, self.configuration.subscribe())
+    }
+
+    /// Starts the batch work of a daemon with this many streams at its upstream.
+    pub async fn daemon(&self, name: &str, runner: Arc<Scripted>, streams: u32) -> Daemon {
+        let settings = settings(name);
+        let clock = Clock::new();
+        let keeper = Keeper::start(self.table.clone(), clock, name, &settings.lease);
+        let upstream = format!("{name}-runner");
+        let vm = Vm {
+            name: upstream.clone(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            data_centre: "ktm-a".into(),
+            service: DEPLOYMENT.into(),
+            leaving: false,
+        };
+        let notices: Arc<Mutex<Vec<traffic::Input>>> = Arc::default();
+        let heard = notices.clone();
+        let dispatcher = Dispatcher::start(Parts {
+            table: self.table.clone(),
+            objects: self.objects.clone(),
+            clock,
+            runner,
+            traffic: Handle::current(),
+            settings,
+            configuration: self.configuration.subscribe(),
+            fleet: watch::channel(Arc::new(vec![vm])).1,
+            lease: keeper.state(),
+            notify: Arc::new(move |notice| heard.lock().unwrap().push(notice)),
+        });
+        let daemon = Daemon { dispatcher, keeper, upstream, notices };
+        daemon.limit(streams).await;
+        daemon
+    }
+
+    /// Waits for the state of a job.
+    pub async fn until(&self, id: &str, state: JobState) -> Job {
+        let jobs = self.jobs();
+        let found =
+            eventually(async || jobs.job(CLIENT, id).await.ok().filter(|job| job.state == state));
+        found.await
+    }
+
+    /// Committed results of a job.
+    pub async fn results(&self, id: &str) -> Vec<ItemResult> {
+        let mut lines = self.jobs().results(CLIENT, id).await.unwrap();
+        let mut results = Vec::new();
+        while let Some(content) = lines.recv().await {
+            let content = content.unwrap();
+            let lines = content.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+            results.extend(lines.map(|line| serde_json::from_slice::<ItemResult>(line).unwrap()));
+        }
+        results
+    }
+
+    pub async fn submit(&self, key: &str, items: u32) -> Job {
+        self.jobs().submit(submission(key, items)).await.unwrap()
+    }
+}
+
+/// The batch work of one daemon.
+pub struct Daemon {
+    pub dispatcher: ActorRef<Dispatcher>,
+    pub keeper: Keeper,
+    pub upstream: String,
+    pub notices: Arc<Mutex<Vec<traffic::Input>>>,
+}
+
+impl Daemon {
+    pub async fn limit(&self, streams: u32) {
+        let (upstream, deployment) = (self.upstream.clone(), DEPLOYMENT.to_owned());
+        self.dispatcher.tell(BatchLimit { upstream, deployment, streams }).send().await.unwrap();
+    }
+
+    /// Ends the batch work without any last step, as the loss of the vm does; the keeper of the
+    /// lease ends with its last handle.
+    pub fn kill(self) {
+        self.dispatcher.kill();
+    }
+}
+
+/// Settings with a short lease, so that tests of takeovers are quick.
+pub fn settings(name: &str) -> settings::Daemon {
+    serde_json::from_value(serde_json::json!({
+        "name": name,
+        "data_centre": "ktm-a",
+        "listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+        "platform": { "table": "127.0.0.1:1", "objects": "127.0.0.1:1", "vms": "127.0.0.1:1" },
+        "lease": { "length_ms": 2000, "renewal_ms": 400, "margin_ms": 500 },
+        "limits": { "chunk_items": 8, "batch_items": 1000 },
+        "timers": { "jobs_poll_ms": 100 },
+    }))
+    .unwrap()
+}
+
+/// Items `item-0` and so on, whose prompts are their identifiers.
+pub fn input(items: u32) -> Bytes {
+    let item = |index| Item {
+        id: format!("item-{index}"),
+        prompt: format!("item-{index}"),
+        max_tokens: 8,
+    };
+    let lines = (0..items).map(|index| serde_json::to_string(&item(index)).unwrap() + "\n");
+    lines.collect::<String>().into()
+}
+
+pub fn submission(key: &str, items: u32) -> Submission {
+    Submission {
+        client: CLIENT.into(),
+        key: key.into(),
+        deployment: DEPLOYMENT.into(),
+        due: Duration::from_secs(3600),
+        input: input(items),
+    }
+}
+
+/// Repeats a look until it finds something.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(mut look: impl FnMut() -> F) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(start.elapsed() < LONG, "the condition was not reached");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Texts by item identifier.
+pub fn texts(results: &[ItemResult]) -> BTreeMap<&str, Option<&str>> {
+    results.iter().map(|result| (result.id.as_str(), result.text.as_deref())).collect()
+}
