--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon: actors around the decisions, and the traffic between peers.
 
+mod assembly;
 pub mod batch;
 pub mod configuration;
 mod error;
@@ -7,7 +8,14 @@
 pub mod membership;
 pub mod node;
 pub mod online;
+mod orders;
+mod peers;
+mod runner;
+mod serve;
+mod shutdown;
 pub mod store;
+mod store;
 pub mod vms;
+mod vms;
 
-pub use crate::error::Error;
+pub use crate::{assembly::run, error::Error};
--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -4,12 +4,14 @@
 mod attempt;
 mod claim;
 mod claims;
+mod meter;
 mod poller;
 mod service;
 mod session;
 mod stream;
 
 use std::{
+    collections::BTreeMap,
     hash::{BuildHasher, Hasher, RandomState},
     sync::{
         Arc,
@@ -24,6 +26,7 @@
 };
 use cyclamengrade_configuration as configuration;
 use cyclamengrade_control::traffic::{Action, Demand, Input, Request, RequestId, Settings, Status};
+use cyclamengrade_telemetry::trace;
 use cyclamengrade_upstream::{Client, wire};
 use kameo::{
     actor::{ActorRef, Spawn},
@@ -37,6 +40,7 @@
     actor::{Arguments, ReadDemand, ReadStatus, Report, Traffic},
     attempt::Attempts,
     claim::Claim,
+    meter::Meter,
     poller::Reported,
     session::Session,
 };
@@ -159,10 +163,13 @@
         let (out, events) = mpsc::channel(EVENTS);
         let (opened, first) = oneshot::channel();
         let client = shared.client.clone();
+        let span = trace::start("online", call.traceparent.as_deref());
         let task = stream::Task {
             session: Session::new(shared.traffic.clone(), request),
-            attempts: Attempts::new(client, body, call.traceparent, shared.scope, !idempotent),
+            attempts: Attempts::new(client, body, span, shared.scope, !idempotent),
             idempotent,
+            meter: Meter::new(&call.deployment),
+            client: call.client,
             deployment: call.deployment,
             deadline,
             claim,
@@ -210,6 +217,11 @@
         self.shared.traffic.ask(ReadStatus).await.unwrap_or_default()
     }
 
+    /// Models that the upstreams reported last, by name of the vm.
+    pub fn models(&self) -> BTreeMap<String, Vec<String>> {
+        self.shared.reported.models()
+    }
+
     /// Requests a second that this daemon sees, to be reported to the other daemons.
     pub async fn demand(&self) -> Vec<Demand> {
         self.shared.traffic.ask(ReadDemand).await.unwrap_or_default()
