--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -13,9 +13,7 @@
 mod runner;
 mod serve;
 mod shutdown;
-pub mod store;
 mod store;
-pub mod vms;
 mod vms;
 
 pub use crate::{assembly::run, error::Error};
