Announce an accepted revision at once; number the events of the actors

Cause: by hand, a second daemon had a new revision in force after 1.8 s, most of it the 2 s poll of the daemon that had accepted it; some log lines had no event number. Change: acceptance feeds the follower of the same daemon; membership and configuration log numbered events and set their gauges.

--- a/components/daemon/src/assembly.rs
+++ b/components/daemon/src/assembly.rs
@@ -101,7 +101,11 @@
 
     let (tokens, token_index) = watch::channel(Arc::new(BTreeMap::new()));
     node.traffic.spawn(serve::index_tokens(Arc::clone(&node), tokens));
-    let handler = Handler { online: online.clone(), dispatcher: dispatcher.clone(), follower };
+    let handler = Handler {
+        online: online.clone(),
+        dispatcher: dispatcher.clone(),
+        follower: follower.clone(),
+    };
     let stop = shutdown::Stop::new(Arc::clone(&node), publishers.phase);
     node.traffic.spawn(peer::serve(daemons, Arc::new(handler), stop.ended()));
     let service = Service {
@@ -109,6 +113,7 @@
         online,
         jobs: Arc::new(Jobs::of(&node)),
         dispatcher: dispatcher.clone(),
+        follower,
         peers,
         tokens: token_index,
         metrics,
--- a/components/daemon/src/configuration/actor.rs
+++ b/components/daemon/src/configuration/actor.rs
@@ -2,9 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use ::metrics::gauge;
 use cyclamengrade_configuration::Document;
 use cyclamengrade_control::revision::{Action, Entry, Input, Machine, Snapshot, Source};
 use cyclamengrade_peer::{self as peer, wire};
+use cyclamengrade_telemetry::{event, metrics};
 use kameo::{
     Reply,
     prelude::{Actor, ActorRef, Context, Message, Spawn},
@@ -78,13 +80,17 @@
                 self.read_peer(actor.clone(), address, after);
             }
             Action::InForce(Snapshot { number, document }) => {
+                let digest = document.digest();
+                event!(ConfigurationInForce, revision = number, digest = digest.as_str());
+                gauge!(metrics::REVISION).set(number as f64);
                 self.accepted.send_replace(Arc::new(Accepted { revision: number, document }));
             }
             Action::Ready => {
                 self.ready.send_replace(true);
             }
             Action::Mismatch { number } => {
-                log::warn!("revision {number} does not fit the document; reading a snapshot");
+                let error = "the revision does not fit the document; reading a snapshot";
+                event!(ConfigurationUnusable, revision = number, error = error);
             }
         }
     }
--- a/components/daemon/src/membership.rs
+++ b/components/daemon/src/membership.rs
@@ -2,11 +2,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use ::metrics::gauge;
 use cyclamengrade_control::{
-    membership::{Action, Candidate, Datagram, Input, Machine, Settings},
+    membership::{self, Action, Candidate, Datagram, Input, Machine, Settings, State},
     revision,
 };
 use cyclamengrade_peer::Socket;
+use cyclamengrade_telemetry::{event, metrics};
 use kameo::prelude::{Actor, ActorRef, Context, Message, Spawn};
 use tokio::sync::{mpsc, watch};
 
@@ -71,7 +73,7 @@
                 false
             }
             Action::Changed(member) => {
-                log::info!("daemon {} is {:?}", member.name, member.state);
+                report(&member);
                 true
             }
             Action::NewerRevision { revision, address, .. } => {
@@ -93,6 +95,7 @@
         });
         daemons.sort_by(|a, b| a.name.cmp(&b.name));
         let demand = self.machine.demand_of_others(now);
+        gauge!(metrics::MEMBERS, "state" => "live").set(daemons.len() as f64);
         let members = Arc::new(Members { daemons, demand });
         self.members.send_if_modified(|current| {
             let modified = **current != *members;
@@ -148,6 +151,16 @@
     }
 }
 
+fn report(member: &membership::Member) {
+    let name = member.name.as_str();
+    match member.state {
+        State::Alive => event!(MemberJoined, member = name),
+        State::Suspect => event!(MemberSuspected, member = name),
+        State::Leaving => event!(MemberLeaving, member = name),
+        State::Dead => event!(MemberGone, member = name),
+    }
+}
+
 fn member(candidate: Candidate) -> Member {
     let Candidate { name, address, data_centre } = candidate;
     Member { name, address, data_centre }
--- a/components/daemon/src/serve.rs
+++ b/components/daemon/src/serve.rs
@@ -10,16 +10,16 @@
         ServiceCall, Submission, Upstream,
     },
 };
-use cyclamengrade_control::traffic::Status;
+use cyclamengrade_control::{revision::Input, traffic::Status};
 use cyclamengrade_peer as peer;
-use cyclamengrade_telemetry::metrics;
+use cyclamengrade_telemetry::{event, metrics};
 use kameo::prelude::ActorRef;
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
 
 use crate::{
     batch::{self, Dispatcher, Jobs},
-    configuration,
+    configuration::{self, Follower},
     node::{Node, Phase},
     online::Online,
     peers,
@@ -36,6 +36,8 @@
     pub jobs: Arc<Jobs>,
     /// Batch work of this daemon.
     pub dispatcher: ActorRef<Dispatcher>,
+    /// Configuration of this daemon.
+    pub follower: ActorRef<Follower>,
     /// Connections to other daemons.
     pub peers: Arc<peer::Client>,
     /// Names of the clients by token.
@@ -107,8 +109,26 @@
 
     fn apply(&self, change: Apply) -> Boxed<Revision> {
         let table = Arc::clone(&self.node.table);
+        let follower = self.follower.clone();
         let unix_ms = self.node.clock.unix_ms();
-        Box::pin(async move { configuration::apply(table.as_ref(), unix_ms, change).await })
+        let (author, change_id) = (change.author.clone(), change.change_id.clone());
+        Box::pin(async move {
+            let accepted = configuration::apply(table.as_ref(), unix_ms, change).await;
+            match &accepted {
+                // The probes of this daemon carry the revision on as soon as it is in force here.
+                Ok(revision) => {
+                    let head = Input::Head { newest: revision.revision, snapshot: 0 };
+                    let _ = follower.tell(head).await;
+                }
+                Err(failure) => event!(
+                    ConfigurationRefused,
+                    reason = failure.message.as_str(),
+                    author = author.as_str(),
+                    change_id = change_id.as_str()
+                ),
+            }
+            accepted
+        })
     }
 
     fn history(&self, limit: usize) -> Boxed<Vec<HistoryEntry>> {
