Look only at deployments that may need orders

Cause: each order tick scanned all upstreams once for each deployment. Change: upstreams are indexed by deployment, settled deployments are passed over, and only changed reports reach the machine.

--- a/components/control/src/order/machine.rs
+++ b/components/control/src/order/machine.rs
@@ -1,8 +1,12 @@
 //! The order state machine.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use cyclamengrade_configuration::{Deployment, Document, Fencing, Kind};
+use cyclamengrade_configuration::{Deployment, Document, Fencing};
 
 use super::{
     message::{Action, Input, Ownership, Settings},
@@ -51,7 +55,11 @@
     vms: Arc<Vec<Vm>>,
     document: Arc<Document>,
     members: Vec<String>,
+    /// Names of the upstreams that do not leave, by deployment.
+    upstreams: BTreeMap<String, BTreeSet<String>>,
     models: BTreeMap<String, Vec<String>>,
+    /// Deployments that may need orders; the others are not looked at.
+    unsettled: BTreeSet<String>,
     steps: BTreeMap<String, Step>,
     serving: BTreeMap<String, Serving>,
 }
@@ -64,7 +72,9 @@
             vms: Arc::default(),
             document: Arc::default(),
             members: Vec::new(),
+            upstreams: BTreeMap::new(),
             models: BTreeMap::new(),
+            unsettled: BTreeSet::new(),
             steps: BTreeMap::new(),
             serving: BTreeMap::new(),
         }
@@ -74,16 +84,9 @@
     pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
         match input {
             Input::Tick => return self.tick(now),
-            Input::Fleet { vms, document } => {
-                self.models.retain(|name, _| vms.iter().any(|vm| vm.name == *name));
-                self.steps.retain(|name, _| vms.iter().any(|vm| vm.name == *name));
-                self.vms = vms;
-                self.document = document;
-            }
+            Input::Fleet { vms, document } => self.update_fleet(vms, document),
             Input::Members(members) => self.members = members,
-            Input::Models { upstream, models } => {
-                self.models.insert(upstream, models);
-            }
+            Input::Models { upstream, models } => self.update_models(upstream, models),
             Input::RowRead { upstream, row } => {
                 return self.claim(now, upstream, row).into_iter().collect();
             }
@@ -93,28 +96,65 @@
         Vec::new()
     }
 
+    fn update_fleet(&mut self, vms: Arc<Vec<Vm>>, document: Arc<Document>) {
+        if Arc::ptr_eq(&self.vms, &vms) && Arc::ptr_eq(&self.document, &document) {
+            return;
+        }
+        self.upstreams.clear();
+        for vm in vms.iter().filter(|vm| !vm.leaving) {
+            self.upstreams.entry(vm.service.clone()).or_default().insert(vm.name.clone());
+        }
+        let listed: BTreeSet<&str> = vms.iter().map(|vm| vm.name.as_str()).collect();
+        self.models.retain(|name, _| listed.contains(name.as_str()));
+        self.steps.retain(|name, _| listed.contains(name.as_str()));
+        self.serving.retain(|name, _| document.deployments.contains_key(name));
+        self.unsettled = document.deployments.keys().cloned().collect();
+        self.vms = vms;
+        self.document = document;
+    }
+
+    fn update_models(&mut self, upstream: String, models: Vec<String>) {
+        if self.models.get(&upstream) == Some(&models) {
+            return;
+        }
+        let deployments = self.upstreams.iter().filter(|(_, names)| names.contains(&upstream));
+        self.unsettled.extend(deployments.map(|(name, _)| name.clone()));
+        self.models.insert(upstream, models);
+    }
+
     fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         let document = Arc::clone(&self.document);
-        for (name, deployment) in &document.deployments {
-            if deployment.kind == Kind::Service {
+        for name in self.unsettled.clone() {
+            let deployment = document.deployments.get(&name);
+            let Some((deployment, wanted)) =
+                deployment.and_then(|deployment| Some((deployment, rollout::wanted(deployment)?)))
+            else {
+                self.unsettled.remove(&name);
                 continue;
-            }
-            let Some(wanted) = rollout::wanted(deployment) else { continue };
+            };
+            let name = name.as_str();
             self.update_serving(now, name, &wanted);
             actions.extend(self.roll_out(now, name, deployment, &wanted));
+            if self.is_settled(name, &wanted) {
+                self.unsettled.remove(name);
+            }
         }
-        self.serving.retain(|name, _| document.deployments.contains_key(name));
         actions
     }
 
     /// Models by upstream for one deployment; upstreams that leave are passed over.
     fn reports(&self, deployment: &str) -> BTreeMap<&str, Option<&Vec<String>>> {
-        self.vms
-            .iter()
-            .filter(|vm| vm.service == deployment && !vm.leaving)
-            .map(|vm| (vm.name.as_str(), self.models.get(&vm.name)))
-            .collect()
+        let names = self.upstreams.get(deployment).into_iter().flatten();
+        names.map(|name| (name.as_str(), self.models.get(name))).collect()
+    }
+
+    /// Whether every upstream has the wanted label and nothing else.
+    fn is_settled(&self, deployment: &str, wanted: &str) -> bool {
+        let names = self.upstreams.get(deployment).into_iter().flatten();
+        names.map(|name| self.models.get(name)).all(|models| {
+            models.is_some_and(|models| matches!(models.as_slice(), [label] if label == wanted))
+        })
     }
 
     /// Records that requests moved to the wanted label once half of the upstreams have it.
--- a/components/daemon/src/orders.rs
+++ b/components/daemon/src/orders.rs
@@ -1,6 +1,6 @@
 //! Actor that gives orders to the model engines.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cyclamengrade_control::order::{Action, Input, Machine, Ownership, Settings};
 use cyclamengrade_platform::{
@@ -41,9 +41,10 @@
         let machine = Machine::new(settings(&node, epoch.unwrap_or_default()));
         let actor = Self::spawn(Self { machine, node: Arc::clone(&node), client, lease });
         let mut interval = tokio::time::interval(TICK);
+        let mut reported = BTreeMap::new();
         loop {
             interval.tick().await;
-            for input in observe(&node, &online) {
+            for input in observe(&node, &online, &mut reported) {
                 if actor.tell(input).await.is_err() {
                     return;
                 }
@@ -120,15 +121,25 @@
     }
 }
 
-/// Inputs that bring the machine up to date, the tick last.
-fn observe(node: &Node, online: &Online) -> Vec<Input> {
+/// Inputs that bring the machine up to date, the tick last; `reported` holds the models that the
+/// machine knows.
+fn observe(
+    node: &Node,
+    online: &Online,
+    reported: &mut BTreeMap<String, Vec<String>>,
+) -> Vec<Input> {
     let document = Arc::clone(&node.configuration.borrow().document);
     let vms = Arc::clone(&node.fleet.borrow());
     let members = Arc::clone(&node.members.borrow());
     let names = members.daemons.iter().map(|member| member.name.clone()).collect();
     let mut inputs = vec![Input::Fleet { vms, document }, Input::Members(names)];
-    let models = online.models().into_iter();
-    inputs.extend(models.map(|(upstream, models)| Input::Models { upstream, models }));
+    let models = online.models();
+    for (upstream, models) in &models {
+        if reported.get(upstream) != Some(models) {
+            inputs.push(Input::Models { upstream: upstream.clone(), models: models.clone() });
+        }
+    }
+    *reported = models;
     inputs.push(Input::Tick);
     inputs
 }
