Add the adaptive policy for online requests and batch pacing

Cause: round robin sends a fifth of the requests to slowed upstreams, and a fixed number of batch streams wastes spare slots. Change: routing chooses by lag-corrected load and relative latency with two random choices, prefix affinity, ejection with probes beside a regular attempt; admission splits limits by demand and queues by deadline; retry holds retries, hedges and probes within one budget; pacing follows free slots, notices and latency feedback.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -2,7 +2,11 @@
 //!
 //! Each module is a state machine that takes the time and an input and returns actions.
 
+pub mod admission;
 pub mod fleet;
 pub mod hash;
+pub mod pacing;
+pub mod retry;
+pub mod routing;
 pub mod time;
 pub mod traffic;
--- /dev/null
+++ b/components/control/tests/targets.rs
@@ -0,0 +1,98 @@
+//! The design's targets in a model, against the naive policy. The bounds are the stated targets.
+
+mod model;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use model::{Measured, Model, Plan};
+
+/// Seeds of the runs; every one must meet the target.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Guards against batch work that delays online work, and against idle spare slots.
+#[gtest]
+fn batch_harm() {
+    for seed in SEEDS {
+        for naive in [true, false] {
+            let plan = Plan { seed, naive, ..Plan::default() };
+            let alone = Model::run(plan.clone());
+            let mixed = Model::run(Plan { batch: true, ..plan });
+            let ratio = Measured::p99(&mixed.first_ms) / Measured::p99(&alone.first_ms);
+            let share = mixed.batch_share();
+            println!("seed {seed} naive {naive}: p99 ratio {ratio:.3}, batch share {share:.3}");
+            if !naive {
+                expect_that!(ratio, le(1.10), "seed {seed}");
+                expect_that!(share, ge(0.90), "seed {seed}");
+            } else {
+                expect_that!(share, lt(0.90), "seed {seed}");
+            }
+        }
+    }
+}
+
+/// Guards against requests that wait for a slowed upstream.
+#[gtest]
+fn slowed_fifth() {
+    for seed in SEEDS {
+        let [naive, ratio] = [true, false].map(|naive| {
+            let plan = Plan { seed, naive, ..Plan::default() };
+            let even = Model::run(plan.clone());
+            let slowed = Model::run(Plan { slowdown: 10.0, ..plan });
+            if !naive {
+                expect_that!(slowed.extra(), le(0.05), "seed {seed}");
+            }
+            Measured::p99(&slowed.first_ms) / Measured::p99(&even.first_ms)
+        });
+        println!("seed {seed}: p99 ratio {ratio:.3}, naive {naive:.3}");
+        expect_that!(ratio, le(1.25), "seed {seed}");
+        expect_that!(ratio, lt(naive), "seed {seed}");
+    }
+}
+
+/// Guards against a policy that needs long to notice that other upstreams are slow now. The target
+/// is for a lasting slowdown; here the ratio must be better than that of the naive policy.
+#[gtest]
+fn slow_moments() {
+    for seed in SEEDS {
+        let [naive, ratio] = [true, false].map(|naive| {
+            let plan = Plan { seed, naive, ..Plan::default() };
+            let even = Model::run(plan.clone());
+            let slow_for = Duration::from_secs(20);
+            let slowed = Model::run(Plan { slowdown: 10.0, slow_for, ..plan });
+            if !naive {
+                expect_that!(slowed.extra(), le(0.05), "seed {seed}");
+            }
+            Measured::p99(&slowed.first_ms) / Measured::p99(&even.first_ms)
+        });
+        println!("seed {seed}: p99 ratio {ratio:.3}, naive {naive:.3}");
+        expect_that!(ratio, lt(naive), "seed {seed}");
+    }
+}
+
+/// Guards against a slowed service that is taken for slow upstreams, which would put its load on
+/// half of them.
+#[gtest]
+fn slowed_service() {
+    for seed in SEEDS {
+        let slow_from = Duration::from_secs(20);
+        let plan =
+            Plan { seed, rate: 20.0, slowdown: 10.0, slowed: 1, slow_from, ..Plan::default() };
+        let measured = Model::run(plan);
+        println!("seed {seed}: ejected {:.3}", measured.ejected);
+        expect_that!(measured.ejected, le(0.25), "seed {seed}");
+    }
+}
+
+/// Guards against short work that waits behind long work.
+#[gtest]
+fn stragglers() {
+    for seed in SEEDS {
+        let plan = Plan { seed, rate: 120.0, ..Plan::default() };
+        let even = Model::run(plan.clone());
+        let mixed = Model::run(Plan { stragglers: 0.01, ..plan });
+        let ratio = Measured::p99(&mixed.short_ms) / Measured::p99(&even.short_ms);
+        println!("seed {seed}: p99 ratio of short work {ratio:.3}");
+        expect_that!(ratio, le(1.15), "seed {seed}");
+    }
+}
