--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,6 +1,8 @@
 //! Client for the platform's table service, object store and VM list.
 
 mod error;
+pub mod http;
+pub mod memory;
 pub mod table;
 
 use std::{future::Future, pin::Pin};
@@ -45,7 +47,7 @@
 pub struct Vm {
     /// Name of the vm.
     pub name: String,
-    /// Address and port of its process.
+    /// Address and port of its process; of a daemon, the address for other daemons.
     pub address: std::net::SocketAddr,
     /// Data centre that it is in.
     pub data_centre: String,
