Feed the fleet to the traffic decisions only when it changed

Cause: the members' demand changes every second, and each time the whole list of vms was taken in again. Change: the list and the document are fed only when one of them changed. Result: tests pass; the cost before was not measured.

--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -239,10 +239,17 @@
         let mut configuration = self.node.configuration.clone();
         let mut fleet = self.node.fleet.clone();
         let mut members = self.node.members.clone();
+        let mut first = true;
         loop {
+            let changed = fleet.has_changed().unwrap_or(false)
+                || configuration.has_changed().unwrap_or(false);
             let vms = fleet.borrow_and_update().clone();
             let document = Arc::clone(&configuration.borrow_and_update().document);
-            self.feed(Input::Fleet { vms, document });
+            // The members' demand changes every second; the fleet costs far more to take in.
+            if first || changed {
+                first = false;
+                self.feed(Input::Fleet { vms, document });
+            }
             let current = members.borrow_and_update().clone();
             let names = current.daemons.iter().map(|member| member.name.clone()).collect();
             self.feed(Input::Members { names, demand: current.demand.clone() });
