Compare the fleet by identity before it is fed

Cause: the change before asked the watch channels whether they had changed after waiting for that change, which had marked it as seen; the decisions got no upstream at all. The try by hand showed it, no test did. Change: the last list and document are kept and compared by identity.

--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -25,7 +25,10 @@
     backend::{Completion, Event, ServiceAnswer, ServiceCall},
 };
 use cyclamengrade_configuration as configuration;
-use cyclamengrade_control::traffic::{Action, Demand, Input, Request, RequestId, Settings, Status};
+use cyclamengrade_control::{
+    fleet::Vm,
+    traffic::{Action, Demand, Input, Request, RequestId, Settings, Status},
+};
 use cyclamengrade_telemetry::trace;
 use cyclamengrade_upstream::{Client, wire};
 use kameo::{
@@ -239,15 +242,16 @@
         let mut configuration = self.node.configuration.clone();
         let mut fleet = self.node.fleet.clone();
         let mut members = self.node.members.clone();
-        let mut first = true;
+        let mut fed: Option<(Arc<Vec<Vm>>, Arc<configuration::Document>)> = None;
         loop {
-            let changed = fleet.has_changed().unwrap_or(false)
-                || configuration.has_changed().unwrap_or(false);
             let vms = fleet.borrow_and_update().clone();
             let document = Arc::clone(&configuration.borrow_and_update().document);
-            // The members' demand changes every second; the fleet costs far more to take in.
-            if first || changed {
-                first = false;
+            // The members' demand changes every second, and the fleet costs far more to take in.
+            let known = fed.as_ref().is_some_and(|(fed_vms, fed_document)| {
+                Arc::ptr_eq(fed_vms, &vms) && Arc::ptr_eq(fed_document, &document)
+            });
+            if !known {
+                fed = Some((Arc::clone(&vms), Arc::clone(&document)));
                 self.feed(Input::Fleet { vms, document });
             }
             let current = members.borrow_and_update().clone();
