Refuse repeated names in documents; log details of the own packages

Cause: of two entries with one name in a hand-written document the last won silently; lines without a number of the own packages followed the filter for libraries. Change: maps of the document refuse a repeated name; the log level holds for the own packages. Result: the tests of both packages pass, among them name_twice and level_filter.

--- a/components/configuration/src/document.rs
+++ b/components/configuration/src/document.rs
@@ -5,15 +5,20 @@
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
+use crate::unique;
+
 /// Everything that operators configure for the fleet.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Document {
     /// What callers address, by name.
+    #[serde(deserialize_with = "unique::map")]
     pub deployments: BTreeMap<String, Deployment>,
     /// Models that deployments may serve, by name.
+    #[serde(deserialize_with = "unique::map")]
     pub models: BTreeMap<String, Model>,
     /// Client accounts, by name.
+    #[serde(deserialize_with = "unique::map")]
     pub clients: BTreeMap<String, Client>,
 }
 
@@ -123,6 +128,7 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Model {
     /// Versions by name.
+    #[serde(deserialize_with = "unique::map")]
     pub versions: BTreeMap<String, Version>,
 }
 
@@ -157,7 +163,7 @@
     #[serde(default = "Client::default_weight")]
     pub weight: u32,
     /// Limits by deployment; `*` stands for every deployment without an own entry.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "unique::map")]
     pub limits: BTreeMap<String, Limit>,
 }
 
--- a/components/configuration/src/lib.rs
+++ b/components/configuration/src/lib.rs
@@ -4,6 +4,7 @@
 mod document;
 mod problem;
 mod schema;
+mod unique;
 
 pub use crate::{
     delta::{Change, Delta},
--- a/components/configuration/tests/document_problems.rs
+++ b/components/configuration/tests/document_problems.rs
@@ -107,3 +107,20 @@
     }
     Ok(())
 }
+
+/// Guards against the last of two entries with one name silently winning.
+#[gtest]
+fn name_twice() -> Result<()> {
+    let service = r#"{"kind": "service"}"#;
+    for text in [
+        format!(r#"{{"deployments": {{"a": {service}, "a": {service}}}}}"#),
+        r#"{"models": {"a": {}, "a": {}}}"#.into(),
+        r#"{"models": {"m": {"versions": {"a": {"weights": "w"}, "a": {"weights": "w"}}}}}"#.into(),
+        r#"{"clients": {"a": {"token": "t"}, "a": {"token": "u"}}}"#.into(),
+        r#"{"clients": {"c": {"token": "t", "limits": {"a": {}, "a": {}}}}}"#.into(),
+    ] {
+        let error = serde_json::from_str::<Document>(&text).unwrap_err().to_string();
+        expect_that!(error, starts_with("the name \"a\" occurs twice"), "{text}");
+    }
+    Ok(())
+}
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -8,6 +8,16 @@
 };
 use serde_json::json;
 
+/// Packages whose lines without a number follow the level of the setting.
+const PACKAGES: [&str; 6] = [
+    "cyclamengrade_caller",
+    "cyclamengrade_control",
+    "cyclamengrade_daemon",
+    "cyclamengrade_peer",
+    "cyclamengrade_platform",
+    "cyclamengrade_upstream",
+];
+
 /// Writes log lines of at least this level to standard error, one JSON object a line.
 ///
 /// Lines of libraries are written from level `warn` on.
@@ -21,9 +31,12 @@
 
 /// The formatter and filter, without an output.
 pub fn dispatch(level: LevelFilter) -> fern::Dispatch {
-    fern::Dispatch::new()
+    let libraries = fern::Dispatch::new()
         .level(level.min(LevelFilter::Warn))
-        .level_for(crate::event::TARGET, level)
+        .level_for(crate::event::TARGET, level);
+    PACKAGES
+        .into_iter()
+        .fold(libraries, |dispatch, package| dispatch.level_for(package, level))
         .format(|out, _, record| out.finish(format_args!("{}", line(record, SystemTime::now()))))
 }
 
--- a/components/telemetry/tests/log_lines.rs
+++ b/components/telemetry/tests/log_lines.rs
@@ -64,9 +64,11 @@
         event!(RequestRefused, client = "a");
         log::info!(target: "hyper", "connection");
         log::warn!(target: "hyper", "broken");
+        log::debug!(target: "cyclamengrade_daemon::online", "detail");
+        log::info!(target: "cyclamengrade_daemon::online", "step");
         event!(Stopped);
     });
     let messages: Vec<_> = found.iter().map(|line| line["message"].as_str().unwrap()).collect();
-    expect_that!(messages, elements_are![eq(&"broken"), eq(&Event::Stopped.text())]);
+    expect_that!(messages, elements_are![eq(&"broken"), eq(&"step"), eq(&Event::Stopped.text())]);
     verify_that!(found[0]["target"], eq(&json!("hyper")))
 }
