Repeat calls whose outcome the daemon does not know

Cause: an answer outcome_unknown to config apply ended with exit code 3 and was not repeated. Change: every answer that says that the call may have run is repeated with the same identifier, and ends with exit code 4 when it stays unknown. Result: outcome_unknown and exit_codes pass; all tests of the program and the library pass.

--- a/components/operator/src/admin.rs
+++ b/components/operator/src/admin.rs
@@ -106,7 +106,7 @@
             Ok(revision) => return Ok(revision),
             Err(error) => error,
         };
-        if !(error.is_conflict() || matches!(error, Error::Lost { .. })) {
+        if !error.is_conflict() && !error.may_have_taken_effect() {
             return Err(error);
         }
         match self.history(SEARCHED_REVISIONS).await {
@@ -225,7 +225,7 @@
                 time::sleep(self.attempts.pause).await;
             }
             match self.server.json(call()).await {
-                Err(error @ Error::Lost { .. }) => lost = Some(error),
+                Err(error) if error.may_have_taken_effect() => lost = Some(error),
                 // After a lost reply an unreachable daemon says nothing about the first call.
                 Err(Error::Unreachable { .. }) if lost.is_some() => {}
                 other => return other,
--- a/components/operator/src/error.rs
+++ b/components/operator/src/error.rs
@@ -46,6 +46,15 @@
 impl std::error::Error for Error {}
 
 impl Error {
+    /// Whether the call may have taken effect although it failed.
+    pub const fn may_have_taken_effect(&self) -> bool {
+        match self {
+            Self::Lost { .. } => true,
+            Self::Refused { not_run, .. } => !*not_run,
+            Self::Unreachable { .. } | Self::Protocol { .. } | Self::Argument(_) => false,
+        }
+    }
+
     /// Whether the daemon refused the call because it contradicts an accepted one.
     pub fn is_conflict(&self) -> bool {
         matches!(self, Self::Refused { kind, .. } if kind == "conflict")
--- a/components/operator/tests/admin_client.rs
+++ b/components/operator/tests/admin_client.rs
@@ -73,6 +73,25 @@
     Ok(())
 }
 
+/// Guards against giving up when the daemon itself did not learn the outcome of its write.
+#[gtest]
+#[tokio::test]
+async fn outcome_unknown() -> Result<()> {
+    let plan = plan();
+    let calls = Arc::new(AtomicUsize::new(0));
+    let (counter, body) = (Arc::clone(&calls), accepted(&plan));
+    let unknown = json!({ "error": {
+        "kind": "outcome_unknown", "message": "no reply of the table", "not_run": false,
+    } });
+    let daemon = Daemon::start(move |_| match counter.fetch_add(1, Ordering::Relaxed) {
+        0 => Reply::Answer(502, unknown.to_string()),
+        _ => Reply::json(&body),
+    });
+    let revision = admin(&daemon).apply(&plan, "anna").await.or_fail()?;
+    expect_that!(revision.revision, eq(5));
+    verify_that!(daemon.requests().len(), eq(2))
+}
+
 /// Guards against a conflict that is reported although the own change caused it: the first call
 /// took effect, its reply was lost, and the second call met the higher revision.
 #[gtest]
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -81,7 +81,7 @@
             Error::Unreachable { .. } | Error::Lost { .. } => Exit::Unreachable,
             Error::Refused { kind, .. } => match kind.as_str() {
                 "conflict" => Exit::Conflict,
-                "unavailable" | "overloaded" => Exit::Unreachable,
+                "unavailable" | "overloaded" | "outcome_unknown" => Exit::Unreachable,
                 "internal" => Exit::Internal,
                 _ => Exit::Refused,
             },
--- a/tests/cli_batch.rs
+++ b/tests/cli_batch.rs
@@ -127,6 +127,32 @@
     )
 }
 
+/// Guards against kinds of refusals that a script cannot tell apart.
+#[gtest]
+fn exit_codes() -> Result<()> {
+    for (status, kind, code) in [
+        (400, "invalid", 3),
+        (401, "unauthorized", 3),
+        (404, "not_found", 3),
+        (409, "conflict", 5),
+        (413, "too_large", 3),
+        (429, "limited", 3),
+        (500, "internal", 1),
+        (502, "upstream_failed", 3),
+        (502, "outcome_unknown", 4),
+        (503, "overloaded", 4),
+        (503, "unavailable", 4),
+        (504, "expired", 3),
+    ] {
+        let daemon = Daemon::start(move |_| Reply::refusal(status, kind, "as the test says"));
+        let output = run(&daemon, "batch status j --json");
+        expect_that!(output.code, eq(code), "{kind}");
+        let error: Value = serde_json::from_str(&output.errors).or_fail()?;
+        expect_that!(error["error"]["exit"], eq(&json!(code)));
+    }
+    Ok(())
+}
+
 /// Guards against a partial results file that looks whole.
 #[gtest]
 fn results_cut() -> Result<()> {
