Drive upstream connections from the task that waits for the answer

Cause: a task for each upstream connection adds a change of tasks to each token. Change: the connection is polled together with the body that it carries; idle connections are polled when they are taken from the pool.

--- a/components/upstream/src/client.rs
+++ b/components/upstream/src/client.rs
@@ -1,9 +1,9 @@
 //! Calls of the engines' published protocol and of plain services.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::poll_fn, net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
@@ -245,18 +245,31 @@
 async fn whole(
     address: SocketAddr,
     response: Response<Incoming>,
-    lease: Lease,
+    mut lease: Lease,
     limit: usize,
 ) -> Result<Bytes, Error> {
-    let body = Limited::new(response.into_body(), limit).collect().await.map_err(|cause| {
-        match cause.downcast::<hyper::Error>() {
-            Ok(cause) => broken(address, &cause, Ran::Yes),
-            Err(cause) => Error::Protocol {
+    let mut body = response.into_body();
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = poll_fn(|cx| lease.poll_frame(cx, &mut body)).await {
+        let frame = frame.map_err(|cause| broken(address, &cause, Ran::Yes))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if first.len() + rest.len() + data.len() > limit {
+            return Err(Error::Protocol {
                 address: address.to_string(),
-                cause: format!("body of more than {limit} bytes: {cause}"),
-            },
+                cause: format!("the body exceeds {limit} bytes"),
+            });
         }
-    })?;
+        // A body in one part is passed on without a copy.
+        if first.is_empty() && rest.is_empty() {
+            first = data;
+        } else {
+            if rest.is_empty() {
+                rest.extend_from_slice(&std::mem::take(&mut first));
+            }
+            rest.extend_from_slice(&data);
+        }
+    }
     lease.give_back();
-    Ok(body.to_bytes())
+    Ok(if rest.is_empty() { first } else { rest.freeze() })
 }
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -2,8 +2,11 @@
 
 use std::{
     collections::HashMap,
+    future::{Future, poll_fn},
     net::SocketAddr,
+    pin::{Pin, pin},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
@@ -11,11 +14,14 @@
 use http_body_util::Full;
 use hyper::{
     Request, Response,
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    body::{Body, Frame, Incoming},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{net::TcpStream, time::timeout};
 
 use crate::{Error, Ran};
 
@@ -48,17 +54,57 @@
     }
 }
 
+type Driver = Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>;
+
 /// A connection that carries no more than one request; closed when dropped.
+///
+/// It has no task of its own: whoever waits for an answer drives it, which saves a change of
+/// tasks for each token.
 pub(crate) struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
+    /// Absent once the connection is closed.
+    driver: Option<Driver>,
     idle_since: Instant,
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
+impl Connection {
+    /// Lets the connection read and write as far as possible.
+    fn drive(&mut self, cx: &mut Context<'_>) {
+        if let Some(driver) = &mut self.driver
+            && driver.as_mut().poll(cx).is_ready()
+        {
+            // The result of the request or of its body reports the error.
+            self.driver = None;
+        }
+    }
+
+    /// Whether an idle connection can carry a request.
+    async fn is_usable(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.drive(cx);
+            if self.driver.is_none() {
+                return Poll::Ready(false);
+            }
+            self.sender.poll_ready(cx).map(|ready| ready.is_ok())
+        })
+        .await
+    }
+
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let mut sending = pin!(self.sender.try_send_request(request));
+        poll_fn(|cx| {
+            if let Some(driver) = &mut self.driver
+                && driver.as_mut().poll(cx).is_ready()
+            {
+                self.driver = None;
+            }
+            sending.as_mut().poll(cx)
+        })
+        .await
     }
 }
 
@@ -66,11 +112,13 @@
 pub(crate) struct Pool {
     pub(crate) options: Options,
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    /// When idle connections were closed last.
+    swept: Mutex<Instant>,
 }
 
 impl Pool {
     pub(crate) fn new(options: Options) -> Self {
-        Self { options, idle: Mutex::default() }
+        Self { options, idle: Mutex::default(), swept: Mutex::new(Instant::now()) }
     }
 
     /// Sends a request on an idle connection, or on a new one.
@@ -83,10 +131,10 @@
         fresh: bool,
     ) -> Result<(Response<Incoming>, Lease), Error> {
         while let Some(mut connection) = (!fresh).then(|| self.take(address)).flatten() {
-            if connection.sender.ready().await.is_err() {
+            if !connection.is_usable().await {
                 continue;
             }
-            match connection.sender.try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(response) => return Ok((response, self.lease(connection))),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -95,7 +143,7 @@
             }
         }
         let mut connection = self.connect(address).await?;
-        match connection.sender.try_send_request(request).await {
+        match connection.send(request).await {
             Ok(response) => Ok((response, self.lease(connection))),
             Err(mut error) => {
                 let ran = if error.take_message().is_some() { Ran::No } else { Ran::Unknown };
@@ -121,11 +169,8 @@
         let (sender, driver) = http1::handshake(TokioIo::new(socket))
             .await
             .map_err(|cause| error(cause.to_string()))?;
-        let task = tokio::spawn(async move {
-            // The result of the request reports the error.
-            let _ = driver.await;
-        });
-        Ok(Connection { address, sender, task: task.abort_handle(), idle_since: Instant::now() })
+        let driver = Some(Box::pin(driver));
+        Ok(Connection { address, sender, driver, idle_since: Instant::now() })
     }
 
     fn lease(self: &Arc<Self>, connection: Connection) -> Lease {
@@ -137,8 +182,7 @@
         let connections = idle.get_mut(&address)?;
         // The newest connection is the least likely to be closed by the server.
         while let Some(connection) = connections.pop() {
-            if !connection.sender.is_closed() && connection.idle_since.elapsed() < self.options.idle
-            {
+            if connection.idle_since.elapsed() < self.options.idle {
                 return Some(connection);
             }
         }
@@ -147,16 +191,33 @@
     }
 
     fn put(&self, mut connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.driver.is_none() {
             return;
         }
-        connection.idle_since = Instant::now();
+        let now = Instant::now();
+        connection.idle_since = now;
         let mut idle = self.idle();
         let connections = idle.entry(connection.address).or_default();
-        connections.retain(|other| other.idle_since.elapsed() < self.options.idle);
         if connections.len() < self.options.idle_connections {
             connections.push(connection);
         }
+        drop(idle);
+        self.sweep(now);
+    }
+
+    /// Closes the connections that were idle for too long.
+    fn sweep(&self, now: Instant) {
+        let mut swept = self.swept.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.duration_since(*swept) < self.options.idle {
+            return;
+        }
+        *swept = now;
+        self.idle().retain(|_, connections| {
+            connections.retain(|connection| {
+                now.saturating_duration_since(connection.idle_since) < self.options.idle
+            });
+            !connections.is_empty()
+        });
     }
 
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
@@ -171,6 +232,26 @@
 }
 
 impl Lease {
+    /// Lets the connection read and write as far as possible; to be called whenever its body has
+    /// nothing ready.
+    pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
+        self.connection.drive(cx);
+    }
+
+    /// Reads the next frame of a body that arrives on this connection.
+    pub(crate) fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+        body: &mut Incoming,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = Pin::new(&mut *body).poll_frame(cx);
+        if frame.is_ready() {
+            return frame;
+        }
+        self.drive(cx);
+        Pin::new(body).poll_frame(cx)
+    }
+
     pub(crate) const fn address(&self) -> SocketAddr {
         self.connection.address
     }
--- a/components/upstream/src/stream.rs
+++ b/components/upstream/src/stream.rs
@@ -3,13 +3,11 @@
 use std::{
     future::poll_fn,
     net::SocketAddr,
-    pin::Pin,
     task::{Context, Poll},
     time::Duration,
 };
 
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::{
@@ -36,8 +34,8 @@
 /// A streamed completion; dropping it before its end closes the connection.
 pub struct Stream {
     address: SocketAddr,
-    body: Option<Incoming>,
-    lease: Option<Lease>,
+    /// Absent once the body has ended or failed.
+    open: Option<(Lease, Incoming)>,
     decoder: Decoder,
 }
 
@@ -45,8 +43,7 @@
     pub(crate) fn new(body: Incoming, lease: Lease, resume_from: u32) -> Self {
         Self {
             address: lease.address(),
-            body: Some(body),
-            lease: Some(lease),
+            open: Some((lease, body)),
             decoder: Decoder::new(resume_from),
         }
     }
@@ -78,10 +75,10 @@
                 self.finish(cx);
                 return Poll::Ready(Ok(Progress::End { finish_reason }));
             }
-            let Some(body) = &mut self.body else {
+            let Some((lease, body)) = &mut self.open else {
                 return Poll::Ready(Err(self.cut_off()));
             };
-            match Pin::new(body).poll_frame(cx) {
+            match lease.poll_frame(cx, body) {
                 Poll::Pending if tokens.len() > before => return Poll::Ready(Ok(Progress::Tokens)),
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(Ok(frame))) => {
@@ -115,27 +112,27 @@
     }
 
     fn close(&mut self) {
-        self.body = None;
-        self.lease = None;
+        self.open = None;
     }
 
     /// Returns the connection to the pool once the rest of the body has been read.
     fn finish(&mut self, cx: &mut Context<'_>) {
-        let (Some(mut body), Some(lease)) = (self.body.take(), self.lease.take()) else { return };
-        if let Poll::Ready(None) = Pin::new(&mut body).poll_frame(cx) {
+        let Some((mut lease, mut body)) = self.open.take() else { return };
+        if let Poll::Ready(None) = lease.poll_frame(cx, &mut body) {
             lease.give_back();
             return;
         }
         tokio::spawn(async move {
-            let rest = async {
+            let rest = poll_fn(|cx| {
                 loop {
-                    match body.frame().await {
-                        Some(Ok(_)) => {}
-                        Some(Err(_)) => return false,
-                        None => return true,
+                    match lease.poll_frame(cx, &mut body) {
+                        Poll::Ready(Some(Ok(_))) => {}
+                        Poll::Ready(Some(Err(_))) => return Poll::Ready(false),
+                        Poll::Ready(None) => return Poll::Ready(true),
+                        Poll::Pending => return Poll::Pending,
                     }
                 }
-            };
+            });
             if timeout(REST_TIMEOUT, rest).await == Ok(true) {
                 lease.give_back();
             }
