Poll a request once for each token

Cause: the body and the connection that feeds it woke their own task, and each wake-up polled orders, caller, timer and attempts again. Change: these wake-ups are kept back while both are polled anyway, and tokens that can be passed on at once do not poll the other sources.

--- a/components/daemon/src/online/attempt.rs
+++ b/components/daemon/src/online/attempt.rs
@@ -1,7 +1,7 @@
 //! The attempts of one completion that run at the same time.
 
 use std::{
-    future::{Future, poll_fn},
+    future::Future,
     pin::Pin,
     task::{Context, Poll},
     time::Instant,
@@ -140,20 +140,18 @@
         }))
     }
 
-    /// Waits until an attempt makes progress or fails; for ever when there is none.
-    pub(super) async fn next(
+    /// Polls until an attempt makes progress or fails.
+    pub(super) fn poll_next(
         &mut self,
+        cx: &mut Context<'_>,
         tokens: &mut Vec<Token>,
-    ) -> (usize, Result<Progress, Error>) {
-        poll_fn(|cx| {
-            for (index, attempt) in self.list.iter_mut().enumerate() {
-                if let Poll::Ready(result) = attempt.poll(cx, tokens) {
-                    return Poll::Ready((index, result));
-                }
+    ) -> Poll<(usize, Result<Progress, Error>)> {
+        for (index, attempt) in self.list.iter_mut().enumerate() {
+            if let Poll::Ready(result) = attempt.poll(cx, tokens) {
+                return Poll::Ready((index, result));
             }
-            Poll::Pending
-        })
-        .await
+        }
+        Poll::Pending
     }
 
     /// Cancels all attempts but one.
--- a/components/daemon/src/online/session.rs
+++ b/components/daemon/src/online/session.rs
@@ -1,6 +1,9 @@
 //! A request's connection to the actor.
 
-use std::time::{Duration, Instant};
+use std::{
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
 
 use cyclamengrade_caller::{Failure, Kind};
 use cyclamengrade_control::traffic::{AttemptId, Input, Outcome, Refusal, Request, RequestId};
@@ -34,6 +37,16 @@
         self.orders.recv().await
     }
 
+    /// Like `order`, for tasks that poll.
+    pub(super) fn poll_order(&mut self, cx: &mut Context<'_>) -> Poll<Option<Order>> {
+        self.orders.poll_recv(cx)
+    }
+
+    /// Whether there is no order and the actor is still there.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.orders.is_empty() && !self.orders.is_closed()
+    }
+
     /// The next order if it is already there.
     pub(super) fn ready_order(&mut self) -> Option<Order> {
         self.orders.try_recv().ok()
--- a/components/daemon/src/online/stream.rs
+++ b/components/daemon/src/online/stream.rs
@@ -1,9 +1,11 @@
 //! The task of one completion.
 
 use std::{
+    future::{Future, poll_fn},
     ops::ControlFlow::{self, Break, Continue},
-    pin::Pin,
+    pin::{Pin, pin},
     sync::Arc,
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
@@ -65,6 +67,8 @@
     /// The answer so far; kept only for a claim.
     text: String,
     last_error: Option<Error>,
+    /// Whether orders, caller and timer would wake the task.
+    registered: bool,
 }
 
 enum Step {
@@ -93,8 +97,14 @@
     pub(super) async fn run(mut self) {
         let mut timer = Box::pin(sleep_until(self.next_check().into()));
         let mut tokens = Vec::new();
+        // Waits for as long as the request, so that it is registered only once.
+        let out = self.out.clone();
+        let mut closed = pin!(out.closed());
         loop {
-            let step = self.step(timer.as_mut(), &mut tokens).await;
+            let step =
+                poll_fn(|cx| self.poll_step(cx, timer.as_mut(), closed.as_mut(), &mut tokens))
+                    .await;
+            self.progress.registered = false;
             let flow = match step {
                 Step::Order(Some(order)) => self.obey(order).await,
                 Step::Order(None) => Break(Err(session::stopping(!self.progress.may_have_run))),
@@ -116,16 +126,61 @@
         }
     }
 
-    async fn step(&mut self, timer: Pin<&mut Sleep>, tokens: &mut Vec<Token>) -> Step {
+    /// Waits for the next step.
+    ///
+    /// Tokens that can be passed on at once are passed on here. Then the other sources are looked
+    /// at without being polled: their wakers are still registered from the last time when there
+    /// were no tokens, and a wake-up since then leaves a trace that is cheaper to read.
+    fn poll_step(
+        &mut self,
+        cx: &mut Context<'_>,
+        mut timer: Pin<&mut Sleep>,
+        closed: Pin<&mut impl Future<Output = ()>>,
+        tokens: &mut Vec<Token>,
+    ) -> Poll<Step> {
+        if let Poll::Ready((index, result)) = self.attempts.poll_next(cx, tokens) {
+            if !matches!(result, Ok(Progress::Tokens)) || !self.pass_on(index, tokens) {
+                return Poll::Ready(Step::Attempt(index, result));
+            }
+            let quiet = self.session.is_quiet() && !self.out.is_closed() && !timer.is_elapsed();
+            if self.progress.registered && quiet {
+                return Poll::Pending;
+            }
+        }
+        self.progress.registered = false;
+        if let Poll::Ready(order) = self.session.poll_order(cx) {
+            return Poll::Ready(Step::Order(order));
+        }
         // A claimed request runs to its end, so that a resend finds the result.
         let claimed = self.claim.as_ref().is_some_and(|claim| claim.held);
-        tokio::select! {
-            biased;
-            order = self.session.order() => Step::Order(order),
-            (index, result) = self.attempts.next(tokens) => Step::Attempt(index, result),
-            () = self.out.closed(), if !claimed => Step::Gone,
-            () = timer => Step::Time,
+        if !claimed && closed.poll(cx).is_ready() {
+            return Poll::Ready(Step::Gone);
+        }
+        if timer.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Step::Time);
+        }
+        self.progress.registered = true;
+        Poll::Pending
+    }
+
+    /// Passes on all tokens of the only attempt if that needs no waiting.
+    fn pass_on(&mut self, index: usize, tokens: &mut Vec<Token>) -> bool {
+        if self.opened.is_some()
+            || self.claim.is_some()
+            || self.attempts.list().len() != 1
+            || self.out.capacity() < tokens.len()
+        {
+            return false;
+        }
+        self.sample(index, tokens.len());
+        for token in tokens.drain(..) {
+            if token.index == self.progress.received {
+                self.progress.received += 1;
+                // Fails only when the caller has gone, which the next look finds.
+                let _ = self.out.try_send(Event::Token(token.text));
+            }
         }
+        true
     }
 
     /// The next time at which silence or the deadline must be checked.
@@ -212,6 +267,7 @@
         let period = self.shared.sample_period();
         let attempt = self.attempts.get_mut(index);
         attempt.silences = 0;
+        attempt.progress = now;
         let report = match &mut attempt.samples {
             Some(samples) => samples.add(count, now, period),
             none => {
--- a/components/daemon/tests/support/node.rs
+++ b/components/daemon/tests/support/node.rs
@@ -1,5 +1,5 @@
 //! A node without platform, and its online requests.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::panic, clippy::unwrap_used)]
 
 use std::{net::SocketAddr, sync::Arc};
 
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 mod event;
 mod pool;
 mod stream;
+mod wake;
 pub mod wire;
 
 pub use crate::{
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -23,7 +23,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{Error, Ran};
+use crate::{Error, Ran, wake::Wakeups};
 
 /// Sizes and times of the client.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,24 +65,15 @@
     sender: SendRequest<Full<Bytes>>,
     /// Absent once the connection is closed.
     driver: Option<Driver>,
+    wakeups: Wakeups,
     idle_since: Instant,
 }
 
 impl Connection {
-    /// Lets the connection read and write as far as possible.
-    fn drive(&mut self, cx: &mut Context<'_>) {
-        if let Some(driver) = &mut self.driver
-            && driver.as_mut().poll(cx).is_ready()
-        {
-            // The result of the request or of its body reports the error.
-            self.driver = None;
-        }
-    }
-
     /// Whether an idle connection can carry a request.
     async fn is_usable(&mut self) -> bool {
         poll_fn(|cx| {
-            self.drive(cx);
+            drive(&mut self.driver, cx);
             if self.driver.is_none() {
                 return Poll::Ready(false);
             }
@@ -97,17 +88,23 @@
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         let mut sending = pin!(self.sender.try_send_request(request));
         poll_fn(|cx| {
-            if let Some(driver) = &mut self.driver
-                && driver.as_mut().poll(cx).is_ready()
-            {
-                self.driver = None;
-            }
+            drive(&mut self.driver, cx);
             sending.as_mut().poll(cx)
         })
         .await
     }
 }
 
+/// Lets a connection read and write as far as possible.
+fn drive(driver: &mut Option<Driver>, cx: &mut Context<'_>) {
+    if let Some(connection) = driver
+        && connection.as_mut().poll(cx).is_ready()
+    {
+        // The result of the request or of its body reports the error.
+        *driver = None;
+    }
+}
+
 /// Idle connections by address.
 pub(crate) struct Pool {
     pub(crate) options: Options,
@@ -170,7 +167,8 @@
             .await
             .map_err(|cause| error(cause.to_string()))?;
         let driver = Some(Box::pin(driver));
-        Ok(Connection { address, sender, driver, idle_since: Instant::now() })
+        let wakeups = Wakeups::new();
+        Ok(Connection { address, sender, driver, wakeups, idle_since: Instant::now() })
     }
 
     fn lease(self: &Arc<Self>, connection: Connection) -> Lease {
@@ -232,24 +230,23 @@
 }
 
 impl Lease {
-    /// Lets the connection read and write as far as possible; to be called whenever its body has
-    /// nothing ready.
-    pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
-        self.connection.drive(cx);
-    }
-
     /// Reads the next frame of a body that arrives on this connection.
     pub(crate) fn poll_frame(
         &mut self,
-        cx: &mut Context<'_>,
+        cx: &Context<'_>,
         body: &mut Incoming,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = Pin::new(&mut *body).poll_frame(cx);
-        if frame.is_ready() {
-            return frame;
-        }
-        self.drive(cx);
-        Pin::new(body).poll_frame(cx)
+        let Self { connection, .. } = self;
+        let Connection { wakeups, driver, .. } = connection;
+        wakeups.poll(cx, |cx| {
+            let frame = Pin::new(&mut *body).poll_frame(cx);
+            if frame.is_ready() {
+                return frame;
+            }
+            drive(driver, cx);
+            // The connection may have put a frame into the body, or have seen its end.
+            Pin::new(&mut *body).poll_frame(cx)
+        })
     }
 
     pub(crate) const fn address(&self) -> SocketAddr {
