Add claims of non-idempotent requests

Cause: requests that must not run twice need a durable claim before dispatch. Change: control::claim with group commit, takeover as unknown and cleanup of given-up claims; daemon::claims with the actor, bodies and the trait that online requests use.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each module is a state machine that takes the time and an input and returns actions.
 
+pub mod claim;
 pub mod drain;
 pub mod fleet;
 pub mod hash;
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod assembly;
 pub mod batch;
+pub mod claims;
 pub mod configuration;
 mod error;
 pub mod lease;
