--- a/components/standins/src/cli.rs
+++ b/components/standins/src/cli.rs
@@ -12,6 +12,7 @@
 use tokio::{net::TcpListener, runtime::Builder};
 
 use crate::{
+    demo,
     engine::{self, Engine},
     faults::Switches,
     platform::{self, Platform},
@@ -29,8 +30,9 @@
                  [--capacity N] [--load-ms N] [--report-ms N] [--queue N]
                  [--fencing checked|ignored]
 standin service  [--listen A] [--work-ms N]
+standin demo
 
-Each prints one line `listening ADDRESS`. With --exit-with-stdin it ends when
+Each stand-in prints one line `listening ADDRESS`. With --exit-with-stdin it ends when
 its standard input is closed.
 ";
 
@@ -56,6 +58,7 @@
         Some("platform") => platform(arguments),
         Some("engine") => engine(arguments),
         Some("service") => service(arguments),
+        Some("demo") => demo(arguments),
         Some(other) => Err(format!("unknown subcommand {other:?}; see --help").into()),
         None => Err("a subcommand is missing; see --help".into()),
     }
@@ -115,6 +118,15 @@
     serve(arguments, |switches| Arc::new(Service::new(switches, work)), |_| {})
 }
 
+fn demo(arguments: Arguments) -> Result<ExitCode, Failure> {
+    finish(arguments)?;
+    let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    match runtime.block_on(demo::run())? {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::FAILURE),
+    }
+}
+
 fn milliseconds(
     arguments: &mut Arguments,
     name: &'static str,
--- a/components/standins/src/engine/http.rs
+++ b/components/standins/src/engine/http.rs
@@ -89,8 +89,12 @@
                 u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
         }
         let (sender, receiver) = mpsc::unbounded_channel();
-        let prefill_us = completion.prompt.len() as f64 * self.options.prefill_us_per_byte;
-        state.queue.push_back(Stream {
+        let held = state.take_over(&id);
+        let prefill_us = match held {
+            true => 0.0,
+            false => completion.prompt.len() as f64 * self.options.prefill_us_per_byte,
+        };
+        let stream = Stream {
             id,
             prompt: completion.prompt.as_str().into(),
             version: version.into(),
@@ -98,9 +102,14 @@
             end: answer::length(&completion.prompt, completion.max_tokens),
             finish_reason: answer::finish_reason(&completion.prompt, completion.max_tokens),
             prefill_left_ms: prefill_us / 1_000.0,
+            resumed: held || completion.resume_from > 0,
             sender,
             cancelled: false,
-        });
+        };
+        match held {
+            true => state.queue.push_front(stream),
+            false => state.queue.push_back(stream),
+        }
         state.runs.longest_queue = state.runs.longest_queue.max(state.queue.len() as u64);
         self.work.notify_one();
         Ok(receiver)
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -77,8 +77,11 @@
 /// What an engine did for one prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptRuns {
-    /// Streams that entered a slot.
+    /// Streams that entered a slot at the first token.
     pub started: u64,
+    /// Streams that entered a slot to go on after tokens that the receiver already had, or in
+    /// place of an own stream whose connection was given up.
+    pub resumed: u64,
     /// Streams that reached the end of the answer.
     pub finished: u64,
     /// Streams that were cancelled or whose receiver went away after they entered a slot.
@@ -139,6 +142,7 @@
     end: u32,
     finish_reason: &'static str,
     prefill_left_ms: f64,
+    resumed: bool,
     sender: mpsc::UnboundedSender<Step>,
     cancelled: bool,
 }
@@ -199,6 +203,18 @@
 }
 
 impl State {
+    /// Ends the stream with this id, whose connection the caller has given up; the one that
+    /// replaces it finds its tokens in memory. Returns whether there was one in a slot.
+    fn take_over(&mut self, id: &str) -> bool {
+        let mut held = false;
+        for stream in self.running.iter_mut().filter(|stream| !id.is_empty() && stream.id == id) {
+            stream.cancelled = true;
+            held = true;
+        }
+        self.queue.retain(|stream| id.is_empty() || stream.id != id);
+        held
+    }
+
     fn count(&mut self, prompt: &str, change: impl Fn(&mut PromptRuns)) {
         change(&mut self.runs.total);
         if let Some(runs) = self.runs.prompts.get_mut(prompt) {
--- a/components/standins/src/engine/scheduler.rs
+++ b/components/standins/src/engine/scheduler.rs
@@ -50,7 +50,10 @@
             let cached = state.cache.touch(answer::prefix(&stream.prompt));
             let share = if cached { self.options.cached_share } else { 1.0 };
             stream.prefill_left_ms *= share;
-            state.count(&stream.prompt, |runs| runs.started += 1);
+            state.count(&stream.prompt, |runs| match stream.resumed {
+                true => runs.resumed += 1,
+                false => runs.started += 1,
+            });
             state.running.push(stream);
         }
         self.options.step_ms + self.options.stream_ms * state.running.len() as f64
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -3,8 +3,10 @@
 pub mod answer;
 pub mod cli;
 pub mod client;
+pub mod demo;
 pub mod engine;
 pub mod faults;
+pub mod fleet;
 pub mod platform;
 pub mod process;
 pub mod server;
