Add the open-loop load tool

Change: standin load starts a fleet for each policy and alternates policies and arms by seed: batch, slowed engines, stragglers; it reports quantiles, batch share, extra starts and the spread over seeds.

--- a/components/standins/src/cli.rs
+++ b/components/standins/src/cli.rs
@@ -15,6 +15,7 @@
     demo,
     engine::{self, Engine},
     faults::Switches,
+    load,
     platform::{self, Platform},
     server::{self, Handler},
     service::Service,
@@ -31,6 +32,9 @@
                  [--fencing checked|ignored]
 standin service  [--listen A] [--work-ms N]
 standin demo
+standin load     [--site small|tessiture|himal] [--seeds N,...]
+                 [--policies adaptive,naive] [--arms NAME,...] [--seconds N]
+                 [--warm-up-s N] [--slow-factor X] [--limit-s N]
 
 Each stand-in prints one line `listening ADDRESS`. With --exit-with-stdin it ends when
 its standard input is closed.
@@ -59,6 +63,7 @@
         Some("engine") => engine(arguments),
         Some("service") => service(arguments),
         Some("demo") => demo(arguments),
+        Some("load") => load(arguments),
         Some(other) => Err(format!("unknown subcommand {other:?}; see --help").into()),
         None => Err("a subcommand is missing; see --help".into()),
     }
@@ -127,6 +132,51 @@
     }
 }
 
+fn load(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+    let site: String = arguments.opt_value_from_str("--site")?.unwrap_or_else(|| "small".into());
+    let seeds: Option<String> = arguments.opt_value_from_str("--seeds")?;
+    let policies: Option<String> = arguments.opt_value_from_str("--policies")?;
+    let arms: Option<String> = arguments.opt_value_from_str("--arms")?;
+    let measured = arguments.opt_value_from_str("--seconds")?.unwrap_or(8);
+    let warm_up = arguments.opt_value_from_str("--warm-up-s")?.unwrap_or(3);
+    let limit = arguments.opt_value_from_str("--limit-s")?.unwrap_or(540);
+    let slow_factor = arguments.opt_value_from_str("--slow-factor")?.unwrap_or(10.0);
+    finish(arguments)?;
+    let options = load::Options {
+        site: load::Site::named(&site).ok_or_else(|| format!("site {site:?} does not exist"))?,
+        policies: list(policies.as_deref().unwrap_or("adaptive,naive"), |name| match name {
+            "adaptive" => Ok(false),
+            "naive" => Ok(true),
+            _ => Err(format!("policy {name:?} does not exist").into()),
+        })?,
+        arms: match arms {
+            None => load::ARMS.to_vec(),
+            Some(names) => list(&names, |name| {
+                let arm = load::ARMS.into_iter().find(|arm| arm.name == name);
+                arm.ok_or_else(|| format!("arm {name:?} does not exist").into())
+            })?,
+        },
+        seeds: list(seeds.as_deref().unwrap_or("1,2,3"), |seed| Ok(seed.parse()?))?,
+        times: load::Times {
+            warm_up: Duration::from_secs(warm_up),
+            measured: Duration::from_secs(measured),
+            slow_factor,
+        },
+        limit: Duration::from_secs(limit),
+    };
+    let runtime = Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+    let report = runtime.block_on(load::run(options))?;
+    print!("{report}");
+    match report.is_right() {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::FAILURE),
+    }
+}
+
+fn list<T>(names: &str, parse: impl Fn(&str) -> Result<T, Failure>) -> Result<Vec<T>, Failure> {
+    names.split(',').map(parse).collect()
+}
+
 fn milliseconds(
     arguments: &mut Arguments,
     name: &'static str,
--- a/components/standins/src/engine/http.rs
+++ b/components/standins/src/engine/http.rs
@@ -1,6 +1,6 @@
 //! The engine's published HTTP protocol.
 
-use std::{sync::Arc, time::Instant};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 use cyclamengrade_upstream::wire::{CacheEvents, Chunk, Completion, Order};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
@@ -17,7 +17,8 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         if path == "/_runs" {
-            return Ok(server::json(StatusCode::OK, &self.runs()));
+            let summary = request.uri().query() == Some("summary");
+            return Ok(server::json(StatusCode::OK, &self.runs(summary)));
         }
         if !self.switches.enter("engine").await {
             return Ok(server::error(StatusCode::SERVICE_UNAVAILABLE, "out of service"));
@@ -37,10 +38,14 @@
 }
 
 impl Engine {
-    fn runs(&self) -> Runs {
+    fn runs(&self, summary: bool) -> Runs {
         let state = self.lock();
-        let mut runs = state.runs.clone();
-        runs.slot_ms = state.slot_ms as u64;
+        let mut runs = match summary {
+            true => {
+                Runs { prompts: BTreeMap::new(), classes: state.runs.classes.clone(), ..state.runs }
+            }
+            false => state.runs.clone(),
+        };
         runs.busy_ms = state.busy_ms as u64;
         runs
     }
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -20,6 +20,9 @@
 /// Most prompts for which runs are counted one by one.
 const COUNTED_PROMPTS: usize = 200_000;
 
+/// Most classes of prompts for which runs are counted.
+const COUNTED_CLASSES: usize = 64;
+
 /// Parameters of an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -88,21 +91,23 @@
     pub cancelled: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// Time that its streams occupied slots, in microseconds.
+    pub slot_us: u64,
 }
 
 /// Answer of `GET /_runs`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Runs {
-    /// Runs for each prompt.
+    /// Runs for each prompt; left out of `GET /_runs?summary`.
     pub prompts: BTreeMap<String, PromptRuns>,
+    /// Runs for each class, the part of the prompt before the first space.
+    pub classes: BTreeMap<String, PromptRuns>,
     /// Sum over all prompts.
     pub total: PromptRuns,
     /// Requests that were accepted while the engine reported that it is leaving.
     pub accepted_while_leaving: u64,
     /// Milliseconds since the engine began to leave when the last request was accepted.
     pub last_accepted_while_leaving_ms: u64,
-    /// Time that the slots were occupied, in milliseconds.
-    pub slot_ms: u64,
     /// Time with at least one stream in a slot, in milliseconds.
     pub busy_ms: u64,
     /// Most requests that waited at once.
@@ -128,7 +133,6 @@
     load_taken: Option<Instant>,
     runs: Runs,
     leaving_since: Option<Instant>,
-    slot_ms: f64,
     busy_ms: f64,
 }
 
@@ -217,6 +221,11 @@
 
     fn count(&mut self, prompt: &str, change: impl Fn(&mut PromptRuns)) {
         change(&mut self.runs.total);
+        let class = prompt.split(' ').next().unwrap_or_default();
+        let classes = &mut self.runs.classes;
+        if classes.contains_key(class) || classes.len() < COUNTED_CLASSES {
+            change(classes.entry(class.to_owned()).or_default());
+        }
         if let Some(runs) = self.runs.prompts.get_mut(prompt) {
             change(runs);
         } else if self.runs.prompts.len() < COUNTED_PROMPTS {
--- a/components/standins/src/engine/scheduler.rs
+++ b/components/standins/src/engine/scheduler.rs
@@ -63,9 +63,10 @@
     fn end_step(&self, step_ms: f64, elapsed_ms: f64) {
         let mut guard = self.lock();
         let state = &mut *guard;
-        state.slot_ms += elapsed_ms * state.running.len() as f64;
         state.busy_ms += if state.running.is_empty() { 0.0 } else { elapsed_ms };
+        let elapsed_us = (elapsed_ms * 1_000.0) as u64;
         for mut stream in std::mem::take(&mut state.running) {
+            state.count(&stream.prompt, |runs| runs.slot_us += elapsed_us);
             if state.step(&mut stream, step_ms) {
                 state.running.push(stream);
             }
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod faults;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod server;
