--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! A fleet of daemons, platform and upstreams, each in a process of its own.
 
 mod calls;
+mod ledger;
 mod plan;
+mod scene;
 mod standin;
 
 use std::{
@@ -13,14 +15,16 @@
     time::{Duration, Instant},
 };
 
-use cyclamengrade_caller::backend::Upstream;
+pub use cyclamengrade_caller::backend::{Item, ItemResult, Job, JobState, Upstream};
 use cyclamengrade_platform::{Vm, table::Row};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
 pub use self::{
     calls::{Answer, Completion, complete, submit},
+    ledger::{Ledger, Told},
     plan::{CLIENT, DEPLOYMENT, MODEL, Plan, SERVICE, TOKEN, VERSION, merge},
+    scene::{Scene, items},
     standin::Standin,
 };
 use crate::{
@@ -48,6 +52,8 @@
     Refused(u16, String),
     /// {0} was not reached within {1:?}
     Limit(String, Duration),
+    /// callers were told something else than what happened: {0:#?}
+    Contradictions(Vec<String>),
 }
 
 impl std::error::Error for Error {}
--- a/components/standins/tests/engine_streams.rs
+++ b/components/standins/tests/engine_streams.rs
@@ -85,7 +85,7 @@
     let mut streams = Vec::new();
     for number in 0..2 {
         let long = completion(&format!("long {number}"), 100_000);
-        let mut stream = client.open(call(&standin, "long", &long)).await?;
+        let mut stream = client.open(call(&standin, &format!("long-{number}"), &long)).await?;
         stream.next().await?.or_fail()?;
         streams.push(stream);
     }
@@ -108,6 +108,27 @@
     Ok(())
 }
 
+/// A stream that is opened again must replace the old one and count as resumed, or a checker
+/// would take it for a second run.
+#[gtest]
+#[tokio::test]
+async fn reopened_stream() -> Result<()> {
+    let standin = Standin::start("engine", &MODEL)?;
+    let client = Client::new();
+    let whole = completion("reopened", 60);
+    let mut events = client.open(call(&standin, "r", &whole)).await?;
+    events.next().await?.or_fail()?;
+    let rest = Completion { resume_from: 1, ..whole.clone() };
+    let (tail, done) = read(client.open(call(&standin, "r", &rest)).await?).await?;
+    expect_that!(done, is_true());
+    expect_that!(tail, eq(&answer::whole("reopened", "1", 60)[5..]));
+    expect_that!(read(events).await?.1, is_false());
+    let runs: Runs = client.send(Call::get(standin.address, "/_runs")).await?.json()?;
+    let counted = runs.prompts["reopened"];
+    expect_that!((counted.started, counted.resumed, counted.finished), eq((1, 1, 1)));
+    Ok(())
+}
+
 /// Markers in the prompt must make an item fail always, or end the process.
 #[gtest]
 #[tokio::test]
--- /dev/null
+++ b/tests/killed_daemon.rs
@@ -0,0 +1,56 @@
+//! A daemon that dies right after it acknowledged work.
+
+use cyclamengrade_standins::fleet::{Completion, Scene, items};
+use googletest::prelude::*;
+
+/// A job that was acknowledged must not be lost with the daemon that acknowledged it.
+#[gtest]
+#[tokio::test]
+async fn acknowledged_job() -> Result<()> {
+    let mut scene = Scene::start().await?;
+    scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 200, 20)).await?;
+    scene.fleet.kill_daemon(0)?;
+    scene.verify(1).await
+}
+
+/// Chunks that the dead daemon held must be taken over, and committed results must stay.
+#[gtest]
+#[tokio::test]
+async fn held_chunks() -> Result<()> {
+    let mut scene = Scene::start().await?;
+    let job = scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 400, 40)).await?;
+    scene.await_progress(0, &job.id).await?;
+    scene.fleet.kill_daemon(0)?;
+    let early = scene.fleet.results(1, &job.id).await?;
+    scene.verify(1).await?;
+    let late = scene.fleet.results(1, &job.id).await?;
+    for result in early {
+        expect_that!(late, contains(eq(&result)));
+    }
+    Ok(())
+}
+
+/// Callers that lost their daemon must be served by the other one, and the dead daemon must come
+/// back under its old name.
+#[gtest]
+#[tokio::test]
+async fn other_daemon() -> Result<()> {
+    let mut scene = Scene::start().await?;
+    let cut_off = scene.spawn(0, Completion::new("cut off", 300));
+    scene
+        .fleet
+        .eventually("the first token at an engine", async || {
+            let upstreams = scene.fleet.upstreams(scene.fleet.daemons[0].address).await.ok()?;
+            upstreams.iter().any(|upstream| upstream.online > 0).then_some(())
+        })
+        .await?;
+    scene.fleet.kill_daemon(0)?;
+    expect_that!(cut_off.await?.whole, is_false());
+    let answer = scene.ledger.complete(&scene.fleet, 1, Completion::new("again", 30)).await;
+    expect_that!(answer.whole, is_true());
+    scene.fleet.start_daemon(0)?;
+    scene.fleet.await_daemon(0, "/readyz", 200).await?;
+    let answer = scene.ledger.complete(&scene.fleet, 0, Completion::new("back", 30)).await;
+    expect_that!(answer.whole, is_true());
+    scene.verify(1).await
+}
--- /dev/null
+++ b/tests/lost_replies.rs
@@ -0,0 +1,114 @@
+//! Replies that are lost after the effect.
+
+use cyclamengrade_standins::{
+    client::Call,
+    fleet::{Completion, Scene, items},
+};
+use googletest::prelude::*;
+use serde_json::json;
+
+/// A job whose write took effect but whose reply was lost must exist once and be acknowledged, by
+/// the same submission or by one that repeats it.
+#[gtest]
+#[tokio::test]
+async fn accepted_job() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    let items = items("a", 64, 20);
+    let lose = json!({"lose_replies": 3, "parts": ["table"]});
+    fleet.platform.faults(&fleet.client, &lose).await?;
+    let job = fleet
+        .eventually("the acceptance of the job", async || {
+            scene.ledger.submit(fleet, 0, "job-1", &items).await.ok()
+        })
+        .await?;
+    let again = scene.ledger.submit(fleet, 1, "job-1", &items).await?;
+    expect_that!(again.id, eq(&job.id));
+    expect_that!(fleet.rows("job-key/").await?, len(eq(1)));
+    scene.verify(1).await
+}
+
+/// Results whose commits lost their replies must be committed once.
+#[gtest]
+#[tokio::test]
+async fn committed_chunks() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    scene.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
+    for part in ["table", "objects", "table"] {
+        let lose = json!({"lose_replies": 3, "parts": [part]});
+        fleet.platform.faults(&fleet.client, &lose).await?;
+        fleet
+            .eventually("three lost replies", async || {
+                let call = Call::get(fleet.platform.address, "/_faults");
+                let left: serde_json::Value = fleet.client.send(call).await.ok()?.json().ok()?;
+                (left["lose_replies"] == 0).then_some(())
+            })
+            .await?;
+    }
+    scene.verify(1).await
+}
+
+/// A non-idempotent call whose reply was lost must end as unknown and never run again, also when
+/// the caller resends it to another daemon.
+#[gtest]
+#[tokio::test]
+async fn printed_artwork() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    fleet.services[0].faults(&fleet.client, &json!({"lose_replies": 1})).await?;
+    let first = scene.ledger.call_service(fleet, 0, "artwork-1").await?;
+    expect_that!(first.kind(), eq("outcome_unknown"));
+    expect_that!(first.not_run(), is_false());
+    for daemon in [0, 1] {
+        let resent = scene.ledger.call_service(fleet, daemon, "artwork-1").await?;
+        expect_that!(resent.kind(), eq("outcome_unknown"));
+    }
+    scene.verify(1).await
+}
+
+/// An answer that was given must be given again for the same key, without a second run.
+#[gtest]
+#[tokio::test]
+async fn repeated_answer() -> Result<()> {
+    let scene = Scene::start().await?;
+    let first = scene.ledger.call_service(&scene.fleet, 0, "artwork-1").await?;
+    expect_that!(first.status, eq(200));
+    for daemon in [0, 1] {
+        let resent = scene.ledger.call_service(&scene.fleet, daemon, "artwork-1").await?;
+        expect_that!(resent.status, eq(200));
+        expect_that!(resent.body, eq(&first.body));
+    }
+    scene.verify(1).await
+}
+
+/// An idempotent completion whose engine dropped the reply must be answered by another attempt; a
+/// non-idempotent one must not run a second time.
+#[gtest]
+#[tokio::test]
+async fn lost_completions() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    // Successes that the retry budget is a share of.
+    for number in 0..40 {
+        scene.ledger.complete(fleet, 0, Completion::new(format!("order {number}"), 1)).await;
+    }
+    let lose = async |count: u32| -> Result<()> {
+        for engine in &fleet.engines {
+            engine.faults(&fleet.client, &json!({"lose_replies": count})).await?;
+        }
+        Ok(())
+    };
+    lose(1).await?;
+    let unsafe_ = Completion::new("print", 5).with_idempotent(false);
+    let answer = scene.ledger.complete(fleet, 0, unsafe_).await;
+    expect_that!(answer.error.as_deref(), some(eq("outcome_unknown")));
+    lose(0).await?;
+    fleet.engines[0].faults(&fleet.client, &json!({"lose_replies": 1})).await?;
+    for number in 0..6 {
+        let completion = Completion::new(format!("idempotent {number}"), 5);
+        let answer = scene.ledger.complete(fleet, 0, completion).await;
+        expect_that!(answer.whole, is_true());
+    }
+    scene.verify(0).await
+}
