--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,8 +5,11 @@
 pub mod drain;
 pub mod fleet;
 pub mod hash;
+pub mod job;
+pub mod lease;
 pub mod membership;
 pub mod order;
 pub mod revision;
+pub mod store;
 pub mod time;
 pub mod traffic;
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,10 +1,19 @@
 //! The daemon: actors around the decisions, and the traffic between peers.
 
+mod assembly;
+pub mod batch;
 pub mod configuration;
 mod error;
+pub mod lease;
 pub mod membership;
 pub mod node;
 pub mod online;
-pub mod vms;
+mod orders;
+mod peers;
+mod runner;
+mod serve;
+mod shutdown;
+mod store;
+mod vms;
 
-pub use crate::error::Error;
+pub use crate::{assembly::run, error::Error};
