--- a/components/standins/src/demo.rs
+++ b/components/standins/src/demo.rs
@@ -28,23 +28,21 @@
 
 impl Report {
     fn line(&self, text: &str) {
-        let mut line = String::new();
-        for word in text.split(' ') {
-            if !line.is_empty() && line.len() + 1 + word.len() > COLUMNS {
-                println!("{line}");
-                line = "      ".into();
-            }
-            if !line.is_empty() && !line.ends_with(' ') {
-                line.push(' ');
-            }
-            line.push_str(word);
+        let mut rest = text;
+        while rest.len() > COLUMNS {
+            let Some(end) = rest[..COLUMNS].trim_end().rfind(' ').filter(|end| *end > 8) else {
+                break;
+            };
+            println!("{}", &rest[..end]);
+            rest = rest[end..].trim_start();
+            print!("       ");
         }
-        println!("{line}");
+        println!("{rest}");
     }
 
     fn check(&mut self, met: bool, text: &str) {
         self.missing += u32::from(!met);
-        self.line(&format!("{} {text}", if met { "  ok " } else { "  MISSING" }));
+        self.line(&format!("{} {text}", if met { "  ok  " } else { "  MISSING" }));
     }
 }
 
@@ -120,7 +118,7 @@
         return Err(Error::Refused(reply.status, reply.text()));
     }
     let job: Job = reply.json()?;
-    report.check(job.items == ITEMS as u64, &format!("job {} of {ITEMS} items accepted", job.id));
+    report.check(job.items == ITEMS as u64, &format!("{ITEMS} items accepted as job {}", job.id));
     Ok(job)
 }
 
--- a/tests/frozen_daemon.rs
+++ b/tests/frozen_daemon.rs
@@ -28,7 +28,7 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     expect_that!(fleet.results(1, &job.id).await?, eq(&before));
     expect_that!(fleet.results(0, &job.id).await?, eq(&before));
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// A non-idempotent call whose daemon is paused must not run again at another daemon.
@@ -60,5 +60,5 @@
     let resent = resent??;
     expect_that!(resent.kind(), eq("outcome_unknown"));
     expect_that!(resent.not_run(), is_false());
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
--- a/tests/killed_daemon.rs
+++ b/tests/killed_daemon.rs
@@ -10,7 +10,7 @@
     let mut scene = Scene::start().await?;
     scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 200, 20)).await?;
     scene.fleet.kill_daemon(0)?;
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// Chunks that the dead daemon held must be taken over, and committed results must stay.
@@ -52,5 +52,5 @@
     scene.fleet.await_daemon(0, "/readyz", 200).await?;
     let answer = scene.ledger.complete(&scene.fleet, 0, Completion::new("back", 30)).await;
     expect_that!(answer.whole, is_true());
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
--- a/tests/killed_engine.rs
+++ b/tests/killed_engine.rs
@@ -35,7 +35,7 @@
         expect_that!(answer.error, none());
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await
+    scene.verify(0).await.or_fail()
 }
 
 /// Batch items of a dead engine must run elsewhere.
@@ -46,7 +46,7 @@
     let job = scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 200, 40)).await?;
     scene.await_progress(0, &job.id).await?;
     scene.fleet.engines[0].process.kill()?;
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// Items that always fail, or that kill their engine, must end as failed after a bounded number of
--- a/tests/lost_replies.rs
+++ b/tests/lost_replies.rs
@@ -25,7 +25,7 @@
     let again = scene.ledger.submit(fleet, 1, "job-1", &items).await?;
     expect_that!(again.id, eq(&job.id));
     expect_that!(fleet.rows("job-key/").await?, len(eq(1)));
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// Results whose commits lost their replies must be committed once.
@@ -46,7 +46,7 @@
             })
             .await?;
     }
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// A non-idempotent call whose reply was lost must end as unknown and never run again, also when
@@ -64,7 +64,7 @@
         let resent = scene.ledger.call_service(fleet, daemon, "artwork-1").await?;
         expect_that!(resent.kind(), eq("outcome_unknown"));
     }
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// An answer that was given must be given again for the same key, without a second run.
@@ -79,7 +79,7 @@
         expect_that!(resent.status, eq(200));
         expect_that!(resent.body, eq(&first.body));
     }
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// An idempotent completion whose engine dropped the reply must be answered by another attempt; a
@@ -110,5 +110,5 @@
         let answer = scene.ledger.complete(fleet, 0, completion).await;
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await
+    scene.verify(0).await.or_fail()
 }
--- a/tests/platform_outage.rs
+++ b/tests/platform_outage.rs
@@ -36,7 +36,7 @@
     fleet.platform.faults(&fleet.client, &json!({"down": false})).await?;
     let jobs = fleet.rows("job-key/").await?;
     expect_that!(jobs, len(eq(1)));
-    scene.verify(0).await
+    scene.verify(0).await.or_fail()
 }
 
 /// Without the object store, new jobs must be refused and online requests must go on.
@@ -55,7 +55,7 @@
     expect_that!(answer.whole, is_true());
     tokio::time::sleep(Duration::from_secs(1)).await;
     fleet.platform.faults(&fleet.client, &json!({"down": false, "parts": []})).await?;
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// With a slow platform, jobs and claims must still be accepted and complete.
@@ -70,7 +70,7 @@
     expect_that!(printed.status, eq(200));
     let answer = scene.ledger.complete(fleet, 0, Completion::new("order", 20)).await;
     expect_that!(answer.whole, is_true());
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// A daemon that starts while the platform is down must not become ready with an older
@@ -87,5 +87,5 @@
     scene.fleet.await_daemon(0, "/readyz", 200).await?;
     let answer = scene.ledger.complete(&scene.fleet, 0, Completion::new("order", 20)).await;
     expect_that!(answer.whole, is_true());
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
--- a/tests/racing_operators.rs
+++ b/tests/racing_operators.rs
@@ -49,7 +49,7 @@
         let statuses = [first_status?, second_status?];
         let winners = statuses.iter().filter(|status| **status == 200).count();
         expect_that!(winners, eq(1), "round {round}: {statuses:?}");
-        expect_that!(statuses, contains(eq(&409)), "round {round}");
+        expect_that!(statuses, contains(eq(409)), "round {round}");
         let winner = if statuses[0] == 200 { &first } else { &second };
         let accepted = Instant::now();
         let revision = base["revision"].as_u64().unwrap_or(0) + 1;
--- a/tests/resent_jobs.rs
+++ b/tests/resent_jobs.rs
@@ -52,7 +52,7 @@
     let other = fleet.submit(1, "job-1", due, &items("b", 20, 5)).await?;
     expect_that!(other.status, eq(409));
     expect_that!(other.kind(), eq("conflict"));
-    scene.verify(0).await
+    scene.verify(0).await.or_fail()
 }
 
 /// A cancelled job must stop: engines get no further work of it, and it stays cancelled.
@@ -79,5 +79,5 @@
     let before = tokens().await?;
     tokio::time::sleep(Duration::from_secs(1)).await;
     expect_that!(tokens().await?, eq(before));
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
--- a/tests/rolling_restart.rs
+++ b/tests/rolling_restart.rs
@@ -79,5 +79,5 @@
         expect_that!(answer.error, none());
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await
+    scene.verify(0).await.or_fail()
 }
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -32,7 +32,7 @@
         expect_that!(answer.error, none());
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await
+    scene.verify(0).await.or_fail()
 }
 
 /// Batch items on silent connections must not hold their job up for good.
@@ -46,7 +46,7 @@
     for engine in &fleet.engines {
         engine.faults(&fleet.client, &json!({"silent": true})).await?;
     }
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
 
 /// Silent connections to the platform must not stop the acceptance of jobs.
@@ -62,5 +62,5 @@
             scene.ledger.submit(fleet, 0, "job-1", &items).await.ok()
         })
         .await?;
-    scene.verify(1).await
+    scene.verify(1).await.or_fail()
 }
