--- /dev/null
+++ b/tests/telemetry_fleet.rs
@@ -0,0 +1,98 @@
+//! Log lines and metrics of running daemons against the catalogues.
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    time::Duration,
+};
+
+use cyclamengrade_standins::{
+    client::Call,
+    fleet::{Completion, Fleet, Plan},
+};
+use cyclamengrade_telemetry::{event::Event, metrics};
+use googletest::prelude::*;
+use serde_json::Value;
+
+/// Fields that every line of a numbered event has.
+const FIXED: [&str; 5] = ["time", "level", "event", "name", "message"];
+
+/// Names in backticks.
+fn ticked(text: &str) -> BTreeSet<&str> {
+    text.split('`').skip(1).step_by(2).collect()
+}
+
+/// Names of the labels of one series, without the bounds of histograms.
+fn labels(series: &str) -> Vec<&str> {
+    let Some((_, rest)) = series.split_once('{') else { return Vec::new() };
+    let names = rest.split("=\"").filter_map(|part| part.rsplit(['{', ',', '"']).next());
+    names.filter(|name| !["", "le", "}"].contains(name) && !name.contains('}')).collect()
+}
+
+/// Guards against events with undeclared fields or numbers, against metrics with undeclared names
+/// or labels, and against lines that are no JSON.
+#[gtest]
+#[tokio::test]
+async fn catalogues_hold() -> Result<()> {
+    let settings = serde_json::json!({ "telemetry": { "log_level": "debug", "trace_share": 1.0 } });
+    let plan = Plan::new(2, 2, 1).with_settings(&settings);
+    let mut fleet = Fleet::start(plan).await.or_fail()?;
+    let answer = fleet.complete(0, &Completion::new("Label: wool", 8)).await.or_fail()?;
+    expect_that!(answer.whole, eq(true));
+    fleet.call_service(1, "key-1", Duration::from_secs(20)).await.or_fail()?;
+    fleet.kill_daemon(1).or_fail()?;
+
+    let call = Call::get(fleet.daemons[0].address, "/metrics");
+    let text = fleet.client.send(call).await.or_fail()?.text();
+    let declared: BTreeMap<_, _> =
+        metrics::ALL.iter().map(|metric| (metric.name, metric.labels)).collect();
+    let mut seen = 0;
+    for line in text.lines().filter(|line| !line.starts_with('#') && !line.is_empty()) {
+        let series = line.rsplit_once(' ').or_fail()?.0;
+        let name = series.split('{').next().or_fail()?;
+        let name = ["_bucket", "_sum", "_count"]
+            .iter()
+            .find_map(|suffix| name.strip_suffix(suffix))
+            .unwrap_or(name);
+        let Some(known) = declared.get(name) else {
+            add_failure!("{name} is not declared");
+            continue;
+        };
+        for label in labels(series) {
+            let fits = known.split(", ").any(|known| known == label);
+            expect_that!(fits, eq(true), "{series}: {label}");
+        }
+        seen += 1;
+    }
+    expect_that!(seen, gt(20));
+
+    let code = fleet.stop_daemon(0).await.or_fail()?;
+    expect_that!(code, some(eq(0)));
+    let mut numbers = BTreeSet::new();
+    for entry in fs::read_dir(fleet.folder()).or_fail()? {
+        let path = entry.or_fail()?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        if !name.starts_with("entry-1") || !name.ends_with(".log") {
+            continue;
+        }
+        for line in fs::read_to_string(path).or_fail()?.lines() {
+            let value: Value = serde_json::from_str(line).or_fail()?;
+            let Some(number) = value["event"].as_u64() else { continue };
+            let event = Event::ALL.iter().find(|event| u64::from(event.number()) == number);
+            let event = event.or_fail()?;
+            numbers.insert(number);
+            let known = ticked(event.meaning());
+            for field in value.as_object().or_fail()?.keys() {
+                let fits = FIXED.contains(&field.as_str())
+                    || known.contains(field.as_str())
+                    || *event == Event::SpanEnded;
+                expect_that!(fits, eq(true), "{line}: {field}");
+            }
+        }
+    }
+    for event in [Event::Starting, Event::Ready, Event::Leaving, Event::Stopped, Event::SpanEnded] {
+        expect_that!(numbers, contains(eq(&u64::from(event.number()))));
+    }
+    Ok(())
+}
