--- a/components/standins/src/engine/http.rs
+++ b/components/standins/src/engine/http.rs
@@ -1,6 +1,6 @@
 //! The engine's published HTTP protocol.
 
-use std::{sync::Arc, time::Instant};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 use cyclamengrade_upstream::wire::{CacheEvents, Chunk, Completion, Order};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
@@ -17,7 +17,8 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         if path == "/_runs" {
-            return Ok(server::json(StatusCode::OK, &self.runs()));
+            let summary = request.uri().query() == Some("summary");
+            return Ok(server::json(StatusCode::OK, &self.runs(summary)));
         }
         if !self.switches.enter("engine").await {
             return Ok(server::error(StatusCode::SERVICE_UNAVAILABLE, "out of service"));
@@ -37,10 +38,14 @@
 }
 
 impl Engine {
-    fn runs(&self) -> Runs {
+    fn runs(&self, summary: bool) -> Runs {
         let state = self.lock();
-        let mut runs = state.runs.clone();
-        runs.slot_ms = state.slot_ms as u64;
+        let mut runs = match summary {
+            true => {
+                Runs { prompts: BTreeMap::new(), classes: state.runs.classes.clone(), ..state.runs }
+            }
+            false => state.runs.clone(),
+        };
         runs.busy_ms = state.busy_ms as u64;
         runs
     }
@@ -89,8 +94,12 @@
                 u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
         }
         let (sender, receiver) = mpsc::unbounded_channel();
-        let prefill_us = completion.prompt.len() as f64 * self.options.prefill_us_per_byte;
-        state.queue.push_back(Stream {
+        let held = state.take_over(&id);
+        let prefill_us = match held {
+            true => 0.0,
+            false => completion.prompt.len() as f64 * self.options.prefill_us_per_byte,
+        };
+        let stream = Stream {
             id,
             prompt: completion.prompt.as_str().into(),
             version: version.into(),
@@ -98,9 +107,14 @@
             end: answer::length(&completion.prompt, completion.max_tokens),
             finish_reason: answer::finish_reason(&completion.prompt, completion.max_tokens),
             prefill_left_ms: prefill_us / 1_000.0,
+            resumed: held || completion.resume_from > 0,
             sender,
             cancelled: false,
-        });
+        };
+        match held {
+            true => state.queue.push_front(stream),
+            false => state.queue.push_back(stream),
+        }
         state.runs.longest_queue = state.runs.longest_queue.max(state.queue.len() as u64);
         self.work.notify_one();
         Ok(receiver)
--- /dev/null
+++ b/tests/frozen_daemon.rs
@@ -0,0 +1,31 @@
+//! A daemon that is paused beyond its lease and wakes up.
+
+use std::time::Duration;
+
+use cyclamengrade_standins::fleet::{JobState, Scene, items};
+use googletest::prelude::*;
+
+/// The woken daemon must not commit chunks that another daemon has taken over.
+#[gtest]
+#[tokio::test]
+async fn woken_holder() -> Result<()> {
+    let scene = Scene::start().await?;
+    let job = scene.ledger.submit(&scene.fleet, 1, "job-1", &items("a", 400, 40)).await?;
+    scene.await_progress(1, &job.id).await?;
+    scene.fleet.process(0)?.pause()?;
+    let fleet = &scene.fleet;
+    fleet
+        .eventually("the end of the job without the paused daemon", async || {
+            let job = fleet.job(1, &job.id).await.ok()?;
+            (job.state == JobState::Completed).then_some(())
+        })
+        .await?;
+    let before = fleet.results(1, &job.id).await?;
+    fleet.process(0)?.resume()?;
+    fleet.await_daemon(0, "/readyz", 200).await?;
+    // Time for the commits that the woken daemon may still try.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    expect_that!(fleet.results(1, &job.id).await?, eq(&before));
+    expect_that!(fleet.results(0, &job.id).await?, eq(&before));
+    scene.verify(1).await.or_fail()
+}
