--- a/components/control/tests/claim_schedule.rs
+++ b/components/control/tests/claim_schedule.rs
@@ -1,6 +1,8 @@
 //! Guards against a non-idempotent request that runs twice, whatever the order of lost replies,
 //! late writes, deaths and pauses.
 
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod support;
 
 use std::{collections::BTreeMap, env, time::Duration};
