Print what longer steps alone add in the load tool

Cause: batch work that fills the slots makes each step longer whatever the policy is, so the ratio of first-token times has a floor.

--- a/components/standins/src/load/phase.rs
+++ b/components/standins/src/load/phase.rs
@@ -83,6 +83,8 @@
     pub items_per_s: f64,
     /// Batch items a second that the slots without online work could give.
     pub spare_items_per_s: f64,
+    /// Time of a step with all slots in use relative to one with the online streams alone.
+    pub step_growth: f64,
     /// Engine streams that online requests started, beyond one for each.
     pub extra_starts: i64,
     /// Tokens that engines generated for online requests, beyond those delivered.
@@ -167,11 +169,13 @@
     let slowed = arm.slowed.count(site) as f64 / site.engines as f64;
     // A slowed engine gives its slots at a fraction of the speed.
     let speed = 1.0 - slowed + slowed / times.slow_factor;
+    let running = online / 1e6 / elapsed / site.engines as f64;
     let item_us = site.full_step_ms() * 1e3 * f64::from(ITEM_TOKENS + 1);
     Ok(Figures {
         samples: Samples::default(),
         items_per_s: (after.batch.finished - before.batch.finished) as f64 / elapsed,
         spare_items_per_s: (slots - online) * speed / item_us / elapsed,
+        step_growth: site.full_step_ms() / (site.step_ms + site.stream_ms * running),
         extra_starts: 0,
         extra_tokens: 0,
     })
--- a/components/standins/src/load/report.rs
+++ b/components/standins/src/load/report.rs
@@ -192,6 +192,8 @@
                     .iter()
                     .map(|figures| figures.items_per_s / figures.spare_items_per_s)
                     .collect();
+                let growth = batch.iter().map(|figures| figures.step_growth);
+                writeln!(f, "  longer steps alone give {:.2}", growth.fold(0.0, f64::max))?;
                 let mean = shares.iter().sum::<f64>() / shares.len() as f64;
                 writeln!(f, "  batch items/s of what spare slots give")?;
                 writeln!(f, "    {mean:.2} ({}), target 0.90", spread(&shares))?;
