--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -20,6 +20,9 @@
 /// Most prompts for which runs are counted one by one.
 const COUNTED_PROMPTS: usize = 200_000;
 
+/// Most classes of prompts for which runs are counted.
+const COUNTED_CLASSES: usize = 64;
+
 /// Parameters of an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -77,29 +80,34 @@
 /// What an engine did for one prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptRuns {
-    /// Streams that entered a slot.
+    /// Streams that entered a slot at the first token.
     pub started: u64,
+    /// Streams that entered a slot to go on after tokens that the receiver already had, or in
+    /// place of an own stream whose connection was given up.
+    pub resumed: u64,
     /// Streams that reached the end of the answer.
     pub finished: u64,
     /// Streams that were cancelled or whose receiver went away after they entered a slot.
     pub cancelled: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// Time that its streams occupied slots, in microseconds.
+    pub slot_us: u64,
 }
 
 /// Answer of `GET /_runs`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Runs {
-    /// Runs for each prompt.
+    /// Runs for each prompt; left out of `GET /_runs?summary`.
     pub prompts: BTreeMap<String, PromptRuns>,
+    /// Runs for each class, the part of the prompt before the first space.
+    pub classes: BTreeMap<String, PromptRuns>,
     /// Sum over all prompts.
     pub total: PromptRuns,
     /// Requests that were accepted while the engine reported that it is leaving.
     pub accepted_while_leaving: u64,
     /// Milliseconds since the engine began to leave when the last request was accepted.
     pub last_accepted_while_leaving_ms: u64,
-    /// Time that the slots were occupied, in milliseconds.
-    pub slot_ms: u64,
     /// Time with at least one stream in a slot, in milliseconds.
     pub busy_ms: u64,
     /// Most requests that waited at once.
@@ -125,7 +133,6 @@
     load_taken: Option<Instant>,
     runs: Runs,
     leaving_since: Option<Instant>,
-    slot_ms: f64,
     busy_ms: f64,
 }
 
@@ -139,6 +146,7 @@
     end: u32,
     finish_reason: &'static str,
     prefill_left_ms: f64,
+    resumed: bool,
     sender: mpsc::UnboundedSender<Step>,
     cancelled: bool,
 }
@@ -199,8 +207,25 @@
 }
 
 impl State {
+    /// Ends the stream with this id, whose connection the caller has given up; the one that
+    /// replaces it finds its tokens in memory. Returns whether there was one in a slot.
+    fn take_over(&mut self, id: &str) -> bool {
+        let mut held = false;
+        for stream in self.running.iter_mut().filter(|stream| !id.is_empty() && stream.id == id) {
+            stream.cancelled = true;
+            held = true;
+        }
+        self.queue.retain(|stream| id.is_empty() || stream.id != id);
+        held
+    }
+
     fn count(&mut self, prompt: &str, change: impl Fn(&mut PromptRuns)) {
         change(&mut self.runs.total);
+        let class = prompt.split(' ').next().unwrap_or_default();
+        let classes = &mut self.runs.classes;
+        if classes.contains_key(class) || classes.len() < COUNTED_CLASSES {
+            change(classes.entry(class.to_owned()).or_default());
+        }
         if let Some(runs) = self.runs.prompts.get_mut(prompt) {
             change(runs);
         } else if self.runs.prompts.len() < COUNTED_PROMPTS {
