Count the datagrams between daemons and their bytes

Cause: the capacity page needs the bytes that membership really sends. Change: the socket reports sizes, and the prober counts them.

--- a/components/daemon/src/membership.rs
+++ b/components/daemon/src/membership.rs
@@ -2,12 +2,12 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use ::metrics::gauge;
+use ::metrics::{counter, gauge};
 use cyclamengrade_control::{
     membership::{self, Action, Candidate, Datagram, Input, Machine, Settings, State},
     revision,
 };
-use cyclamengrade_peer::Socket;
+use cyclamengrade_peer::{Received, Socket};
 use cyclamengrade_telemetry::{event, metrics};
 use kameo::prelude::{Actor, ActorRef, Context, Message, Spawn};
 use tokio::sync::{mpsc, watch};
@@ -168,19 +168,29 @@
 
 async fn send(socket: Arc<Socket>, mut queue: mpsc::Receiver<(SocketAddr, Datagram)>) {
     while let Some((to, datagram)) = queue.recv().await {
-        let _ = socket.send(to, datagram).await;
+        if let Ok(bytes) = socket.send(to, datagram).await {
+            count("sent", bytes);
+        }
     }
 }
 
 async fn receive(socket: Arc<Socket>, actor: ActorRef<Prober>) {
     loop {
-        let (from, datagram) = socket.receive().await;
+        let Received { from, datagram, bytes } = socket.receive().await;
+        count("received", bytes);
         if actor.tell(Input::Received { from, datagram }).await.is_err() {
             return;
         }
     }
 }
 
+fn count(direction: &'static str, bytes: usize) {
+    counter!(metrics::PEER_MESSAGES, "message" => "datagram", "direction" => direction)
+        .increment(1);
+    counter!(metrics::PEER_BYTES, "transport" => "udp", "direction" => direction)
+        .increment(bytes as u64);
+}
+
 async fn tick(actor: ActorRef<Prober>) {
     let mut interval = tokio::time::interval(TICK);
     loop {
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -8,7 +8,7 @@
 pub use crate::{
     client::{Client, Error},
     server::{Handler, serve},
-    socket::Socket,
+    socket::{Received, Socket},
 };
 
 /// Generated messages and services; see `proto/peer.proto`.
