Measure the cost of an idle daemon in fleets of real processes

Change: standin capacity starts fleets of several sizes in turn and reads CPU time, memory, datagrams and store operations.

--- a/components/standins/src/cli.rs
+++ b/components/standins/src/cli.rs
@@ -12,7 +12,7 @@
 use tokio::{net::TcpListener, runtime::Builder};
 
 use crate::{
-    demo,
+    capacity, demo,
     engine::{self, Engine},
     faults::Switches,
     load,
@@ -35,6 +35,8 @@
 standin load     [--site small|tessiture|himal] [--seeds N,...]
                  [--policies adaptive,naive] [--arms NAME,...] [--seconds N]
                  [--warm-up-s N] [--slow-factor X] [--limit-s N]
+standin capacity [--daemons N,...] [--engines N] [--rounds N] [--warm-up-s N]
+                 [--seconds N]
 
 Each stand-in prints one line `listening ADDRESS`. With --exit-with-stdin it ends when
 its standard input is closed.
@@ -64,6 +66,7 @@
         Some("service") => service(arguments),
         Some("demo") => demo(arguments),
         Some("load") => load(arguments),
+        Some("capacity") => capacity(arguments),
         Some(other) => Err(format!("unknown subcommand {other:?}; see --help").into()),
         None => Err("a subcommand is missing; see --help".into()),
     }
@@ -132,6 +135,20 @@
     }
 }
 
+fn capacity(mut arguments: Arguments) -> Result<ExitCode, Failure> {
+    let daemons: Option<String> = arguments.opt_value_from_str("--daemons")?;
+    let options = capacity::Options {
+        daemons: list(daemons.as_deref().unwrap_or("2,12,24,48"), |size| Ok(size.parse()?))?,
+        engines: arguments.opt_value_from_str("--engines")?.unwrap_or(10),
+        rounds: arguments.opt_value_from_str("--rounds")?.unwrap_or(3),
+        warm_up: Duration::from_secs(arguments.opt_value_from_str("--warm-up-s")?.unwrap_or(10)),
+        measured: Duration::from_secs(arguments.opt_value_from_str("--seconds")?.unwrap_or(20)),
+    };
+    finish(arguments)?;
+    Builder::new_multi_thread().enable_all().build()?.block_on(capacity::run(options))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn load(mut arguments: Arguments) -> Result<ExitCode, Failure> {
     let site: String = arguments.opt_value_from_str("--site")?.unwrap_or_else(|| "small".into());
     let seeds: Option<String> = arguments.opt_value_from_str("--seeds")?;
