Claim non-idempotent requests before dispatch

Cause: the claims had landed, but the daemon did not use them. Change: the assembly hands them to the online requests.

--- a/components/daemon/src/assembly.rs
+++ b/components/daemon/src/assembly.rs
@@ -19,6 +19,7 @@
 use crate::{
     Error,
     batch::{self, Dispatcher, Jobs},
+    claims::Claims,
     configuration::Follower,
     lease,
     membership::Prober,
@@ -94,7 +95,8 @@
     );
     let client = upstream::Client::new(upstream::Options::default());
     let (effects, actions) = mpsc::unbounded_channel();
-    let online = Online::new(Arc::clone(&node), client.clone(), None, effects);
+    let claims = Arc::new(Claims::of(&node, keeper.state()));
+    let online = Online::new(Arc::clone(&node), client.clone(), Some(claims), effects);
     let dispatcher = dispatcher(&node, &online, &client, keeper.state());
     spawn_loops(&node, &peers, &dispatcher, &online, &prober, actions, metrics.as_ref());
     tokio::spawn(Orders::run(Arc::clone(&node), client, online.clone(), keeper.state()));
