Give every daemon of a test fleet its own ports

Cause: standin capacity failed once with a daemon of 12 that never answered. The harness asks the system for a free port for each daemon before any daemon runs, so the same port can be given twice; with 48 daemons that is likely. A busy machine was ruled out: the wait of 30 s had passed with a load of 12. Change: ports that were given to another daemon of the fleet are passed over.

--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -320,8 +320,13 @@
     fn add_daemon(&mut self, number: usize) -> Result<(), Error> {
         let name = format!("entry-{}", number + 1);
         let data_centre = self.plan.data_centre(number).to_owned();
-        let address = free_port(self.host)?;
-        let peer_address = free_port(self.host)?;
+        let mut taken: Vec<SocketAddr> = Vec::new();
+        for daemon in &self.daemons {
+            taken.extend([daemon.address, daemon.peer_address]);
+        }
+        let address = free_port(self.host, &taken)?;
+        taken.push(address);
+        let peer_address = free_port(self.host, &taken)?;
         let platform = self.platform.address;
         let mut settings = self.plan.settings.clone();
         merge(
@@ -399,11 +404,12 @@
 }
 
 /// A port that is free for TCP and UDP.
-fn free_port(host: IpAddr) -> Result<SocketAddr, Error> {
+fn free_port(host: IpAddr, taken: &[SocketAddr]) -> Result<SocketAddr, Error> {
     loop {
         let listener = TcpListener::bind((host, 0))?;
         let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
+        // The system may give the port of a daemon that has not started yet once more.
+        if !taken.contains(&address) && UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
