--- a/components/control/src/pacing.rs
+++ b/components/control/src/pacing.rs
@@ -20,6 +20,9 @@
 const STEP: Duration = Duration::from_millis(200);
 /// Time after a halving in which samples still show the state before it.
 const REACTION: Duration = Duration::from_millis(500);
+/// Time for which a load report counts. An upstream that is read less often is paced by notices and
+/// feedback alone.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
 /// Time after which a notice that was not repeated is forgotten.
 const NOTICE_LIFE: Duration = Duration::from_secs(15);
 
@@ -38,6 +41,7 @@
     online_high: u32,
     excess: u32,
     unexplained: u32,
+    reported: Time,
 }
 
 /// What the limit depends on.
@@ -90,11 +94,19 @@
     /// Takes a load report. Work that neither batch nor notices explain counts as online work when
     /// two reports in a row show it, or when the upstream has a queue: one report alone may be
     /// older than the end of streams that it counts.
-    pub fn report(&mut self, load: Load) {
+    pub fn report(&mut self, now: Time, load: Load) {
         let known = self.batch_high.saturating_add(self.online_high);
         let excess = load.running.saturating_add(load.queued).saturating_sub(known);
-        self.unexplained = if load.queued > 0 { excess } else { excess.min(self.excess) };
+        let repeated = now.since(self.reported) < REPORT_LIFE;
+        self.unexplained = if load.queued > 0 {
+            excess
+        } else if repeated {
+            excess.min(self.excess)
+        } else {
+            0
+        };
         self.excess = excess;
+        self.reported = now;
         self.batch_high = self.batch;
         self.online_high = self.online;
     }
@@ -144,7 +156,9 @@
     }
 
     fn decide(&self, now: Time, scene: Scene<'_>) -> u32 {
-        let online = self.online.saturating_add(self.unexplained);
+        let fresh = now.since(self.reported) < REPORT_LIFE;
+        let unexplained = if fresh { self.unexplained } else { 0 };
+        let online = self.online.saturating_add(unexplained);
         let free = scene.slots.saturating_sub(online);
         let bound = self.bound.map_or(u32::MAX, |bound| bound as u32);
         let used = self.risen.is_some_and(|at| now.since(at) < RESERVE_TIME) || online > 0;
--- a/components/control/src/routing/choice.rs
+++ b/components/control/src/routing/choice.rs
@@ -17,7 +17,7 @@
     /// Stable hash of its name.
     pub hash: u64,
     /// Outstanding requests.
-    pub load: u32,
+    pub load: f64,
     /// Latency relative to its peers; raised by failed attempts.
     pub relative: f64,
 }
@@ -25,7 +25,7 @@
 impl Candidate {
     /// The lower, the better.
     pub fn score(&self) -> f64 {
-        (f64::from(self.load) + 1.0) * self.relative
+        (self.load + 1.0) * self.relative
     }
 }
 
@@ -55,10 +55,10 @@
     if prefix == 0 || candidates.is_empty() {
         return None;
     }
-    let sum: f64 = candidates.iter().map(|candidate| f64::from(candidate.load)).sum();
+    let sum: f64 = candidates.iter().map(|candidate| candidate.load).sum();
     let mean = sum / candidates.len() as f64;
     let fits = |candidate: &&Candidate| {
-        f64::from(candidate.load) + 1.0 <= AFFINITY_BOUND * (mean + 1.0)
+        candidate.load + 1.0 <= AFFINITY_BOUND * (mean + 1.0)
             && candidate.relative <= AFFINITY_LATENCY
     };
     let hinted = candidates.iter().find(|candidate| Some(candidate.key) == cached).filter(fits);
--- a/components/control/src/routing/health.rs
+++ b/components/control/src/routing/health.rs
@@ -6,7 +6,7 @@
 
 /// Slow answers in a row that eject an upstream.
 const STRIKES: u32 = 3;
-/// Time after a lost hedge for which other upstreams are preferred. Without it, the load of a slow
+/// Time after a lost hedge or a failed attempt for which other upstreams are preferred. Without it, the load of a slow
 /// upstream falls until its score is the best again.
 const SUSPICION: Duration = Duration::from_secs(5);
 /// Failed attempts in a row that eject an upstream. One refused connection can be a full backlog.
@@ -20,6 +20,9 @@
 /// Lateness of a probe after which a regular request serves as one. It may be slow, so these must
 /// stay far below one request in a hundred.
 const OVERDUE: Duration = Duration::from_secs(20);
+/// Probes in a row that may lose against a regular attempt. An upstream that is a little slower than
+/// the best ones loses every race although it is good, so the next probe runs alone.
+const RACES: u32 = 1;
 /// Time in service after which the next ejection starts with the first backoff again.
 const FORGIVEN: Duration = Duration::from_secs(30);
 
@@ -44,6 +47,8 @@
     backoff: Duration,
     probing: bool,
     suspected: Option<Time>,
+    failed: Time,
+    lost: u32,
 }
 
 impl Default for Health {
@@ -56,6 +61,8 @@
             backoff: FIRST_BACKOFF,
             probing: false,
             suspected: None,
+            failed: Time::default(),
+            lost: 0,
         }
     }
 }
@@ -81,6 +88,11 @@
         self.failures
     }
 
+    /// Failed attempts in a row that lower the upstream's rank. After a while it is tried again.
+    pub fn penalty(&self, now: Time) -> u32 {
+        if now.since(self.failed) < SUSPICION { self.failures } else { 0 }
+    }
+
     /// Whether the upstream takes another request beside `in_flight`.
     pub const fn has_room(&self, in_flight: u32) -> bool {
         match self.phase {
@@ -132,7 +144,8 @@
     }
 
     /// Takes a failed attempt; true when the upstream should be ejected.
-    pub fn failure(&mut self) -> bool {
+    pub fn failure(&mut self, now: Time) -> bool {
+        self.failed = now;
         self.failures = self.failures.saturating_add(1);
         !self.is_ejected() && self.failures >= FAILURES
     }
@@ -148,8 +161,13 @@
         matches!(self.phase, Phase::Ejected(until) if until <= now) && !self.probing
     }
 
-    /// Whether a probe is so late that a regular request must serve as one. Probes beside a
-    /// regular attempt need idempotent requests and budget, which may be missing.
+    /// Whether a request should serve as a probe alone, with a hedge when it is slow.
+    pub fn trial_due(&self, now: Time) -> bool {
+        self.lost >= RACES && self.probe_due(now)
+    }
+
+    /// Whether a probe is so late that any request must serve as one. Other probes need idempotent
+    /// requests and budget, which may be missing.
     pub fn probe_overdue(&self, now: Time) -> bool {
         matches!(self.phase, Phase::Ejected(until) if until + OVERDUE <= now) && !self.probing
     }
@@ -166,8 +184,10 @@
         }
         if good {
             self.failures = 0;
+            self.lost = 0;
             self.enter(now, Phase::Returning(0));
         } else {
+            self.lost = if self.lost >= RACES { 0 } else { self.lost + 1 };
             self.eject(now);
         }
     }
--- a/components/control/src/routing/latency.rs
+++ b/components/control/src/routing/latency.rs
@@ -97,6 +97,11 @@
         Some(duration(high.clamp(median * HEDGE.0, median * HEDGE.1)))
     }
 
+    /// Usual wait for a first token.
+    pub fn median_delay(&self) -> Option<Duration> {
+        self.first.map(duration)
+    }
+
     /// Wait for a first token after which other upstreams are preferred.
     pub fn suspect_delay(&self) -> Option<Duration> {
         Some(duration((self.first? * HEDGE.0).max(NOISE_MICROS)))
--- a/components/control/src/routing/outstanding.rs
+++ b/components/control/src/routing/outstanding.rs
@@ -8,6 +8,10 @@
 /// sends a few requests a second to one upstream; older entries count as reported.
 const EVENTS: usize = 256;
 
+/// Time in which the weight of a report halves. With thousands of upstreams a daemon reads each one
+/// only every half minute, and an old report says nothing about the load now.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// Outstanding work of one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Outstanding {
@@ -65,10 +69,12 @@
     }
 
     /// Requests that run or wait at the upstream, at least this daemon's own.
-    pub fn estimate(&self) -> u32 {
-        let reported = self.report.map_or(0, |load| load.running.saturating_add(load.queued));
-        let known = if self.report.is_some() { self.drift } else { 0 };
-        reported.saturating_add_signed(known).max(self.own)
+    pub fn estimate(&self, now: Time) -> f64 {
+        let Some(load) = self.report else { return f64::from(self.own) };
+        let reported = load.running.saturating_add(load.queued);
+        let others = reported.saturating_add_signed(self.drift).saturating_sub(self.own);
+        let age = now.since(self.measured).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        f64::from(self.own) + f64::from(others) * (-age).exp2()
     }
 
     /// Requests that can run at once; zero before the first report.
--- a/components/control/src/traffic/batch.rs
+++ b/components/control/src/traffic/batch.rs
@@ -26,7 +26,7 @@
         if let Some((key, node)) = self.node(name)
             && node.work.report(now, load)
         {
-            node.pace.report(load);
+            node.pace.report(now, load);
             self.touched.push(key);
         }
     }
--- a/components/control/src/traffic/grouping.rs
+++ b/components/control/src/traffic/grouping.rs
@@ -1,6 +1,10 @@
 //! Changes of the fleet, of the configuration and of the set of live daemons.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use cyclamengrade_configuration::Document;
 
@@ -62,10 +66,13 @@
                 entry.requests_per_s;
         }
         let regrouped = names != self.members;
-        let lost: Vec<_> =
-            self.members.iter().filter(|name| !names.contains(name)).cloned().collect();
-        let joined: Vec<_> =
-            names.iter().filter(|name| !self.members.contains(name)).cloned().collect();
+        let changes = regrouped.then(|| {
+            let before: BTreeSet<_> = self.members.iter().cloned().collect();
+            let after: BTreeSet<_> = names.iter().cloned().collect();
+            let lost: BTreeSet<_> = before.difference(&after).cloned().collect();
+            let joined: Vec<_> = after.difference(&before).cloned().collect();
+            (lost, joined)
+        });
         self.members = names;
         for pool in self.pools.values_mut() {
             for (client, account) in &mut pool.accounts {
@@ -76,12 +83,10 @@
                 }
             }
         }
-        if regrouped {
+        if let Some((lost, joined)) = changes {
             self.reassign(&lost, &joined);
-            for &key in &self.mine {
-                if let Some(node) = self.nodes.get_mut(key) {
-                    node.pace.prune(now, |name| self.members.iter().any(|other| other == name));
-                }
+            for node in self.nodes.values_mut() {
+                node.pace.prune(now, |name| !lost.contains(name));
             }
         }
     }
@@ -134,7 +139,7 @@
 
     /// Finds the dispatchers anew where daemons that left or joined matter. Hashing every pair
     /// takes about 60 ms at 6,800 upstreams and 460 daemons.
-    fn reassign(&mut self, lost: &[String], joined: &[String]) {
+    fn reassign(&mut self, lost: &BTreeSet<String>, joined: &[String]) {
         for (name, &key) in &self.fleet.by_name {
             let Some(node) = self.nodes.get_mut(key) else { continue };
             let orphaned = match &node.dispatcher {
--- a/components/control/src/traffic/outcome.rs
+++ b/components/control/src/traffic/outcome.rs
@@ -227,7 +227,7 @@
         if attempt.probe {
             node.health.probed(now, false);
         }
-        if node.health.failure() {
+        if node.health.failure(now) {
             self.eject(now, attempt.upstream);
         }
     }
--- a/components/control/src/traffic/selection.rs
+++ b/components/control/src/traffic/selection.rs
@@ -14,7 +14,7 @@
 const OWN_PER_SLOT: u32 = 2;
 /// Outstanding requests per slot above which an upstream takes no more. Batch streams that were
 /// already cancelled are still in the report, and online work must not wait for the next one.
-const ALL_PER_SLOT: u32 = 3;
+const ALL_PER_SLOT: f64 = 3.0;
 /// Factor on the score for each failed attempt in a row.
 const FAILURE_FACTOR: f64 = 4.0;
 /// Failed attempts that count in the score.
@@ -41,7 +41,7 @@
     unreported: Vec<Candidate>,
     in_service: bool,
     ejected: Option<UpstreamKey>,
-    overdue: Option<UpstreamKey>,
+    probe: Option<UpstreamKey>,
 }
 
 impl Machine {
@@ -60,7 +60,7 @@
             found.candidates.append(&mut found.suspects);
         }
         if flight.tried.is_empty()
-            && let Some(key) = found.overdue
+            && let Some(key) = found.probe
         {
             return Choice::Probe(key);
         }
@@ -105,10 +105,11 @@
             found.in_service = true;
             if node.health.is_ejected() {
                 found.ejected = Some(key);
-                if node.health.probe_overdue(now) {
-                    found.overdue = Some(key);
+                let trial = flight.request.idempotent && node.health.trial_due(now);
+                if trial || node.health.probe_overdue(now) {
+                    found.probe = Some(key);
                 }
-            } else if has_room(node) {
+            } else if has_room(now, node) {
                 let candidate = candidate(now, key, node, pool);
                 let suspect = pool.typical.suspect_delay();
                 let is_late = suspect.is_some() && node.oldest(now) >= suspect;
@@ -141,22 +142,22 @@
     }
 }
 
-fn has_room(node: &Node) -> bool {
+fn has_room(now: Time, node: &Node) -> bool {
     let slots = node.work.slots();
     let own = node.work.own();
     let room = slots == 0
         || (own < slots.saturating_mul(OWN_PER_SLOT)
-            && node.work.estimate() < slots.saturating_mul(ALL_PER_SLOT));
+            && node.work.estimate(now) < f64::from(slots) * ALL_PER_SLOT);
     room && node.health.has_room(own)
 }
 
 fn candidate(now: Time, key: UpstreamKey, node: &Node, pool: &Pool) -> Candidate {
     let relative = pool.typical.relative(node.first(now), node.gap.micros());
-    let failures = node.health.failures().min(MOST_FAILURES);
+    let failures = node.health.penalty(now).min(MOST_FAILURES);
     Candidate {
         key,
         hash: node.hash,
-        load: node.work.estimate(),
+        load: node.work.estimate(now),
         relative: relative * FAILURE_FACTOR.powi(failures.cast_signed()),
     }
 }
--- a/components/control/src/traffic/tick.rs
+++ b/components/control/src/traffic/tick.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::{
+    retry::ATTEMPTS,
     routing::Typical,
     time::Time,
     traffic::{
@@ -83,10 +84,8 @@
             }
             pool.accounts.retain(|_, account| !account.is_idle());
         }
-        for &key in &self.mine {
-            if let Some(node) = self.nodes.get_mut(key) {
-                node.pace.prune(now, |_| true);
-            }
+        for node in self.nodes.values_mut() {
+            node.pace.prune(now, |_| true);
         }
         self.repeat_notices(now);
     }
@@ -119,10 +118,12 @@
         let Some(pool) = self.pools.get(key) else { return };
         let Some(hedge_delay) = pool.typical.hedge_delay() else { return };
         let stuck_delay = pool.typical.stuck_delay().unwrap_or(hedge_delay);
+        // A probe alone must not cost its caller more than the usual tail.
+        let probe_delay = pool.typical.median_delay().unwrap_or(hedge_delay);
         let late: Vec<AttemptId> = pool
             .pending
             .iter()
-            .take_while(|&&(started, _)| now.since(started) >= hedge_delay)
+            .take_while(|&&(started, _)| now.since(started) >= probe_delay)
             .map(|&(_, id)| id)
             .collect();
         for id in late {
@@ -138,13 +139,16 @@
                 self.eject(now, attempt.upstream);
             }
             let is_stuck = now.since(attempt.started) >= hedge_delay.mul_f64(STUCK_HEDGE);
-            self.hedge(now, request, is_stuck, actions);
+            if attempt.probe || now.since(attempt.started) >= hedge_delay {
+                self.hedge(now, request, is_stuck || attempt.probe, actions);
+            }
         }
     }
 
     fn hedge(&mut self, now: Time, id: RequestId, is_stuck: bool, actions: &mut Vec<Action>) {
         let fits = self.flights.get(&id).is_some_and(|flight| {
-            flight.request.idempotent && !flight.hedged && flight.running.len() == 1
+            let may_run_again = flight.request.idempotent && flight.tried.len() < ATTEMPTS;
+            may_run_again && !flight.hedged && flight.running.len() == 1
         });
         if !fits {
             return;
