Count calls of the platform and report changes of upstreams

Change: a client that observes the platform's calls, and a comparison of the upstreams' states every 2 s.

--- a/components/daemon/src/assembly.rs
+++ b/components/daemon/src/assembly.rs
@@ -24,6 +24,7 @@
     lease,
     membership::Prober,
     node::{Accepted, Clock, Members, Node, Phase},
+    observed::Observed,
     online::Online,
     orders::Orders,
     peers::{self, Handler},
@@ -168,7 +169,8 @@
     let addresses = &settings.platform;
     let timeout = Duration::from_millis(addresses.timeout_ms);
     let (table, objects, vms) = (addresses.table, addresses.objects, addresses.vms);
-    let client = Arc::new(platform::http::Client::new(table, objects, vms, timeout));
+    let client = platform::http::Client::new(table, objects, vms, timeout);
+    let client = Arc::new(Observed::new(client));
     let node = Node {
         table: Arc::clone(&client) as Arc<dyn platform::Table>,
         objects: Arc::clone(&client) as Arc<dyn platform::Objects>,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod lease;
 pub mod membership;
 pub mod node;
+mod observed;
 pub mod online;
 mod orders;
 mod peers;
--- a/components/daemon/src/online/actor.rs
+++ b/components/daemon/src/online/actor.rs
@@ -1,7 +1,7 @@
 //! The actor that owns the traffic decisions.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::{
         Arc,
@@ -13,23 +13,23 @@
 use cyclamengrade_control::{
     time::Time,
     traffic::{
-        Action, AttemptId, Demand, Input, Machine, Refusal, Request, RequestId, Settings, State,
-        Status,
+        Action, AttemptId, Demand, Input, Machine, Refusal, Request, RequestId, Settings, Status,
     },
 };
-use cyclamengrade_telemetry::metrics::{CONTROL_SECONDS, UPSTREAMS};
+use cyclamengrade_telemetry::metrics::CONTROL_SECONDS;
 use kameo::{
     Actor,
     actor::{ActorRef, WeakActorRef},
     error::Infallible,
     message::{Context, Message},
 };
-use metrics::{Histogram, gauge, histogram};
+use metrics::{Histogram, histogram};
 use tokio::{
     sync::{Notify, mpsc},
     time::sleep,
 };
 
+use super::changes::Changes;
 use crate::node::Clock;
 
 /// Time between two ticks while a request waits for its first token.
@@ -37,11 +37,8 @@
 /// Time between two ticks otherwise.
 const IDLE_TICK: Duration = Duration::from_millis(100);
 
-/// Time between two counts of the upstreams by state.
-const GAUGE_PERIOD: Duration = Duration::from_secs(5);
-/// States of an upstream.
-const STATES: [State; 5] =
-    [State::Ready, State::Loading, State::Ejected, State::Leaving, State::Unreachable];
+/// Time between two looks at the states of the upstreams.
+const CHANGES_PERIOD: Duration = Duration::from_secs(2);
 
 /// What a request task is told to do.
 #[derive(Debug)]
@@ -81,7 +78,8 @@
     pace: Arc<Pace>,
     effects: mpsc::UnboundedSender<Action>,
     steps: Histogram,
-    gauges_at: Time,
+    changes: Changes,
+    changes_at: Time,
 }
 
 struct Entry {
@@ -118,7 +116,8 @@
             pace,
             effects: arguments.effects,
             steps: histogram!(CONTROL_SECONDS, "actor" => "traffic"),
-            gauges_at: Time::default(),
+            changes: Changes::default(),
+            changes_at: Time::default(),
         })
     }
 }
@@ -171,9 +170,9 @@
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
         self.drive(Input::Tick);
         let now = self.clock.now();
-        if now.since(self.gauges_at) >= GAUGE_PERIOD {
-            self.gauges_at = now;
-            self.set_gauges();
+        if now.since(self.changes_at) >= CHANGES_PERIOD {
+            self.changes_at = now;
+            self.changes.report(self.machine.status());
         }
     }
 }
@@ -270,20 +269,6 @@
         }
     }
 
-    /// Counts the upstreams by state; a state without upstreams is set to zero.
-    fn set_gauges(&self) {
-        let mut counts: BTreeMap<(String, &str), u32> = BTreeMap::new();
-        for upstream in self.machine.status() {
-            for state in STATES {
-                let count = counts.entry((upstream.deployment.clone(), state.name())).or_default();
-                *count += u32::from(state == upstream.state);
-            }
-        }
-        for ((deployment, state), count) in counts {
-            gauge!(UPSTREAMS, "deployment" => deployment, "state" => state).set(count);
-        }
-    }
-
     fn order(&self, request: RequestId, order: Order) -> bool {
         self.requests.get(&request).is_some_and(|entry| entry.orders.send(order).is_ok())
     }
--- /dev/null
+++ b/components/daemon/src/online/changes.rs
@@ -0,0 +1,74 @@
+//! Events and metrics of upstreams whose state changes.
+
+use std::collections::BTreeMap;
+
+use cyclamengrade_control::traffic::{State, Status};
+use cyclamengrade_telemetry::{
+    event,
+    metrics::{EJECTIONS, UPSTREAMS},
+};
+use metrics::{counter, gauge};
+
+const STATES: [State; 5] =
+    [State::Ready, State::Loading, State::Ejected, State::Leaving, State::Unreachable];
+
+/// The upstreams as last reported.
+#[derive(Debug, Default)]
+pub(super) struct Changes {
+    known: BTreeMap<String, (String, State)>,
+}
+
+impl Changes {
+    /// Reports what is different from the last call, and counts the upstreams by state.
+    pub fn report(&mut self, upstreams: Vec<Status>) {
+        let mut counts: BTreeMap<(String, &str), u32> = BTreeMap::new();
+        let mut current = BTreeMap::new();
+        for Status { name, deployment, state, .. } in upstreams {
+            for other in STATES {
+                let count = counts.entry((deployment.clone(), other.name())).or_default();
+                *count += u32::from(other == state);
+            }
+            let before = self.known.remove(&name).map(|(_, state)| state);
+            changed(&name, &deployment, before, state);
+            current.insert(name, (deployment, state));
+        }
+        for (name, (deployment, _)) in std::mem::replace(&mut self.known, current) {
+            let (upstream, deployment) = (name.as_str(), deployment.as_str());
+            event!(UpstreamRemoved, upstream = upstream, deployment = deployment);
+        }
+        for ((deployment, state), count) in counts {
+            gauge!(UPSTREAMS, "deployment" => deployment, "state" => state).set(count);
+        }
+    }
+}
+
+fn changed(upstream: &str, deployment: &str, before: Option<State>, state: State) {
+    if before.is_none() {
+        event!(UpstreamAdded, upstream = upstream, deployment = deployment);
+    }
+    if before == Some(state) {
+        return;
+    }
+    match (before, state) {
+        (_, State::Ejected) => {
+            counter!(EJECTIONS, "deployment" => deployment.to_owned()).increment(1);
+            event!(UpstreamEjected, upstream = upstream, deployment = deployment);
+        }
+        (_, State::Leaving) => {
+            event!(UpstreamLeaving, upstream = upstream, deployment = deployment);
+        }
+        (_, State::Unreachable) => {
+            let error = "attempts fail";
+            event!(
+                UpstreamUnreachable,
+                upstream = upstream,
+                deployment = deployment,
+                error = error
+            );
+        }
+        (Some(State::Ejected | State::Unreachable), State::Ready) => {
+            event!(UpstreamReadmitted, upstream = upstream, deployment = deployment);
+        }
+        (_, State::Ready | State::Loading) => {}
+    }
+}
--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod attempt;
+mod changes;
 mod claim;
 mod claims;
 mod meter;
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -108,7 +108,6 @@
 
 /// One call, which may be sent several times.
 struct Call {
-    name: &'static str,
     effect: Effect,
     method: Method,
     address: SocketAddr,
@@ -140,17 +139,7 @@
     }
 
     async fn call(&self, call: Call) -> Result<Answer, Error> {
-        let result = self.repeat(&call).await;
-        let outcome = match &result {
-            Ok(_) => "ok",
-            Err(Error::Unreachable(_)) => "unreachable",
-            Err(Error::Limited) => "limited",
-            Err(Error::Unknown(_)) => "unknown",
-            Err(Error::Protocol(_)) => "protocol",
-        };
-        metrics::counter!("platform_calls_total", "call" => call.name, "outcome" => outcome)
-            .increment(1);
-        result
+        self.repeat(&call).await
     }
 
     async fn repeat(&self, call: &Call) -> Result<Answer, Error> {
@@ -229,7 +218,6 @@
             .map_err(|error| Error::Unreachable(format!("body of {name}: {error}")))?;
         let answer = self
             .call(Call {
-                name,
                 effect,
                 method: Method::POST,
                 address: self.table,
@@ -277,7 +265,6 @@
         Box::pin(async move {
             let answer = self
                 .call(Call {
-                    name: "put",
                     effect: Effect::Write,
                     method: Method::PUT,
                     address: self.objects,
@@ -298,7 +285,6 @@
         Box::pin(async move {
             let answer = self
                 .call(Call {
-                    name: "get",
                     effect: Effect::Read,
                     method: Method::GET,
                     address: self.objects,
@@ -321,7 +307,6 @@
         Box::pin(async move {
             let answer = self
                 .call(Call {
-                    name: "vms",
                     effect: Effect::Read,
                     method: Method::GET,
                     address: self.vms,
