--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -79,7 +79,10 @@
         return print::line(&format!("no difference to revision {}", base.revision));
     }
     let mut report: Vec<String> = differences.iter().map(difference).collect();
-    report.push(format!("{} values differ", differences.len()));
+    report.push(match differences.len() {
+        1 => "1 value differs".into(),
+        count => format!("{count} values differ"),
+    });
     report.push(format!("base revision {}", plan.base_revision));
     report.push(format!("plan digest {}", plan.digest));
     report.push(match out {
