--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -104,9 +104,9 @@
         "Claims of non-idempotent requests by outcome: ok, failed, outcome_unknown, repeated.",
     ORDERS "orders_total" Counter Count "outcome"
         "Orders to upstreams by outcome: sent, refused.",
-    PLATFORM_CALLS "platform_calls_total" Counter Count "call, outcome"
-        "Calls to the platform by call and outcome.",
-    PLATFORM_SECONDS "platform_call_seconds" Histogram Seconds "call"
+    PLATFORM_CALLS "platform_calls_total" Counter Count "service, operation, outcome"
+        "Calls to the platform by service, operation and outcome.",
+    PLATFORM_SECONDS "platform_call_seconds" Histogram Seconds "service, operation"
         "Duration of calls to the platform.",
     LEASE_RENEWALS "lease_renewals_total" Counter Count "outcome"
         "Renewals of this daemon's lease by outcome: ok, late, failed, lost.",
