Read less and conflict less while claiming

Change: one listing in each poll, unknown and held jobs only; rows are read again before a write when they are old; conflicts are resolved from their reply and spread by delays and over jobs; a takeover is confirmed and spread over a second.

--- a/components/control/src/job/dispatch/chunk.rs
+++ b/components/control/src/job/dispatch/chunk.rs
@@ -18,6 +18,8 @@
     pub retry_at: Time,
     /// Whether a transaction, load or store of this chunk is in flight.
     pub busy: bool,
+    /// Transactions in a row that met a change by another daemon.
+    pub conflicts: u32,
     /// Progress towards the commit.
     pub phase: Phase,
     /// When an item ended last.
@@ -84,6 +86,7 @@
             items,
             retry_at: now,
             busy: false,
+            conflicts: 0,
             phase: Phase::Loading,
             progress: now,
             times: (Duration::ZERO, 0),
--- a/components/control/src/job/dispatch/claim.rs
+++ b/components/control/src/job/dispatch/claim.rs
@@ -3,13 +3,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    BACKOFF_MIN, ChunkId, Dispatch, ISOLATION_CLAIMS, Pending,
+    BACKOFF_MIN, ChunkId, Dispatch, Pending,
     chunk::{Cut, Held},
 };
 use crate::{
+    hash,
     job::row::{Chunk, ChunkState, Job, State, job_key},
-    lease::{self, Verdict},
-    store::{Call, Reply, Transaction},
+    store::{Call, Reply, Row, Transaction},
 };
 
 /// A transaction on a chunk, for as long as its outcome is not known.
@@ -34,6 +34,14 @@
     Commit { cut: Cut, job: Job, rest: Option<(ChunkId, Chunk)> },
 }
 
+/// Jobs among which daemons spread after conflicts; doubles with each conflict.
+const SPREAD: usize = 2;
+
+/// Longest delay after no conflict, which doubles with each conflict up to 3.2 s: the time in which
+/// several hundred daemons can write one row after the other.
+const CONFLICT_DELAY: Duration = Duration::from_millis(50);
+const CONFLICT_DOUBLINGS: u32 = 6;
+
 impl Dispatch {
     /// Whether more items of a deployment could run than are at hand.
     pub(super) fn wants_work(&self, deployment: &str) -> bool {
@@ -58,17 +66,19 @@
         if self.now < self.claim_after || self.result_bytes() >= self.settings.memory_bytes {
             return;
         }
-        let deployments: Vec<_> = self.polls.keys().cloned().collect();
+        let deployments: Vec<_> = self.listings.keys().cloned().collect();
         for deployment in deployments {
-            let claiming = self.polls.get(&deployment).is_none_or(|poll| poll.claiming);
+            let claiming = self.listings.get(&deployment).is_none_or(|listing| listing.claiming);
             if claiming || !self.wants_work(&deployment) {
                 continue;
             }
-            if let Some(poll) = self.polls.get_mut(&deployment) {
-                poll.lacking = true;
+            if let Some(listing) = self.listings.get_mut(&deployment) {
+                listing.lacking = true;
             }
             let id = self.choose(&deployment);
-            let Some(id) = id.filter(|id| !self.writing_job(id)) else { continue };
+            let Some(id) = id.filter(|id| !self.writing_job(id) && self.fresh(id)) else {
+                continue;
+            };
             self.claim_from(&deployment, &id, epoch);
         }
     }
@@ -76,7 +86,7 @@
     /// The job whose chunk is claimed next: one close to due, else one of the client that received
     /// least relative to its weight.
     fn choose(&mut self, deployment: &str) -> Option<String> {
-        let listed = &self.polls.get(deployment)?.listed;
+        let listed = &self.listings.get(deployment)?.listed;
         let jobs: Vec<_> = listed
             .iter()
             .filter_map(|id| self.views.get(id).map(|view| (id, &view.row)))
@@ -84,26 +94,34 @@
             .collect();
         let urgent = u64::try_from(self.settings.urgent.as_millis()).unwrap_or(u64::MAX);
         let close = |job: &Job| job.due_unix_ms <= self.unix_ms.saturating_add(urgent);
-        let first =
-            jobs.iter().filter(|(_, job)| close(job)).min_by_key(|(_, job)| job.due_unix_ms);
-        if let Some((id, _)) = first {
-            return Some((*id).clone());
+        let first: Vec<_> = jobs.iter().filter(|(_, job)| close(job)).copied().collect();
+        if !first.is_empty() {
+            return self.pick(first);
         }
         // A client without a record starts level with the one that received least.
-        let least = jobs
-            .iter()
-            .filter_map(|(_, job)| self.service.get(&job.client).copied())
-            .min_by(f64::total_cmp)
-            .unwrap_or_default();
+        let known = jobs.iter().filter_map(|(_, job)| self.service.get(&job.client).copied());
+        let least = known.min_by(f64::total_cmp).unwrap_or_default();
         for (_, job) in &jobs {
             self.service.entry(job.client.clone()).or_insert(least);
         }
-        let service = |job: &Job| self.service.get(&job.client).copied().unwrap_or_default();
-        jobs.iter()
-            .min_by(|(_, a), (_, b)| {
-                service(a).total_cmp(&service(b)).then(a.due_unix_ms.cmp(&b.due_unix_ms))
-            })
-            .map(|(id, _)| (*id).clone())
+        let service = |job: &Job| self.service.get(&job.client).copied().unwrap_or(least);
+        let due = |job: &Job| job.due_unix_ms;
+        let (_, next) = jobs
+            .iter()
+            .min_by(|(_, a), (_, b)| service(a).total_cmp(&service(b)).then(due(a).cmp(&due(b))))?;
+        let client = &next.client;
+        self.pick(jobs.iter().filter(|(_, job)| job.client == *client).copied().collect())
+    }
+
+    /// The job that is due first. After conflicts with other daemons, one of the first few that
+    /// differs from daemon to daemon.
+    fn pick(&self, mut jobs: Vec<(&String, &Job)>) -> Option<String> {
+        jobs.sort_by_key(|(_, job)| job.due_unix_ms);
+        if self.conflicts > 0 {
+            jobs.truncate(SPREAD << self.conflicts.min(CONFLICT_DOUBLINGS));
+            jobs.sort_by_key(|(id, _)| hash::stable(&[&self.settings.daemon, id]));
+        }
+        jobs.first().map(|(id, _)| (*id).clone())
     }
 
     fn claim_from(&mut self, deployment: &str, id: &str, epoch: u64) {
@@ -126,8 +144,8 @@
             // The row of a returned chunk must be read first.
             let row = self.fresh_row(epoch);
             let kind = Kind::Claim { deployment: deployment.to_owned(), job };
-            if let Some(poll) = self.polls.get_mut(deployment) {
-                poll.claiming = true;
+            if let Some(listing) = self.listings.get_mut(deployment) {
+                listing.claiming = true;
             }
             self.resolve(Box::new(Write { chunk, row, kind }));
         }
@@ -162,73 +180,13 @@
             .with_condition(&*key, version)
             .with_write(key, &row)
             .with_write(job_key(&chunk.job), &job);
-        if let Some(poll) = self.polls.get_mut(deployment) {
-            poll.claiming = true;
+        if let Some(listing) = self.listings.get_mut(deployment) {
+            listing.claiming = true;
         }
         let kind = Kind::Claim { deployment: deployment.to_owned(), job };
         self.write(transaction, Write { chunk, row, kind });
     }
 
-    /// Takes over chunks whose holder is gone.
-    pub(super) fn take_over(&mut self) {
-        let Some(epoch) = self.lease.epoch.filter(|_| self.leased_now()) else { return };
-        let ids: Vec<_> = self
-            .suspects
-            .iter()
-            .filter(|(id, suspect)| {
-                let wants = self.deployment(id).is_some_and(|name| self.wants_work(name));
-                !suspect.taking && wants && !self.held.contains_key(id)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        // One takeover at a time, because the chunk that it brings may be enough.
-        if self.suspects.values().any(|suspect| suspect.taking) {
-            return;
-        }
-        for id in ids {
-            let Some(suspect) = self.suspects.get(&id) else { continue };
-            let row = &suspect.row;
-            let own = row.holder == self.settings.daemon && row.epoch <= epoch;
-            let verdict = match self.observer.verdict(&row.holder, row.epoch) {
-                // A chunk of this process that it does not work on: its claim was given up when
-                // the reply was lost.
-                _ if own => Verdict::Ended,
-                verdict => verdict,
-            };
-            let mut transaction = Transaction::new().with_condition(id.key(), suspect.version);
-            match verdict {
-                Verdict::Live => continue,
-                Verdict::Ended => {}
-                Verdict::Expired(version) => {
-                    transaction = transaction.with_condition(lease::key(&row.holder), version);
-                }
-            }
-            let row = self.taken(row, epoch);
-            let transaction = transaction.with_write(id.key(), &row);
-            if let Some(suspect) = self.suspects.get_mut(&id) {
-                suspect.taking = true;
-            }
-            return self.write(transaction, Write { chunk: id, row, kind: Kind::Takeover });
-        }
-    }
-
-    /// The row of a chunk after a takeover.
-    fn taken(&self, row: &Chunk, epoch: u64) -> Chunk {
-        let mut taken = Chunk {
-            holder: self.settings.daemon.clone(),
-            epoch,
-            fence: row.fence + 1,
-            claims: row.claims + 1,
-            state: ChunkState::Held,
-            current: None,
-            ..row.clone()
-        };
-        if let Some(item) = row.current.filter(|_| row.claims >= ISOLATION_CLAIMS) {
-            *taken.attempts.entry(item).or_default() += 1;
-        }
-        taken
-    }
-
     /// Whether a transaction on this chunk is in flight.
     pub(super) fn writing(&self, id: &ChunkId) -> bool {
         let this = |pending: &Pending| match pending {
@@ -275,7 +233,26 @@
                 self.applied(*write, chunk, job, &versions);
             }
             Reply::Failed => self.not_applied(*write, true),
-            _ => self.resolve(write),
+            Reply::Conflict(rows) => self.conflicted(write, rows),
+            Reply::Unknown | Reply::Rows(_) => self.resolve(write),
+        }
+    }
+
+    /// Another daemon changed a row. When the conflict shows the job's row, and no row that this
+    /// daemon may have written, nothing needs to be read.
+    fn conflicted(&mut self, write: Box<Write>, rows: Vec<Option<Row>>) {
+        let (job, chunk) = (job_key(&write.chunk.job), write.chunk.key());
+        let rows = Reply::Conflict(rows).rows();
+        let claim = matches!(write.kind, Kind::Claim { .. });
+        let foreign = rows
+            .get(&chunk)
+            .is_none_or(|row| claim && row.decode::<Chunk>().as_ref() != Some(&write.row));
+        match rows.get(&job).filter(|_| foreign) {
+            Some(row) => {
+                self.saw_job(row);
+                self.not_applied(*write, false);
+            }
+            None => self.resolve(write),
         }
     }
 
@@ -303,7 +280,9 @@
                 versions.insert(rest.key(), row.version);
             }
             self.applied(*write, version, None, &versions);
-        } else if let (Kind::Claim { deployment, .. }, Some(chunk)) = (&write.kind, &chunk) {
+        } else if let (Kind::Claim { deployment, .. }, Some(chunk)) = (&write.kind, &chunk)
+            && chunk.state == ChunkState::Returned
+        {
             let deployment = deployment.clone();
             self.claim_returned(&deployment, write.chunk, version, chunk);
         } else if self.held.get(&write.chunk).is_some_and(|held| held.version != version) {
@@ -315,13 +294,13 @@
 
     /// Claims a chunk that was handed back and whose row is now known.
     fn claim_returned(&mut self, deployment: &str, id: ChunkId, version: u64, row: &Chunk) {
-        if let Some(poll) = self.polls.get_mut(deployment) {
-            poll.claiming = false;
+        if let Some(listing) = self.listings.get_mut(deployment) {
+            listing.claiming = false;
         }
         let Some(epoch) = self.lease.epoch.filter(|_| self.leased_now()) else { return };
         let Some(view) = self.views.get(&id.job) else { return };
         let place = view.row.returned.iter().position(|number| *number == id.number);
-        let (true, Some(place)) = (row.state == ChunkState::Returned, place) else { return };
+        let Some(place) = place else { return };
         if view.row.state != State::Open || self.drain.is_some() {
             return;
         }
@@ -334,19 +313,38 @@
     }
 
     fn not_applied(&mut self, write: Write, failed: bool) {
-        let delay = if failed { self.backoff } else { Duration::ZERO };
-        match write.kind {
+        let Write { chunk, kind, .. } = write;
+        let conflicts = match &kind {
+            Kind::Claim { .. } => {
+                self.conflicts += u32::from(!failed);
+                self.conflicts
+            }
+            _ => self.held.get_mut(&chunk).map_or(0, |held| {
+                held.conflicts += u32::from(!failed);
+                held.conflicts
+            }),
+        };
+        let delay = match failed {
+            true => self.backoff,
+            // The conflict showed the newest row, so one more try is likely to succeed.
+            false if conflicts <= 1 => Duration::ZERO,
+            false => {
+                self.outdate(&chunk.job);
+                self.conflict_delay(conflicts)
+            }
+        };
+        match kind {
             Kind::Claim { deployment, .. } => {
-                if let Some(poll) = self.polls.get_mut(&deployment) {
-                    poll.claiming = false;
-                }
                 self.claim_after = self.now + delay;
+                if let Some(listing) = self.listings.get_mut(&deployment) {
+                    listing.claiming = false;
+                }
             }
             Kind::Takeover => {
-                self.suspects.remove(&write.chunk);
+                self.suspects.remove(&chunk);
             }
             Kind::Mark | Kind::Commit { .. } => {
-                if let Some(held) = self.held.get_mut(&write.chunk) {
+                if let Some(held) = self.held.get_mut(&chunk) {
                     held.busy = false;
                     held.retry_at = self.now + delay;
                 }
@@ -354,6 +352,13 @@
         }
     }
 
+    /// Delay after a number of conflicts in a row, different from daemon to daemon.
+    fn conflict_delay(&self, conflicts: u32) -> Duration {
+        let most = CONFLICT_DELAY * (1 << conflicts.min(CONFLICT_DOUBLINGS));
+        let hash = hash::stable(&[&self.settings.daemon, &self.next_call.to_string()]);
+        Duration::from_micros(hash % u64::try_from(most.as_micros()).unwrap_or(u64::MAX))
+    }
+
     fn applied(
         &mut self,
         write: Write,
@@ -364,9 +369,10 @@
         let Write { chunk: id, row, kind } = write;
         match kind {
             Kind::Claim { deployment, job } => {
-                if let Some(poll) = self.polls.get_mut(&deployment) {
-                    poll.claiming = false;
+                if let Some(listing) = self.listings.get_mut(&deployment) {
+                    listing.claiming = false;
                 }
+                self.conflicts = 0;
                 let items = row.items.clone().unwrap_or_else(|| job.items_of(id.number));
                 let weight = self.weights.get(&job.client).copied().unwrap_or(1).max(1);
                 #[expect(
@@ -396,15 +402,6 @@
         }
     }
 
-    /// Takes over the row that an own transaction left behind.
-    fn set_job(&mut self, id: &str, job: Job, version: Option<u64>) {
-        if let (Some(version), Some(view)) = (version, self.views.get_mut(id))
-            && view.version < version
-        {
-            (view.version, view.row) = (version, job);
-        }
-    }
-
     fn hold(&mut self, id: ChunkId, version: u64, row: Chunk, items: Vec<u32>) {
         if self.lease.superseded {
             return;
--- a/components/control/src/job/dispatch/commit.rs
+++ b/components/control/src/job/dispatch/commit.rs
@@ -100,7 +100,7 @@
     }
 
     fn commit(&mut self, id: &ChunkId, cut: Cut) {
-        if self.writing_job(&id.job) {
+        if self.writing_job(&id.job) || !self.fresh(&id.job) {
             return;
         }
         let (Some(held), Some(view)) = (self.held.get(id), self.views.get(&id.job)) else { return };
--- a/components/control/src/job/dispatch/mod.rs
+++ b/components/control/src/job/dispatch/mod.rs
@@ -6,14 +6,18 @@
 mod message;
 mod poll;
 mod start;
+mod takeover;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 pub use self::message::{Action, ChunkId, End, Input, Run, RunId, Settings};
 use self::{
     chunk::Held,
     claim::Write,
-    poll::{Poll, Suspect, View},
+    poll::{Listing, Suspect, View},
     start::Slot,
 };
 use super::row::State;
@@ -35,10 +39,14 @@
 enum Pending {
     /// The first page of open jobs of a deployment.
     Page(String),
-    /// Rows of jobs and daemons of a deployment's poll.
-    Rows(String),
-    /// Chunk rows of a job of a deployment.
-    Chunks { deployment: String, job: String, after: String },
+    /// Rows of jobs and daemons, after a page of this deployment.
+    Rows(Option<String>),
+    /// A page of the chunks of a job.
+    Chunks { job: String, after: String },
+    /// The row of a job.
+    Refresh(String),
+    /// The row of a chunk, before it is taken over.
+    Suspect(ChunkId),
     /// A transaction.
     Write(Box<Write>),
     /// The rows that a transaction touched, after a conflict or a lost reply.
@@ -67,7 +75,13 @@
     unix_ms: u64,
     lease: Lease,
     slots: BTreeMap<String, Slot>,
-    polls: BTreeMap<String, Poll>,
+    /// Deployments with the jobs that they list.
+    listings: BTreeMap<String, Listing>,
+    poll_next: Time,
+    polling: bool,
+    /// Jobs whose row is being read.
+    refreshing: BTreeSet<String>,
+    refresh_after: Time,
     views: BTreeMap<String, View>,
     held: BTreeMap<ChunkId, Held>,
     runs: BTreeMap<RunId, start::Place>,
@@ -81,6 +95,8 @@
     unresolved: Vec<(Time, Box<Write>)>,
     backoff: Duration,
     claim_after: Time,
+    /// Claims in a row that met a change by another daemon.
+    conflicts: u32,
     verifying: bool,
     drain: Option<Time>,
     drained: bool,
@@ -99,7 +115,11 @@
             unix_ms: 0,
             lease: Lease::default(),
             slots: BTreeMap::new(),
-            polls: BTreeMap::new(),
+            listings: BTreeMap::new(),
+            poll_next: Time::default(),
+            polling: false,
+            refreshing: BTreeSet::new(),
+            refresh_after: Time::default(),
             views: BTreeMap::new(),
             held: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -111,6 +131,7 @@
             unresolved: Vec::new(),
             backoff: BACKOFF_MIN,
             claim_after: Time::default(),
+            conflicts: 0,
             verifying: false,
             drain: None,
             drained: false,
@@ -242,10 +263,10 @@
         }
         match pending {
             Pending::Page(deployment) => self.paged(&deployment, reply),
-            Pending::Rows(deployment) => self.rows(&deployment, sent, reply),
-            Pending::Chunks { deployment, job, after } => {
-                self.chunks(&deployment, &job, &after, reply);
-            }
+            Pending::Rows(deployment) => self.rows(deployment, sent, reply),
+            Pending::Chunks { job, after } => self.chunks(&job, &after, reply),
+            Pending::Refresh(job) => self.refreshed(&job, reply),
+            Pending::Suspect(chunk) => self.confirmed(&chunk, reply),
             Pending::Write(write) => self.wrote(write, reply),
             Pending::Resolve(write) => self.resolved(write, reply),
             Pending::Verify => self.verified(reply),
--- a/components/control/src/job/dispatch/start.rs
+++ b/components/control/src/job/dispatch/start.rs
@@ -61,7 +61,7 @@
 
     /// Sets the limit of an upstream and pauses the newest runs over it.
     pub(super) fn limit(&mut self, upstream: String, deployment: String, streams: u32) {
-        self.polls.entry(deployment.clone()).or_default();
+        self.listings.entry(deployment.clone()).or_default();
         let slot = self.slots.entry(upstream.clone()).or_default();
         slot.deployment = deployment;
         slot.streams = streams;
@@ -142,7 +142,7 @@
         if !lease || self.drain.is_some() {
             return;
         }
-        let deployments: Vec<_> = self.polls.keys().cloned().collect();
+        let deployments: Vec<_> = self.listings.keys().cloned().collect();
         for deployment in deployments {
             self.start_in(&deployment);
         }
--- a/components/control/tests/job_dispatch.rs
+++ b/components/control/tests/job_dispatch.rs
@@ -309,3 +309,41 @@
     expect_that!(world.store.reads - reads, le(3 * 31));
     expect_that!(world.store.writes - writes, le(3 * 11));
 }
+
+/// Many daemons that get streams at the same moment must not spend the writes of the table on
+/// conflicts: it takes several hundred a second.
+#[gtest]
+fn many_daemons() {
+    const DAEMONS: u32 = 60;
+    let mut world = World::new(DAEMONS as usize);
+    world.store.add_job(DAEMONS * 16, 16);
+    for index in 0..20 {
+        world.store.add(&format!("other-{index}"), "himal", 9_000_000_000 + index, 64, 16);
+    }
+    let start = world.now;
+    let mut rounds = 0;
+    while world.store.job().state == State::Open {
+        // Calls of the daemons interleave: one of each daemon in each round of 10 ms.
+        for daemon in 0..DAEMONS as usize {
+            world.deliver(daemon, 0, Fate::Answered);
+        }
+        if rounds % 10 == 0 {
+            for daemon in 0..DAEMONS as usize {
+                while !world.process(daemon).runs.is_empty() {
+                    world.end(daemon, 0, End::Answered(8));
+                }
+            }
+            world.advance(Duration::from_millis(100));
+        }
+        rounds += 1;
+        assert!(rounds < 20_000, "the job came to no end");
+    }
+    let seconds = world.now.since(start).as_secs_f64();
+    let (writes, reads) = (world.store.writes, world.store.reads);
+    let (chunks, conflicts) = (world.store.chunks().len(), world.store.conflicts);
+    println!("{chunks} chunks of the job: {writes} writes, {conflicts} conflicts, {reads} reads");
+    println!("in {seconds:.1} s");
+    expect_that!(writes as f64 / seconds, le(300.0));
+    expect_that!(reads as f64 / seconds, le(2_000.0));
+    expect_that!(world.store.results(), len(eq(960)));
+}
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -29,6 +29,7 @@
     pub objects: BTreeMap<String, Vec<(u32, bool)>>,
     pub reads: u64,
     pub writes: u64,
+    pub conflicts: u64,
     version: u64,
 }
 
@@ -58,6 +59,10 @@
         let failed = transaction.conditions.iter().filter(|(key, wanted)| version(key) != **wanted);
         let failed: Vec<_> = failed.map(|(key, _)| self.rows.get(key).cloned()).collect();
         if !failed.is_empty() {
+            self.conflicts += 1;
+            if std::env::var("DBG").is_ok() {
+                println!("{:?}", transaction.conditions);
+            }
             return Reply::Conflict(failed);
         }
         let mut versions = BTreeMap::new();
