Write every declared event and metric

Cause: events 106, 603, 700 to 707, 800, 801 and 900 and eleven metrics were declared and documented, but no code wrote them.

Change: the dispatcher of batch jobs reports claims, takeovers, commits, lost chunks and completed jobs through a new action Note; acceptance and cancellation say whether this call created or ended the job; claims report those buried for a holder that is gone; the traffic state machine has a summary of each deployment with queue, retry budget and denied retries. The daemon turns them into events and metrics; components/control stays free of logging. The texts of claims_total and batch_pauses_total state their outcomes more exactly.

--- a/components/control/src/claim/mod.rs
+++ b/components/control/src/claim/mod.rs
@@ -161,6 +161,11 @@
         /// The answer.
         begun: Begun,
     },
+    /// A claim whose holder is gone ended as `outcome_unknown`; for logs and metrics only.
+    Buried {
+        /// Key of the row.
+        key: String,
+    },
     /// The outcome of a request is in the table, or nobody needs it there any more.
     Recorded {
         /// Key of the row.
--- a/components/control/src/claim/resolve.rs
+++ b/components/control/src/claim/resolve.rs
@@ -114,7 +114,10 @@
         match &entry.phase {
             Phase::Claim => self.grant(key),
             Phase::Record(_) => self.recorded(key),
-            Phase::Bury { .. } => self.tell(key, &Begun::OutcomeUnknown),
+            Phase::Bury { .. } => {
+                self.actions.push(Action::Buried { key: key.to_owned() });
+                self.tell(key, &Begun::OutcomeUnknown);
+            }
             // The write in flight was the claim when it was given up, or it was the deletion.
             Phase::GiveUp if entry.row.is_some() => {}
             Phase::GiveUp => self.deleted(key),
--- a/components/control/src/job/acceptance.rs
+++ b/components/control/src/job/acceptance.rs
@@ -58,6 +58,8 @@
         id: String,
         /// Its row.
         job: Job,
+        /// Whether this submission created it; after a lost reply a concurrent one may have.
+        created: bool,
     },
     /// The key belongs to a job with other content.
     Conflict,
@@ -141,7 +143,10 @@
         match known {
             Some(known) if known.digest != self.offer.digest => Action::Answer(Accepted::Conflict),
             Some(_) => match rows.get(&job).and_then(Row::decode::<Job>) {
-                Some(row) => Action::Answer(Accepted::Job { id: self.offer.id.clone(), job: row }),
+                Some(job) => {
+                    let (id, created) = (self.offer.id.clone(), self.uncertain);
+                    Action::Answer(Accepted::Job { id, job, created })
+                }
                 // The same digest gives the same identifier, so the job's row must exist.
                 None => Action::Answer(Accepted::Conflict),
             },
@@ -173,7 +178,7 @@
 
     fn accepted(&self) -> Action {
         let Offer { id, job, .. } = &self.offer;
-        Action::Answer(Accepted::Job { id: id.clone(), job: job.clone() })
+        Action::Answer(Accepted::Job { id: id.clone(), job: job.clone(), created: true })
     }
 
     fn wait(&self, now: Time) -> Action {
--- a/components/control/src/job/cancellation.rs
+++ b/components/control/src/job/cancellation.rs
@@ -33,7 +33,10 @@
 /// Result of a cancellation.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ended {
-    /// The job's final row: cancelled, or completed before.
+    /// This cancellation ended the job, whose final row this is; after a lost reply a concurrent
+    /// one may have.
+    Cancelled(Job),
+    /// The final row of a job that had ended before.
     Job(Job),
     /// The client has no such job.
     NotFound,
@@ -67,7 +70,7 @@
     pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
         let action = match (self.writing.take(), input) {
             (_, Input::Start | Input::Waited) => self.read(),
-            (Some(job), Input::Reply(Reply::Done(_))) => Action::Answer(Ended::Job(job)),
+            (Some(job), Input::Reply(Reply::Done(_))) => Action::Answer(Ended::Cancelled(job)),
             (_, Input::Reply(Reply::Rows(rows) | Reply::Conflict(rows))) => self.decide(rows),
             (_, Input::Reply(Reply::Unknown)) => {
                 self.uncertain = true;
@@ -90,6 +93,9 @@
         if job.client != self.client {
             return Action::Answer(Ended::NotFound);
         }
+        if job.state == State::Cancelled && self.uncertain {
+            return Action::Answer(Ended::Cancelled(job));
+        }
         if job.state != State::Open {
             return Action::Answer(Ended::Job(job));
         }
--- a/components/control/src/job/dispatch/claim.rs
+++ b/components/control/src/job/dispatch/claim.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    BACKOFF_MIN, ChunkId, Dispatch, Pending,
+    BACKOFF_MIN, ChunkId, Dispatch, Note, Pending,
     chunk::{Cut, Held},
 };
 use crate::{
@@ -382,16 +382,20 @@
                 let service = items.len() as f64 / f64::from(weight);
                 *self.service.entry(job.client.clone()).or_default() += service;
                 self.set_job(&id.job, job, job_version);
+                self.note(Note::Claimed { chunk: id.clone(), fence: row.fence });
                 self.hold(id, version, row, items);
             }
             Kind::Takeover => {
-                self.suspects.remove(&id);
+                let suspect = self.suspects.remove(&id);
+                let holder = suspect.map(|suspect| suspect.row.holder).unwrap_or_default();
+                self.note(Note::TakenOver { chunk: id.clone(), fence: row.fence, holder });
                 let job = self.views.get(&id.job).map(|view| view.row.items_of(id.number));
                 let items = row.items.clone().or(job).unwrap_or_default();
                 self.hold(id, version, row, items);
             }
             Kind::Mark => self.marked(&id, version, row),
             Kind::Commit { cut, job, rest } => {
+                self.note_commit(&id, &cut, &job);
                 self.set_job(&id.job, job, job_version);
                 let rest = rest.map(|(id, row)| {
                     let version = versions.get(&id.key()).copied().unwrap_or_default();
--- a/components/control/src/job/dispatch/commit.rs
+++ b/components/control/src/job/dispatch/commit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Action, ChunkId, Dispatch,
+    Action, ChunkId, Dispatch, Note,
     chunk::{Cut, Held, Phase},
     claim::{Kind, Write},
 };
@@ -170,6 +170,19 @@
         (ChunkId { job: id.job.clone(), number }, row)
     }
 
+    /// Reports a transaction that took effect and left the job's row like this.
+    pub(super) fn note_commit(&mut self, id: &ChunkId, cut: &Cut, job: &Job) {
+        if let Some(held) = self.held.get(id).filter(|_| !cut.items.is_empty()) {
+            let (succeeded, failed) = held.counts(&cut.items);
+            let deployment = job.deployment.clone();
+            self.note(Note::Committed { chunk: id.clone(), deployment, succeeded, failed });
+        }
+        if job.state == State::Completed {
+            let Job { succeeded, failed, .. } = *job;
+            self.note(Note::Completed { job: id.job.clone(), succeeded, failed });
+        }
+    }
+
     /// Ends a chunk whose transaction took effect; unfinished items go on under the new chunk.
     pub(super) fn committed(
         &mut self,
--- a/components/control/src/job/dispatch/message.rs
+++ b/components/control/src/job/dispatch/message.rs
@@ -210,4 +210,52 @@
     },
     /// All work is committed or handed back.
     Drained,
+    /// A transaction took effect or was lost; for logs and metrics only.
+    Note(Note),
+}
+
+/// What happened to a chunk or a job, for logs and metrics.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// This daemon claimed a chunk.
+    Claimed {
+        /// The chunk.
+        chunk: ChunkId,
+        /// Its fencing token.
+        fence: u64,
+    },
+    /// This daemon took over a chunk.
+    TakenOver {
+        /// The chunk.
+        chunk: ChunkId,
+        /// Its fencing token.
+        fence: u64,
+        /// Daemon that held it before.
+        holder: String,
+    },
+    /// Results of a chunk are in the table.
+    Committed {
+        /// The chunk.
+        chunk: ChunkId,
+        /// Deployment of the job.
+        deployment: String,
+        /// Items with an answer.
+        succeeded: u32,
+        /// Items that ended as failed.
+        failed: u32,
+    },
+    /// This daemon gave up a chunk that another daemon holds or whose job has ended.
+    Lost {
+        /// The chunk.
+        chunk: ChunkId,
+    },
+    /// Every item of a job has a result.
+    Completed {
+        /// The job.
+        job: String,
+        /// Items with an answer.
+        succeeded: u32,
+        /// Items that ended as failed.
+        failed: u32,
+    },
 }
--- a/components/control/src/job/dispatch/mod.rs
+++ b/components/control/src/job/dispatch/mod.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-pub use self::message::{Action, ChunkId, End, Input, Run, RunId, Settings};
+pub use self::message::{Action, ChunkId, End, Input, Note, Run, RunId, Settings};
 use self::{
     chunk::Held,
     claim::Write,
@@ -175,6 +175,13 @@
         self.held.contains_key(chunk)
     }
 
+    /// Attempts charged to an item of a held chunk.
+    pub fn attempts(&self, job: &str, item: u32) -> Option<u32> {
+        let first = ChunkId { job: job.to_owned(), number: 0 };
+        let held = self.held.range(first..).take_while(|(id, _)| id.job == job);
+        held.filter_map(|(_, held)| held.items.get(&item)).map(|item| item.attempts).next()
+    }
+
     /// Items that run now.
     pub fn running(&self) -> usize {
         self.runs.len()
@@ -288,6 +295,11 @@
         }
         let items = held.items.keys().copied().collect();
         self.actions.push(Action::Forget { job: id.job.clone(), items });
+        self.note(Note::Lost { chunk: id.clone() });
+    }
+
+    fn note(&mut self, note: Note) {
+        self.actions.push(Action::Note(note));
     }
 
     /// Decides what to do after each input.
--- a/components/control/src/retry.rs
+++ b/components/control/src/retry.rs
@@ -27,12 +27,13 @@
     share: f64,
     level: f64,
     seen: Time,
+    denied: u64,
 }
 
 impl Budget {
     /// A budget that earns `share` of an attempt with each success.
     pub const fn new(share: f64) -> Self {
-        Self { share, level: FIRST, seen: Time(0) }
+        Self { share, level: FIRST, seen: Time(0), denied: 0 }
     }
 
     /// Notes a success.
@@ -47,7 +48,19 @@
         if self.level < FIRST && self.share > 0.0 {
             self.level = (self.level + earned).min(FIRST);
         }
-        self.take(1.0)
+        let enough = self.take(1.0);
+        self.denied += u64::from(!enough);
+        enough
+    }
+
+    /// Attempts that may be spent now.
+    pub const fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Retries that were not made because the budget was exhausted.
+    pub const fn denied(&self) -> u64 {
+        self.denied
     }
 
     /// Takes an attempt for a hedge; `stuck` when the request waits for longer than the usual
--- a/components/control/src/traffic/machine.rs
+++ b/components/control/src/traffic/machine.rs
@@ -17,7 +17,7 @@
         message::{Action, AttemptId, Demand, Input, Load, RequestId, Settings},
         node::Node,
         pool::{Pool, PoolKey},
-        status::{State, Status},
+        status::{State, Status, Summary},
     },
 };
 
@@ -146,6 +146,22 @@
         entries
     }
 
+    /// The deployments in order of name.
+    pub fn summaries(&self) -> Vec<Summary> {
+        let pools = self.pool_names.iter();
+        pools
+            .filter_map(|(deployment, &key)| {
+                let pool = self.pools.get(key)?;
+                Some(Summary {
+                    deployment: deployment.clone(),
+                    queued: pool.queue.len(),
+                    retry_budget: pool.budget.level(),
+                    retries_denied: pool.budget.denied(),
+                })
+            })
+            .collect()
+    }
+
     /// The upstreams in order of name.
     pub fn status(&self) -> Vec<Status> {
         let keys = self.fleet.by_name.values();
--- a/components/control/src/traffic/mod.rs
+++ b/components/control/src/traffic/mod.rs
@@ -21,5 +21,5 @@
         Action, Attempt, AttemptId, Demand, Input, Load, Outcome, Refusal, Request, RequestId,
         Settings,
     },
-    status::{State, Status},
+    status::{State, Status, Summary},
 };
--- a/components/control/src/traffic/status.rs
+++ b/components/control/src/traffic/status.rs
@@ -48,3 +48,16 @@
     /// Smoothed time to first token in milliseconds; zero before the first sample.
     pub first_token_ms: f64,
 }
+
+/// One deployment as this daemon sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Summary {
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Online requests that wait for an upstream.
+    pub queued: usize,
+    /// Attempts that retries and hedges may still spend.
+    pub retry_budget: f64,
+    /// Retries that were not made because the budget was exhausted.
+    pub retries_denied: u64,
+}
--- a/components/control/tests/claim_schedule.rs
+++ b/components/control/tests/claim_schedule.rs
@@ -123,7 +123,7 @@
                         | Begun::Refused => {}
                     }
                 }
-                Action::Recorded { .. } => {}
+                Action::Recorded { .. } | Action::Buried { .. } => {}
             }
         }
     }
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -323,6 +323,7 @@
                     process.results.retain(|(of, item), _| *of != job || !items.contains(item));
                 }
                 Action::Drained => process.drained = true,
+                Action::Note(_) => {}
             }
         }
     }
--- a/components/daemon/src/batch/dispatcher.rs
+++ b/components/daemon/src/batch/dispatcher.rs
@@ -10,6 +10,7 @@
 };
 use cyclamengrade_platform::{Objects, Table};
 use cyclamengrade_settings as settings;
+use cyclamengrade_telemetry::event;
 use kameo::{
     Actor,
     actor::{ActorRef, Spawn},
@@ -25,6 +26,7 @@
 
 use super::{
     input::Reader,
+    reports::{self, Limits},
     runner::{Call, End, Finish, Runner, Transcript},
     work::Work,
 };
@@ -80,6 +82,7 @@
     own: ActorRef<Self>,
     machine: Dispatch,
     work: Work,
+    limits: Limits,
     reader: Arc<Reader>,
     runs: BTreeMap<RunId, Open>,
     drained: Vec<oneshot::Sender<()>>,
@@ -159,9 +162,13 @@
             Action::Load { chunk, items } => self.load(chunk, items),
             Action::Start(run) => self.begin(run),
             Action::Stop { run, keep } => self.stop(run, keep),
-            Action::Fail { job, item, reason } => self.work.fail(&job, item, reason),
+            Action::Fail { job, item, reason } => {
+                self.work.fail(&job, item, reason);
+                reports::failed(&job, item, self.attempts(&job, item), reason);
+            }
             Action::Store { chunk, key, items } => self.store(chunk, key, &items),
             Action::Forget { job, items } => self.work.forget(&job, &items),
+            Action::Note(note) => reports::note(&note),
             Action::Drained => self.drained.drain(..).for_each(|done| {
                 // The caller may have given up waiting.
                 let _ = done.send(());
@@ -169,6 +176,10 @@
         }
     }
 
+    fn attempts(&self, job: &str, item: u32) -> u32 {
+        self.machine.attempts(job, item).unwrap_or_default()
+    }
+
     fn call(&self, call: CallId, request: calls::Call) {
         let (table, own) = (self.parts.table.clone(), self.own.clone());
         let sent = self.parts.clock.now();
@@ -211,6 +222,7 @@
     fn begin(&mut self, run: Run) {
         let (id, upstream) = (run.id, run.upstream.clone());
         (self.parts.notify)(traffic::Input::BatchStarted { upstream });
+        reports::opened(&run.deployment);
         let Some((call, transcript)) = self.prepare(&run) else {
             let finish = Finish { end: End::NotRun, first_token: None, between_tokens: None };
             let transcript = Transcript::default();
@@ -226,7 +238,10 @@
                 Ok(finish) => finish,
                 Err(error) if error.is_cancelled() => return,
                 // The runner panicked, which is charged to the item.
-                Err(_) => Finish { end: End::Failed, first_token: None, between_tokens: None },
+                Err(error) => {
+                    event!(InternalFault, error:% = error);
+                    Finish { end: End::Failed, first_token: None, between_tokens: None }
+                }
             };
             report(&own, Report::Finished { run: id, finish });
         });
@@ -257,7 +272,12 @@
     fn stop(&mut self, id: RunId, keep: bool) {
         let Some(Open { run, transcript, task }) = self.runs.remove(&id) else { return };
         task.abort();
+        reports::closed(&run.deployment);
         if keep {
+            // A graceful shutdown stops runs too, but not for other work.
+            if self.drained.is_empty() {
+                reports::paused(&run.deployment);
+            }
             self.work.keep(&run.job, run.item, transcript.snapshot());
         }
         (self.parts.notify)(traffic::Input::BatchEnded {
@@ -270,6 +290,7 @@
 
     fn finished(&mut self, id: RunId, finish: Finish) {
         let Some(Open { run, transcript, .. }) = self.runs.remove(&id) else { return };
+        reports::closed(&run.deployment);
         let (tokens, text) = transcript.snapshot();
         let (end, outcome) = match finish.end {
             End::Done => {
@@ -278,6 +299,8 @@
             }
             End::Rejected(reason) => {
                 self.work.fail(&run.job, run.item, &reason);
+                let attempts = self.attempts(&run.job, run.item) + 1;
+                reports::failed(&run.job, run.item, attempts, &reason);
                 (dispatch::End::Rejected(reason.len() as u64), Outcome::Done)
             }
             End::NotRun => (dispatch::End::NotRun, Outcome::NotRun),
@@ -348,6 +371,7 @@
             own,
             machine,
             work: Work::default(),
+            limits: Limits::default(),
             reader: Arc::default(),
             runs: BTreeMap::new(),
             drained: Vec::new(),
@@ -380,6 +404,7 @@
     type Reply = ();
 
     async fn handle(&mut self, limit: BatchLimit, _: &mut Context<Self, ()>) {
+        self.limits.set(&limit);
         let BatchLimit { upstream, deployment, streams } = limit;
         self.handle_input(dispatch::Input::Limit { upstream, deployment, streams });
     }
--- a/components/daemon/src/batch/jobs.rs
+++ b/components/daemon/src/batch/jobs.rs
@@ -19,6 +19,7 @@
 };
 use cyclamengrade_platform::{Objects, Table};
 use cyclamengrade_settings::Limits;
+use cyclamengrade_telemetry::event;
 use futures_util::{StreamExt, TryStreamExt, stream};
 use tokio::{
     sync::{mpsc, watch},
@@ -27,7 +28,7 @@
 
 use super::{
     input::{self, Checked},
-    results,
+    reports, results,
 };
 use crate::{
     node::{Accepted as Configuration, Clock, Node},
@@ -81,10 +82,12 @@
         self.check_target(&submission)?;
         let (body, deployment) = (submission.input.clone(), submission.deployment.clone());
         let limit = self.limits.batch_items;
-        let checked =
-            task::spawn_blocking(move || input::check(&body, &deployment, limit)).await.map_err(
-                |error| Failure::not_run(Kind::Internal, format!("checking failed: {error}")),
-            )??;
+        let checked = task::spawn_blocking(move || input::check(&body, &deployment, limit))
+            .await
+            .map_err(|error| {
+                event!(InternalFault, error:% = error);
+                Failure::not_run(Kind::Internal, format!("checking failed: {error}"))
+            })??;
         let offer = self.offer(submission, &checked);
         let id = offer.id.clone();
         let mut machine = Acceptance::new(offer, self.clock.now() + PATIENCE);
@@ -228,7 +231,12 @@
 
 fn answer(accepted: Accepted) -> Result<Job, Failure> {
     match accepted {
-        Accepted::Job { id, job } => Ok(show(&id, &job)),
+        Accepted::Job { id, job, created } => {
+            if created {
+                reports::accepted(&id, &job);
+            }
+            Ok(show(&id, &job))
+        }
         Accepted::Conflict => Err(Failure::not_run(
             Kind::Conflict,
             "the key belongs to a job with other content; use another Idempotency-Key",
@@ -246,6 +254,10 @@
 
 fn cancelled(id: &str, ended: Ended) -> Result<Job, Failure> {
     match ended {
+        Ended::Cancelled(job) => {
+            reports::cancelled(id, &job);
+            Ok(show(id, &job))
+        }
         Ended::Job(job) => Ok(show(id, &job)),
         Ended::NotFound => Err(not_found(id)),
         Ended::Refused => Err(unavailable(Failure::not_run(
--- a/components/daemon/src/batch/mod.rs
+++ b/components/daemon/src/batch/mod.rs
@@ -6,6 +6,7 @@
 mod dispatcher;
 mod input;
 mod jobs;
+mod reports;
 mod results;
 mod runner;
 mod work;
--- /dev/null
+++ b/components/daemon/src/batch/reports.rs
@@ -0,0 +1,114 @@
+//! Events and metrics of the batch work.
+
+use std::collections::BTreeMap;
+
+use cyclamengrade_control::job::{self, dispatch::Note};
+use cyclamengrade_telemetry::{
+    event,
+    metrics::{BATCH_ITEMS, BATCH_PAUSES, BATCH_STREAM_LIMIT, BATCH_STREAMS, CHUNKS, JOBS},
+};
+use metrics::{counter, gauge};
+
+use super::BatchLimit;
+
+/// Batch streams that this daemon may hold open.
+#[derive(Debug, Default)]
+pub(super) struct Limits {
+    /// Streams by deployment and upstream.
+    streams: BTreeMap<String, BTreeMap<String, u32>>,
+}
+
+impl Limits {
+    /// Takes the limit of one upstream.
+    pub fn set(&mut self, limit: &BatchLimit) {
+        let BatchLimit { upstream, deployment, streams } = limit;
+        let upstreams = self.streams.entry(deployment.clone()).or_default();
+        if *streams == 0 {
+            upstreams.remove(upstream);
+        } else {
+            upstreams.insert(upstream.clone(), *streams);
+        }
+        let sum = upstreams.values().map(|streams| f64::from(*streams)).sum::<f64>();
+        gauge!(BATCH_STREAM_LIMIT, "deployment" => deployment.clone()).set(sum);
+    }
+}
+
+/// Counts a batch stream that was opened.
+pub(super) fn opened(deployment: &str) {
+    gauge!(BATCH_STREAMS, "deployment" => deployment.to_owned()).increment(1.0);
+}
+
+/// Counts a batch stream that was closed.
+pub(super) fn closed(deployment: &str) {
+    gauge!(BATCH_STREAMS, "deployment" => deployment.to_owned()).decrement(1.0);
+}
+
+/// Counts a batch stream that was paused.
+pub(super) fn paused(deployment: &str) {
+    counter!(BATCH_PAUSES, "deployment" => deployment.to_owned()).increment(1);
+}
+
+/// Reports an item that ended as failed.
+pub(super) fn failed(job: &str, item: u32, attempts: u32, error: &str) {
+    event!(ItemFailed, job = job, item = item, attempts = attempts, error = error);
+}
+
+/// Reports what happened to a chunk or a job.
+pub(super) fn note(note: &Note) {
+    match note {
+        Note::Claimed { chunk, fence } => {
+            count_chunk("claimed");
+            event!(ChunkClaimed, job = chunk.job.as_str(), chunk = chunk.number, fence = *fence);
+        }
+        Note::TakenOver { chunk, fence, holder } => {
+            count_chunk("taken_over");
+            event!(
+                ChunkTakenOver,
+                job = chunk.job.as_str(),
+                chunk = chunk.number,
+                fence = *fence,
+                holder = holder.as_str()
+            );
+        }
+        Note::Committed { chunk, deployment, succeeded, failed } => {
+            count_chunk("committed");
+            event!(ChunkCommitted, job = chunk.job.as_str(), chunk = chunk.number);
+            count_items(deployment, "succeeded", *succeeded);
+            count_items(deployment, "failed", *failed);
+        }
+        Note::Lost { chunk } => {
+            count_chunk("lost");
+            event!(ChunkCommitLost, job = chunk.job.as_str(), chunk = chunk.number);
+        }
+        Note::Completed { job, succeeded, failed } => {
+            count_job("completed");
+            event!(JobCompleted, job = job.as_str(), succeeded = *succeeded, failed = *failed);
+        }
+    }
+}
+
+/// Reports a job that this daemon accepted.
+pub(super) fn accepted(id: &str, job: &job::Job) {
+    count_job("accepted");
+    let (client, deployment) = (job.client.as_str(), job.deployment.as_str());
+    event!(JobAccepted, job = id, client = client, deployment = deployment, items = job.items);
+}
+
+/// Reports a job that this daemon cancelled.
+pub(super) fn cancelled(id: &str, job: &job::Job) {
+    count_job("cancelled");
+    event!(JobCancelled, job = id, client = job.client.as_str());
+}
+
+fn count_chunk(outcome: &'static str) {
+    counter!(CHUNKS, "outcome" => outcome).increment(1);
+}
+
+fn count_items(deployment: &str, outcome: &'static str, items: u32) {
+    counter!(BATCH_ITEMS, "deployment" => deployment.to_owned(), "outcome" => outcome)
+        .increment(items.into());
+}
+
+fn count_job(state: &'static str) {
+    counter!(JOBS, "state" => state).increment(1);
+}
--- a/components/daemon/src/batch/results.rs
+++ b/components/daemon/src/batch/results.rs
@@ -9,6 +9,7 @@
     store::{Call, Reply},
 };
 use cyclamengrade_platform::{Objects, Table};
+use cyclamengrade_telemetry::event;
 use futures_util::{StreamExt, stream};
 use tokio::sync::mpsc;
 
@@ -114,7 +115,9 @@
         match self.objects.get(key.clone()).await {
             Ok(Some(content)) => Ok(content),
             Ok(None) => {
-                Err(Failure::ran(Kind::Internal, format!("the result object {key:?} is missing")))
+                let message = format!("the result object {key:?} is missing");
+                event!(InternalFault, error = message.as_str());
+                Err(Failure::ran(Kind::Internal, message))
             }
             Err(error) => Err(Failure::ran(
                 Kind::Unavailable,
--- a/components/daemon/src/claims/mod.rs
+++ b/components/daemon/src/claims/mod.rs
@@ -10,7 +10,9 @@
 use cyclamengrade_control::claim::{self, Outcome};
 use cyclamengrade_platform::{Objects, Table};
 use cyclamengrade_settings as settings;
+use cyclamengrade_telemetry::{event, metrics::CLAIMS};
 use kameo::actor::ActorRef;
+use metrics::counter;
 use tokio::{
     sync::{oneshot, watch},
     time::timeout,
@@ -136,14 +138,28 @@
                 self.finish(Ticket { key }, End::NotRun).await;
                 Begun::Refused
             }
-            Ok(claim::Begun::Done(answer)) => match body::read(&*self.objects, answer).await {
+            Ok(begun) => self.repeated(begun).await,
+            Err(_) => Begun::Refused,
+        }
+    }
+
+    /// The answer to a request that may not run because of an earlier one with its key.
+    async fn repeated(&self, begun: claim::Begun) -> Begun {
+        if matches!(
+            begun,
+            claim::Begun::Done(_) | claim::Begun::InProgress | claim::Begun::OutcomeUnknown
+        ) {
+            count("repeated");
+        }
+        match begun {
+            claim::Begun::Done(answer) => match body::read(&*self.objects, answer).await {
                 Some(answer) => Begun::Done(answer),
                 None => Begun::Refused,
             },
-            Ok(claim::Begun::InProgress) => Begun::InProgress,
-            Ok(claim::Begun::OutcomeUnknown) => Begun::OutcomeUnknown,
-            Ok(claim::Begun::Conflict) => Begun::Conflict,
-            Ok(claim::Begun::Refused) | Err(_) => Begun::Refused,
+            claim::Begun::InProgress => Begun::InProgress,
+            claim::Begun::OutcomeUnknown => Begun::OutcomeUnknown,
+            claim::Begun::Conflict => Begun::Conflict,
+            claim::Begun::Run { .. } | claim::Begun::Refused => Begun::Refused,
         }
     }
 
@@ -161,6 +177,11 @@
             End::NotRun => Outcome::NotRun,
             End::Unknown => Outcome::Unknown,
         };
+        match outcome {
+            Outcome::Done(_) => count("ok"),
+            Outcome::NotRun => count("failed"),
+            Outcome::Unknown => report_unknown(&ticket.key),
+        }
         let (recorded, wait) = oneshot::channel();
         let finish = Finish { key: ticket.key, outcome, recorded };
         if self.recorder.tell(finish).send().await.is_ok() {
@@ -170,6 +191,18 @@
     }
 }
 
+fn count(outcome: &'static str) {
+    counter!(CLAIMS, "outcome" => outcome).increment(1);
+}
+
+/// Reports a claim that ended without a known outcome.
+fn report_unknown(key: &str) {
+    count("outcome_unknown");
+    let name = key.strip_prefix("claim/").unwrap_or(key);
+    let (client, key) = name.split_once('/').unwrap_or(("", name));
+    event!(ClaimOutcomeUnknown, client = client, key = key);
+}
+
 impl online::Claims for Claims {
     fn begin(&self, client: String, key: String, digest: String) -> Boxed<online::Begin> {
         let claims = self.clone();
--- a/components/daemon/src/claims/recorder.rs
+++ b/components/daemon/src/claims/recorder.rs
@@ -91,6 +91,7 @@
                     });
                 }
                 Action::Answer { id, begun } => self.answer(id, begun),
+                Action::Buried { key } => super::report_unknown(&key),
                 Action::Recorded { key } => {
                     if let Some(recorded) = self.recording.remove(&key) {
                         // The caller waits for a bounded time only.
--- a/components/daemon/src/lease/mod.rs
+++ b/components/daemon/src/lease/mod.rs
@@ -1,5 +1,7 @@
 //! Keeps the daemon's lease.
 
+mod reports;
+
 use std::{
     collections::hash_map::RandomState,
     hash::{BuildHasher, Hasher},
@@ -18,6 +20,7 @@
     time::{self, MissedTickBehavior},
 };
 
+use self::reports::Reports;
 use crate::{node::Clock, store};
 
 /// Time between two looks at the clock.
@@ -72,7 +75,8 @@
         };
         let (publish, state) = watch::channel(State::default());
         let (release, releasing) = watch::channel(false);
-        let machine = lease::Keeper::new(settings);
+        let length = settings.length;
+        let machine = (lease::Keeper::new(settings), length);
         tokio::spawn(keep(table, clock, machine, publish, releasing));
         Self { state, release }
     }
@@ -95,13 +99,14 @@
 async fn keep(
     table: Arc<dyn Table>,
     clock: Clock,
-    mut machine: lease::Keeper,
+    (mut machine, length): (lease::Keeper, Duration),
     publish: watch::Sender<State>,
     mut releasing: watch::Receiver<bool>,
 ) {
     let mut interval = time::interval(TICK);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut released = false;
+    let mut reports = Reports::new(length);
     loop {
         let mut input = tokio::select! {
             _ = interval.tick() => Input::Tick,
@@ -117,7 +122,9 @@
             return;
         }
         // Each input leads to at most one call, whose reply is the next input.
-        while let Some(next) = step(&*table, clock, &mut machine, &publish, input).await {
+        while let Some(next) =
+            step(&*table, clock, &mut machine, &publish, &mut reports, input).await
+        {
             input = next;
         }
         let state = *publish.borrow();
@@ -132,17 +139,28 @@
     clock: Clock,
     machine: &mut lease::Keeper,
     publish: &watch::Sender<State>,
+    reports: &mut Reports,
     input: Input,
 ) -> Option<Input> {
     let mut reply = None;
+    reports.check(clock.now());
     for action in machine.handle(clock.now(), input) {
         match action {
             Action::Call(call) => reply = Some(Input::Reply(store::call(table, call).await)),
-            Action::Held { epoch, until } => publish.send_modify(|state| {
-                *state = State { epoch: Some(epoch), until, ..State::default() };
-            }),
-            Action::Failing => publish.send_modify(|state| state.failing = true),
-            Action::Superseded => publish.send_modify(|state| state.superseded = true),
+            Action::Held { epoch, until } => {
+                reports.held(clock.now(), until);
+                publish.send_modify(|state| {
+                    *state = State { epoch: Some(epoch), until, ..State::default() };
+                });
+            }
+            Action::Failing => {
+                reports.failed();
+                publish.send_modify(|state| state.failing = true);
+            }
+            Action::Superseded => {
+                reports.lost(clock.now());
+                publish.send_modify(|state| state.superseded = true);
+            }
             Action::Released => publish.send_modify(|state| state.released = true),
         }
     }
--- a/components/daemon/src/online/actor.rs
+++ b/components/daemon/src/online/actor.rs
@@ -173,6 +173,7 @@
         if now.since(self.changes_at) >= CHANGES_PERIOD {
             self.changes_at = now;
             self.changes.report(self.machine.status());
+            self.changes.summarise(self.machine.summaries());
         }
     }
 }
--- a/components/daemon/src/online/changes.rs
+++ b/components/daemon/src/online/changes.rs
@@ -1,21 +1,23 @@
-//! Events and metrics of upstreams whose state changes.
+//! Events and metrics of upstreams whose state changes, and gauges of the deployments.
 
 use std::collections::BTreeMap;
 
-use cyclamengrade_control::traffic::{State, Status};
+use cyclamengrade_control::traffic::{State, Status, Summary};
 use cyclamengrade_telemetry::{
     event,
-    metrics::{EJECTIONS, UPSTREAMS},
+    metrics::{EJECTIONS, REQUESTS_QUEUED, RETRY_BUDGET, UPSTREAMS},
 };
 use metrics::{counter, gauge};
 
 const STATES: [State; 5] =
     [State::Ready, State::Loading, State::Ejected, State::Leaving, State::Unreachable];
 
-/// The upstreams as last reported.
+/// The upstreams and deployments as last reported.
 #[derive(Debug, Default)]
 pub(super) struct Changes {
     known: BTreeMap<String, (String, State)>,
+    /// Retries of each deployment that its budget denied, and whether that was reported.
+    denied: BTreeMap<String, (u64, bool)>,
 }
 
 impl Changes {
@@ -42,6 +44,30 @@
     }
 }
 
+impl Changes {
+    /// Sets the gauges of the deployments and reports budgets that denied retries since the last
+    /// call; once, until a period without such retries has passed.
+    pub fn summarise(&mut self, deployments: Vec<Summary>) {
+        let mut current = BTreeMap::new();
+        for Summary { deployment, queued, retry_budget, retries_denied } in deployments {
+            let label = || deployment.clone();
+            #[expect(clippy::cast_precision_loss, reason = "queues hold at most thousands")]
+            gauge!(REQUESTS_QUEUED, "deployment" => label()).set(queued as f64);
+            gauge!(RETRY_BUDGET, "deployment" => label()).set(retry_budget);
+            let (before, reported) = self.denied.remove(&deployment).unwrap_or_default();
+            let exhausted = retries_denied > before;
+            if exhausted && !reported {
+                event!(RetryBudgetExhausted, deployment = deployment.as_str());
+            }
+            current.insert(deployment, (retries_denied, exhausted));
+        }
+        for deployment in std::mem::replace(&mut self.denied, current).into_keys() {
+            gauge!(REQUESTS_QUEUED, "deployment" => deployment.clone()).set(0.0);
+            gauge!(RETRY_BUDGET, "deployment" => deployment).set(0.0);
+        }
+    }
+}
+
 fn changed(upstream: &str, deployment: &str, before: Option<State>, state: State) {
     if before.is_none() {
         event!(UpstreamAdded, upstream = upstream, deployment = deployment);
--- a/components/daemon/src/orders.rs
+++ b/components/daemon/src/orders.rs
@@ -7,9 +7,10 @@
     self as platform,
     table::{Commit, Transaction},
 };
-use cyclamengrade_telemetry::event;
+use cyclamengrade_telemetry::{event, metrics::ORDERS};
 use cyclamengrade_upstream::{Client, wire};
 use kameo::prelude::{Actor, ActorRef, Context, Message, Spawn};
+use metrics::counter;
 use serde_json::json;
 use tokio::sync::watch;
 
@@ -86,11 +87,13 @@
         if self.lease.borrow().held(self.node.clock.now()).is_none() {
             return;
         }
+        counter!(ORDERS, "outcome" => "sent").increment(1);
         event!(OrderSent, upstream = upstream.as_str(), fence = fence, wanted:? = models);
         let client = self.client.clone();
         self.node.traffic.spawn(async move {
             let result = client.order(address, fence, &wire::Order { models }).await;
             if let Err(error) = &result {
+                counter!(ORDERS, "outcome" => "refused").increment(1);
                 event!(OrderRefused, upstream = upstream.as_str(), fence = fence, error:% = error);
             }
             let accepted = result.is_ok();
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -93,7 +93,7 @@
     BATCH_STREAM_LIMIT "batch_stream_limit" Gauge Count "deployment"
         "Batch streams that this daemon may hold open.",
     BATCH_PAUSES "batch_pauses_total" Counter Count "deployment"
-        "Batch streams that were paused for online work.",
+        "Batch streams that were paused because the limit fell, as it does for online work.",
     BATCH_ITEMS "batch_items_total" Counter Count "deployment, outcome"
         "Batch items that ended, by outcome: succeeded or failed.",
     JOBS "jobs_total" Counter Count "state"
@@ -101,7 +101,8 @@
     CHUNKS "chunks_total" Counter Count "outcome"
         "Chunks by outcome: claimed, taken_over, committed, lost.",
     CLAIMS "claims_total" Counter Count "outcome"
-        "Claims of non-idempotent requests by outcome: ok, failed, outcome_unknown, repeated.",
+        "Claims of non-idempotent requests by outcome: ok, failed (did not run), outcome_unknown, \
+         repeated (met an earlier request with its key).",
     ORDERS "orders_total" Counter Count "outcome"
         "Orders to upstreams by outcome: sent, refused.",
     PLATFORM_CALLS "platform_calls_total" Counter Count "service, operation, outcome"
--- a/tests/telemetry_fleet.rs
+++ b/tests/telemetry_fleet.rs
@@ -9,7 +9,7 @@
 
 use cyclamengrade_standins::{
     client::Call,
-    fleet::{Completion, Fleet, Plan},
+    fleet::{Completion, Fleet, Job, JobState, Plan, items},
 };
 use cyclamengrade_telemetry::{event::Event, metrics};
 use googletest::prelude::*;
@@ -30,6 +30,23 @@
     names.filter(|name| !["", "le", "}"].contains(name) && !name.contains('}')).collect()
 }
 
+/// Runs one job to its end and cancels another one, both sent to the first daemon.
+async fn run_jobs(fleet: &Fleet) -> Result<()> {
+    let due = Duration::from_secs(600);
+    let reply = fleet.submit(0, "job-1", due, &items("a", 70, 3)).await.or_fail()?;
+    let job = reply.json::<Job>().or_fail()?;
+    fleet
+        .eventually("the end of the job", async || {
+            let job = fleet.job(0, &job.id).await.ok()?;
+            (job.state == JobState::Completed).then_some(())
+        })
+        .await
+        .or_fail()?;
+    let reply = fleet.submit(0, "job-2", due, &items("b", 70, 1_000)).await.or_fail()?;
+    let job = fleet.cancel(0, &reply.json::<Job>().or_fail()?.id).await.or_fail()?;
+    verify_that!(job.state, eq(JobState::Cancelled))
+}
+
 /// Guards against events with undeclared fields or numbers, against metrics with undeclared names
 /// or labels, and against lines that are no JSON.
 #[gtest]
@@ -41,10 +58,38 @@
     let answer = fleet.complete(0, &Completion::new("Label: wool", 8)).await.or_fail()?;
     expect_that!(answer.whole, eq(true));
     fleet.call_service(1, "key-1", Duration::from_secs(20)).await.or_fail()?;
-    fleet.kill_daemon(1).or_fail()?;
+    run_jobs(&fleet).await?;
 
-    let call = Call::get(fleet.daemons[0].address, "/metrics");
-    let text = fleet.client.send(call).await.or_fail()?.text();
+    // Gauges of the deployments are set every 2 s.
+    let text = fleet
+        .eventually("metrics with gauges of the deployments", async || {
+            let mut text = String::new();
+            for daemon in &fleet.daemons {
+                let call = Call::get(daemon.address, "/metrics");
+                text += &fleet.client.send(call).await.ok()?.text();
+            }
+            (text.contains("retry_budget{") && text.contains("lease_renewals_total{"))
+                .then_some(text)
+        })
+        .await
+        .or_fail()?;
+    fleet.kill_daemon(1).or_fail()?;
+    for series in [
+        "jobs_total{state=\"accepted\"} 2",
+        "jobs_total{state=\"completed\"} 1",
+        "jobs_total{state=\"cancelled\"} 1",
+        "chunks_total{outcome=\"claimed\"}",
+        "chunks_total{outcome=\"committed\"}",
+        "claims_total{outcome=\"ok\"} 1",
+        "lease_renewals_total{outcome=",
+        "batch_items_total{",
+        "batch_streams{",
+        "batch_stream_limit{",
+        "requests_queued{",
+        "retry_budget{",
+    ] {
+        expect_that!(text.lines().any(|line| line.starts_with(series)), eq(true), "{series}");
+    }
     let declared: BTreeMap<_, _> =
         metrics::ALL.iter().map(|metric| (metric.name, metric.labels)).collect();
     let mut seen = 0;
@@ -73,10 +118,14 @@
     for entry in fs::read_dir(fleet.folder()).or_fail()? {
         let path = entry.or_fail()?.path();
         let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
-        if !name.starts_with("entry-1") || !name.ends_with(".log") {
+        if !name.starts_with("entry-") || !name.ends_with(".log") {
             continue;
         }
-        for line in fs::read_to_string(path).or_fail()?.lines() {
+        let text = fs::read_to_string(path).or_fail()?;
+        // The last line of the killed daemon may be cut off.
+        let killed = name.starts_with("entry-2");
+        let end = if killed { text.rfind('\n').unwrap_or_default() } else { text.len() };
+        for line in text[..end].lines() {
             let value: Value = serde_json::from_str(line).or_fail()?;
             let Some(number) = value["event"].as_u64() else { continue };
             let event = Event::ALL.iter().find(|event| u64::from(event.number()) == number);
@@ -91,7 +140,18 @@
             }
         }
     }
-    for event in [Event::Starting, Event::Ready, Event::Leaving, Event::Stopped, Event::SpanEnded] {
+    for event in [
+        Event::Starting,
+        Event::Ready,
+        Event::Leaving,
+        Event::Stopped,
+        Event::JobAccepted,
+        Event::JobCompleted,
+        Event::JobCancelled,
+        Event::ChunkClaimed,
+        Event::ChunkCommitted,
+        Event::SpanEnded,
+    ] {
         expect_that!(numbers, contains(eq(&u64::from(event.number()))));
     }
     Ok(())
