--- /dev/null
+++ b/tests/claimed_calls.rs
@@ -0,0 +1,96 @@
+//! Non-idempotent calls run at most once.
+
+use std::time::{Duration, Instant};
+
+use cyclamengrade_standins::fleet::{Error, Scene};
+use googletest::prelude::*;
+use serde_json::json;
+
+/// A non-idempotent call whose daemon is paused must not run again at another daemon.
+#[gtest]
+#[tokio::test]
+async fn paused_claim() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    fleet.services[0].faults(&fleet.client, &json!({"slow_factor": 100.0})).await?;
+    let call = scene.ledger.call_service(fleet, 0, "artwork-1");
+    let resend = async {
+        let runs = "a run at the service";
+        fleet
+            .eventually(runs, async || {
+                let runs: serde_json::Value =
+                    fleet.services[0].read(&fleet.client, "/_runs").await.ok()?;
+                (runs["total"] == 1).then_some(())
+            })
+            .await?;
+        fleet.process(0)?.pause()?;
+        fleet.services[0].faults(&fleet.client, &json!({"slow_factor": 1.0})).await?;
+        // Longer than lease and margin together.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let resent = scene.ledger.call_service(fleet, 1, "artwork-1").await;
+        fleet.process(0)?.resume()?;
+        Ok::<_, Error>(resent)
+    };
+    let (_, resent) = tokio::join!(call, resend);
+    let resent = resent??;
+    expect_that!(resent.kind(), eq("outcome_unknown"));
+    expect_that!(resent.not_run(), is_false());
+    scene.verify(1).await.or_fail()
+}
+
+/// A non-idempotent call whose reply was lost must end as unknown and never run again, also when
+/// the caller resends it to another daemon.
+#[gtest]
+#[tokio::test]
+async fn printed_artwork() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    fleet.services[0].faults(&fleet.client, &json!({"lose_replies": 1})).await?;
+    let first = scene.ledger.call_service(fleet, 0, "artwork-1").await?;
+    expect_that!(first.kind(), eq("outcome_unknown"));
+    expect_that!(first.not_run(), is_false());
+    for daemon in [0, 1] {
+        let resent = scene.ledger.call_service(fleet, daemon, "artwork-1").await?;
+        expect_that!(resent.kind(), eq("outcome_unknown"));
+    }
+    scene.verify(1).await.or_fail()
+}
+
+/// An answer that was given must be given again for the same key, without a second run.
+#[gtest]
+#[tokio::test]
+async fn repeated_answer() -> Result<()> {
+    let scene = Scene::start().await?;
+    let first = scene.ledger.call_service(&scene.fleet, 0, "artwork-1").await?;
+    expect_that!(first.status, eq(200));
+    for daemon in [0, 1] {
+        let resent = scene.ledger.call_service(&scene.fleet, daemon, "artwork-1").await?;
+        expect_that!(resent.status, eq(200));
+        expect_that!(resent.body, eq(&first.body));
+    }
+    scene.verify(1).await.or_fail()
+}
+
+/// While the table is down no claim can be written, so the call must be refused at once as not
+/// run, and it must run after the outage.
+#[gtest]
+#[tokio::test]
+async fn refused_without_table() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    fleet.platform.faults(&fleet.client, &json!({"down": true, "parts": ["table"]})).await?;
+    let start = Instant::now();
+    let refused = scene.ledger.call_service(fleet, 1, "artwork-1").await?;
+    expect_that!(refused.not_run(), is_true());
+    expect_that!(refused.status, eq(503));
+    expect_that!(start.elapsed(), lt(Duration::from_secs(10)));
+    scene.verify(1).await?;
+    fleet.platform.faults(&fleet.client, &json!({"down": false, "parts": []})).await?;
+    fleet
+        .eventually("the printed artwork", async || {
+            let printed = scene.ledger.call_service(fleet, 1, "artwork-1").await.ok()?;
+            (printed.status == 200).then_some(())
+        })
+        .await?;
+    scene.verify(1).await.or_fail()
+}
