Keep the connections of each runtime apart

Cause: orders run on the control thread and share the client with the traffic threads, so pooled connections of one could be used by the other and their events be handled by the control thread. Change: idle connections are kept by runtime.

--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -21,7 +21,11 @@
     },
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    runtime::{self, Handle},
+    time::timeout,
+};
 
 use crate::{Error, Ran, wake::Wakeups};
 
@@ -61,6 +65,7 @@
 /// It has no task of its own: whoever waits for an answer drives it, which saves a change of
 /// tasks for each token.
 pub(crate) struct Connection {
+    runtime: runtime::Id,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     /// Absent once the connection is closed.
@@ -105,10 +110,14 @@
     }
 }
 
+/// Idle connections by runtime and address: the runtime that opened a connection waits for its
+/// events, so the control thread must not get the connections of the traffic threads.
+type Idle = HashMap<(runtime::Id, SocketAddr), Vec<Connection>>;
+
 /// Idle connections by address.
 pub(crate) struct Pool {
     pub(crate) options: Options,
-    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    idle: Mutex<Idle>,
     /// When idle connections were closed last.
     swept: Mutex<Instant>,
 }
@@ -151,8 +160,7 @@
 
     /// Closes the idle connections to an address.
     pub(crate) fn forget(&self, address: SocketAddr) {
-        let closed = self.idle().remove(&address);
-        drop(closed);
+        self.idle().retain(|(_, other), _| *other != address);
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
@@ -168,7 +176,8 @@
             .map_err(|cause| error(cause.to_string()))?;
         let driver = Some(Box::pin(driver));
         let wakeups = Wakeups::new();
-        Ok(Connection { address, sender, driver, wakeups, idle_since: Instant::now() })
+        let runtime = Handle::current().id();
+        Ok(Connection { runtime, address, sender, driver, wakeups, idle_since: Instant::now() })
     }
 
     fn lease(self: &Arc<Self>, connection: Connection) -> Lease {
@@ -177,14 +186,15 @@
 
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle();
-        let connections = idle.get_mut(&address)?;
+        let key = (Handle::current().id(), address);
+        let connections = idle.get_mut(&key)?;
         // The newest connection is the least likely to be closed by the server.
         while let Some(connection) = connections.pop() {
             if connection.idle_since.elapsed() < self.options.idle {
                 return Some(connection);
             }
         }
-        idle.remove(&address);
+        idle.remove(&key);
         None
     }
 
@@ -195,7 +205,8 @@
         let now = Instant::now();
         connection.idle_since = now;
         let mut idle = self.idle();
-        let connections = idle.entry(connection.address).or_default();
+        let key = (connection.runtime, connection.address);
+        let connections = idle.entry(key).or_default();
         if connections.len() < self.options.idle_connections {
             connections.push(connection);
         }
@@ -218,7 +229,7 @@
         });
     }
 
-    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+    fn idle(&self) -> MutexGuard<'_, Idle> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/components/upstream/tests/calls.rs
+++ b/components/upstream/tests/calls.rs
@@ -320,3 +320,26 @@
         }
     }
 }
+
+/// Guards against a connection of one runtime that is used by another, whose traffic the first one
+/// would then have to wait for.
+#[gtest]
+#[tokio::test]
+async fn two_runtimes() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+    let script = vec![vec![vec![OK], vec![OK]], vec![vec![OK], vec![OK]]];
+    let (address, mut requests) = server(script, true).await;
+    let client = client();
+    let other = client.clone();
+    let first = tokio::task::spawn_blocking(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(other.cancel(address, "s-1")).unwrap();
+        runtime
+    });
+    let first = first.await.unwrap();
+    expect_that!(client.cancel(address, "s-2").await, ok(anything()));
+    first.shutdown_background();
+    for connection in 0..2 {
+        expect_that!(requests.recv().await.unwrap().0, eq(connection));
+    }
+}
