Enforce the limit of open batch jobs

Cause: the limit open_jobs was accepted in the configuration but enforced nowhere.

Change: while it is configured, the acceptance transaction also writes one row for the open job and one guard row of the client at the deployment, on whose version it is conditional; the transactions that complete or cancel the job delete the former. A submission counts at most as many rows as the limit allows before it uploads the input, and is refused as `limited`, not_run, with a retry-after of 30 s. An index of rows with a guard was chosen over a counter row because completion and cancellation then need no read and no further condition. Jobs without a limit are stored as before.

--- a/components/control/src/job/acceptance.rs
+++ b/components/control/src/job/acceptance.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::row::{Job, KeyRow, job_key, key_key, open_key};
+use super::row::{Job, KeyRow, client_jobs_key, client_open_prefix, job_key, key_key};
 use crate::{
     store::{Call, Reply, Row, Transaction},
     time::Time,
@@ -19,6 +19,8 @@
     pub digest: String,
     /// The job's row.
     pub job: Job,
+    /// Most open jobs of the client at the deployment; set if and only if the row is `limited`.
+    pub open_jobs: Option<u32>,
 }
 
 /// What happened.
@@ -63,6 +65,8 @@
     },
     /// The key belongs to a job with other content.
     Conflict,
+    /// The client has as many open jobs as it may have; the job was certainly not accepted.
+    Limited,
     /// The platform is down and the job was certainly not accepted.
     Refused,
     /// The platform is down and whether the job was accepted is not known.
@@ -73,6 +77,10 @@
 enum Step {
     /// Reads the key's row.
     Looking,
+    /// Counts the open jobs of the client.
+    Counting,
+    /// Reads the key's row again, because there is no room for another job.
+    Refusing,
     /// Writes the input.
     Uploading,
     /// Creates the job.
@@ -89,32 +97,57 @@
     step: Step,
     /// Whether a transaction was sent whose outcome is not known.
     uncertain: bool,
+    uploaded: bool,
+    /// Version of the row that acceptances under a limit change, read before the count.
+    guard: u64,
+    /// Open jobs counted so far.
+    counted: u32,
 }
 
+/// Open jobs of a client in one read.
+const PAGE: u32 = 1_000;
+
 /// Time between two attempts while the platform is down.
 const RETRY: Duration = Duration::from_millis(200);
 
 impl Acceptance {
     /// A submission that is given up at `deadline`.
     pub const fn new(offer: Offer, deadline: Time) -> Self {
-        Self { offer, deadline, step: Step::Looking, uncertain: false }
+        Self {
+            offer,
+            deadline,
+            step: Step::Looking,
+            uncertain: false,
+            uploaded: false,
+            guard: 0,
+            counted: 0,
+        }
     }
 
     /// Handles an input.
     pub fn handle(&mut self, now: Time, input: Input) -> Vec<Action> {
         let action = match (self.step, input) {
             (_, Input::Start) => self.look(),
-            (Step::Looking, Input::Reply(Reply::Rows(rows))) => self.looked(rows),
-            (Step::Looking, Input::Waited) => self.look(),
-            (Step::Uploading, Input::Uploaded) => self.create(),
+            (Step::Looking | Step::Resolving | Step::Refusing, Input::Reply(Reply::Rows(rows))) => {
+                self.looked(rows)
+            }
+            (Step::Looking | Step::Counting | Step::Refusing, Input::Waited) => self.look(),
+            (Step::Counting, Input::Reply(Reply::Rows(rows))) => self.counted(rows),
+            (Step::Uploading, Input::Uploaded) => {
+                self.uploaded = true;
+                self.create()
+            }
             (Step::Uploading, Input::Waited) => Action::Upload,
             (Step::Creating, Input::Reply(Reply::Done(_))) => self.accepted(),
             (Step::Creating, Input::Reply(reply @ (Reply::Conflict(_) | Reply::Unknown))) => {
                 self.uncertain |= reply == Reply::Unknown;
+                // Other acceptances of the client may come first again and again.
+                if self.offer.open_jobs.is_some() && now >= self.deadline {
+                    return vec![Action::Answer(Accepted::Unknown)];
+                }
                 self.resolve()
             }
             (Step::Creating, Input::Waited) => self.create(),
-            (Step::Resolving, Input::Reply(Reply::Rows(rows))) => self.looked(rows),
             (Step::Resolving, Input::Waited) => self.resolve(),
             _ => self.wait(now),
         };
@@ -126,19 +159,59 @@
     }
 
     fn look(&mut self) -> Action {
-        self.step = Step::Looking;
-        Action::Call(Call::Read(self.keys().into()))
+        self.read(Step::Looking)
     }
 
     fn resolve(&mut self) -> Action {
-        self.step = Step::Resolving;
-        Action::Call(Call::Read(self.keys().into()))
+        self.read(Step::Resolving)
+    }
+
+    fn read(&mut self, step: Step) -> Action {
+        self.step = step;
+        let guard = self.offer.open_jobs.map(|_| self.guard_key());
+        Action::Call(Call::Read(self.keys().into_iter().chain(guard).collect()))
+    }
+
+    fn guard_key(&self) -> String {
+        client_jobs_key(&self.offer.job.client, &self.offer.job.deployment)
+    }
+
+    /// Reads the next page of the client's open jobs.
+    fn count(&mut self, limit: u32, after: String) -> Action {
+        self.step = Step::Counting;
+        let Job { client, deployment, .. } = &self.offer.job;
+        let prefix = client_open_prefix(client, deployment);
+        let limit = (limit - self.counted).min(PAGE) as usize;
+        Action::Call(Call::Scan { prefix, after, limit })
+    }
+
+    fn counted(&mut self, rows: Vec<Option<Row>>) -> Action {
+        let limit = self.offer.open_jobs.unwrap_or(u32::MAX);
+        let asked = (limit - self.counted).min(PAGE) as usize;
+        let full = rows.len() >= asked;
+        self.counted += u32::try_from(rows.len()).unwrap_or(u32::MAX).min(limit - self.counted);
+        match rows.into_iter().flatten().last() {
+            // The same submission to another daemon may be one of the jobs that were counted.
+            _ if self.counted >= limit => self.read(Step::Refusing),
+            Some(last) if full => self.count(limit, last.key),
+            _ => self.proceed(),
+        }
+    }
+
+    /// Goes on with a job that does not exist and for which there is room.
+    fn proceed(&mut self) -> Action {
+        if self.uploaded {
+            return self.create();
+        }
+        self.step = Step::Uploading;
+        Action::Upload
     }
 
     fn looked(&mut self, rows: Vec<Option<Row>>) -> Action {
         let rows: BTreeMap<_, _> =
             rows.into_iter().flatten().map(|row| (row.key.clone(), row)).collect();
         let [key, job] = self.keys();
+        self.guard = rows.get(&self.guard_key()).map_or(0, |row| row.version);
         let known = rows.get(&key).and_then(Row::decode::<KeyRow>);
         match known {
             Some(known) if known.digest != self.offer.digest => Action::Answer(Accepted::Conflict),
@@ -152,11 +225,18 @@
             },
             // A job's row without the key's row belongs to a colliding identifier.
             None if rows.contains_key(&job) => Action::Answer(Accepted::Conflict),
-            None if self.step == Step::Resolving => self.create(),
-            None => {
-                self.step = Step::Uploading;
-                Action::Upload
+            None if self.step == Step::Refusing => {
+                let unknown = self.uncertain;
+                Action::Answer(if unknown { Accepted::Unknown } else { Accepted::Limited })
             }
+            None => match self.offer.open_jobs {
+                Some(0) => self.read(Step::Refusing),
+                Some(limit) => {
+                    self.counted = 0;
+                    self.count(limit, String::new())
+                }
+                None => self.proceed(),
+            },
         }
     }
 
@@ -164,16 +244,20 @@
         self.step = Step::Creating;
         let [key, job] = self.keys();
         let Offer { id, digest, job: row, .. } = &self.offer;
-        let open = open_key(&row.deployment, row.due_unix_ms, id);
         let known = KeyRow { job: id.clone(), digest: digest.clone() };
-        Action::Call(Call::Commit(
-            Transaction::new()
-                .with_condition(&*key, 0)
-                .with_condition(&*job, 0)
-                .with_write(key, &known)
-                .with_write(job, row)
-                .with_write(open, &serde_json::Map::new()),
-        ))
+        let mut transaction = Transaction::new()
+            .with_condition(&*key, 0)
+            .with_condition(&*job, 0)
+            .with_write(key, &known)
+            .with_write(job, row);
+        for open in row.open_keys(id) {
+            transaction = transaction.with_write(open, &serde_json::Map::new());
+        }
+        if row.limited {
+            let guard = self.guard_key();
+            transaction = transaction.with_condition(&*guard, self.guard).with_write(guard, &known);
+        }
+        Action::Call(Call::Commit(transaction))
     }
 
     fn accepted(&self) -> Action {
--- a/components/control/src/job/cancellation.rs
+++ b/components/control/src/job/cancellation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::row::{Job, State, job_key, open_key};
+use super::row::{Job, State, job_key};
 use crate::{
     store::{Call, Reply, Row, Transaction},
     time::Time,
@@ -100,11 +100,11 @@
             return Action::Answer(Ended::Job(job));
         }
         let cancelled = Job { state: State::Cancelled, ..job };
-        let open = open_key(&cancelled.deployment, cancelled.due_unix_ms, &self.id);
         let transaction = Transaction::new()
             .with_condition(&*row.key, row.version)
-            .with_write(row.key, &cancelled)
-            .with_delete(open);
+            .with_write(row.key, &cancelled);
+        let open = cancelled.open_keys(&self.id).into_iter();
+        let transaction = open.fold(transaction, |transaction, key| transaction.with_delete(key));
         self.writing = Some(cancelled);
         Action::Call(Call::Commit(transaction))
     }
--- a/components/control/src/job/dispatch/commit.rs
+++ b/components/control/src/job/dispatch/commit.rs
@@ -8,7 +8,7 @@
     claim::{Kind, Write},
 };
 use crate::{
-    job::row::{Chunk, ChunkState, Job, State, job_key, open_key},
+    job::row::{Chunk, ChunkState, Job, State, job_key},
     store::Transaction,
 };
 
@@ -131,8 +131,10 @@
             .with_condition(job_key(&id.job), view.version);
         if job.done == job.chunks && job.next == job.base_chunks() {
             job.state = State::Completed;
-            let open = open_key(&job.deployment, job.due_unix_ms, &id.job);
-            transaction = transaction.with_delete(open);
+            transaction = job
+                .open_keys(&id.job)
+                .into_iter()
+                .fold(transaction, |transaction, key| transaction.with_delete(key));
         }
         transaction = transaction.with_write(id.key(), &row).with_write(job_key(&id.job), &job);
         if let Some((rest, row)) = &rest {
--- a/components/control/src/job/row.rs
+++ b/components/control/src/job/row.rs
@@ -24,6 +24,22 @@
     format!("open/{deployment}/{due_unix_ms:016}/{job}")
 }
 
+/// Common start of the rows of a client's open jobs of a deployment, while their number is limited.
+pub fn client_open_prefix(client: &str, deployment: &str) -> String {
+    format!("client-open/{client}/{deployment}/")
+}
+
+/// Key of the row of an open job whose client's number of open jobs is limited.
+pub fn client_open_key(client: &str, deployment: &str, job: &str) -> String {
+    format!("client-open/{client}/{deployment}/{job}")
+}
+
+/// Key of the row that every acceptance of a job under such a limit changes, so that two of them
+/// cannot count the same open jobs.
+pub fn client_jobs_key(client: &str, deployment: &str) -> String {
+    format!("client-jobs/{client}/{deployment}")
+}
+
 /// The job of a row of an open job.
 pub fn open_id(key: &str) -> Option<&str> {
     key.rsplit('/').next()
@@ -98,9 +114,21 @@
     pub succeeded: u32,
     /// Items that ended as failed.
     pub failed: u32,
+    /// Whether it counts towards a limit of open jobs, in a row of its own while it is open.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub limited: bool,
 }
 
 impl Job {
+    /// Keys of the rows that the job has while it is open.
+    pub fn open_keys(&self, id: &str) -> Vec<String> {
+        let mut keys = vec![open_key(&self.deployment, self.due_unix_ms, id)];
+        if self.limited {
+            keys.push(client_open_key(&self.client, &self.deployment, id));
+        }
+        keys
+    }
+
     /// Chunks into which the job was cut at acceptance.
     pub const fn base_chunks(&self) -> u32 {
         self.items.div_ceil(self.chunk_items)
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -146,6 +146,7 @@
             done: 0,
             succeeded: 0,
             failed: 0,
+            limited: false,
         };
         let transaction = Transaction::new()
             .with_write(job_key(id), &job)
--- a/components/daemon/src/batch/jobs.rs
+++ b/components/daemon/src/batch/jobs.rs
@@ -41,6 +41,9 @@
 /// When a caller may come back after the platform was down.
 const RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// When a caller may come back that has too many open jobs, which take minutes to hours.
+const LIMITED_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// Objects of one input that are written at once.
 const UPLOADS: usize = 8;
 
@@ -175,6 +178,7 @@
     fn offer(&self, submission: Submission, checked: &Checked) -> Offer {
         let Submission { client, key, deployment, due, .. } = submission;
         let digest = checked.digest.clone();
+        let open_jobs = self.open_jobs(&client, &deployment);
         // The client's own part keeps identifiers of different clients apart.
         let own = hash::stable(&[&client]);
         let rest = input::digest(&[client.as_bytes(), key.as_bytes(), digest.as_bytes()]);
@@ -193,8 +197,16 @@
             done: 0,
             succeeded: 0,
             failed: 0,
+            limited: open_jobs.is_some(),
         };
-        Offer { id: format!("{own:016x}{rest}"), key, digest, job }
+        Offer { id: format!("{own:016x}{rest}"), key, digest, job, open_jobs }
+    }
+
+    /// Most open jobs that the client may have at the deployment.
+    fn open_jobs(&self, client: &str, deployment: &str) -> Option<u32> {
+        let accepted = self.configuration.borrow();
+        let limits = &accepted.document.clients.get(client)?.limits;
+        limits.get(deployment).or_else(|| limits.get("*"))?.open_jobs
     }
 
     async fn upload(&self, id: &str, parts: &[Bytes]) -> bool {
@@ -241,6 +253,12 @@
             Kind::Conflict,
             "the key belongs to a job with other content; use another Idempotency-Key",
         )),
+        Accepted::Limited => Err(Failure::not_run(
+            Kind::Limited,
+            "the client has as many open jobs at this deployment as it may have; send it again \
+             when one has ended",
+        )
+        .with_retry_after(LIMITED_RETRY_AFTER)),
         Accepted::Refused => Err(unavailable(Failure::not_run(
             Kind::Unavailable,
             "the platform is out of service; the job was not accepted",
--- a/components/daemon/tests/durable/mod.rs
+++ b/components/daemon/tests/durable/mod.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use cyclamengrade_caller::backend::{Item, ItemResult, Job, JobState, Submission};
-use cyclamengrade_configuration::{Client, Deployment, Document};
+use cyclamengrade_configuration::{Client, Deployment, Document, Limit};
 use cyclamengrade_control::{fleet::Vm, traffic};
 use cyclamengrade_daemon::{
     batch::{BatchLimit, Call, Dispatcher, End, Finish, Jobs, Parts, Runner, Running, Transcript},
@@ -187,10 +187,16 @@
 
 impl Platform {
     pub fn new() -> Self {
+        Self::with_limit(Limit::new())
+    }
+
+    /// A platform on which the client has this limit at every deployment.
+    pub fn with_limit(limit: Limit) -> Self {
         let mut document = Document::default();
         document.deployments.insert(DEPLOYMENT.into(), Deployment::model("m", "1"));
         document.deployments.insert("print-relay".into(), Deployment::service());
-        document.clients.insert(CLIENT.into(), Client::new("token-himal"));
+        let client = Client::new("token-himal").with_limit("*", limit);
+        document.clients.insert(CLIENT.into(), client);
         let accepted = Accepted { revision: 1, document: Arc::new(document) };
         let configuration = Arc::new(watch::channel(Arc::new(accepted)).0);
         Self { table: Table::new(), objects: Arc::default(), configuration }
