Read the results of a job over several pages in the test

Cause: 100 items in chunks of 8 fit one read of chunk rows, so later pages were untested. Change: the test of a whole job has 600 items in 75 chunks.

--- a/components/daemon/tests/batch_run.rs
+++ b/components/daemon/tests/batch_run.rs
@@ -13,20 +13,21 @@
 #[gtest]
 #[tokio::test]
 async fn whole_job() {
+    // More chunks than one read of the results takes.
     let platform = Platform::new();
     let runner = Scripted::quick();
     let _daemon = platform.daemon("entry-0", runner.clone(), 5).await;
-    let job = platform.submit("k", 100).await;
+    let job = platform.submit("k", 600).await;
     let job = platform.until(&job.id, JobState::Completed).await;
-    expect_that!((job.items, job.succeeded, job.failed), eq((100, 100, 0)));
+    expect_that!((job.items, job.succeeded, job.failed), eq((600, 600, 0)));
     let results = platform.results(&job.id).await;
-    let expected: Vec<_> = (0..100).map(|index| format!("item-{index}")).collect();
+    let expected: Vec<_> = (0..600).map(|index| format!("item-{index}")).collect();
     let ids: Vec<_> = results.iter().map(|result| result.id.clone()).collect();
     expect_that!(ids, eq(&expected));
     for result in &results {
         expect_that!(result.text, some(eq(&answer(&result.id, 2))));
     }
-    expect_that!(runner.calls.lock().unwrap().len(), eq(100));
+    expect_that!(runner.calls.lock().unwrap().len(), eq(600));
     expect_that!(runner.most.load(Ordering::SeqCst), le(5));
 }
 
