Read cache events from the beginning after an engine restart

Cause: an engine that starts again numbers its cache events anew, so those after the last known number never came; failed reads were visible at debug level only.

--- a/components/daemon/src/online/poller.rs
+++ b/components/daemon/src/online/poller.rs
@@ -12,8 +12,11 @@
     hash,
     traffic::{Input, Load},
 };
-use cyclamengrade_telemetry::metrics::{CACHE_EVENTS_LOST, LOAD_REPORTS};
-use cyclamengrade_upstream::wire;
+use cyclamengrade_telemetry::{
+    event,
+    metrics::{CACHE_EVENTS_LOST, LOAD_REPORTS},
+};
+use cyclamengrade_upstream::{Error, wire};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use metrics::counter;
 use tokio::time::sleep;
@@ -97,6 +100,46 @@
     reads: u64,
     cache_number: u64,
     reading: bool,
+    /// Number of the last load report.
+    sequence: u64,
+    /// Whether the last read failed.
+    failing: bool,
+}
+
+/// Result of one read.
+struct Read {
+    name: String,
+    /// Number of the load report.
+    sequence: Result<u64, Error>,
+    /// Number of the last cache event.
+    cache_number: Option<u64>,
+}
+
+impl Target {
+    fn take(&mut self, read: Read) {
+        self.reading = false;
+        match read.sequence {
+            Ok(sequence) => {
+                self.failing = false;
+                self.cache_number = read.cache_number.unwrap_or(self.cache_number);
+                if sequence < self.sequence {
+                    // The engine has started again, and numbers its events from the beginning.
+                    self.cache_number = 0;
+                }
+                self.sequence = sequence;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.failing, true) {
+                    event!(
+                        UpstreamUnreachable,
+                        upstream = self.vm.name.as_str(),
+                        deployment = self.vm.service.as_str(),
+                        error:% = error
+                    );
+                }
+            }
+        }
+    }
 }
 
 /// Reads the upstreams for ever.
@@ -127,10 +170,9 @@
             .map_or(period, |next| next.saturating_duration_since(Instant::now()))
             .clamp(Duration::from_millis(5), period);
         tokio::select! {
-            Some((name, cache_number)) = reads.next() => {
-                if let Some(target) = targets.get_mut(&name) {
-                    target.reading = false;
-                    target.cache_number = cache_number.unwrap_or(target.cache_number);
+            Some(read) = reads.next() => {
+                if let Some(target) = targets.get_mut(&read.name) {
+                    target.take(read);
                 }
             }
             () = sleep(pause) => {}
@@ -207,6 +249,8 @@
             reads: 0,
             cache_number: 0,
             reading: false,
+            sequence: 0,
+            failing: false,
         });
         if target.vm.address != vm.address {
             target.cache_number = 0;
@@ -215,39 +259,47 @@
     }
 }
 
-/// Reads one upstream; returns its name and the number of its last cache event.
-async fn read(shared: Arc<Shared>, vm: Vm, cache_after: Option<u64>) -> (String, Option<u64>) {
-    match shared.client.load(vm.address).await {
+/// Reads the load of one upstream, and its cache events above a number when one is given.
+async fn read(shared: Arc<Shared>, vm: Vm, cache_after: Option<u64>) -> Read {
+    let sequence = match shared.client.load(vm.address).await {
         Ok(load) => {
             counter!(LOAD_REPORTS, "outcome" => "ok").increment(1);
+            let sequence = load.sequence;
             loaded(&shared, &vm, load);
+            Ok(sequence)
         }
         Err(error) => {
             counter!(LOAD_REPORTS, "outcome" => "error").increment(1);
-            log::debug!("the load of {} cannot be read: {error}", vm.name);
-            return (vm.name, None);
-        }
-    }
-    let Some(after) = cache_after else { return (vm.name, None) };
-    match shared.client.cache_events(vm.address, after).await {
-        Ok(events) => {
-            let last = events.events.iter().map(|event| event.number).max();
-            if let Some(last) = last.filter(|_| after > 0) {
-                let lost = (last - after.min(last)).saturating_sub(events.events.len() as u64);
-                counter!(CACHE_EVENTS_LOST).increment(lost);
-            }
-            for event in events.events.into_iter().filter(|event| event.stored) {
-                if let Ok(prefix) = u64::from_str_radix(&event.prefix, 16) {
-                    shared.feed(Input::Cached { upstream: vm.name.clone(), prefix });
-                }
-            }
-            (vm.name, last)
+            Err(error)
         }
+    };
+    let cache_number = match cache_after.filter(|_| sequence.is_ok()) {
+        Some(after) => cache_events(&shared, &vm, after).await,
+        None => None,
+    };
+    Read { name: vm.name, sequence, cache_number }
+}
+
+/// Reads the cache events of one upstream; returns the number of the last one.
+async fn cache_events(shared: &Shared, vm: &Vm, after: u64) -> Option<u64> {
+    let events = match shared.client.cache_events(vm.address, after).await {
+        Ok(events) => events.events,
         Err(error) => {
             log::debug!("the cache events of {} cannot be read: {error}", vm.name);
-            (vm.name, None)
+            return None;
+        }
+    };
+    let last = events.iter().map(|event| event.number).max()?;
+    if after > 0 {
+        let lost = last.saturating_sub(after).saturating_sub(events.len() as u64);
+        counter!(CACHE_EVENTS_LOST).increment(lost);
+    }
+    for event in events.into_iter().filter(|event| event.stored) {
+        if let Ok(prefix) = u64::from_str_radix(&event.prefix, 16) {
+            shared.feed(Input::Cached { upstream: vm.name.clone(), prefix });
         }
     }
+    Some(last)
 }
 
 fn loaded(shared: &Shared, vm: &Vm, load: wire::Load) {
--- a/components/daemon/tests/support/engine.rs
+++ b/components/daemon/tests/support/engine.rs
@@ -70,14 +70,23 @@
 impl Engine {
     /// Starts an upstream; completions and service calls follow the script.
     pub async fn start(script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        Self::start_with(script, |_| Vec::new()).await
+    }
+
+    /// Starts an upstream that also answers polls from a script, where it has an answer.
+    pub async fn start_with(
+        script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+        polls: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let engine = Self { address: listener.local_addr().unwrap(), requests: Arc::default() };
-        let (requests, script): (_, Script) = (Arc::clone(&engine.requests), Arc::new(script));
+        let requests = Arc::clone(&engine.requests);
+        let scripts: (Script, Script) = (Arc::new(script), Arc::new(polls));
         tokio::spawn(async move {
             let mut connection = 0;
             while let Ok((socket, _)) = listener.accept().await {
                 socket.set_nodelay(true).unwrap();
-                tokio::spawn(serve(socket, connection, Arc::clone(&requests), Arc::clone(&script)));
+                tokio::spawn(serve(socket, connection, Arc::clone(&requests), scripts.clone()));
                 connection += 1;
             }
         });
@@ -115,12 +124,14 @@
     mut socket: TcpStream,
     connection: usize,
     requests: Arc<Mutex<Vec<Received>>>,
-    script: Script,
+    (script, polls): (Script, Script),
 ) {
     let mut buffer = Vec::new();
     while let Some(request) = read(&mut socket, &mut buffer, connection).await {
         requests.lock().unwrap().push(request.clone());
+        let polled = polls(&request);
         let steps = match (request.method.as_str(), request.path.as_str()) {
+            ("GET", _) if !polled.is_empty() => polled,
             ("GET", "/v1/load") => vec![Step::Answer(
                 200,
                 r#"{"sequence":1,"age_ms":0,"running":0,"queued":0,"slots":8,"models":["m@1"],"leaving":false}"#,
