--- a/components/daemon/src/assembly.rs
+++ b/components/daemon/src/assembly.rs
@@ -19,10 +19,12 @@
 use crate::{
     Error,
     batch::{self, Dispatcher, Jobs},
+    claims::Claims,
     configuration::Follower,
     lease,
     membership::Prober,
     node::{Accepted, Clock, Members, Node, Phase},
+    observed::Observed,
     online::Online,
     orders::Orders,
     peers::{self, Handler},
@@ -94,7 +96,8 @@
     );
     let client = upstream::Client::new(upstream::Options::default());
     let (effects, actions) = mpsc::unbounded_channel();
-    let online = Online::new(Arc::clone(&node), client.clone(), None, effects);
+    let claims = Arc::new(Claims::of(&node, keeper.state()));
+    let online = Online::new(Arc::clone(&node), client.clone(), Some(claims), effects);
     let dispatcher = dispatcher(&node, &online, &client, keeper.state());
     spawn_loops(&node, &peers, &dispatcher, &online, &prober, actions, metrics.as_ref());
     tokio::spawn(Orders::run(Arc::clone(&node), client, online.clone(), keeper.state()));
@@ -166,7 +169,8 @@
     let addresses = &settings.platform;
     let timeout = Duration::from_millis(addresses.timeout_ms);
     let (table, objects, vms) = (addresses.table, addresses.objects, addresses.vms);
-    let client = Arc::new(platform::http::Client::new(table, objects, vms, timeout));
+    let client = platform::http::Client::new(table, objects, vms, timeout);
+    let client = Arc::new(Observed::new(client));
     let node = Node {
         table: Arc::clone(&client) as Arc<dyn platform::Table>,
         objects: Arc::clone(&client) as Arc<dyn platform::Objects>,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -2,11 +2,13 @@
 
 mod assembly;
 pub mod batch;
+pub mod claims;
 pub mod configuration;
 mod error;
 pub mod lease;
 pub mod membership;
 pub mod node;
+mod observed;
 pub mod online;
 mod orders;
 mod peers;
