Close an upstream to batch work after failed streams

Cause: a dead upstream kept at least one batch stream, and items used up attempts there. Change: two failed streams in a row close the upstream to batch work for 1 s, doubling to 16 s; one stream then shows whether it is back. Result: tests/pacing.rs 8 tests and tests/schedules.rs pass.

--- a/components/control/src/pacing.rs
+++ b/components/control/src/pacing.rs
@@ -26,6 +26,12 @@
 /// Time after which a notice that was not repeated is forgotten.
 const NOTICE_LIFE: Duration = Duration::from_secs(15);
 
+/// Failed streams in a row after which an upstream gets no batch work for a while. Items of a dead
+/// upstream would otherwise use up their attempts there.
+const FAILURES: u32 = 2;
+/// Time without batch work after such failures, and its bound when it doubles.
+const CLOSED: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(16));
+
 /// State of batch work at one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
@@ -42,6 +48,8 @@
     excess: u32,
     unexplained: u32,
     reported: Time,
+    failures: u32,
+    closed: Option<(Time, Duration)>,
 }
 
 /// What the limit depends on.
@@ -122,6 +130,20 @@
         }
     }
 
+    /// Takes the end of a batch stream that failed, or that brought its whole answer.
+    pub fn outcome(&mut self, now: Time, failed: bool) {
+        if !failed {
+            (self.failures, self.closed) = (0, None);
+            return;
+        }
+        self.failures = self.failures.saturating_add(1);
+        let is_open = self.closed.is_none_or(|(until, _)| until <= now);
+        if self.failures >= FAILURES && is_open {
+            let time = self.closed.map_or(CLOSED.0, |(_, time)| (time * 2).min(CLOSED.1));
+            self.closed = Some((now + time, time));
+        }
+    }
+
     /// Decides the limit; returns it when it changed.
     pub fn update(&mut self, now: Time, scene: Scene<'_>) -> Option<u32> {
         self.observe(now, scene.own);
@@ -160,7 +182,12 @@
         let unexplained = if fresh { self.unexplained } else { 0 };
         let online = self.online.saturating_add(unexplained);
         let free = scene.slots.saturating_sub(online);
-        let bound = self.bound.map_or(u32::MAX, |bound| bound as u32);
+        let bound = match self.closed {
+            Some((until, _)) if now < until => 0,
+            // One stream shows whether the upstream is back.
+            Some(_) => 1,
+            None => self.bound.map_or(u32::MAX, |bound| bound as u32),
+        };
         let used = self.risen.is_some_and(|at| now.since(at) < RESERVE_TIME) || online > 0;
         let reserve = if used { reserve(scene) } else { 0 };
         let target = free.saturating_sub(reserve).min(bound);
--- a/components/control/src/traffic/batch.rs
+++ b/components/control/src/traffic/batch.rs
@@ -76,6 +76,9 @@
         let failed = matches!(outcome, Outcome::NotRun | Outcome::Failed | Outcome::Unknown);
         if let Some(node) = self.nodes.get_mut(key) {
             node.pace.feedback(now, !late && !failed);
+            if failed || outcome == Outcome::Done {
+                node.pace.outcome(now, failed);
+            }
         }
         self.touched.push(key);
     }
--- a/components/control/tests/pacing.rs
+++ b/components/control/tests/pacing.rs
@@ -138,6 +138,31 @@
     expect_that!(fixture.limit, eq(SLOTS));
 }
 
+/// Guards against items that use up their attempts at a dead upstream, and against one that gets
+/// no batch work after its return.
+#[gtest]
+fn dead_upstream() {
+    let mut fixture = Fixture::new();
+    fixture.start_batch(2);
+    let ended = |outcome| Input::BatchEnded {
+        upstream: "runner-0".into(),
+        outcome,
+        first_token: None,
+        between_tokens: None,
+    };
+    fixture.feed(ended(Outcome::NotRun));
+    fixture.feed(ended(Outcome::NotRun));
+    expect_that!(fixture.limit, eq(0));
+    fixture.tick(1_000);
+    expect_that!(fixture.limit, eq(1));
+    fixture.start_batch(1);
+    fixture.feed(ended(Outcome::Done));
+    for _ in 0..20 {
+        fixture.tick(100);
+    }
+    expect_that!(fixture.limit, eq(SLOTS));
+}
+
 /// Guards against batch work beside online work whose notices were lost.
 #[gtest]
 fn unexplained_load() {
