--- a/components/control/src/job/dispatch/commit.rs
+++ b/components/control/src/job/dispatch/commit.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use super::{
-    Action, ChunkId, Dispatch,
+    Action, ChunkId, Dispatch, Note,
     chunk::{Cut, Held, Phase},
     claim::{Kind, Write},
 };
 use crate::{
-    job::row::{Chunk, ChunkState, Job, State, job_key, open_key},
+    job::row::{Chunk, ChunkState, Job, State, job_key},
     store::Transaction,
 };
 
@@ -100,7 +100,7 @@
     }
 
     fn commit(&mut self, id: &ChunkId, cut: Cut) {
-        if self.writing_job(&id.job) {
+        if self.writing_job(&id.job) || !self.fresh(&id.job) {
             return;
         }
         let (Some(held), Some(view)) = (self.held.get(id), self.views.get(&id.job)) else { return };
@@ -131,8 +131,10 @@
             .with_condition(job_key(&id.job), view.version);
         if job.done == job.chunks && job.next == job.base_chunks() {
             job.state = State::Completed;
-            let open = open_key(&job.deployment, job.due_unix_ms, &id.job);
-            transaction = transaction.with_delete(open);
+            transaction = job
+                .open_keys(&id.job)
+                .into_iter()
+                .fold(transaction, |transaction, key| transaction.with_delete(key));
         }
         transaction = transaction.with_write(id.key(), &row).with_write(job_key(&id.job), &job);
         if let Some((rest, row)) = &rest {
@@ -170,6 +172,19 @@
         (ChunkId { job: id.job.clone(), number }, row)
     }
 
+    /// Reports a transaction that took effect and left the job's row like this.
+    pub(super) fn note_commit(&mut self, id: &ChunkId, cut: &Cut, job: &Job) {
+        if let Some(held) = self.held.get(id).filter(|_| !cut.items.is_empty()) {
+            let (succeeded, failed) = held.counts(&cut.items);
+            let deployment = job.deployment.clone();
+            self.note(Note::Committed { chunk: id.clone(), deployment, succeeded, failed });
+        }
+        if job.state == State::Completed {
+            let Job { succeeded, failed, .. } = *job;
+            self.note(Note::Completed { job: id.job.clone(), succeeded, failed });
+        }
+    }
+
     /// Ends a chunk whose transaction took effect; unfinished items go on under the new chunk.
     pub(super) fn committed(
         &mut self,
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -29,6 +29,7 @@
     pub objects: BTreeMap<String, Vec<(u32, bool)>>,
     pub reads: u64,
     pub writes: u64,
+    pub conflicts: u64,
     version: u64,
 }
 
@@ -58,6 +59,10 @@
         let failed = transaction.conditions.iter().filter(|(key, wanted)| version(key) != **wanted);
         let failed: Vec<_> = failed.map(|(key, _)| self.rows.get(key).cloned()).collect();
         if !failed.is_empty() {
+            self.conflicts += 1;
+            if std::env::var("DBG").is_ok() {
+                println!("{:?}", transaction.conditions);
+            }
             return Reply::Conflict(failed);
         }
         let mut versions = BTreeMap::new();
@@ -141,6 +146,7 @@
             done: 0,
             succeeded: 0,
             failed: 0,
+            limited: false,
         };
         let transaction = Transaction::new()
             .with_write(job_key(id), &job)
@@ -318,6 +324,7 @@
                     process.results.retain(|(of, item), _| *of != job || !items.contains(item));
                 }
                 Action::Drained => process.drained = true,
+                Action::Note(_) => {}
             }
         }
     }
