Ask for a token on the admin paths

Cause: /admin/* asked for no token, and GET /admin/config shows the clients' bearer tokens to anyone who reaches the port.

Change: the optional setting admin_token (16 to 256 visible ASCII characters, never shown in messages) is the bearer token of operators. It is compared in constant time. Without it, /admin/* is answered only to callers on a loopback address.

--- a/components/caller/src/admin.rs
+++ b/components/caller/src/admin.rs
@@ -1,11 +1,13 @@
 //! Routes of operators, the load balancer and the metrics collector.
 
+use std::net::IpAddr;
+
 use hyper::{HeaderMap, StatusCode, Uri, body::Incoming};
 use serde::Serialize;
 use serde_json::Value;
 
 use crate::{
-    Failure,
+    Failure, Kind,
     answer::{self, Answer},
     backend::Apply,
     input::{self, invalid},
@@ -17,6 +19,26 @@
 /// Most revisions that the history shows.
 const MAX_HISTORY: usize = 1_000;
 
+/// Refuses a caller who is no operator.
+pub(crate) fn authorize(
+    server: &Context,
+    caller: IpAddr,
+    headers: &HeaderMap,
+) -> Result<(), Failure> {
+    let asked = server.options.admin_token.is_some();
+    let token = if asked { Some(input::bearer(headers)?) } else { None };
+    if server.options.admits_operator(caller, token) {
+        return Ok(());
+    }
+    let message = if asked {
+        "the bearer token is not the admin token of this daemon"
+    } else {
+        "without the setting admin_token, /admin is answered only to callers on a loopback \
+         address; set it, or call from the daemon's vm"
+    };
+    Err(Failure::not_run(Kind::Unauthorized, message))
+}
+
 /// The configuration in force.
 pub(crate) async fn configuration(server: &Context) -> Result<Answer, Failure> {
     answer::json(&server.backend.configuration().await?)
--- a/components/caller/src/failure.rs
+++ b/components/caller/src/failure.rs
@@ -9,7 +9,7 @@
     Invalid,
     /// The body or the header section is too large.
     TooLarge,
-    /// The bearer token belongs to no client.
+    /// The bearer token belongs to no client, or is not the operators' one.
     Unauthorized,
     /// The deployment, model, job or path does not exist.
     NotFound,
--- a/components/caller/src/input.rs
+++ b/components/caller/src/input.rs
@@ -65,20 +65,28 @@
     text(headers, "traceparent").ok().flatten()
 }
 
+fn unauthorized(message: &str) -> Failure {
+    Failure::not_run(Kind::Unauthorized, message)
+}
+
 /// The client that the bearer token names.
 pub(crate) fn client(headers: &HeaderMap, backend: &dyn Backend) -> Result<String, Failure> {
-    let unauthorized = |message: &str| Failure::not_run(Kind::Unauthorized, message);
+    let token = bearer(headers)?;
+    backend.client(token).ok_or_else(|| unauthorized("the bearer token belongs to no client"))
+}
+
+/// The bearer token.
+pub(crate) fn bearer(headers: &HeaderMap) -> Result<&str, Failure> {
     let value = headers
         .get(AUTHORIZATION)
         .ok_or_else(|| unauthorized("the header Authorization is missing; send a bearer token"))?;
-    let token = value
+    value
         .to_str()
         .ok()
         .and_then(|value| value.split_once(' '))
         .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
         .map(|(_, token)| token.trim())
-        .ok_or_else(|| unauthorized("the header Authorization is not `Bearer <token>`"))?;
-    backend.client(token).ok_or_else(|| unauthorized("the bearer token belongs to no client"))
+        .ok_or_else(|| unauthorized("the header Authorization is not `Bearer <token>`"))
 }
 
 fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Failure> {
--- a/components/caller/src/route.rs
+++ b/components/caller/src/route.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -45,6 +46,7 @@
 /// Answers one request; failures become answers too.
 pub(crate) async fn answer(
     server: Arc<Context>,
+    caller: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
     let mut span = trace::start("request", input::traceparent(request.headers()));
@@ -52,7 +54,7 @@
         span.set("method", request.method().to_string());
         span.set("path", request.uri().path().to_owned());
     }
-    let mut answer = match dispatch(&server, request, &span).await {
+    let mut answer = match dispatch(&server, caller, request, &span).await {
         Ok(answer) => answer,
         Err(failure) => answer::failure(&failure),
     };
@@ -66,6 +68,7 @@
 
 async fn dispatch(
     server: &Context,
+    caller: IpAddr,
     request: Request<Incoming>,
     span: &Span,
 ) -> Result<Answer, Failure> {
@@ -73,6 +76,9 @@
     let (head, body) = request.into_parts();
     let (uri, headers) = (&head.uri, &head.headers);
     let segments: Vec<&str> = uri.path().split('/').skip(1).collect();
+    if segments.first() == Some(&"admin") {
+        admin::authorize(server, caller, headers)?;
+    }
     match (&head.method, segments.as_slice()) {
         (&Method::POST, ["v1", "completions"]) => {
             completion::complete(server, headers, span, body, Form::Plain).await
--- a/components/caller/src/server.rs
+++ b/components/caller/src/server.rs
@@ -2,6 +2,8 @@
 
 use std::{
     future::Future,
+    hint::black_box,
+    net::IpAddr,
     pin::pin,
     sync::{Arc, atomic::AtomicU64},
     time::Duration,
@@ -39,6 +41,9 @@
     pub batch_memory_bytes: usize,
     /// Largest body of a configuration, in bytes.
     pub admin_body_bytes: usize,
+    /// Bearer token of operators; when absent, `/admin/*` is answered only to callers on a loopback
+    /// address.
+    pub admin_token: Option<String>,
     /// Largest header section, in bytes.
     pub header_bytes: usize,
     /// Longest wait for the whole header section.
@@ -54,6 +59,7 @@
             batch_body_bytes: 512 << 20,
             batch_memory_bytes: 512 << 20,
             admin_body_bytes: 16 << 20,
+            admin_token: None,
             header_bytes: 32 << 10,
             header_timeout: Duration::from_secs(10),
             drain: Duration::from_secs(30),
@@ -61,6 +67,26 @@
     }
 }
 
+impl Options {
+    /// Whether a caller at this address who presents this bearer token is an operator.
+    pub fn admits_operator(&self, caller: IpAddr, token: Option<&str>) -> bool {
+        match &self.admin_token {
+            Some(expected) => {
+                token.is_some_and(|token| same(expected.as_bytes(), token.as_bytes()))
+            }
+            None => caller.to_canonical().is_loopback(),
+        }
+    }
+}
+
+/// Compares in a time that depends only on the lengths, so that a token cannot be guessed part by
+/// part.
+fn same(left: &[u8], right: &[u8]) -> bool {
+    let pairs = left.iter().zip(right);
+    let difference = pairs.fold(0, |difference, (a, b)| black_box(difference | (a ^ b)));
+    left.len() == right.len() && difference == 0
+}
+
 /// The HTTP server.
 pub struct Server {
     context: Arc<Context>,
@@ -89,7 +115,7 @@
                 biased;
                 () = &mut shutdown => break,
                 accepted = listener.accept() => match accepted {
-                    Ok((socket, _)) => self.connect(socket, &connections),
+                    Ok((socket, caller)) => self.connect(socket, caller.ip(), &connections),
                     Err(error) => {
                         log::warn!("a caller's connection cannot be accepted: {error}");
                         sleep(ACCEPT_PAUSE).await;
@@ -101,7 +127,7 @@
         timeout(self.context.options.drain, connections.shutdown()).await.is_ok()
     }
 
-    fn connect(&self, socket: TcpStream, connections: &GracefulShutdown) {
+    fn connect(&self, socket: TcpStream, caller: IpAddr, connections: &GracefulShutdown) {
         // Without it, a token would wait for the acknowledgement of the previous one. An error
         // means that the connection is already gone, which its task finds out.
         let _ = socket.set_nodelay(true);
@@ -118,7 +144,8 @@
             .timer(TokioTimer::new())
             .max_header_list_size(u32::try_from(options.header_bytes * 2).unwrap_or(u32::MAX));
         let context = Arc::clone(&self.context);
-        let service = service_fn(move |request| route::answer(Arc::clone(&context), request));
+        let service =
+            service_fn(move |request| route::answer(Arc::clone(&context), caller, request));
         let connection = builder.serve_connection(TokioIo::new(socket), service).into_owned();
         let connection = connections.watch(connection);
         tokio::spawn(async move {
--- a/components/caller/tests/support/mod.rs
+++ b/components/caller/tests/support/mod.rs
@@ -197,12 +197,22 @@
 
     /// A server whose completions send `later` after the test has released them.
     pub async fn start_with(events: Vec<Event>, later: Vec<Event>) -> Self {
+        Self::start_on("127.0.0.1:0", options(), events, later).await
+    }
+
+    /// A server with other options at this address.
+    pub async fn start_on(
+        address: &str,
+        options: Options,
+        events: Vec<Event>,
+        later: Vec<Event>,
+    ) -> Self {
         let seen = Arc::new(Seen::default());
         let (go, wait) = oneshot::channel();
         let later = (!later.is_empty()).then_some((wait, later));
         let daemon = Daemon { seen: Arc::clone(&seen), events, later: Mutex::new(later) };
-        let server = Server::new(Arc::new(daemon), options());
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = Server::new(Arc::new(daemon), options);
+        let listener = TcpListener::bind(address).await.unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = oneshot::channel::<()>();
         let served = tokio::spawn(async move {
--- a/components/daemon/src/assembly.rs
+++ b/components/daemon/src/assembly.rs
@@ -267,6 +267,7 @@
         batch_body_bytes: settings.limits.batch_body_bytes,
         batch_memory_bytes: BATCH_MEMORY_BYTES.max(settings.limits.batch_body_bytes),
         admin_body_bytes: ADMIN_BODY_BYTES,
+        admin_token: settings.admin_token.clone(),
         header_bytes: settings.limits.header_bytes,
         header_timeout: HEADER_TIMEOUT,
         drain: Duration::from_millis(timers.drain_ms.saturating_sub(timers.leave_ms)),
--- a/components/operator/src/admin.rs
+++ b/components/operator/src/admin.rs
@@ -42,16 +42,23 @@
 impl Admin {
     /// A client for the daemon at `address`, a host and a port.
     pub fn new(address: impl Into<String>) -> Self {
-        let server = Server { address: address.into(), token: None };
+        let server = Server { address: address.into(), token: None, admin_token: None };
         Self { server, attempts: Attempts::default() }
     }
 
-    /// Sets the bearer token.
+    /// Sets the bearer token of the client account, for batch jobs.
     pub fn with_token(mut self, token: impl Into<String>) -> Self {
         self.server.token = Some(token.into());
         self
     }
 
+    /// Sets the bearer token of operators, for configuration and upstreams: the daemon's setting
+    /// `admin_token`.
+    pub fn with_admin_token(mut self, token: impl Into<String>) -> Self {
+        self.server.admin_token = Some(token.into());
+        self
+    }
+
     /// Sets how calls are repeated after a lost reply.
     pub fn with_attempts(self, attempts: Attempts) -> Self {
         Self { attempts, ..self }
--- a/components/operator/src/wire.rs
+++ b/components/operator/src/wire.rs
@@ -80,11 +80,13 @@
     }
 }
 
-/// Address and token of a daemon.
+/// Address and tokens of a daemon.
 #[derive(Clone, Debug)]
 pub struct Server {
     pub address: String,
     pub token: Option<String>,
+    /// Token for `/admin/*`; the other one when absent.
+    pub admin_token: Option<String>,
 }
 
 impl Server {
@@ -151,7 +153,8 @@
             .uri(&call.path)
             .header(HOST, &self.address)
             .header(CONTENT_TYPE, call.content_type);
-        if let Some(token) = &self.token {
+        let admin = self.admin_token.as_ref().filter(|_| call.path.starts_with("/admin/"));
+        if let Some(token) = admin.or(self.token.as_ref()) {
             let mut value = HeaderValue::try_from(format!("Bearer {token}"))
                 .map_err(|_| Error::Argument("the token is not a valid header value".into()))?;
             value.set_sensitive(true);
--- a/components/operator/tests/admin_client.rs
+++ b/components/operator/tests/admin_client.rs
@@ -239,3 +239,25 @@
     let error = admin(&daemon).results("j-1", &mut Vec::new()).await.unwrap_err();
     verify_that!(error, matches_pattern!(Error::Lost { .. }))
 }
+
+/// Guards against the operators' token in calls of batch jobs, and the client's in calls of
+/// operators.
+#[gtest]
+#[tokio::test]
+async fn two_tokens() -> Result<()> {
+    let daemon = Daemon::start(|request| match request.line().contains("/v1/") {
+        true => Reply::json(&job("open")),
+        false => Reply::json(&json!([])),
+    });
+    let admin = admin(&daemon).with_admin_token("operators");
+    admin.upstreams().await.or_fail()?;
+    admin.history(1).await.or_fail()?;
+    admin.job("j-1").await.or_fail()?;
+    let requests = daemon.requests();
+    let tokens: Vec<_> =
+        requests.iter().map(|request| request.header("authorization").unwrap()).collect();
+    verify_that!(
+        tokens,
+        elements_are![eq(&"Bearer operators"), eq(&"Bearer operators"), eq(&"Bearer secret")]
+    )
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -78,22 +78,26 @@
 }
 
 fn single(key: &Key, value: &Value) -> Option<Problem> {
+    // A secret must not appear in messages.
+    let hidden = Value::String("(not shown)".into());
+    let shown = if key.kind == Kind::Token { &hidden } else { value };
     let wrong = || {
         Some(Problem::WrongType {
             path: key.path.into(),
-            found: describe(value),
+            found: describe(shown),
             expected: key.expected(),
         })
     };
     let out = |inside: bool| {
         (!inside).then(|| Problem::OutOfRange {
             path: key.path.into(),
-            found: value.to_string(),
+            found: shown.to_string(),
             expected: key.expected(),
         })
     };
     match (key.kind, value) {
         (Kind::Name, Value::String(text)) => out(is_name(text)),
+        (Kind::Token, Value::String(text)) => out(is_token(text)),
         (Kind::Listener, Value::String(text)) => match text.parse::<SocketAddr>() {
             Ok(_) => None,
             Err(_) => wrong(),
@@ -121,6 +125,11 @@
         && text.bytes().all(|byte| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-'))
 }
 
+fn is_token(text: &str) -> bool {
+    let (least, most) = key::TOKEN_BYTES;
+    (least..=most).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// Names the known key that the unknown one resembles most.
 fn advice(path: &str) -> String {
     let last = path.rsplit('.').next().unwrap_or(path);
--- a/components/settings/src/daemon.rs
+++ b/components/settings/src/daemon.rs
@@ -16,6 +16,10 @@
     pub listen: SocketAddr,
     /// Where other daemons connect, by TCP and UDP.
     pub peer_listen: SocketAddr,
+    /// Bearer token of operators for `/admin/*`; when absent, only callers on a loopback address
+    /// are answered there.
+    #[serde(default)]
+    pub admin_token: Option<String>,
     /// The platform's services.
     pub platform: Platform,
     /// Communication with other daemons.
--- a/components/settings/src/key.rs
+++ b/components/settings/src/key.rs
@@ -22,6 +22,9 @@
 pub enum Kind {
     /// A name: 1 to 63 lower-case letters, digits and hyphens.
     Name,
+    /// A secret: visible ASCII without spaces, at least `TOKEN_BYTES.0` and at most
+    /// `TOKEN_BYTES.1` characters. Messages never show it.
+    Token,
     /// An IP address and a port on which this process listens; port 0 takes a free port.
     Listener,
     /// An IP address and a port to which this process connects.
@@ -66,6 +69,9 @@
 /// Longest name.
 pub const NAME_BYTES: usize = 63;
 
+/// Shortest and longest token. 16 random letters and digits cannot be found by trying.
+pub const TOKEN_BYTES: (usize, usize) = (16, 256);
+
 /// Largest whole number that JSON readers keep exactly.
 const LARGEST_EXACT: u64 = (1 << 53) - 1;
 
@@ -104,6 +110,14 @@
         Default::Required,
         "Where other daemons connect, by TCP and UDP. Port 0 takes a free port.",
     ),
+    key(
+        "admin_token",
+        Kind::Token,
+        "",
+        Default::Absent("loopback only"),
+        "Bearer token that operators send to `/admin/*`. The same on every daemon. When absent, \
+         `/admin/*` is answered only to callers on a loopback address.",
+    ),
     key("platform.table", Kind::Address, "", Default::Required, "Address of the table service."),
     key("platform.objects", Kind::Address, "", Default::Required, "Address of the object store."),
     key("platform.vms", Kind::Address, "", Default::Required, "Address of the list of vms."),
@@ -324,6 +338,10 @@
     pub fn range(&self) -> String {
         match self.kind {
             Kind::Name => format!("1 to {NAME_BYTES} of a-z, 0-9 and -"),
+            Kind::Token => {
+                let (least, most) = TOKEN_BYTES;
+                format!("{least} to {most} visible ASCII characters without spaces")
+            }
             Kind::Listener => "IP:port".into(),
             Kind::Address => "IP:port, neither unspecified".into(),
             Kind::Whole { least, most } => format!("{least} to {most}"),
@@ -337,7 +355,7 @@
     pub fn expected(&self) -> String {
         let unit = if self.unit.is_empty() { String::new() } else { format!(" ({})", self.unit) };
         match self.kind {
-            Kind::Name => format!("a string of {}", self.range()),
+            Kind::Name | Kind::Token => format!("a string of {}", self.range()),
             Kind::Listener => "a string with IP address and port such as \"0.0.0.0:8080\"".into(),
             Kind::Address => "a string with IP address and port such as \"10.0.0.1:8080\"".into(),
             Kind::Whole { .. } => format!("a whole number from {}{unit}", self.range()),
@@ -352,6 +370,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Name => "name",
+            Self::Token => "token",
             Self::Listener => "listener",
             Self::Address => "address",
             Self::Whole { .. } => "whole number",
--- a/components/settings/tests/read_file.rs
+++ b/components/settings/tests/read_file.rs
@@ -135,6 +135,7 @@
 fn wrong_type() -> Result<()> {
     for (path, value) in [
         ("name", json!(5)),
+        ("admin_token", json!(5)),
         ("listen", json!("localhost:80")),
         ("listen", json!("10.0.0.1")),
         ("lease", json!(3)),
@@ -194,6 +195,14 @@
                     expect_that!(out(key.path, json!(bad)), eq(1), "{} = {bad}", key.path);
                 }
             }
+            Kind::Token => {
+                for bad in ["", &"x".repeat(15), &"x".repeat(257), &" ".repeat(20)] {
+                    expect_that!(out(key.path, json!(bad)), eq(1), "{} = {bad}", key.path);
+                }
+                for good in [16, 256] {
+                    expect_that!(out(key.path, json!("x".repeat(good))), eq(0), "{}", key.path);
+                }
+            }
             Kind::Listener | Kind::Switch => {}
         }
     }
@@ -266,3 +275,18 @@
     let error = Daemon::read("no/such/daemon.jsonc").unwrap_err().to_string();
     verify_that!(error, contains_substring("cannot read the settings file no/such/daemon.jsonc"))
 }
+
+/// Guards against a token that a message shows, and against one that is easily guessed or cannot be
+/// sent in a header.
+#[gtest]
+fn admin_token() -> Result<()> {
+    let settings = parse(&text(&[("admin_token", json!("0123456789abcdef"))])).or_fail()?;
+    expect_that!(settings.admin_token, some(eq("0123456789abcdef")));
+    for token in ["", "0123456789abcde", "0123456789 abcdef", "0123456789abcd\u{e9}f"] {
+        let found = messages(&[("admin_token", json!(token))]);
+        expect_that!(found, elements_are![starts_with("admin_token: ")], "{token}");
+        expect_that!(found[0].contains("0123456789"), eq(false), "{token}");
+    }
+    let found = messages(&[("admin_token", json!(123_456_789))]);
+    verify_that!(found, elements_are![not(contains_substring("123456789"))])
+}
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -192,7 +192,7 @@
     async fn try_apply(&self, document: &Value, change_id: &str) -> Result<u64, Error> {
         let daemon = &self.daemons[0];
         let call = Call::get(daemon.address, "/admin/config").with_timeout(Duration::from_secs(5));
-        let current: Value = expect(self.client.send(call).await?, 200)?.json()?;
+        let current: Value = expect(self.client.send(self.admin(call)).await?, 200)?.json()?;
         let change = json!({
             "expected_revision": current["revision"],
             "change_id": change_id,
@@ -202,7 +202,7 @@
         let call = Call::post(daemon.address, "/admin/config")
             .with_json(&change)
             .with_timeout(Duration::from_secs(5));
-        let accepted: Value = expect(self.client.send(call).await?, 200)?.json()?;
+        let accepted: Value = expect(self.client.send(self.admin(call)).await?, 200)?.json()?;
         Ok(accepted["revision"].as_u64().unwrap_or(0))
     }
 
@@ -246,7 +246,15 @@
     /// The upstreams as a daemon sees them.
     pub async fn upstreams(&self, daemon: SocketAddr) -> Result<Vec<Upstream>, Error> {
         let call = Call::get(daemon, "/admin/upstreams").with_timeout(Duration::from_secs(2));
-        Ok(expect(self.client.send(call).await?, 200)?.json()?)
+        Ok(expect(self.client.send(self.admin(call)).await?, 200)?.json()?)
+    }
+
+    /// Adds the operators' token, when the settings have one.
+    fn admin(&self, call: Call) -> Call {
+        match self.plan.settings["admin_token"].as_str() {
+            Some(token) => call.with_token(token),
+            None => call,
+        }
     }
 
     /// Waits until the probe gives a value.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,6 +22,9 @@
 /// Environment variable with the bearer token.
 pub const TOKEN: &str = "CYCLAMENGRADE_TOKEN";
 
+/// Environment variable with the bearer token of operators.
+pub const ADMIN_TOKEN: &str = "CYCLAMENGRADE_ADMIN_TOKEN";
+
 /// Exit codes by kind of failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exit {
@@ -110,6 +113,7 @@
     pub json: bool,
     server: Option<String>,
     token: Option<String>,
+    admin_token: Option<String>,
 }
 
 impl Call {
@@ -153,9 +157,13 @@
             )));
         }
         let admin = Admin::new(server);
-        Ok(match given(&self.token, TOKEN) {
+        let admin = match given(&self.token, TOKEN) {
             Some(token) => admin.with_token(token),
             None => admin,
+        };
+        Ok(match given(&self.admin_token, ADMIN_TOKEN) {
+            Some(token) => admin.with_admin_token(token),
+            None => admin,
         })
     }
 }
@@ -185,6 +193,7 @@
     let json = arguments.contains("--json");
     let server = arguments.opt_value_from_str("--server")?;
     let token = arguments.opt_value_from_str("--token")?;
+    let admin_token = arguments.opt_value_from_str("--admin-token")?;
     let Some(name) = arguments.subcommand()? else {
         return if version {
             print::line(&format!("cyclamengrade {}", env!("CARGO_PKG_VERSION")))
@@ -194,7 +203,7 @@
             Err(Failure::usage("a subcommand is missing; see --help"))
         };
     };
-    let call = Call { arguments, json, server, token };
+    let call = Call { arguments, json, server, token, admin_token };
     cmd::run(&name, call, help)
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -36,6 +36,9 @@
   --token TOKEN        bearer token
                        (or CYCLAMENGRADE_TOKEN, which other
                        users of the machine cannot read)
+  --admin-token TOKEN  bearer token of operators, for
+                       config and upstreams
+                       (or CYCLAMENGRADE_ADMIN_TOKEN)
   --json               output for scripts
   -h, --help           help of a subcommand
   -V, --version        version
--- a/tests/cli_fleet.rs
+++ b/tests/cli_fleet.rs
@@ -82,3 +82,33 @@
     let output = run(&fleet, 0, &format!("batch cancel {}", ids[0]));
     verify_that!(output.text, contains_substring("completed: 20 of 20 succeeded"))
 }
+
+/// Guards against a daemon that ignores the setting `admin_token`, and against a program that does
+/// not send the token, or sends it in calls of batch jobs.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn admin_token() -> Result<()> {
+    let token = "token-of-operators";
+    let settings = serde_json::json!({ "admin_token": token });
+    let fleet = Fleet::start(Plan::new(1, 1, 0).with_settings(&settings)).await.or_fail()?;
+    for arguments in ["config show", "config history", "upstreams"] {
+        let output = run(&fleet, 0, arguments);
+        expect_that!(output.code, eq(3), "{arguments}");
+        expect_that!(output.message(), contains_substring("admin token"), "{arguments}");
+        expect_that!(output.text, eq(""), "{arguments}");
+        let output = run(&fleet, 0, &format!("{arguments} --admin-token {token}"));
+        expect_that!(output.code, eq(0), "{arguments}: {}", output.errors);
+    }
+    let items = scratch("admin.jsonl", "{\"id\":\"1\",\"prompt\":\"p\",\"max_tokens\":2}\n");
+    let output = Program::new(&format!("batch submit {items} --deployment {DEPLOYMENT}"))
+        .env("CYCLAMENGRADE_SERVER", fleet.daemons[0].address)
+        .env("CYCLAMENGRADE_TOKEN", TOKEN)
+        .env("CYCLAMENGRADE_ADMIN_TOKEN", token)
+        .run();
+    expect_that!(output.code, eq(0), "{}", output.errors);
+    let output = Program::new("config show")
+        .env("CYCLAMENGRADE_SERVER", fleet.daemons[0].address)
+        .env("CYCLAMENGRADE_ADMIN_TOKEN", token)
+        .run();
+    verify_that!(output.code, eq(0))
+}
--- a/tests/program/mod.rs
+++ b/tests/program/mod.rs
@@ -19,6 +19,7 @@
             .args(arguments.split_whitespace())
             .env_remove("CYCLAMENGRADE_SERVER")
             .env_remove("CYCLAMENGRADE_TOKEN")
+            .env_remove("CYCLAMENGRADE_ADMIN_TOKEN")
             .env_remove("USER")
             .stdin(Stdio::null());
         Self(command)
