Bound the time to open a batch stream

Cause: an engine sends the status line with the first token, and opening a stream had no time limit, so an item that was opened on a connection that had gone silent stayed open for good. Change: opening has the time limit of a gap, and a silent connection closes the idle ones to the same engine.

--- a/components/daemon/src/runner.rs
+++ b/components/daemon/src/runner.rs
@@ -114,9 +114,20 @@
         resume_from: call.resume_from,
     };
     let open = Open { stream_id: &call.stream, body, traceparent: None, fresh: false };
-    match client.open(call.address, open).await {
-        Ok(stream) => relay(stream, transcript, times).await,
-        Err(error) => end_of(&error),
+    // The status line comes with the first token, so opening is bounded like a gap.
+    match tokio::time::timeout(SILENCE, client.open(call.address, open)).await {
+        Ok(Ok(stream)) => {
+            let end = relay(stream, transcript, times).await;
+            if end == End::Failed {
+                client.close_idle(call.address);
+            }
+            end
+        }
+        Ok(Err(error)) => end_of(&error),
+        Err(_) => {
+            client.close_idle(call.address);
+            End::Failed
+        }
     }
 }
 
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -35,6 +35,20 @@
     scene.verify(0).await.or_fail()
 }
 
+/// Batch items on silent connections must not hold their job up for good.
+#[gtest]
+#[tokio::test]
+async fn batch_streams() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    let job = scene.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
+    scene.await_progress(0, &job.id).await?;
+    for engine in &fleet.engines {
+        engine.faults(&fleet.client, &json!({"silent": true})).await?;
+    }
+    scene.verify(1).await.or_fail()
+}
+
 /// Silent connections to the platform must not stop the acceptance of jobs.
 #[gtest]
 #[tokio::test]
