Check the events of a paused holder of chunks

Cause: no test with daemons produced the events of a lost lease, of a lost chunk and of a takeover.

Change: telemetry_fleet pauses a daemon that holds a chunk until another one has finished the job, and expects events 801 and 706 of the woken daemon and 704 of the other.

--- a/tests/telemetry_fleet.rs
+++ b/tests/telemetry_fleet.rs
@@ -9,7 +9,7 @@
 
 use cyclamengrade_standins::{
     client::Call,
-    fleet::{Completion, Fleet, Job, JobState, Plan, items},
+    fleet::{Completion, Fleet, Job, JobState, Plan, Scene, items},
 };
 use cyclamengrade_telemetry::{event::Event, metrics};
 use googletest::prelude::*;
@@ -156,3 +156,45 @@
     }
     Ok(())
 }
+
+/// Numbers of the events in the log of a daemon so far.
+fn events(fleet: &Fleet, daemon: usize) -> BTreeSet<u64> {
+    let path = fleet.folder().join(format!("{}.1.log", fleet.daemons[daemon].name));
+    let text = fs::read_to_string(path).unwrap();
+    let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    lines.filter_map(|line| line["event"].as_u64()).collect()
+}
+
+/// Guards against a paused holder of chunks that logs neither its lost lease nor its lost chunks,
+/// and against takeovers without an event.
+#[gtest]
+#[tokio::test]
+async fn paused_holder() -> Result<()> {
+    let scene = Scene::start().await?;
+    let fleet = &scene.fleet;
+    let job = scene.ledger.submit(fleet, 1, "job-1", &items("a", 300, 40)).await?;
+    fleet
+        .eventually("a chunk of the daemon that is paused", async || {
+            let rows = fleet.rows("chunk/").await.ok()?;
+            let held = |row: &Value| row["holder"] == "entry-1" && row["state"] == "held";
+            rows.iter().any(|row| held(&row.value)).then_some(())
+        })
+        .await?;
+    fleet.process(0)?.pause()?;
+    fleet
+        .eventually("the end of the job without the paused daemon", async || {
+            let job = fleet.job(1, &job.id).await.ok()?;
+            (job.state == JobState::Completed).then_some(())
+        })
+        .await?;
+    fleet.process(0)?.resume()?;
+    let wanted = [Event::LeaseLost, Event::ChunkCommitLost].map(|event| event.number().into());
+    fleet
+        .eventually("the events of the woken daemon", async || {
+            let found = events(fleet, 0);
+            wanted.iter().all(|number| found.contains(number)).then_some(())
+        })
+        .await?;
+    expect_that!(events(fleet, 1), contains(eq(&u64::from(Event::ChunkTakenOver.number()))));
+    scene.verify(1).await.or_fail()
+}
