Measure both sites with 12 daemons

Cause: both sites run 10 to 13 daemons, and the other figures use 12. Change: the load tool starts 12 instead of 10.

--- a/components/standins/src/load/site.rs
+++ b/components/standins/src/load/site.rs
@@ -54,11 +54,11 @@
         match name {
             "small" => Some(BASE),
             "tessiture" => {
-                Some(Self { name: "tessiture", daemons: 10, engines: 20, services: 3, ..BASE })
+                Some(Self { name: "tessiture", daemons: 12, engines: 20, services: 3, ..BASE })
             }
             "himal" => Some(Self {
                 name: "himal",
-                daemons: 10,
+                daemons: 12,
                 engines: 10,
                 services: 4,
                 data_centres: &["ktm-a", "ktm-b", "ktm-c", "ktm-d"],
