--- a/components/control/src/admission/queue.rs
+++ b/components/control/src/admission/queue.rs
@@ -50,7 +50,7 @@
     }
 
     /// Requests that will not be served before their deadline.
-    pub fn hopeless(&self, now: Time) -> Vec<RequestId> {
+    pub fn unservable(&self, now: Time) -> Vec<RequestId> {
         let entries = self.waiting.iter().enumerate();
         entries
             .filter(|&(at, &(deadline, _))| {
--- a/components/control/src/claim/entry.rs
+++ b/components/control/src/claim/entry.rs
@@ -28,7 +28,7 @@
     /// Deletes the row of a claim that was given up before its outcome was known.
     GiveUp,
     /// Writes that the outcome is not known, on the condition that the holder has not renewed.
-    Bury { daemon: Option<(String, u64)> },
+    MarkUnknown { daemon: Option<(String, u64)> },
 }
 
 impl Phase {
--- a/components/control/src/claim/machine.rs
+++ b/components/control/src/claim/machine.rs
@@ -137,11 +137,11 @@
         if !self.leased() {
             return self.answer(id, Begun::Refused);
         }
-        let deadline = self.now + self.settings.patience;
+        let deadline = self.now + self.settings.timeout;
         if let Some(entry) = self.entries.get_mut(&key) {
             let begun = match &entry.phase {
                 _ if entry.digest != digest => Begun::Conflict,
-                Phase::Claim | Phase::GiveUp | Phase::Bury { .. } => {
+                Phase::Claim | Phase::GiveUp | Phase::MarkUnknown { .. } => {
                     entry.waiting.push((id, deadline));
                     return;
                 }
@@ -244,7 +244,7 @@
             Phase::Record(Outcome::Unknown) => {
                 entry.row.clone().map(|row| Row { state: State::Unknown, ..row })
             }
-            Phase::Bury { daemon } => {
+            Phase::MarkUnknown { daemon } => {
                 if let Some((daemon, version)) = daemon {
                     transaction = transaction.with_condition(lease::key(daemon), *version);
                 }
--- a/components/control/src/claim/mod.rs
+++ b/components/control/src/claim/mod.rs
@@ -89,7 +89,7 @@
     /// Additional time before another daemon's lease counts as ended.
     pub margin: Duration,
     /// Time after which a request that has no claim is refused.
-    pub patience: Duration,
+    pub timeout: Duration,
 }
 
 /// What happened.
@@ -162,7 +162,7 @@
         begun: Begun,
     },
     /// A claim whose holder is gone ended as `outcome_unknown`; for logs and metrics only.
-    Buried {
+    MarkedUnknown {
         /// Key of the row.
         key: String,
     },
--- a/components/control/src/claim/resolve.rs
+++ b/components/control/src/claim/resolve.rs
@@ -114,9 +114,9 @@
         match &entry.phase {
             Phase::Claim => self.grant(key),
             Phase::Record(_) => self.recorded(key),
-            Phase::Bury { .. } => {
-                self.actions.push(Action::Buried { key: key.to_owned() });
-                self.tell(key, &Begun::OutcomeUnknown);
+            Phase::MarkUnknown { .. } => {
+                self.actions.push(Action::MarkedUnknown { key: key.to_owned() });
+                self.answer_all(key, &Begun::OutcomeUnknown);
             }
             // The write in flight was the claim when it was given up, or it was the deletion.
             Phase::GiveUp if entry.row.is_some() => {}
@@ -150,7 +150,7 @@
     }
 
     /// Answers all waiting requests and forgets the claim.
-    fn tell(&mut self, key: &str, begun: &Begun) {
+    fn answer_all(&mut self, key: &str, begun: &Begun) {
         let Some(entry) = self.entries.remove(key) else { return };
         for (id, _) in entry.waiting {
             self.answer(id, begun.clone());
@@ -171,13 +171,13 @@
         let row = current.and_then(|row| row.decode::<Row>());
         if current.is_some() && row.is_none() {
             // Nobody here can have written it; it must not run again.
-            return self.tell(key, &Begun::OutcomeUnknown);
+            return self.answer_all(key, &Begun::OutcomeUnknown);
         }
         if row == entry.row {
             return self.written(key, version);
         }
         match entry.phase.clone() {
-            Phase::Claim | Phase::Bury { .. } => self.meet(key, version, row),
+            Phase::Claim | Phase::MarkUnknown { .. } => self.meet(key, version, row),
             Phase::Record(_) => self.record_again(key, version, row),
             Phase::GiveUp => {
                 let own =
@@ -220,11 +220,13 @@
             return self.abandon(key);
         };
         if row.digest != entry.digest {
-            return self.tell(key, &Begun::Conflict);
+            return self.answer_all(key, &Begun::Conflict);
         }
         match (row.state, &row.answer) {
-            (State::Done, Some(answer)) => self.tell(key, &Begun::Done(answer.clone())),
-            (State::Done, None) | (State::Unknown, _) => self.tell(key, &Begun::OutcomeUnknown),
+            (State::Done, Some(answer)) => self.answer_all(key, &Begun::Done(answer.clone())),
+            (State::Done, None) | (State::Unknown, _) => {
+                self.answer_all(key, &Begun::OutcomeUnknown)
+            }
             (State::Running, _) if self.own(&row) => {
                 // An attempt of this process that was given up and whose write came late. It never
                 // ran, because a claim that runs has an entry in another phase.
@@ -243,7 +245,7 @@
             Verdict::Ended => None,
             Verdict::Expired(version) => Some((row.holder.clone(), version)),
             Verdict::Live => {
-                self.tell(key, &Begun::InProgress);
+                self.answer_all(key, &Begun::InProgress);
                 let watch = (self.settings.lease + self.settings.margin) * WATCH_FACTOR;
                 let watched = Watched { version, row, until: self.now + watch };
                 self.watched.insert(key.to_owned(), watched);
@@ -252,7 +254,8 @@
         };
         self.watched.remove(key);
         let Some(entry) = self.entries.get_mut(key) else { return };
-        (entry.version, entry.row, entry.phase) = (version, Some(row), Phase::Bury { daemon });
+        (entry.version, entry.row, entry.phase) =
+            (version, Some(row), Phase::MarkUnknown { daemon });
     }
 
     /// Ends watched claims whose holder is gone.
--- a/components/control/src/pacing.rs
+++ b/components/control/src/pacing.rs
@@ -54,7 +54,7 @@
 
 /// What the limit depends on.
 #[derive(Clone, Copy, Debug)]
-pub struct Scene<'a> {
+pub struct Conditions<'a> {
     /// Name of the upstream.
     pub name: &'a str,
     /// Requests that the upstream can run at once; zero when it must get no batch work.
@@ -145,10 +145,10 @@
     }
 
     /// Decides the limit; returns it when it changed.
-    pub fn update(&mut self, now: Time, scene: Scene<'_>) -> Option<u32> {
-        self.observe(now, scene.own);
-        self.raise(now, scene.slots);
-        let limit = self.decide(now, scene);
+    pub fn update(&mut self, now: Time, conditions: Conditions<'_>) -> Option<u32> {
+        self.observe(now, conditions.own);
+        self.raise(now, conditions.slots);
+        let limit = self.decide(now, conditions);
         (limit != std::mem::replace(&mut self.limit, limit)).then_some(limit)
     }
 
@@ -177,11 +177,11 @@
         }
     }
 
-    fn decide(&self, now: Time, scene: Scene<'_>) -> u32 {
+    fn decide(&self, now: Time, conditions: Conditions<'_>) -> u32 {
         let fresh = now.since(self.reported) < REPORT_LIFE;
         let unexplained = if fresh { self.unexplained } else { 0 };
         let online = self.online.saturating_add(unexplained);
-        let free = scene.slots.saturating_sub(online);
+        let free = conditions.slots.saturating_sub(online);
         let bound = match self.closed {
             Some((until, _)) if now < until => 0,
             // One stream shows whether the upstream is back.
@@ -189,7 +189,7 @@
             None => self.bound.map_or(u32::MAX, |bound| bound as u32),
         };
         let used = self.risen.is_some_and(|at| now.since(at) < RESERVE_TIME) || online > 0;
-        let reserve = if used { reserve(scene) } else { 0 };
+        let reserve = if used { reserve(conditions) } else { 0 };
         let target = free.saturating_sub(reserve).min(bound);
         if target <= self.limit {
             // Running streams may use the reserve; they end at their own pace.
@@ -203,7 +203,7 @@
 }
 
 /// Whole slots; the fraction becomes a slot at that share of the upstreams.
-fn reserve(scene: Scene<'_>) -> u32 {
-    let fraction = (hash::stable(&[scene.name]) >> 11) as f64 / (1_u64 << 53) as f64;
-    (f64::from(scene.slots) * RESERVE + fraction) as u32
+fn reserve(conditions: Conditions<'_>) -> u32 {
+    let fraction = (hash::stable(&[conditions.name]) >> 11) as f64 / (1_u64 << 53) as f64;
+    (f64::from(conditions.slots) * RESERVE + fraction) as u32
 }
--- a/components/control/src/routing/health.rs
+++ b/components/control/src/routing/health.rs
@@ -5,9 +5,9 @@
 use crate::time::Time;
 
 /// Slow answers in a row that eject an upstream.
-const STRIKES: u32 = 3;
-/// Time after a lost hedge or a failed attempt for which other upstreams are preferred. Without it, the load of a slow
-/// upstream falls until its score is the best again.
+const SLOW_ANSWERS: u32 = 3;
+/// Time after a lost hedge or a failed attempt for which other upstreams are preferred. Without it,
+/// the load of a slow upstream falls until its score is the best again.
 const SUSPICION: Duration = Duration::from_secs(5);
 /// Failed attempts in a row that eject an upstream. One refused connection can be a full backlog.
 const FAILURES: u32 = 2;
@@ -20,8 +20,8 @@
 /// Lateness of a probe after which a regular request serves as one. It may be slow, so these must
 /// stay far below one request in a hundred.
 const OVERDUE: Duration = Duration::from_secs(20);
-/// Probes in a row that may lose against a regular attempt. An upstream that is a little slower than
-/// the best ones loses every race although it is good, so the next probe runs alone.
+/// Probes in a row that may lose against a regular attempt. An upstream that is a little slower
+/// than the best ones loses every race although it is good, so the next probe runs alone.
 const RACES: u32 = 1;
 /// Time in service after which the next ejection starts with the first backoff again.
 const FORGIVEN: Duration = Duration::from_secs(30);
@@ -42,7 +42,7 @@
 pub struct Health {
     phase: Phase,
     since: Time,
-    strikes: u32,
+    slow_answers: u32,
     failures: u32,
     backoff: Duration,
     probing: bool,
@@ -56,7 +56,7 @@
         Self {
             phase: Phase::Regular,
             since: Time::default(),
-            strikes: 0,
+            slow_answers: 0,
             failures: 0,
             backoff: FIRST_BACKOFF,
             probing: false,
@@ -118,11 +118,11 @@
                 false
             }
             (Phase::Regular, true) => {
-                self.strikes += 1;
-                self.strikes >= STRIKES
+                self.slow_answers += 1;
+                self.slow_answers >= SLOW_ANSWERS
             }
             (Phase::Regular, false) => {
-                self.strikes = 0;
+                self.slow_answers = 0;
                 if now.since(self.since) > FORGIVEN {
                     self.backoff = FIRST_BACKOFF;
                 }
@@ -195,7 +195,7 @@
     fn enter(&mut self, now: Time, phase: Phase) {
         self.phase = phase;
         self.since = now;
-        self.strikes = 0;
+        self.slow_answers = 0;
         self.probing = false;
     }
 }
--- a/components/control/src/traffic/batch.rs
+++ b/components/control/src/traffic/batch.rs
@@ -6,12 +6,12 @@
 
 use crate::{
     fleet::UpstreamKey,
-    pacing::Scene,
+    pacing::Conditions,
     time::Time,
     traffic::{
         machine::Machine,
         message::{Action, Load, Outcome},
-        node::{Node, Told},
+        node::{Node, Notified},
     },
 };
 
@@ -85,13 +85,13 @@
 
     /// Sends notices and batch limits that changed.
     pub(super) fn settle(&mut self, now: Time, actions: &mut Vec<Action>) {
-        self.touched.extend(self.untold.iter().copied());
+        self.touched.extend(self.unsent_notices.iter().copied());
         let mut touched = std::mem::take(&mut self.touched);
         touched.sort_unstable();
         touched.dedup();
         for &key in &touched {
             self.pace(now, key, actions);
-            self.tell(now, key, actions);
+            self.notify(now, key, actions);
         }
         touched.clear();
         self.touched = touched;
@@ -100,8 +100,8 @@
     /// Repeats notices about work that goes on.
     pub(super) fn repeat_notices(&mut self, now: Time) {
         for (key, node) in &mut self.nodes {
-            if node.told.in_flight > 0 && now.since(node.told.at) >= NOTICE_REPEAT {
-                node.told = Told::default();
+            if node.notified.in_flight > 0 && now.since(node.notified.at) >= NOTICE_REPEAT {
+                node.notified = Notified::default();
                 self.touched.push(key);
             }
         }
@@ -117,8 +117,8 @@
         let changed = if self.settings.naive {
             node.pace.fix(slots / 2)
         } else {
-            let scene = Scene { name: &upstream.name, slots, own: node.work.own() };
-            node.pace.update(now, scene)
+            let conditions = Conditions { name: &upstream.name, slots, own: node.work.own() };
+            node.pace.update(now, conditions)
         };
         if let Some(streams) = changed {
             actions.push(Action::BatchLimit {
@@ -129,20 +129,20 @@
         }
     }
 
-    fn tell(&mut self, now: Time, key: UpstreamKey, actions: &mut Vec<Action>) {
-        self.untold.remove(&key);
+    fn notify(&mut self, now: Time, key: UpstreamKey, actions: &mut Vec<Action>) {
+        self.unsent_notices.remove(&key);
         let Some(upstream) = self.fleet.upstreams.get(key) else { return };
         let Some(node) = self.nodes.get_mut(key) else { return };
         let in_flight = node.work.own();
         let Some((_, dispatcher)) = &node.dispatcher else { return };
-        if node.mine || self.settings.naive || in_flight == node.told.in_flight {
+        if node.mine || self.settings.naive || in_flight == node.notified.in_flight {
             return;
         }
-        if node.told.in_flight > 0 && now.since(node.told.at) < NOTICE_PERIOD {
-            self.untold.insert(key);
+        if node.notified.in_flight > 0 && now.since(node.notified.at) < NOTICE_PERIOD {
+            self.unsent_notices.insert(key);
             return;
         }
-        node.told = Told { in_flight, at: now };
+        node.notified = Notified { in_flight, at: now };
         actions.push(Action::Notify {
             dispatcher: dispatcher.clone(),
             upstream: upstream.name.clone(),
--- a/components/control/src/traffic/grouping.rs
+++ b/components/control/src/traffic/grouping.rs
@@ -15,7 +15,7 @@
     traffic::{
         machine::Machine,
         message::{Action, Demand},
-        node::{Node, Told},
+        node::{Node, Notified},
         pool::Pool,
     },
 };
@@ -115,7 +115,7 @@
             self.touched.push(key);
         }
         self.nodes.retain(|key, _| self.fleet.upstreams.contains_key(key));
-        self.untold.retain(|&key| self.fleet.upstreams.contains_key(key));
+        self.unsent_notices.retain(|&key| self.fleet.upstreams.contains_key(key));
         self.own();
     }
 
@@ -154,7 +154,7 @@
                 node.dispatcher = others.chain(node.dispatcher.take()).max();
             }
             if node.dispatcher != before {
-                node.told = Told::default();
+                node.notified = Notified::default();
                 self.touched.push(key);
             }
         }
--- a/components/control/src/traffic/machine.rs
+++ b/components/control/src/traffic/machine.rs
@@ -39,7 +39,7 @@
     pub(super) recent: Recent,
     pub(super) next_attempt: u64,
     pub(super) touched: Vec<UpstreamKey>,
-    pub(super) untold: BTreeSet<UpstreamKey>,
+    pub(super) unsent_notices: BTreeSet<UpstreamKey>,
     pub(super) periods: Periods,
 }
 
@@ -72,7 +72,7 @@
             recent: Recent::default(),
             next_attempt: 0,
             touched: Vec::new(),
-            untold: BTreeSet::new(),
+            unsent_notices: BTreeSet::new(),
             periods: Periods::default(),
         }
     }
@@ -117,7 +117,7 @@
     /// Whether ticks should come every 5 ms: a request waits in the queue or for its first token,
     /// or a notice to a batch dispatcher is due.
     pub fn is_waiting(&self) -> bool {
-        !self.untold.is_empty()
+        !self.unsent_notices.is_empty()
             || self.pools.values().any(|pool| !pool.queue.is_empty() || !pool.pending.is_empty())
     }
 
--- a/components/control/src/traffic/node.rs
+++ b/components/control/src/traffic/node.rs
@@ -48,13 +48,13 @@
     pub mine: bool,
     /// Batch work.
     pub pace: Pace,
-    /// What the dispatcher was told last.
-    pub told: Told,
+    /// What the dispatcher was notified of last.
+    pub notified: Notified,
 }
 
-/// What the dispatcher of an upstream was told last.
+/// What the dispatcher of an upstream was notified of last.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Told {
+pub(super) struct Notified {
     /// Requests in flight.
     pub in_flight: u32,
     /// When.
@@ -77,7 +77,7 @@
             dispatcher: None,
             mine: false,
             pace: Pace::default(),
-            told: Told::default(),
+            notified: Notified::default(),
         }
     }
 
--- a/components/control/src/traffic/tick.rs
+++ b/components/control/src/traffic/tick.rs
@@ -44,7 +44,7 @@
         }
         self.expire(now, actions);
         if !self.settings.naive {
-            self.refuse_hopeless(now, actions);
+            self.refuse_unservable(now, actions);
             let keys: Vec<_> = self.pools.keys().collect();
             for key in keys {
                 self.watch(now, key, actions);
@@ -114,10 +114,10 @@
         }
     }
 
-    fn refuse_hopeless(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let hopeless: Vec<RequestId> =
-            self.pools.values().flat_map(|pool| pool.queue.hopeless(now)).collect();
-        for id in hopeless {
+    fn refuse_unservable(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let unservable: Vec<RequestId> =
+            self.pools.values().flat_map(|pool| pool.queue.unservable(now)).collect();
+        for id in unservable {
             self.give_up(now, id, Refusal::Overloaded, actions);
         }
     }
--- a/components/control/tests/claim_schedule.rs
+++ b/components/control/tests/claim_schedule.rs
@@ -79,7 +79,7 @@
             daemon: name.clone(),
             lease: LEASE,
             margin: MARGIN,
-            patience: Duration::from_secs(2),
+            timeout: Duration::from_secs(2),
         };
         let keeper = lease::Settings {
             daemon: name,
@@ -123,7 +123,7 @@
                         | Begun::Refused => {}
                     }
                 }
-                Action::Recorded { .. } | Action::Buried { .. } => {}
+                Action::Recorded { .. } | Action::MarkedUnknown { .. } => {}
             }
         }
     }
--- a/components/daemon/src/batch/jobs.rs
+++ b/components/daemon/src/batch/jobs.rs
@@ -36,7 +36,7 @@
 };
 
 /// Time for which a call is repeated while the platform is down.
-const PATIENCE: Duration = Duration::from_secs(5);
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// When a caller may come back after the platform was down.
 const RETRY_AFTER: Duration = Duration::from_secs(5);
@@ -93,7 +93,7 @@
             })??;
         let offer = self.offer(submission, &checked);
         let id = offer.id.clone();
-        let mut machine = Acceptance::new(offer, self.clock.now() + PATIENCE);
+        let mut machine = Acceptance::new(offer, self.clock.now() + TIMEOUT);
         let mut input = acceptance::Input::Start;
         loop {
             let Some(action) = machine.handle(self.clock.now(), input).pop() else {
@@ -135,7 +135,7 @@
 
     /// Cancels a job of the client; returns its final state.
     pub async fn cancel(&self, client: &str, id: &str) -> Result<Job, Failure> {
-        let deadline = self.clock.now() + PATIENCE;
+        let deadline = self.clock.now() + TIMEOUT;
         let mut machine = Cancellation::new(client.to_owned(), id.to_owned(), deadline);
         let mut input = cancellation::Input::Start;
         loop {
@@ -220,7 +220,7 @@
     }
 
     async fn row(&self, client: &str, id: &str) -> Result<job::Job, Failure> {
-        let deadline = self.clock.now() + PATIENCE;
+        let deadline = self.clock.now() + TIMEOUT;
         loop {
             let reply = store::call(&*self.table, Call::Read(vec![job::job_key(id)])).await;
             if let Reply::Rows(rows) = reply {
--- a/components/daemon/src/claims/recorder.rs
+++ b/components/daemon/src/claims/recorder.rs
@@ -26,7 +26,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Time after which a request without a claim is refused.
-const PATIENCE: Duration = Duration::from_secs(2);
+const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Writes claims and outcomes, as many as possible in one transaction.
 pub(super) struct Recorder {
@@ -72,7 +72,7 @@
             daemon: daemon.to_owned(),
             lease: Duration::from_millis(settings.length_ms),
             margin: Duration::from_millis(settings.margin_ms),
-            patience: PATIENCE,
+            timeout: TIMEOUT,
         });
         let parts = Parts { table, clock, machine, lease };
         // Admission bounds the requests, and with them the messages.
@@ -91,7 +91,7 @@
                     });
                 }
                 Action::Answer { id, begun } => self.answer(id, begun),
-                Action::Buried { key } => super::report_unknown(&key),
+                Action::MarkedUnknown { key } => super::report_unknown(&key),
                 Action::Recorded { key } => {
                     if let Some(recorded) = self.recording.remove(&key) {
                         // The caller waits for a bounded time only.
--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -125,7 +125,7 @@
     }
 
     /// Feeds the actor with the vms, the configuration and the members of the node, and with the
-    /// load that the upstreams report, for ever. To be spawned on the traffic runtime.
+    /// load that the upstreams report, until the daemon stops. To be spawned on the traffic runtime.
     pub async fn run(&self) {
         tokio::join!(self.shared.watch(), poller::run(Arc::clone(&self.shared)));
     }
--- a/components/daemon/src/online/poller.rs
+++ b/components/daemon/src/online/poller.rs
@@ -142,7 +142,7 @@
     }
 }
 
-/// Reads the upstreams for ever.
+/// Reads the upstreams until the daemon stops.
 pub(super) async fn run(shared: Arc<Shared>) {
     let mut targets: BTreeMap<String, Target> = BTreeMap::new();
     let mut reads = FuturesUnordered::new();
--- a/components/daemon/src/online/service.rs
+++ b/components/daemon/src/online/service.rs
@@ -312,7 +312,7 @@
     }
 }
 
-/// Waits for the first attempt that ends; for ever when there is none.
+/// Waits for the first attempt that ends; never completes when there is none.
 async fn next_answer(attempts: &mut [Attempt]) -> (usize, Result<Answer, Error>) {
     poll_fn(|cx| {
         for (index, attempt) in attempts.iter_mut().enumerate() {
--- a/components/operator/src/admin.rs
+++ b/components/operator/src/admin.rs
@@ -188,16 +188,16 @@
     }
 
     /// Waits until a batch job has ended, reading its state every `period`; `progress` gets each
-    /// state. A daemon that cannot be reached is tried again for `patience`.
+    /// state. A daemon that cannot be reached is tried again for `timeout`.
     ///
     /// # Errors
     ///
-    /// The daemon refused the call or could not be reached for `patience`.
+    /// The daemon refused the call or could not be reached for `timeout`.
     pub async fn wait(
         &self,
         id: &str,
         period: Duration,
-        patience: Duration,
+        timeout: Duration,
         mut progress: impl FnMut(&Job),
     ) -> Result<Job, Error> {
         use cyclamengrade_caller::backend::JobState;
@@ -212,7 +212,7 @@
                         return Ok(job);
                     }
                 }
-                Err(error) if !may_pass(&error) || reached.elapsed() > patience => {
+                Err(error) if !may_pass(&error) || reached.elapsed() > timeout => {
                     return Err(error);
                 }
                 Err(_) => {}
--- a/components/standins/src/fleet/scene.rs
+++ b/components/standins/src/fleet/harness.rs
@@ -11,14 +11,14 @@
 
 /// A fleet with small chunks and fast engines, and a ledger of what callers are told.
 #[derive(Debug)]
-pub struct Scene {
+pub struct Harness {
     /// The fleet.
     pub fleet: Fleet,
     /// What callers are told.
     pub ledger: Arc<Ledger>,
 }
 
-impl Scene {
+impl Harness {
     /// Starts two daemons, three engines and a service.
     pub async fn start() -> Result<Self, Error> {
         Self::start_plan(Plan::new(2, 3, 1)).await
--- a/components/standins/src/fleet/ledger.rs
+++ b/components/standins/src/fleet/ledger.rs
@@ -21,7 +21,7 @@
 
 /// What a caller was told about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Told {
+pub enum Outcome {
     /// The whole answer.
     Answered,
     /// It certainly did not run.
@@ -38,8 +38,8 @@
 
 #[derive(Debug, Default)]
 struct Records {
-    completions: Vec<(Completion, Told, String)>,
-    services: BTreeMap<String, Vec<Told>>,
+    completions: Vec<(Completion, Outcome, String)>,
+    services: BTreeMap<String, Vec<Outcome>>,
     jobs: BTreeMap<String, Vec<Item>>,
     cancelled: BTreeSet<String>,
 }
@@ -71,12 +71,12 @@
             not_run: matches!(error, client::Error::Connect(_)),
             ..Answer::default()
         });
-        let told = match (answer.whole, answer.not_run) {
-            (true, _) => Told::Answered,
-            (false, true) => Told::NotRun,
-            (false, false) => Told::Unknown,
+        let outcome = match (answer.whole, answer.not_run) {
+            (true, _) => Outcome::Answered,
+            (false, true) => Outcome::NotRun,
+            (false, false) => Outcome::Unknown,
         };
-        self.lock().completions.push((completion, told, answer.text.clone()));
+        self.lock().completions.push((completion, outcome, answer.text.clone()));
         answer
     }
 
@@ -88,13 +88,13 @@
         key: &str,
     ) -> Result<Reply, client::Error> {
         let result = fleet.call_service(daemon, key, Duration::from_secs(20)).await;
-        let told = match &result {
-            Ok(reply) if reply.status == 200 => Told::Answered,
-            Ok(reply) if reply.not_run() => Told::NotRun,
-            Err(client::Error::Connect(_)) => Told::NotRun,
-            Ok(_) | Err(_) => Told::Unknown,
+        let outcome = match &result {
+            Ok(reply) if reply.status == 200 => Outcome::Answered,
+            Ok(reply) if reply.not_run() => Outcome::NotRun,
+            Err(client::Error::Connect(_)) => Outcome::NotRun,
+            Ok(_) | Err(_) => Outcome::Unknown,
         };
-        self.lock().services.entry(key.to_owned()).or_default().push(told);
+        self.lock().services.entry(key.to_owned()).or_default().push(outcome);
         result
     }
 
@@ -186,16 +186,16 @@
                 *started.entry(prompt).or_default() += runs.started;
             }
         }
-        for (completion, told, text) in completions {
+        for (completion, outcome, text) in completions {
             let prompt = &completion.prompt;
             let runs = started.get(prompt).copied().unwrap_or(0);
-            if told == Told::Answered && text != completion.expected() {
+            if outcome == Outcome::Answered && text != completion.expected() {
                 found.push(format!("{prompt:?} was answered wrongly: {text:?}"));
             }
             if !completion.expected().starts_with(&text) {
                 found.push(format!("{prompt:?} was answered with a wrong part: {text:?}"));
             }
-            if told == Told::NotRun && runs > 0 {
+            if outcome == Outcome::NotRun && runs > 0 {
                 found.push(format!("{prompt:?} was refused as not run but ran {runs} times"));
             }
             if completion.idempotent == Some(false) && runs > 1 {
@@ -213,15 +213,15 @@
                 *keys.entry(key).or_default() += count;
             }
         }
-        for (key, told) in &self.lock().services {
+        for (key, outcomes) in &self.lock().services {
             let runs = keys.get(key).copied().unwrap_or(0);
             if runs > 1 {
                 found.push(format!("service call {key} ran {runs} times"));
             }
-            if told.contains(&Told::Answered) && runs == 0 {
+            if outcomes.contains(&Outcome::Answered) && runs == 0 {
                 found.push(format!("service call {key} was answered but did not run"));
             }
-            if told.iter().all(|told| *told == Told::NotRun) && runs > 0 {
+            if outcomes.iter().all(|outcome| *outcome == Outcome::NotRun) && runs > 0 {
                 found.push(format!("service call {key} was refused as not run but ran"));
             }
         }
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -1,9 +1,9 @@
 //! A fleet of daemons, platform and upstreams, each in a process of its own.
 
 mod calls;
+mod harness;
 mod ledger;
 mod plan;
-mod scene;
 mod standin;
 
 use std::{
@@ -22,9 +22,9 @@
 
 pub use self::{
     calls::{Answer, Completion, complete, submit},
-    ledger::{Ledger, Told},
+    harness::{Harness, items},
+    ledger::{Ledger, Outcome},
     plan::{CLIENT, DEPLOYMENT, MODEL, Plan, SERVICE, TOKEN, VERSION, merge},
-    scene::{Scene, items},
     standin::Standin,
 };
 use crate::{
--- a/components/standins/src/load/traffic.rs
+++ b/components/standins/src/load/traffic.rs
@@ -19,7 +19,7 @@
 const BURST: Duration = Duration::from_secs(1);
 
 /// Time for which callers wait.
-const PATIENCE: Duration = Duration::from_secs(20);
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Shape of the online requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,7 +55,7 @@
         while prompt.len() < bytes {
             prompt.push_str(" confirm this order for felt and wool");
         }
-        (Completion::new(prompt, limit).with_timeout(PATIENCE), straggler)
+        (Completion::new(prompt, limit).with_timeout(TIMEOUT), straggler)
     }
 }
 
--- a/src/cmd/batch.rs
+++ b/src/cmd/batch.rs
@@ -46,7 +46,7 @@
 const PERIOD: Duration = Duration::from_millis(500);
 
 /// Time for which a daemon may be unreachable while its job is awaited; longer than a restart.
-const PATIENCE: Duration = Duration::from_secs(120);
+const TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Runs the subcommand.
 pub fn run(mut call: Call) -> Result<(), Failure> {
@@ -104,7 +104,7 @@
             );
         }
     };
-    let ended = cli::wait(admin.wait(&job.id, PERIOD, PATIENCE, show));
+    let ended = cli::wait(admin.wait(&job.id, PERIOD, TIMEOUT, show));
     if terminal {
         print::error("");
     }
--- a/tests/claimed_calls.rs
+++ b/tests/claimed_calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cyclamengrade_standins::fleet::Scene;
+use cyclamengrade_standins::fleet::Harness;
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -10,10 +10,10 @@
 #[gtest]
 #[tokio::test]
 async fn paused_claim() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     fleet.services[0].faults(&fleet.client, &json!({"slow_factor": 100.0})).await?;
-    let call = scene.ledger.call_service(fleet, 0, "artwork-1");
+    let call = harness.ledger.call_service(fleet, 0, "artwork-1");
     let resend = async {
         let runs = "a run at the service";
         fleet
@@ -29,7 +29,7 @@
         let unknown = "the end of the claim of the paused daemon";
         let not_run = fleet
             .eventually(unknown, async || {
-                let resent = scene.ledger.call_service(fleet, 1, "artwork-1").await.ok()?;
+                let resent = harness.ledger.call_service(fleet, 1, "artwork-1").await.ok()?;
                 (resent.kind() == "outcome_unknown").then_some(resent.not_run())
             })
             .await;
@@ -38,7 +38,7 @@
     };
     let (_, not_run) = tokio::join!(call, resend);
     expect_that!(not_run?, is_false());
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// A non-idempotent call whose reply was lost must end as unknown and never run again, also when
@@ -46,32 +46,32 @@
 #[gtest]
 #[tokio::test]
 async fn printed_artwork() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     fleet.services[0].faults(&fleet.client, &json!({"lose_replies": 1})).await?;
-    let first = scene.ledger.call_service(fleet, 0, "artwork-1").await?;
+    let first = harness.ledger.call_service(fleet, 0, "artwork-1").await?;
     expect_that!(first.kind(), eq("outcome_unknown"));
     expect_that!(first.not_run(), is_false());
     for daemon in [0, 1] {
-        let resent = scene.ledger.call_service(fleet, daemon, "artwork-1").await?;
+        let resent = harness.ledger.call_service(fleet, daemon, "artwork-1").await?;
         expect_that!(resent.kind(), eq("outcome_unknown"));
     }
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// An answer that was given must be given again for the same key, without a second run.
 #[gtest]
 #[tokio::test]
 async fn repeated_answer() -> Result<()> {
-    let scene = Scene::start().await?;
-    let first = scene.ledger.call_service(&scene.fleet, 0, "artwork-1").await?;
+    let harness = Harness::start().await?;
+    let first = harness.ledger.call_service(&harness.fleet, 0, "artwork-1").await?;
     expect_that!(first.status, eq(200));
     for daemon in [0, 1] {
-        let resent = scene.ledger.call_service(&scene.fleet, daemon, "artwork-1").await?;
+        let resent = harness.ledger.call_service(&harness.fleet, daemon, "artwork-1").await?;
         expect_that!(resent.status, eq(200));
         expect_that!(resent.body, eq(&first.body));
     }
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// While the table is down no claim can be written, so the call must be refused at once as not
@@ -79,21 +79,21 @@
 #[gtest]
 #[tokio::test]
 async fn refused_without_table() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     fleet.platform.faults(&fleet.client, &json!({"down": true, "parts": ["table"]})).await?;
     let start = Instant::now();
-    let refused = scene.ledger.call_service(fleet, 1, "artwork-1").await?;
+    let refused = harness.ledger.call_service(fleet, 1, "artwork-1").await?;
     expect_that!(refused.not_run(), is_true());
     expect_that!(refused.status, eq(503));
     expect_that!(start.elapsed(), lt(Duration::from_secs(10)));
-    scene.verify(1).await?;
+    harness.verify(1).await?;
     fleet.platform.faults(&fleet.client, &json!({"down": false, "parts": []})).await?;
     fleet
         .eventually("the printed artwork", async || {
-            let printed = scene.ledger.call_service(fleet, 1, "artwork-1").await.ok()?;
+            let printed = harness.ledger.call_service(fleet, 1, "artwork-1").await.ok()?;
             (printed.status == 200).then_some(())
         })
         .await?;
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
--- a/tests/frozen_daemon.rs
+++ b/tests/frozen_daemon.rs
@@ -2,18 +2,18 @@
 
 use std::time::Duration;
 
-use cyclamengrade_standins::fleet::{JobState, Scene, items};
+use cyclamengrade_standins::fleet::{Harness, JobState, items};
 use googletest::prelude::*;
 
 /// The woken daemon must not commit chunks that another daemon has taken over.
 #[gtest]
 #[tokio::test]
 async fn woken_holder() -> Result<()> {
-    let scene = Scene::start().await?;
-    let job = scene.ledger.submit(&scene.fleet, 1, "job-1", &items("a", 300, 40)).await?;
-    scene.await_progress(1, &job.id).await?;
-    scene.fleet.process(0)?.pause()?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let job = harness.ledger.submit(&harness.fleet, 1, "job-1", &items("a", 300, 40)).await?;
+    harness.await_progress(1, &job.id).await?;
+    harness.fleet.process(0)?.pause()?;
+    let fleet = &harness.fleet;
     fleet
         .eventually("the end of the job without the paused daemon", async || {
             let job = fleet.job(1, &job.id).await.ok()?;
@@ -27,5 +27,5 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     expect_that!(fleet.results(1, &job.id).await?, eq(&before));
     expect_that!(fleet.results(0, &job.id).await?, eq(&before));
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
--- a/tests/killed_daemon.rs
+++ b/tests/killed_daemon.rs
@@ -1,29 +1,29 @@
 //! A daemon that dies right after it acknowledged work.
 
-use cyclamengrade_standins::fleet::{Completion, Scene, items};
+use cyclamengrade_standins::fleet::{Completion, Harness, items};
 use googletest::prelude::*;
 
 /// A job that was acknowledged must not be lost with the daemon that acknowledged it.
 #[gtest]
 #[tokio::test]
 async fn acknowledged_job() -> Result<()> {
-    let mut scene = Scene::start().await?;
-    scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 200, 20)).await?;
-    scene.fleet.kill_daemon(0)?;
-    scene.verify(1).await.or_fail()
+    let mut harness = Harness::start().await?;
+    harness.ledger.submit(&harness.fleet, 0, "job-1", &items("a", 200, 20)).await?;
+    harness.fleet.kill_daemon(0)?;
+    harness.verify(1).await.or_fail()
 }
 
 /// Chunks that the dead daemon held must be taken over, and committed results must stay.
 #[gtest]
 #[tokio::test]
 async fn held_chunks() -> Result<()> {
-    let mut scene = Scene::start().await?;
-    let job = scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 300, 40)).await?;
-    scene.await_progress(0, &job.id).await?;
-    scene.fleet.kill_daemon(0)?;
-    let early = scene.fleet.results(1, &job.id).await?;
-    scene.verify(1).await?;
-    let late = scene.fleet.results(1, &job.id).await?;
+    let mut harness = Harness::start().await?;
+    let job = harness.ledger.submit(&harness.fleet, 0, "job-1", &items("a", 300, 40)).await?;
+    harness.await_progress(0, &job.id).await?;
+    harness.fleet.kill_daemon(0)?;
+    let early = harness.fleet.results(1, &job.id).await?;
+    harness.verify(1).await?;
+    let late = harness.fleet.results(1, &job.id).await?;
     for result in early {
         expect_that!(late, contains(eq(&result)));
     }
@@ -35,22 +35,22 @@
 #[gtest]
 #[tokio::test]
 async fn other_daemon() -> Result<()> {
-    let mut scene = Scene::start().await?;
-    let cut_off = scene.spawn(0, Completion::new("cut off", 300));
-    scene
+    let mut harness = Harness::start().await?;
+    let cut_off = harness.spawn(0, Completion::new("cut off", 300));
+    harness
         .fleet
         .eventually("the first token at an engine", async || {
-            let upstreams = scene.fleet.upstreams(scene.fleet.daemons[0].address).await.ok()?;
+            let upstreams = harness.fleet.upstreams(harness.fleet.daemons[0].address).await.ok()?;
             upstreams.iter().any(|upstream| upstream.online > 0).then_some(())
         })
         .await?;
-    scene.fleet.kill_daemon(0)?;
+    harness.fleet.kill_daemon(0)?;
     expect_that!(cut_off.await?.whole, is_false());
-    let answer = scene.ledger.complete(&scene.fleet, 1, Completion::new("again", 30)).await;
+    let answer = harness.ledger.complete(&harness.fleet, 1, Completion::new("again", 30)).await;
     expect_that!(answer.whole, is_true());
-    scene.fleet.start_daemon(0)?;
-    scene.fleet.await_daemon(0, "/readyz", 200).await?;
-    let answer = scene.ledger.complete(&scene.fleet, 0, Completion::new("back", 30)).await;
+    harness.fleet.start_daemon(0)?;
+    harness.fleet.await_daemon(0, "/readyz", 200).await?;
+    let answer = harness.ledger.complete(&harness.fleet, 0, Completion::new("back", 30)).await;
     expect_that!(answer.whole, is_true());
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
--- a/tests/killed_engine.rs
+++ b/tests/killed_engine.rs
@@ -5,7 +5,7 @@
 use cyclamengrade_standins::{
     answer,
     engine::Runs,
-    fleet::{Completion, Plan, Scene, items},
+    fleet::{Completion, Harness, Plan, items},
 };
 use googletest::prelude::*;
 use serde_json::json;
@@ -14,14 +14,17 @@
 #[gtest]
 #[tokio::test]
 async fn online_streams() -> Result<()> {
-    let mut scene = Scene::start().await?;
+    let mut harness = Harness::start().await?;
     // Successes that the retry budget is a share of.
     for number in 0..100 {
-        scene.ledger.complete(&scene.fleet, 0, Completion::new(format!("order {number}"), 1)).await;
+        harness
+            .ledger
+            .complete(&harness.fleet, 0, Completion::new(format!("order {number}"), 1))
+            .await;
     }
     let long = |number| Completion::new(format!("long {number}"), 200);
-    let streams: Vec<_> = (0..6).map(|number| scene.spawn(0, long(number))).collect();
-    let fleet = &scene.fleet;
+    let streams: Vec<_> = (0..6).map(|number| harness.spawn(0, long(number))).collect();
+    let fleet = &harness.fleet;
     fleet
         .eventually("streams at the first engine", async || {
             let upstreams = fleet.upstreams(fleet.daemons[0].address).await.ok()?;
@@ -29,40 +32,40 @@
             (first.online > 0).then_some(())
         })
         .await?;
-    scene.fleet.engines[0].process.kill()?;
+    harness.fleet.engines[0].process.kill()?;
     for stream in streams {
         let answer = stream.await?;
         expect_that!(answer.error, none());
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await.or_fail()
+    harness.verify(0).await.or_fail()
 }
 
 /// Batch items of a dead engine must run elsewhere.
 #[gtest]
 #[tokio::test]
 async fn batch_items() -> Result<()> {
-    let mut scene = Scene::start().await?;
-    let job = scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 200, 40)).await?;
-    scene.await_progress(0, &job.id).await?;
-    scene.fleet.engines[0].process.kill()?;
-    scene.verify(1).await.or_fail()
+    let mut harness = Harness::start().await?;
+    let job = harness.ledger.submit(&harness.fleet, 0, "job-1", &items("a", 200, 40)).await?;
+    harness.await_progress(0, &job.id).await?;
+    harness.fleet.engines[0].process.kill()?;
+    harness.verify(1).await.or_fail()
 }
 
 /// Items that always fail, or that kill their engine, must end as failed after a bounded number of
 /// attempts, and the rest of the job must complete.
 #[gtest]
 #[tokio::test]
-async fn hopeless_items() -> Result<()> {
-    let scene = Scene::start_plan(Plan::new(2, 6, 1)).await?;
+async fn failing_items() -> Result<()> {
+    let harness = Harness::start_plan(Plan::new(2, 6, 1)).await?;
     let mut items = items("a", 48, 10);
     items[5].prompt.push_str(answer::FAIL);
     items[20].prompt.push_str(answer::KILL);
-    scene.ledger.submit(&scene.fleet, 0, "job-1", &items).await?;
-    scene.verify(1).await?;
+    harness.ledger.submit(&harness.fleet, 0, "job-1", &items).await?;
+    harness.verify(1).await?;
     let mut alive = 0;
-    for engine in &scene.fleet.engines {
-        let runs = engine.read::<Runs>(&scene.fleet.client, "/_runs?summary").await;
+    for engine in &harness.fleet.engines {
+        let runs = engine.read::<Runs>(&harness.fleet.client, "/_runs?summary").await;
         alive += usize::from(runs.is_ok());
     }
     expect_that!(alive, ge(3));
@@ -74,21 +77,21 @@
 #[gtest]
 #[tokio::test]
 async fn leaving_engine() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    let job = scene.ledger.submit(fleet, 0, "job-1", &items("a", 600, 40)).await?;
-    scene.await_progress(0, &job.id).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    let job = harness.ledger.submit(fleet, 0, "job-1", &items("a", 600, 40)).await?;
+    harness.await_progress(0, &job.id).await?;
     let leaving = json!({"leaving": true});
     fleet.engines[0].faults(&fleet.client, &leaving).await?;
     let mut requests = Vec::new();
     for number in 0..120 {
-        requests.push(scene.spawn(number % 2, Completion::new(format!("order {number}"), 20)));
+        requests.push(harness.spawn(number % 2, Completion::new(format!("order {number}"), 20)));
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     for request in requests {
         expect_that!(request.await?.whole, is_true());
     }
-    scene.verify(1).await?;
+    harness.verify(1).await?;
     let runs: Runs = fleet.engines[0].read(&fleet.client, "/_runs?summary").await?;
     expect_that!(runs.last_accepted_while_leaving_ms, lt(3_000));
     Ok(())
@@ -98,19 +101,19 @@
 #[gtest]
 #[tokio::test]
 async fn listed_as_leaving() -> Result<()> {
-    let mut scene = Scene::start().await?;
-    scene.fleet.leaving.push(scene.fleet.engines[0].name.clone());
-    scene.fleet.publish_vms().await?;
+    let mut harness = Harness::start().await?;
+    harness.fleet.leaving.push(harness.fleet.engines[0].name.clone());
+    harness.fleet.publish_vms().await?;
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let fleet = &scene.fleet;
+    let fleet = &harness.fleet;
     let before: Runs = fleet.engines[0].read(&fleet.client, "/_runs?summary").await?;
-    scene.ledger.submit(fleet, 0, "job-1", &items("a", 64, 10)).await?;
+    harness.ledger.submit(fleet, 0, "job-1", &items("a", 64, 10)).await?;
     for number in 0..40 {
         let completion = Completion::new(format!("order {number}"), 2);
-        let answer = scene.ledger.complete(fleet, number % 2, completion).await;
+        let answer = harness.ledger.complete(fleet, number % 2, completion).await;
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(1).await?;
+    harness.verify(1).await?;
     let after: Runs = fleet.engines[0].read(&fleet.client, "/_runs?summary").await?;
     expect_that!(after.total, eq(before.total));
     Ok(())
--- a/tests/leaving_engine.rs
+++ b/tests/leaving_engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cyclamengrade_standins::fleet::{Completion, Scene, items};
+use cyclamengrade_standins::fleet::{Completion, Harness, items};
 use cyclamengrade_upstream::wire::Load;
 use googletest::prelude::*;
 
@@ -14,20 +14,20 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_new_work() -> Result<()> {
-    let mut scene = Scene::start().await?;
-    let name = scene.fleet.engines[0].name.clone();
-    scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 300, 40)).await?;
+    let mut harness = Harness::start().await?;
+    let name = harness.fleet.engines[0].name.clone();
+    harness.ledger.submit(&harness.fleet, 0, "job-1", &items("a", 300, 40)).await?;
     let running: Vec<_> =
-        (0..12).map(|n| scene.spawn(n % 2, Completion::new(format!("early {n}"), 60))).collect();
-    scene.fleet.leaving.push(name.clone());
-    scene.fleet.publish_vms().await?;
+        (0..12).map(|n| harness.spawn(n % 2, Completion::new(format!("early {n}"), 60))).collect();
+    harness.fleet.leaving.push(name.clone());
+    harness.fleet.publish_vms().await?;
     let listed = Instant::now();
     for daemon in 0..2 {
-        let address = scene.fleet.daemons[daemon].address;
-        scene
+        let address = harness.fleet.daemons[daemon].address;
+        harness
             .fleet
             .eventually("the engine as leaving", async || {
-                let upstreams = scene.fleet.upstreams(address).await.ok()?;
+                let upstreams = harness.fleet.upstreams(address).await.ok()?;
                 let found = upstreams.iter().find(|upstream| upstream.name == name)?;
                 (found.state == "leaving").then_some(())
             })
@@ -39,24 +39,24 @@
         expect_that!(answer.error, none());
         expect_that!(answer.whole, is_true());
     }
-    let engine = &scene.fleet.engines[0];
-    scene
+    let engine = &harness.fleet.engines[0];
+    harness
         .fleet
         .eventually("an idle engine", async || {
-            let load: Load = engine.read(&scene.fleet.client, "/v1/load").await.ok()?;
+            let load: Load = engine.read(&harness.fleet.client, "/v1/load").await.ok()?;
             (load.running + load.queued == 0).then_some(())
         })
         .await?;
     // The job still runs elsewhere, and new requests come.
     let late: Vec<_> =
-        (0..30).map(|n| scene.spawn(n % 2, Completion::new(format!("late {n}"), 20))).collect();
+        (0..30).map(|n| harness.spawn(n % 2, Completion::new(format!("late {n}"), 20))).collect();
     for _ in 0..20 {
-        let load: Load = engine.read(&scene.fleet.client, "/v1/load").await?;
+        let load: Load = engine.read(&harness.fleet.client, "/v1/load").await?;
         expect_that!(load.running + load.queued, eq(0));
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     for request in late {
         expect_that!(request.await?.whole, is_true());
     }
-    scene.verify(0).await.or_fail()
+    harness.verify(0).await.or_fail()
 }
--- a/tests/lost_replies.rs
+++ b/tests/lost_replies.rs
@@ -2,7 +2,7 @@
 
 use cyclamengrade_standins::{
     client::Call,
-    fleet::{Completion, Scene, items},
+    fleet::{Completion, Harness, items},
 };
 use googletest::prelude::*;
 use serde_json::json;
@@ -12,29 +12,29 @@
 #[gtest]
 #[tokio::test]
 async fn accepted_job() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     let items = items("a", 64, 20);
     let lose = json!({"lose_replies": 3, "parts": ["table"]});
     fleet.platform.faults(&fleet.client, &lose).await?;
     let job = fleet
         .eventually("the acceptance of the job", async || {
-            scene.ledger.submit(fleet, 0, "job-1", &items).await.ok()
+            harness.ledger.submit(fleet, 0, "job-1", &items).await.ok()
         })
         .await?;
-    let again = scene.ledger.submit(fleet, 1, "job-1", &items).await?;
+    let again = harness.ledger.submit(fleet, 1, "job-1", &items).await?;
     expect_that!(again.id, eq(&job.id));
     expect_that!(fleet.rows("job-key/").await?, len(eq(1)));
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// Results whose commits lost their replies must be committed once.
 #[gtest]
 #[tokio::test]
 async fn committed_chunks() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    scene.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    harness.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
     for part in ["table", "objects", "table"] {
         let lose = json!({"lose_replies": 3, "parts": [part]});
         fleet.platform.faults(&fleet.client, &lose).await?;
@@ -46,7 +46,7 @@
             })
             .await?;
     }
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// An idempotent completion whose engine dropped the reply must be answered by another attempt; a
@@ -54,11 +54,11 @@
 #[gtest]
 #[tokio::test]
 async fn lost_completions() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     // Successes that the retry budget is a share of.
     for number in 0..40 {
-        scene.ledger.complete(fleet, 0, Completion::new(format!("order {number}"), 1)).await;
+        harness.ledger.complete(fleet, 0, Completion::new(format!("order {number}"), 1)).await;
     }
     let lose = async |count: u32| -> Result<()> {
         for engine in &fleet.engines {
@@ -68,14 +68,14 @@
     };
     lose(1).await?;
     let unsafe_ = Completion::new("print", 5).with_idempotent(false);
-    let answer = scene.ledger.complete(fleet, 0, unsafe_).await;
+    let answer = harness.ledger.complete(fleet, 0, unsafe_).await;
     expect_that!(answer.error.as_deref(), some(eq("outcome_unknown")));
     lose(0).await?;
     fleet.engines[0].faults(&fleet.client, &json!({"lose_replies": 1})).await?;
     for number in 0..6 {
         let completion = Completion::new(format!("idempotent {number}"), 5);
-        let answer = scene.ledger.complete(fleet, 0, completion).await;
+        let answer = harness.ledger.complete(fleet, 0, completion).await;
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await.or_fail()
+    harness.verify(0).await.or_fail()
 }
--- a/tests/online_first.rs
+++ b/tests/online_first.rs
@@ -4,7 +4,7 @@
 
 use cyclamengrade_standins::{
     engine::Runs,
-    fleet::{Completion, JobState, Scene, items},
+    fleet::{Completion, Harness, JobState, items},
 };
 use googletest::prelude::*;
 
@@ -17,9 +17,9 @@
 #[gtest]
 #[tokio::test]
 async fn burst_over_batch() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    let job = scene.ledger.submit(fleet, 0, "job-1", &items("batch", 64, 1_000)).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    let job = harness.ledger.submit(fleet, 0, "job-1", &items("batch", 64, 1_000)).await?;
     let runs = async || -> Option<(u64, u64)> {
         let (mut tokens, mut started) = (0, 0);
         for engine in &fleet.engines {
@@ -36,7 +36,7 @@
         })
         .await?;
     let order = |number| Completion::new(format!("online {number}"), 10);
-    let burst: Vec<_> = (0..24).map(|number| scene.spawn(number % 2, order(number))).collect();
+    let burst: Vec<_> = (0..24).map(|number| harness.spawn(number % 2, order(number))).collect();
     for request in burst {
         let answer = request.await?;
         expect_that!(answer.whole, is_true());
@@ -45,6 +45,6 @@
     let open = fleet.job(0, &job.id).await?;
     expect_that!(open.state, eq(JobState::Open));
     let cancelled = fleet.cancel(0, &job.id).await?;
-    scene.ledger.record_cancelled(&cancelled);
-    scene.verify(0).await.or_fail()
+    harness.ledger.record_cancelled(&cancelled);
+    harness.verify(0).await.or_fail()
 }
--- a/tests/platform_outage.rs
+++ b/tests/platform_outage.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cyclamengrade_standins::fleet::{Completion, Error, Plan, Scene, items};
+use cyclamengrade_standins::fleet::{Completion, Error, Harness, Plan, items};
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -11,13 +11,13 @@
 #[gtest]
 #[tokio::test]
 async fn table_down() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    let job = scene.ledger.submit(fleet, 0, "job-1", &items("a", 300, 40)).await?;
-    scene.await_progress(0, &job.id).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    let job = harness.ledger.submit(fleet, 0, "job-1", &items("a", 300, 40)).await?;
+    harness.await_progress(0, &job.id).await?;
     fleet.platform.faults(&fleet.client, &json!({"down": true})).await?;
     let refused_at = Instant::now();
-    let refused = scene.ledger.submit(fleet, 0, "job-2", &items("b", 20, 10)).await;
+    let refused = harness.ledger.submit(fleet, 0, "job-2", &items("b", 20, 10)).await;
     let Err(Error::Refused(503, body)) = refused else {
         return fail!("the job was not refused: {refused:?}");
     };
@@ -28,47 +28,47 @@
     tokio::time::sleep(Duration::from_secs(4)).await;
     for daemon in 0..2 {
         let completion = Completion::new(format!("order {daemon}"), 20);
-        let answer = scene.ledger.complete(fleet, daemon, completion).await;
+        let answer = harness.ledger.complete(fleet, daemon, completion).await;
         expect_that!(answer.whole, is_true());
     }
     fleet.platform.faults(&fleet.client, &json!({"down": false})).await?;
     let jobs = fleet.rows("job-key/").await?;
     expect_that!(jobs, len(eq(1)));
-    scene.verify(0).await.or_fail()
+    harness.verify(0).await.or_fail()
 }
 
 /// Without the object store, new jobs must be refused and online requests must go on.
 #[gtest]
 #[tokio::test]
 async fn objects_down() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    let job = scene.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
-    scene.await_progress(0, &job.id).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    let job = harness.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
+    harness.await_progress(0, &job.id).await?;
     let down = json!({"down": true, "parts": ["objects"]});
     fleet.platform.faults(&fleet.client, &down).await?;
-    let refused = scene.ledger.submit(fleet, 0, "job-2", &items("b", 20, 10)).await;
+    let refused = harness.ledger.submit(fleet, 0, "job-2", &items("b", 20, 10)).await;
     expect_that!(refused, err(matches_pattern!(Error::Refused(eq(&503), _))));
-    let answer = scene.ledger.complete(fleet, 1, Completion::new("order", 20)).await;
+    let answer = harness.ledger.complete(fleet, 1, Completion::new("order", 20)).await;
     expect_that!(answer.whole, is_true());
     tokio::time::sleep(Duration::from_secs(1)).await;
     fleet.platform.faults(&fleet.client, &json!({"down": false, "parts": []})).await?;
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// With a slow platform, jobs and claims must still be accepted and complete.
 #[gtest]
 #[tokio::test]
 async fn slow_platform() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     fleet.platform.faults(&fleet.client, &json!({"slow_ms": 250})).await?;
-    scene.ledger.submit(fleet, 0, "job-1", &items("a", 64, 20)).await?;
-    let printed = scene.ledger.call_service(fleet, 1, "artwork-1").await?;
+    harness.ledger.submit(fleet, 0, "job-1", &items("a", 64, 20)).await?;
+    let printed = harness.ledger.call_service(fleet, 1, "artwork-1").await?;
     expect_that!(printed.status, eq(200));
-    let answer = scene.ledger.complete(fleet, 0, Completion::new("order", 20)).await;
+    let answer = harness.ledger.complete(fleet, 0, Completion::new("order", 20)).await;
     expect_that!(answer.whole, is_true());
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// A daemon that starts while the platform is down must not become ready with an older
@@ -76,14 +76,14 @@
 #[gtest]
 #[tokio::test]
 async fn start_during_outage() -> Result<()> {
-    let mut scene = Scene::start_plan(Plan::new(2, 2, 1)).await?;
-    scene.fleet.kill_daemon(0)?;
+    let mut harness = Harness::start_plan(Plan::new(2, 2, 1)).await?;
+    harness.fleet.kill_daemon(0)?;
     let down = json!({"down": true, "parts": ["table"]});
-    scene.fleet.platform.faults(&scene.fleet.client, &down).await?;
-    scene.fleet.start_daemon(0)?;
-    scene.fleet.await_daemon(0, "/livez", 200).await?;
-    scene.fleet.await_daemon(0, "/readyz", 200).await?;
-    let answer = scene.ledger.complete(&scene.fleet, 0, Completion::new("order", 20)).await;
+    harness.fleet.platform.faults(&harness.fleet.client, &down).await?;
+    harness.fleet.start_daemon(0)?;
+    harness.fleet.await_daemon(0, "/livez", 200).await?;
+    harness.fleet.await_daemon(0, "/readyz", 200).await?;
+    let answer = harness.ledger.complete(&harness.fleet, 0, Completion::new("order", 20)).await;
     expect_that!(answer.whole, is_true());
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
--- a/tests/racing_operators.rs
+++ b/tests/racing_operators.rs
@@ -4,7 +4,7 @@
 
 use cyclamengrade_standins::{
     client::Call,
-    fleet::{Fleet, Scene, merge},
+    fleet::{Fleet, Harness, merge},
 };
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -48,8 +48,8 @@
 #[gtest]
 #[tokio::test]
 async fn one_winner() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     for round in 0..5 {
         let base = current(fleet, 0).await?;
         let [first, second] =
@@ -78,8 +78,8 @@
 #[gtest]
 #[tokio::test]
 async fn repeated_change() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     let base = current(fleet, 0).await?;
     let change = change(&base, "anna", 3);
     fleet.platform.faults(&fleet.client, &json!({"lose_replies": 1, "parts": ["table"]})).await?;
@@ -107,13 +107,13 @@
 #[gtest]
 #[tokio::test]
 async fn restarted_daemon() -> Result<()> {
-    let mut scene = Scene::start().await?;
-    scene.fleet.kill_daemon(1)?;
-    let base = current(&scene.fleet, 0).await?;
-    expect_that!(apply(&scene.fleet, 0, &change(&base, "anna", 4)).await?, eq(200));
-    scene.fleet.start_daemon(1)?;
-    scene.fleet.await_daemon(1, "/readyz", 200).await?;
-    let now = current(&scene.fleet, 1).await?;
+    let mut harness = Harness::start().await?;
+    harness.fleet.kill_daemon(1)?;
+    let base = current(&harness.fleet, 0).await?;
+    expect_that!(apply(&harness.fleet, 0, &change(&base, "anna", 4)).await?, eq(200));
+    harness.fleet.start_daemon(1)?;
+    harness.fleet.await_daemon(1, "/readyz", 200).await?;
+    let now = current(&harness.fleet, 1).await?;
     expect_that!(now["revision"].as_u64(), eq(base["revision"].as_u64().map(|number| number + 1)));
     Ok(())
 }
--- a/tests/resent_jobs.rs
+++ b/tests/resent_jobs.rs
@@ -4,7 +4,7 @@
 
 use cyclamengrade_standins::{
     engine::Runs,
-    fleet::{Job, JobState, Scene, items},
+    fleet::{Harness, Job, JobState, items},
 };
 use googletest::prelude::*;
 
@@ -12,8 +12,8 @@
 #[gtest]
 #[tokio::test]
 async fn same_job() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     let items = items("a", 64, 20);
     let due = Duration::from_secs(600);
     let submit = |daemon| fleet.submit(daemon, "job-1", due, &items);
@@ -26,11 +26,11 @@
     }
     ids.dedup();
     expect_that!(ids, len(eq(1)));
-    scene.ledger.submit(fleet, 0, "job-1", &items).await?;
-    scene.verify(0).await?;
+    harness.ledger.submit(fleet, 0, "job-1", &items).await?;
+    harness.verify(0).await?;
     expect_that!(fleet.rows("job/").await?, len(eq(1)));
     // The whole job sent again after its end gives the finished job and no new work.
-    let again = scene.ledger.submit(fleet, 1, "job-1", &items).await?;
+    let again = harness.ledger.submit(fleet, 1, "job-1", &items).await?;
     expect_that!(again.state, eq(JobState::Completed));
     let mut started = 0;
     for engine in &fleet.engines {
@@ -45,27 +45,27 @@
 #[gtest]
 #[tokio::test]
 async fn other_content() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    scene.ledger.submit(fleet, 0, "job-1", &items("a", 20, 5)).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    harness.ledger.submit(fleet, 0, "job-1", &items("a", 20, 5)).await?;
     let due = Duration::from_secs(600);
     let other = fleet.submit(1, "job-1", due, &items("b", 20, 5)).await?;
     expect_that!(other.status, eq(409));
     expect_that!(other.kind(), eq("conflict"));
-    scene.verify(0).await.or_fail()
+    harness.verify(0).await.or_fail()
 }
 
 /// A cancelled job must stop: engines get no further work of it, and it stays cancelled.
 #[gtest]
 #[tokio::test]
 async fn cancelled_job() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    let job = scene.ledger.submit(fleet, 0, "job-1", &items("a", 2_000, 40)).await?;
-    scene.await_progress(0, &job.id).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    let job = harness.ledger.submit(fleet, 0, "job-1", &items("a", 2_000, 40)).await?;
+    harness.await_progress(0, &job.id).await?;
     let cancelled = fleet.cancel(1, &job.id).await?;
     expect_that!(cancelled.state, eq(JobState::Cancelled));
-    scene.ledger.record_cancelled(&cancelled);
+    harness.ledger.record_cancelled(&cancelled);
     let tokens = async || -> Result<u64> {
         let mut tokens = 0;
         for engine in &fleet.engines {
@@ -79,5 +79,5 @@
     let before = tokens().await?;
     tokio::time::sleep(Duration::from_secs(1)).await;
     expect_that!(tokens().await?, eq(before));
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
--- a/tests/rolling_restart.rs
+++ b/tests/rolling_restart.rs
@@ -10,7 +10,7 @@
 
 use cyclamengrade_standins::{
     client::{Call, Client},
-    fleet::{self, Completion, Plan, Scene, items},
+    fleet::{self, Completion, Harness, Plan, items},
 };
 use googletest::prelude::*;
 use serde_json::json;
@@ -21,9 +21,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn no_request_cut_off() -> Result<()> {
     let plan = Plan::new(3, 3, 1).with_settings(&json!({"timers": {"leave_ms": 1_000}}));
-    let mut scene = Scene::start_plan(plan).await?;
-    scene.ledger.submit(&scene.fleet, 0, "job-1", &items("a", 300, 40)).await?;
-    let daemons: Vec<_> = scene.fleet.daemons.iter().map(|daemon| daemon.address).collect();
+    let mut harness = Harness::start_plan(plan).await?;
+    harness.ledger.submit(&harness.fleet, 0, "job-1", &items("a", 300, 40)).await?;
+    let daemons: Vec<_> = harness.fleet.daemons.iter().map(|daemon| daemon.address).collect();
     let ready: Arc<Vec<_>> = Arc::new(daemons.iter().map(|_| AtomicBool::new(true)).collect());
     let running = Arc::new(AtomicBool::new(true));
     let probes = tokio::spawn({
@@ -42,7 +42,7 @@
         }
     });
     let callers = tokio::spawn({
-        let (ledger, running) = (Arc::clone(&scene.ledger), Arc::clone(&running));
+        let (ledger, running) = (Arc::clone(&harness.ledger), Arc::clone(&running));
         async move {
             let client = Client::new();
             let mut requests = Vec::new();
@@ -66,9 +66,9 @@
         }
     });
     for daemon in 0..3 {
-        expect_that!(scene.fleet.stop_daemon(daemon).await?, some(eq(0)));
-        scene.fleet.start_daemon(daemon)?;
-        scene.fleet.await_daemon(daemon, "/readyz", 200).await?;
+        expect_that!(harness.fleet.stop_daemon(daemon).await?, some(eq(0)));
+        harness.fleet.start_daemon(daemon)?;
+        harness.fleet.await_daemon(daemon, "/readyz", 200).await?;
     }
     running.store(false, Ordering::SeqCst);
     probes.await?;
@@ -79,5 +79,5 @@
         expect_that!(answer.error, none());
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await.or_fail()
+    harness.verify(0).await.or_fail()
 }
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -1,6 +1,6 @@
 //! Connections that go silent for good while new ones work.
 
-use cyclamengrade_standins::fleet::{Completion, Scene, items};
+use cyclamengrade_standins::fleet::{Completion, Harness, items};
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -9,14 +9,14 @@
 #[gtest]
 #[tokio::test]
 async fn engine_streams() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     // Gaps from which the daemon derives its progress timeout.
     for number in 0..20 {
-        scene.ledger.complete(fleet, 0, Completion::new(format!("order {number}"), 20)).await;
+        harness.ledger.complete(fleet, 0, Completion::new(format!("order {number}"), 20)).await;
     }
     let long = |number| Completion::new(format!("long {number}"), 200);
-    let streams: Vec<_> = (0..6).map(|number| scene.spawn(0, long(number))).collect();
+    let streams: Vec<_> = (0..6).map(|number| harness.spawn(0, long(number))).collect();
     fleet
         .eventually("streams at all engines", async || {
             let upstreams = fleet.upstreams(fleet.daemons[0].address).await.ok()?;
@@ -32,35 +32,35 @@
         expect_that!(answer.error, none());
         expect_that!(answer.whole, is_true());
     }
-    scene.verify(0).await.or_fail()
+    harness.verify(0).await.or_fail()
 }
 
 /// Batch items on silent connections must not hold their job up for good.
 #[gtest]
 #[tokio::test]
 async fn batch_streams() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    let job = scene.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
-    scene.await_progress(0, &job.id).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    let job = harness.ledger.submit(fleet, 0, "job-1", &items("a", 200, 40)).await?;
+    harness.await_progress(0, &job.id).await?;
     for engine in &fleet.engines {
         engine.faults(&fleet.client, &json!({"silent": true})).await?;
     }
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
 
 /// Silent connections to the platform must not stop the acceptance of jobs.
 #[gtest]
 #[tokio::test]
 async fn platform_connections() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
     fleet.platform.faults(&fleet.client, &json!({"silent": true})).await?;
     let items = items("a", 64, 20);
     fleet
         .eventually("the acceptance of the job", async || {
-            scene.ledger.submit(fleet, 0, "job-1", &items).await.ok()
+            harness.ledger.submit(fleet, 0, "job-1", &items).await.ok()
         })
         .await?;
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
--- a/tests/telemetry_fleet.rs
+++ b/tests/telemetry_fleet.rs
@@ -9,7 +9,7 @@
 
 use cyclamengrade_standins::{
     client::Call,
-    fleet::{Completion, Fleet, Job, JobState, Plan, Scene, items},
+    fleet::{Completion, Fleet, Harness, Job, JobState, Plan, items},
 };
 use cyclamengrade_telemetry::{event::Event, metrics};
 use googletest::prelude::*;
@@ -170,9 +170,9 @@
 #[gtest]
 #[tokio::test]
 async fn paused_holder() -> Result<()> {
-    let scene = Scene::start().await?;
-    let fleet = &scene.fleet;
-    let job = scene.ledger.submit(fleet, 1, "job-1", &items("a", 300, 40)).await?;
+    let harness = Harness::start().await?;
+    let fleet = &harness.fleet;
+    let job = harness.ledger.submit(fleet, 1, "job-1", &items("a", 300, 40)).await?;
     fleet
         .eventually("a chunk of the daemon that is paused", async || {
             let rows = fleet.rows("chunk/").await.ok()?;
@@ -196,5 +196,5 @@
         })
         .await?;
     expect_that!(events(fleet, 1), contains(eq(&u64::from(Event::ChunkTakenOver.number()))));
-    scene.verify(1).await.or_fail()
+    harness.verify(1).await.or_fail()
 }
