--- a/components/control/src/routing/health.rs
+++ b/components/control/src/routing/health.rs
@@ -5,10 +5,10 @@
 use crate::time::Time;
 
 /// Slow answers in a row that eject an upstream.
-const SLOW_ANSWERS: u32 = 3;
+const SLOW_ANSWERS: u32 = 2;
 /// Time after a lost hedge or a failed attempt for which other upstreams are preferred. Without it,
 /// the load of a slow upstream falls until its score is the best again.
-const SUSPICION: Duration = Duration::from_secs(5);
+const SUSPICION: Duration = Duration::from_secs(15);
 /// Failed attempts in a row that eject an upstream. One refused connection can be a full backlog.
 const FAILURES: u32 = 2;
 /// Good answers in a row that end the return of an upstream.
