Charge paused items whenever the limit falls after a failure

Cause: killed_engine::failing_items still failed in 1 of 30 runs (6 at a time): an item with 3 attempts killed 4 engines. The first failed stream halves the limit, and that pauses the newest runs, the killing one among them, before their own failures arrive; only a limit of zero charged them. Change: any fall of the limit within 500 ms of a failure charges the paused items, still never their last attempt.

--- a/components/control/src/job/dispatch/start.rs
+++ b/components/control/src/job/dispatch/start.rs
@@ -12,8 +12,8 @@
 /// Time for which an upstream that did not take an item gets no other.
 const COOLING: Duration = Duration::from_secs(1);
 
-/// Time after a failed run for which a limit of zero counts as the loss of the upstream.
-const LOSS: Duration = Duration::from_secs(1);
+/// Time after a failed run for which a falling limit counts as the loss of the upstream.
+const LOSS: Duration = Duration::from_millis(500);
 
 /// Attempts of an item from which its next run discards text received before.
 const FRESH_ATTEMPTS: u32 = 2;
@@ -77,7 +77,7 @@
         slot.streams = streams;
         let over = slot.runs.len().saturating_sub(streams as usize);
         let newest: Vec<_> = slot.runs.iter().rev().take(over).copied().collect();
-        let lost = streams == 0 && slot.failed.is_some_and(|at| self.now.since(at) < LOSS);
+        let lost = slot.failed.is_some_and(|at| self.now.since(at) < LOSS);
         for run in newest {
             if lost {
                 self.charge(run);
@@ -92,7 +92,7 @@
     /// Counts an attempt of an item whose upstream was lost before its own run had ended.
     ///
     /// Without this, an item that kills its upstream is not charged when the failures of the other
-    /// runs close the upstream first. The last attempt is left, since it runs alone.
+    /// runs lower the limit first. The last attempt is left, since it runs alone.
     fn charge(&mut self, run: RunId) {
         let last = self.settings.item_attempts.saturating_sub(1);
         let Some(place) = self.runs.get(&run).cloned() else { return };
