Run jobs whose owner does not know that it owns them

Others see a living owner, and the writer takes the job only when rendezvous hashing names it. Ruled out: a job that is never stored (the row is there), items that fail (none was started).

--- a/components/control/src/relay/job.rs
+++ b/components/control/src/relay/job.rs
@@ -1,6 +1,6 @@
 //! Progress of one batch job at its owner.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 /// How an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,23 +113,3 @@
         self.items.iter().all(|state| *state == State::Ended)
     }
 }
-
-/// What is known of the daemon that owns a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Owner {
-    /// Time since it was last heard.
-    pub silent: Duration,
-    /// Time since it last reached the store, as it said itself.
-    pub cut_off: Duration,
-}
-
-/// Silence after which the jobs of a daemon go to others. Commits are fenced, so a wrong guess only
-/// costs runs.
-pub const OWNER_SILENCE: Duration = Duration::from_millis(1_500);
-
-impl Owner {
-    /// Whether others may take over its jobs.
-    pub fn is_lost(self) -> bool {
-        self.silent > OWNER_SILENCE || self.cut_off > OWNER_SILENCE * 2
-    }
-}
--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -6,4 +6,5 @@
 pub mod failure;
 pub mod fleet;
 pub mod job;
+pub mod owner;
 pub mod route;
--- a/components/control/src/relay/route.rs
+++ b/components/control/src/relay/route.rs
@@ -146,9 +146,8 @@
             by_host.entry(route.host.to_ascii_lowercase()).or_default().push(route.into());
         }
         for routes in by_host.values_mut() {
-            routes.sort_by_key(|route: &std::sync::Arc<Route>| {
-                std::cmp::Reverse(route.prefix.len())
-            });
+            routes
+                .sort_by_key(|route: &std::sync::Arc<Route>| std::cmp::Reverse(route.prefix.len()));
         }
         Self { version, routes: by_host, deployments, limits }
     }
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -130,7 +130,7 @@
         Box::pin(async move {
             let answer = self
                 .transport
-            .call(Call {
+                .call(Call {
                     effect: Effect::Write,
                     method: Method::PUT,
                     address: self.objects,
@@ -151,7 +151,7 @@
         Box::pin(async move {
             let answer = self
                 .transport
-            .call(Call {
+                .call(Call {
                     effect: Effect::Read,
                     method: Method::GET,
                     address: self.objects,
@@ -174,7 +174,7 @@
         Box::pin(async move {
             let answer = self
                 .transport
-            .call(Call {
+                .call(Call {
                     effect: Effect::Read,
                     method: Method::GET,
                     address: self.vms,
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -143,8 +143,7 @@
     }
 
     async fn try_store(&self, id: &str, batch: &Batch) -> Result<Commit, Error> {
-        let mut transaction =
-            Transaction::new().with_condition(key::job(id), batch.listed.version);
+        let mut transaction = Transaction::new().with_condition(key::job(id), batch.listed.version);
         if batch.done {
             let row = row::Job { state: row::State::Done, ..batch.listed.row.clone() };
             transaction = transaction.with_write(key::job(id), store::encode(&row)?);
@@ -152,8 +151,9 @@
         for (offset, pending) in batch.results.iter().enumerate() {
             let key = key::result(id, batch.from + offset);
             let outcome = self.outcome(id, pending).await?;
-            transaction =
-                transaction.with_condition(key.clone(), 0).with_write(key, store::encode(&outcome)?);
+            transaction = transaction
+                .with_condition(key.clone(), 0)
+                .with_write(key, store::encode(&outcome)?);
         }
         if let Some(failures) = &batch.failures {
             transaction = transaction.with_write(key::failures(id), store::encode(failures)?);
--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use cyclamengrade_control::hash;
+use cyclamengrade_control::relay::owner::{Peer, Start, takes_over};
 use cyclamengrade_platform::Error;
 use cyclamengrade_telemetry::event;
 use tokio::{sync::Semaphore, time::sleep};
@@ -10,7 +10,7 @@
 use crate::{
     batch::Dispatcher,
     job::{row, store},
-    shared::{Listed, Phase, Shared},
+    shared::{Listed, Phase},
 };
 
 /// Time between two looks for jobs without an owner.
@@ -47,24 +47,26 @@
     /// Jobs without an owner that this relay is to take over.
     fn orphans(&self) -> Vec<(String, Listed)> {
         let shared = &self.shared;
-        let alive = alive(shared);
+        let now = shared.clock.now();
+        let members = shared.members();
+        let peers: BTreeMap<&str, Peer> =
+            members.iter().map(|(name, member)| (name.as_str(), member.peer(now))).collect();
+        let own = Start { name: &shared.name, incarnation: shared.incarnation };
         let jobs = shared.jobs();
         let open = jobs.iter().filter(|(_, listed)| listed.row.state == row::State::Open);
         open.filter(|(id, listed)| {
-            let names = alive.keys().map(String::as_str).chain([shared.name.as_str()]);
-            is_orphan(shared, &alive, listed.row.owner.as_ref())
-                && !self.owns(id)
-                && hash::owner(names, id) == Some(&shared.name)
+            let owner = listed.row.owner.as_ref();
+            let owner =
+                owner.map(|owner| Start { name: &owner.name, incarnation: owner.incarnation });
+            !self.owns(id) && takes_over(own, owner, id, &peers)
         })
         .map(|(id, listed)| (id.clone(), listed.clone()))
         .collect()
     }
 
     async fn take_over(self: &Arc<Self>, id: &str, listed: Listed) -> Result<(), Error> {
-        let owner = row::Owner {
-            name: self.shared.name.clone(),
-            incarnation: self.shared.incarnation,
-        };
+        let owner =
+            row::Owner { name: self.shared.name.clone(), incarnation: self.shared.incarnation };
         let before = listed.row.owner.clone();
         let taken = store::update(&self.shared, id, listed, |job| {
             let same = job.state == row::State::Open && job.owner == before;
@@ -84,28 +86,3 @@
         Ok(())
     }
 }
-
-/// Incarnations of the other relays that can run jobs.
-fn alive(shared: &Shared) -> BTreeMap<String, u64> {
-    let now = shared.clock.now();
-    let members = shared.members();
-    let alive = members.iter().filter(|(_, member)| !member.owner(now).is_lost() && !member.leaving);
-    alive.map(|(name, member)| (name.clone(), member.incarnation)).collect()
-}
-
-/// Whether nobody runs the jobs of this owner. A relay that is leaving hands its jobs back itself.
-fn is_orphan(shared: &Shared, alive: &BTreeMap<String, u64>, owner: Option<&row::Owner>) -> bool {
-    let Some(owner) = owner else { return true };
-    if owner.name == shared.name {
-        // Also a job that this start owns by its row but could not load.
-        return true;
-    }
-    match alive.get(&owner.name) {
-        Some(incarnation) => *incarnation != owner.incarnation,
-        None => {
-            let now = shared.clock.now();
-            let members = shared.members();
-            members.get(&owner.name).is_none_or(|member| member.owner(now).is_lost())
-        }
-    }
-}
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -2,10 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use cyclamengrade_control::{
-    relay::fleet::Upstream,
-    time::Time,
-};
+use cyclamengrade_control::{relay::fleet::Upstream, time::Time};
 use cyclamengrade_platform::feed::{Change, Changes, Content};
 use cyclamengrade_telemetry::event;
 use kameo::{
@@ -122,8 +119,12 @@
         if is_snapshot {
             let listed: Vec<&str> =
                 changes.rows.iter().filter_map(|change| id(&table, &change.key)).collect();
-            let missing: Vec<String> =
-                self.upstreams.keys().filter(|id| !listed.contains(&id.as_str())).cloned().collect();
+            let missing: Vec<String> = self
+                .upstreams
+                .keys()
+                .filter(|id| !listed.contains(&id.as_str()))
+                .cloned()
+                .collect();
             for id in missing {
                 self.remove(&id, lapse);
             }
@@ -235,8 +236,7 @@
     fn fleet(&self, now: Time, update: Update) {
         let Update { changes, is_snapshot, .. } = update;
         if is_snapshot {
-            let listed: Vec<&str> =
-                changes.rows.iter().map(|change| change.key.as_str()).collect();
+            let listed: Vec<&str> = changes.rows.iter().map(|change| change.key.as_str()).collect();
             self.shared.members().retain(|name, _| listed.contains(&key::member(name).as_str()));
         }
         for change in &changes.rows {
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -94,20 +94,22 @@
     async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let mut response = match self.shared.dialect.job_call(&head.method, &head.uri, &head.headers)
-        {
-            Some(call) => jobs::answer(&self.shared, &self.dispatcher, call).await,
-            None => match self.route(&head) {
-                Err(status) if status == StatusCode::SERVICE_UNAVAILABLE => {
-                    online::refused(UNKNOWN_RETRY)
-                }
-                Err(status) => online::empty(status),
-                Ok(route) if route.kind == Kind::Batch => {
-                    jobs::submit(&self.shared, &self.dispatcher, route, head, body).await
-                }
-                Ok(route) => online::serve(self.shared.clone(), route, head, body, arrived).await,
-            },
-        };
+        let mut response =
+            match self.shared.dialect.job_call(&head.method, &head.uri, &head.headers) {
+                Some(call) => jobs::answer(&self.shared, &self.dispatcher, call).await,
+                None => match self.route(&head) {
+                    Err(status) if status == StatusCode::SERVICE_UNAVAILABLE => {
+                        online::refused(UNKNOWN_RETRY)
+                    }
+                    Err(status) => online::empty(status),
+                    Ok(route) if route.kind == Kind::Batch => {
+                        jobs::submit(&self.shared, &self.dispatcher, route, head, body).await
+                    }
+                    Ok(route) => {
+                        online::serve(self.shared.clone(), route, head, body, arrived).await
+                    }
+                },
+            };
         if *self.shared.phase.borrow() >= Phase::Leaving {
             response
                 .headers_mut()
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -142,9 +142,7 @@
     let Some(listed) = store::find(shared, id).await? else { return Ok(None) };
     let page = store::results(shared, id, listed.row.items, after, wait).await?;
     let mut response = Response::new(Body::new(shared.dialect.write_page(&page)));
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     Ok(Some(response))
 }
 
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -116,7 +116,8 @@
         match answer.whole(&shared.pool, request.patience()).await {
             Ok(whole) => {
                 flight.served();
-                let can_repeat = whole.status.is_server_error() && repeat_error(&mut request, &flight);
+                let can_repeat =
+                    whole.status.is_server_error() && repeat_error(&mut request, &flight);
                 if !can_repeat {
                     return answered(&request, whole);
                 }
@@ -239,7 +240,9 @@
                         Err(stop) => Err(stop),
                     };
                     match resumed {
-                        Ok(Some((new_flight, new_events))) => (flight, events) = (new_flight, new_events),
+                        Ok(Some((new_flight, new_events))) => {
+                            (flight, events) = (new_flight, new_events)
+                        }
                         Ok(None) => return,
                         Err(stop) => return self.break_off(stop).await,
                     }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -153,8 +153,7 @@
     let mut listed = false;
     while *shared.phase.borrow() == Phase::Running {
         if !listed {
-            let write =
-                Transaction::new().with_write(key::member(&shared.name), value.clone());
+            let write = Transaction::new().with_write(key::member(&shared.name), value.clone());
             match shared.table.commit(write).await {
                 Ok(_) => {
                     shared.hear_store();
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -15,7 +15,7 @@
     relay::{
         failure::Failure,
         fleet::{Choice, Class, Fleet, Key, Upstream},
-        job::Owner,
+        owner::Peer,
         route,
     },
     time::Time,
@@ -76,10 +76,11 @@
 }
 
 impl Member {
-    /// What others need to know of it as an owner of jobs.
-    pub const fn owner(&self, now: Time) -> Owner {
+    /// What is known of it now.
+    pub fn peer(&self, now: Time) -> Peer {
         let silent = now.since(self.heard);
-        Owner { silent, cut_off: Duration::from_nanos((self.store_age.as_nanos() + silent.as_nanos()) as u64) }
+        let cut_off = self.store_age + silent;
+        Peer { incarnation: self.incarnation, silent, cut_off, leaving: self.leaving }
     }
 }
 
