Start batch items in turns and leave room for online arrivals

Relays now tell whether items wait, take turns by a hash of relay and upstream, and leave as many slots free as online requests arrive while a run is stopped.

Ruled out: full queues of the engines (most runs were stopped while they queued). The field event of two log events hid their number; it is named after now.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -36,6 +36,10 @@
 const SMOOTHING: f64 = 0.1;
 /// Share of the latency objective that the expected wait may use; the rest covers its error.
 const OBJECTIVE_SHARE: f64 = 0.8;
+/// Time from the start of an online request until batch streams of other daemons have made room for
+/// it: a datagram, the stop of a run, and the first step without it. Batch work leaves as many slots
+/// free as online requests arrive in this time.
+const ROOM_TIME: Duration = Duration::from_millis(100);
 /// Service time assumed before the first sample.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(500);
 /// Time to the first byte assumed before the first sample.
@@ -81,6 +85,8 @@
 pub struct Report {
     /// Counts that are not zero.
     pub counts: BTreeMap<u32, Count>,
+    /// Batch items that wait for a slot.
+    pub waiting: u32,
 }
 
 /// The number that stands for an upstream in reports.
@@ -104,6 +110,11 @@
         self.upstream.slots.unwrap_or(DEFAULT_SLOTS).max(1)
     }
 
+    /// Whether it is worth starting batch work there.
+    fn is_usable(&self, now: Time) -> bool {
+        !self.upstream.leaving && self.paused_until <= now && !self.is_quiet(now)
+    }
+
     fn is_quiet(&self, now: Time) -> bool {
         let since = self.oldest_wait.map(|start| start.max(self.last_byte));
         since.is_some_and(|since| now.since(since) > QUIET)
@@ -153,6 +164,7 @@
     by_id: BTreeMap<String, Key>,
     by_deployment: BTreeMap<String, Vec<Key>>,
     others: BTreeMap<String, (Time, Report)>,
+    waiting: u32,
     pace: BTreeMap<String, Pace>,
 }
 
@@ -166,6 +178,7 @@
             by_id: BTreeMap::new(),
             by_deployment: BTreeMap::new(),
             others: BTreeMap::new(),
+            waiting: 0,
             pace: BTreeMap::new(),
         }
     }
@@ -222,7 +235,29 @@
     /// What this daemon has at the upstreams.
     pub fn own(&self) -> Report {
         let counts = self.entries.values().filter(|entry| entry.own != Count::default());
-        Report { counts: counts.map(|entry| (entry.number, entry.own)).collect() }
+        let counts = counts.map(|entry| (entry.number, entry.own)).collect();
+        Report { counts, waiting: self.waiting }
+    }
+
+    /// Records how many batch items of this daemon wait for a slot; returns whether that changes
+    /// whether any waits.
+    pub const fn set_waiting(&mut self, waiting: u32) -> bool {
+        let changed = (self.waiting == 0) != (waiting == 0);
+        self.waiting = waiting;
+        changed
+    }
+
+    /// Daemons with waiting batch items whose turn at an upstream comes before this one's.
+    ///
+    /// The order differs between upstreams and is the same at all daemons, so that a free slot that
+    /// all of them see is taken by one of them.
+    fn turn(&self, entry: &Entry, now: Time) -> u32 {
+        let rank = |name: &str| hash::stable(&[name, &entry.upstream.id]);
+        let own = rank(&self.name);
+        let before = self.others.iter().filter(|(name, (at, report))| {
+            report.waiting > 0 && now.since(*at) < REPORT_LIFE && rank(name) < own
+        });
+        before.count() as u32
     }
 
     fn others(&self, entry: &Entry, now: Time) -> Count {
@@ -379,18 +414,18 @@
         point: f64,
     ) -> Option<Key> {
         let keys = self.by_deployment.get(deployment).map_or(&[][..], Vec::as_slice);
+        if self.free(keys, now) <= self.reserve(deployment, keys, now) {
+            return None;
+        }
         let offset = (point * keys.len() as f64) as usize;
         let candidates = (0..keys.len()).map(|index| keys[(index + offset) % keys.len()]);
         let mut best: Option<(f64, Key)> = None;
         for key in candidates {
             let entry = &self.entries[key];
-            let unusable = entry.upstream.leaving
-                || tried.contains(&key)
-                || entry.paused_until > now
-                || entry.is_quiet(now);
+            let unusable = !entry.is_usable(now) || tried.contains(&key);
             let total = self.total(entry, now);
             let used = total.online + total.batch;
-            if unusable || used >= entry.slots() {
+            if unusable || used + self.turn(entry, now) >= entry.slots() {
                 continue;
             }
             let cost = f64::from(used) / f64::from(entry.slots());
@@ -401,6 +436,27 @@
         best.map(|(_, key)| key)
     }
 
+    /// Free slots of the upstreams that can be used.
+    fn free(&self, keys: &[Key], now: Time) -> f64 {
+        let entries = keys.iter().map(|key| &self.entries[*key]);
+        let usable = entries.filter(|entry| entry.is_usable(now));
+        let free = usable.map(|entry| {
+            let total = self.total(entry, now);
+            f64::from(entry.slots().saturating_sub(total.online + total.batch))
+        });
+        free.sum()
+    }
+
+    /// Slots that batch work leaves to online requests: their number times the share of their
+    /// service time that making room takes, which is the rate of their arrival (Little, 1961) times
+    /// that time.
+    fn reserve(&self, deployment: &str, keys: &[Key], now: Time) -> f64 {
+        let online = keys.iter().map(|key| f64::from(self.total(&self.entries[*key], now).online));
+        let service = self.pace.get(deployment).copied().unwrap_or_default().service;
+        let share = ROOM_TIME.as_secs_f64() / service.as_secs_f64().max(ROOM_TIME.as_secs_f64());
+        online.sum::<f64>() * share
+    }
+
     /// How many batch streams this daemon gives up, by upstream, so that online requests get their
     /// slots.
     ///
--- a/components/peer/src/occupancy.rs
+++ b/components/peer/src/occupancy.rs
@@ -79,6 +79,7 @@
         store_age_ms: notice.store_age_ms,
         leaving: notice.leaving,
         counts: counts.collect(),
+        waiting: notice.report.waiting,
     }
 }
 
@@ -94,6 +95,6 @@
         sequence: message.sequence,
         store_age_ms: message.store_age_ms,
         leaving: message.leaving,
-        report: Report { counts },
+        report: Report { counts, waiting: message.waiting },
     }
 }
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -130,6 +130,7 @@
             if *self.shared.phase.borrow() == Phase::Running {
                 self.expire();
                 self.start_items();
+                self.tell_waiting();
             }
             sleep(SHORTEST_PERIOD).await;
         }
@@ -179,14 +180,14 @@
         let Some(run) = owned.runs.remove(&item) else { return };
         run.abort.abort();
         owned.progress.fail(item, Fault::Interrupted);
-        let event = owned.transcripts.get(&item).and_then(|text| lock(text).last).unwrap_or(0);
+        let after = owned.transcripts.get(&item).and_then(|text| lock(text).last).unwrap_or(0);
         counter!(ITEMS, "outcome" => "paused").increment(1);
         event!(
             ItemStopped,
             job:% = id,
             item:% = owned.items[item].id,
             cause = "online requests need its slot",
-            event = event
+            after = after
         );
     }
 
@@ -226,6 +227,16 @@
         }
     }
 
+    /// Tells the other relays whether items wait here.
+    fn tell_waiting(&self) {
+        let jobs = self.jobs();
+        let open = jobs.values().filter(|owned| owned.is_open());
+        let waiting: usize = open.map(|owned| owned.progress.waiting().count()).sum();
+        if self.shared.fleet().set_waiting(waiting as u32) {
+            self.shared.occupancy_changed.notify_one();
+        }
+    }
+
     fn next_item(&self, id: &str) -> Option<(usize, Flight)> {
         let now = self.shared.clock.now();
         let jobs = self.jobs();
@@ -258,7 +269,7 @@
             job:% = id,
             item:% = outgoing.id,
             upstream:% = flight.upstream.id,
-            event = lock(&transcript).last.unwrap_or(0)
+            after = lock(&transcript).last.unwrap_or(0)
         );
         let (dispatcher, id) = (self.clone(), id.to_owned());
         let task = tokio::spawn(async move {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -178,9 +178,9 @@
     1242 Info JobOwned "job_owned" "batch job runs at this daemon",
     /// This daemon no longer runs a job. Fields: `job`, `reason`.
     1243 Info JobReleased "job_released" "batch job no longer runs at this daemon",
-    /// A run of an item began. Fields: `job`, `item`, `upstream`, `event`.
+    /// A run of an item began. Fields: `job`, `item`, `upstream`, `after`.
     1244 Info ItemStarted "item_started" "run of a batch item began",
-    /// A run of an item ended early. Fields: `job`, `item`, `upstream`, `cause`, `event`.
+    /// A run of an item ended early. Fields: `job`, `item`, `cause`, `after`.
     1245 Info ItemStopped "item_stopped" "run of a batch item ended before its last event",
     /// Results are in the store. Fields: `job`, `from`, `count`, `listed`, `items`.
     1246 Info ResultsListed "results_listed" "results of a batch job are stored",
