Keep upstreams whose entries lapse in an outage of the store

Each follower now measures its own silence, and the rule is control::relay::listing with tests. A silent request no longer pauses an upstream that answers others.

Tried and dropped: telling other relays the age of the oldest unanswered request and refusing by it.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -335,7 +335,13 @@
     pub fn fail(&mut self, key: Key, failure: Failure, now: Time) -> Option<Duration> {
         let entry = self.entries.get_mut(key)?;
         entry.failures += 1;
-        if failure == Failure::Broken && entry.failures < BROKEN_IN_A_ROW {
+        let passes = match failure {
+            Failure::Broken => entry.failures >= BROKEN_IN_A_ROW,
+            // One request that waits behind others, while others are answered.
+            Failure::Silent => now.since(entry.last_byte) >= QUIET,
+            Failure::NotSent | Failure::NotRun | Failure::Misdirected => true,
+        };
+        if !passes {
             return None;
         }
         let pause = (FIRST_PAUSE * 2_u32.pow(entry.failures.min(5) - 1)).min(LONGEST_PAUSE);
--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -6,5 +6,6 @@
 pub mod failure;
 pub mod fleet;
 pub mod job;
+pub mod listing;
 pub mod owner;
 pub mod route;
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -1,8 +1,15 @@
 //! What this relay believes of the configuration, the upstreams, the relays and the jobs.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use cyclamengrade_control::{relay::fleet::Upstream, time::Time};
+use cyclamengrade_control::{
+    relay::listing::{self, Listing},
+    time::Time,
+};
 use cyclamengrade_platform::feed::{Change, Changes, Content};
 use cyclamengrade_telemetry::event;
 use kameo::{
@@ -19,9 +26,6 @@
     shared::{Listed, Member, Shared},
 };
 
-/// Time without an answer of the store after which entries may have lapsed for want of renewal.
-const OUTAGE: Duration = Duration::from_millis(1_500);
-
 /// Changes of a table.
 pub struct Update {
     /// The table.
@@ -30,45 +34,27 @@
     pub changes: Changes,
     /// Whether the changes are all rows of the table.
     pub is_snapshot: bool,
+    /// Time without an answer of the store before this one.
+    pub silence: Duration,
 }
 
 /// Removes upstreams whose entries lapsed during an outage and did not return.
 pub struct Sweep;
 
-/// An upstream as the store lists it.
-struct Entry {
-    version: u64,
-    upstream: Upstream,
-    /// When it counts as gone although the store was away when its entry lapsed.
-    gone_at: Option<Time>,
-}
-
 /// Believes what the store says, and keeps to it while the store is away.
 #[derive(Actor)]
 pub struct Directory {
     shared: Arc<Shared>,
-    /// Time after the store is back in which lapsed entries may return.
-    return_time: Duration,
-    upstreams: BTreeMap<String, Entry>,
+    listing: Listing,
     /// Newest version seen of each table, so that a read that lags behind changes nothing.
     version: BTreeMap<String, u64>,
-    /// When the store came back from its last outage.
-    back_at: Option<Time>,
-    last_heard: Time,
 }
 
 impl Directory {
-    /// A directory that knows nothing.
+    /// A directory that knows nothing. Entries of upstreams that lapsed in an outage of the store
+    /// may return within `return_time`.
     pub fn new(shared: Arc<Shared>, return_time: Duration) -> Self {
-        let last_heard = shared.clock.now();
-        Self {
-            shared,
-            return_time,
-            upstreams: BTreeMap::new(),
-            version: BTreeMap::new(),
-            back_at: None,
-            last_heard,
-        }
+        Self { shared, listing: Listing::new(return_time), version: BTreeMap::new() }
     }
 
     fn update(&mut self, update: Update) {
@@ -114,121 +100,69 @@
     }
 
     fn upstreams(&mut self, now: Time, update: Update) {
-        let Update { changes, is_snapshot, table } = update;
-        let lapse = self.lapse(now);
+        let Update { changes, is_snapshot, table, silence } = update;
+        self.listing.hear(now, silence);
         if is_snapshot {
-            let listed: Vec<&str> =
+            let listed: BTreeSet<&str> =
                 changes.rows.iter().filter_map(|change| id(&table, &change.key)).collect();
-            let missing: Vec<String> = self
-                .upstreams
-                .keys()
-                .filter(|id| !listed.contains(&id.as_str()))
-                .cloned()
-                .collect();
+            let missing: Vec<String> =
+                self.listing.ids().filter(|id| !listed.contains(id)).map(str::to_owned).collect();
             for id in missing {
-                self.remove(&id, lapse);
+                let change = self.listing.lapse(&id, now);
+                self.log(&id, change);
             }
         }
-        for change in &changes.rows {
-            let Some(id) = id(&table, &change.key) else { continue };
-            self.change_upstream(id, change, lapse);
+        for row in &changes.rows {
+            let Some(id) = id(&table, &row.key) else { continue };
+            let change = self.upstream(id, row, now);
+            self.log(id, change);
         }
         self.publish();
         self.shared.known.send_if_modified(|known| !std::mem::replace(&mut known.upstreams, true));
     }
 
-    fn change_upstream(&mut self, id: &str, change: &Change, lapse: Option<Time>) {
-        let known = self.upstreams.get(id).map_or(0, |entry| entry.version);
-        if change.version < known {
-            return;
-        }
-        let value = match &change.content {
-            Content::Deleted => return self.remove(id, lapse),
-            Content::Value(value) => value,
-            Content::Damaged(_) => {
-                damaged(change);
-                return self.remove(id, None);
-            }
+    fn upstream(&mut self, id: &str, row: &Change, now: Time) -> listing::Change {
+        let read = match &row.content {
+            Content::Deleted => return self.listing.lapse(id, now),
+            Content::Value(value) => self.shared.dialect.upstream(id, value),
+            Content::Damaged(error) => Err(error.clone()),
         };
-        match self.shared.dialect.upstream(id, value) {
+        match read {
+            Ok(upstream) => self.listing.put(id, row.version, upstream),
             Err(error) => {
-                event!(RowUnusable, key:% = change.key, version = change.version, error:% = error);
-                self.remove(id, None);
-            }
-            Ok(upstream) => {
-                let before = self.upstreams.get(id).map(|entry| &entry.upstream);
-                match before {
-                    None => event!(
-                        UpstreamAdded,
-                        upstream:% = id,
-                        deployment:% = upstream.deployment
-                    ),
-                    Some(before) if upstream.leaving && !before.leaving => event!(
-                        UpstreamLeaving,
-                        upstream:% = id,
-                        deployment:% = upstream.deployment
-                    ),
-                    Some(_) => {}
-                }
-                let entry = Entry { version: change.version, upstream, gone_at: None };
-                self.upstreams.insert(id.to_owned(), entry);
+                event!(RowUnusable, key:% = row.key, version = row.version, error:% = error);
+                self.listing.remove(id)
             }
         }
     }
 
-    /// When an entry that is missing now counts as gone; `None` for at once.
-    fn lapse(&mut self, now: Time) -> Option<Time> {
-        if now.since(self.last_heard) > OUTAGE {
-            self.back_at = Some(now);
-        }
-        self.last_heard = now;
-        let until = self.back_at? + self.return_time;
-        (now < until).then_some(until)
-    }
-
-    fn remove(&mut self, id: &str, lapse: Option<Time>) {
-        match (lapse, self.upstreams.get_mut(id)) {
-            (_, None) => {}
-            (Some(until), Some(entry)) if !entry.upstream.leaving => {
-                if entry.gone_at.is_none() {
-                    event!(UpstreamLapsed, upstream:% = id);
-                    entry.gone_at = Some(until);
-                }
+    fn log(&self, id: &str, change: listing::Change) {
+        let deployment = self.listing.get(id).map_or("", |upstream| &upstream.deployment);
+        match change {
+            listing::Change::Added => {
+                event!(UpstreamAdded, upstream:% = id, deployment:% = deployment);
             }
-            (_, Some(entry)) => {
-                event!(
-                    UpstreamRemoved,
-                    upstream:% = id,
-                    deployment:% = entry.upstream.deployment
-                );
-                self.upstreams.remove(id);
+            listing::Change::Leaving => {
+                event!(UpstreamLeaving, upstream:% = id, deployment:% = deployment);
             }
+            listing::Change::Lapsed => event!(UpstreamLapsed, upstream:% = id),
+            listing::Change::Removed => event!(UpstreamRemoved, upstream:% = id),
+            listing::Change::Minor => {}
         }
     }
 
     fn publish(&self) {
-        let listed =
-            self.upstreams.iter().map(|(id, entry)| (id.clone(), entry.upstream.clone())).collect();
-        let gone = self.shared.fleet().list(&listed);
+        let gone = self.shared.fleet().list(&self.listing.upstreams());
         self.shared.pool.forget(&gone);
         self.shared.batch_changed.notify_one();
     }
 
     fn sweep(&mut self) {
-        let now = self.shared.clock.now();
-        if self.shared.store_age() < OUTAGE {
-            self.last_heard = now;
-        }
-        let overdue: Vec<String> = self
-            .upstreams
-            .iter()
-            .filter(|(_, entry)| entry.gone_at.is_some_and(|gone_at| gone_at <= now))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &overdue {
-            self.remove(id, None);
+        let gone = self.listing.sweep(self.shared.clock.now());
+        for id in &gone {
+            self.log(id, listing::Change::Removed);
         }
-        if !overdue.is_empty() {
+        if !gone.is_empty() {
             self.publish();
         }
     }
--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -35,18 +35,20 @@
     table: String,
     version: Option<u64>,
     lost: Option<Instant>,
+    heard: Instant,
     pause: Duration,
 }
 
 impl Follower {
     /// A follower that has read nothing yet.
-    pub const fn new(
+    pub fn new(
         shared: Arc<Shared>,
         feed: Arc<dyn Feed>,
         directory: ActorRef<Directory>,
         table: String,
     ) -> Self {
-        Self { shared, feed, directory, table, version: None, lost: None, pause: FIRST_PAUSE }
+        let heard = Instant::now();
+        Self { shared, feed, directory, table, version: None, lost: None, heard, pause: FIRST_PAUSE }
     }
 
     /// Follows the table until the process ends.
@@ -91,13 +93,14 @@
             );
         }
         self.pause = FIRST_PAUSE;
+        let silence = std::mem::replace(&mut self.heard, Instant::now()).elapsed();
         self.shared.hear_store();
         self.shared.clock.observe_store(changes.clock_ms);
         self.version = Some(changes.version.max(self.version.unwrap_or(0)));
-        if changes.rows.is_empty() && !is_snapshot {
+        if changes.rows.is_empty() && !is_snapshot && silence < WAIT + MARGIN {
             return;
         }
-        let update = Update { table: self.table.clone(), changes, is_snapshot };
+        let update = Update { table: self.table.clone(), changes, is_snapshot, silence };
         // The directory lives as long as the process.
         let _ = self.directory.tell(update).await;
     }
