Run items that can be in time first and save unfinished texts

Items that can still be in time now go first, runs that cannot are stopped first, and texts that grew by about a second of a run are stored every two seconds and at handover.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod job;
 pub mod listing;
+pub mod order;
 pub mod owner;
 pub mod route;
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -14,15 +14,16 @@
 use crate::{
     batch::{
         Dispatcher,
+        dispatcher::SAVE_EVENTS,
         owned::{Owned, Pending},
     },
     job::{key, row, store},
     metrics::RESULTS,
-    shared::Listed,
+    shared::{Listed, lock},
 };
 
 /// Results of one transaction. A transaction takes 100 entries, and a result needs two of them.
-const LARGEST_COMMIT: usize = 40;
+const LARGEST_COMMIT: usize = 36;
 /// Bytes of text in one transaction, below the limit of 1 MB with room for its encoding.
 const LARGEST_COMMIT_BYTES: usize = 400 << 10;
 /// First pause after a failed commit; doubled for each further one.
@@ -36,6 +37,7 @@
     from: usize,
     results: Vec<Pending>,
     failures: Option<row::Failures>,
+    partials: Vec<(usize, row::Partial)>,
     done: bool,
 }
 
@@ -72,14 +74,16 @@
                     pause = FIRST_PAUSE;
                     self.stored(id, &batch, version);
                     counter!(RESULTS).increment(count as u64);
-                    event!(
-                        ResultsListed,
-                        job:% = id,
-                        from = from,
-                        count = count,
-                        listed = from + count,
-                        items = batch.listed.row.items
-                    );
+                    if count > 0 {
+                        event!(
+                            ResultsListed,
+                            job:% = id,
+                            from = from,
+                            count = count,
+                            listed = from + count,
+                            items = batch.listed.row.items
+                        );
+                    }
                     if done {
                         self.release(id, "every item is listed");
                         return;
@@ -119,13 +123,55 @@
             .collect();
         let failures = owned.failures_changed.then(|| failures(&owned.progress, owned.items.len()));
         let done = owned.progress.is_done() && results.len() == owned.pending.len();
-        if results.is_empty() && failures.is_none() && !(done && owned.is_open()) {
+        let partials = match std::mem::take(&mut owned.save) {
+            true => self.partials(owned, SAVE_EVENTS, LARGEST_COMMIT_BYTES.saturating_sub(bytes)),
+            false => Vec::new(),
+        };
+        if results.is_empty()
+            && failures.is_none()
+            && partials.is_empty()
+            && !(done && owned.is_open())
+        {
             owned.committing = false;
             return None;
         }
         owned.failures_changed = false;
         let (listed, from) = (owned.listed.clone(), owned.next_position);
-        Some(Batch { listed, from, results, failures, done })
+        Some(Batch { listed, from, results, failures, partials, done })
+    }
+
+    /// Texts of unfinished items for one transaction.
+    fn partials(
+        &self,
+        owned: &Owned,
+        events: u64,
+        most_bytes: usize,
+    ) -> Vec<(usize, row::Partial)> {
+        let mut bytes = 0;
+        let unsaved = owned.unsaved(events, self.shared.row_bytes / 2).into_iter();
+        let fitting = unsaved.take_while(|(_, partial)| {
+            bytes += partial.text.len();
+            bytes <= most_bytes
+        });
+        fitting.take(LARGEST_COMMIT / 2).collect()
+    }
+
+    /// Stores the texts of all unfinished items of a job before it is handed back.
+    pub(super) async fn save_all(&self, id: &str) {
+        let batch = {
+            let jobs = self.jobs();
+            let Some(owned) = jobs.get(id) else { return };
+            let partials = self.partials(owned, 1, LARGEST_COMMIT_BYTES);
+            let (listed, from) = (owned.listed.clone(), owned.next_position);
+            Batch { listed, from, results: Vec::new(), failures: None, partials, done: false }
+        };
+        if batch.partials.is_empty() {
+            return;
+        }
+        // Without it, the next owner runs more of the items again.
+        if let Err(error) = self.try_store(id, &batch).await {
+            event!(ResultsWaiting, job:% = id, error:% = error);
+        }
     }
 
     async fn store(&self, id: &str, batch: &Batch) -> Committed {
@@ -155,6 +201,9 @@
                 .with_condition(key.clone(), 0)
                 .with_write(key, store::encode(&outcome)?);
         }
+        for (item, partial) in &batch.partials {
+            transaction = transaction.with_write(key::partial(id, *item), store::encode(partial)?);
+        }
         if let Some(failures) = &batch.failures {
             transaction = transaction.with_write(key::failures(id), store::encode(failures)?);
         }
@@ -190,6 +239,11 @@
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
         owned.next_position = batch.from + batch.results.len();
+        for (item, partial) in &batch.partials {
+            if let Some(transcript) = owned.transcripts.get(item) {
+                lock(transcript).saved = Some(partial.last);
+            }
+        }
         owned.pending.retain(|pending| !batch.results.contains(pending));
         if let Some(version) = version {
             owned.listed.version = version;
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -7,12 +7,14 @@
 };
 
 use cyclamengrade_control::relay::{
+    fleet::Key,
     job::{Fault, Verdict},
+    order::{Pace, Urgency},
     route::Route,
 };
 use cyclamengrade_telemetry::event;
 use metrics::counter;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     batch::{
@@ -31,6 +33,11 @@
 const SHORTEST_PERIOD: Duration = Duration::from_millis(5);
 /// Pause of an item whose run ended for a reason outside of the item.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two saves of unfinished texts. A run takes several seconds, and a save costs a small
+/// part of what running it again does.
+const SAVE_PERIOD: Duration = Duration::from_secs(2);
+/// Events by which a text must have grown to be saved: about a second of a run.
+pub(super) const SAVE_EVENTS: u64 = 30;
 /// Pause of an item that failed at its upstream.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -39,6 +46,7 @@
     pub(super) shared: Arc<Shared>,
     jobs: Mutex<BTreeMap<String, Owned>>,
     loading: Mutex<BTreeSet<String>>,
+    pace: Mutex<Pace>,
 }
 
 /// The right to begin a job; nothing else in this process begins it meanwhile.
@@ -56,7 +64,8 @@
 impl Dispatcher {
     /// A dispatcher without jobs.
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
-        Arc::new(Self { shared, jobs: Mutex::default(), loading: Mutex::default() })
+        let (jobs, loading, pace) = (Mutex::default(), Mutex::default(), Mutex::default());
+        Arc::new(Self { shared, jobs, loading, pace })
     }
 
     /// Begins to load a job; `None` when that is under way or done.
@@ -79,24 +88,27 @@
         self.jobs().get(id).map(|owned| owned.items.clone())
     }
 
-    /// Begins to run a job.
-    pub fn own(
-        self: &Arc<Self>,
-        id: &str,
+    /// A job that this relay owns by its row, with what earlier owners stored.
+    pub fn owned(
+        &self,
         listed: Listed,
         items: Arc<Vec<Item>>,
         outcomes: &[row::Outcome],
         failures: &BTreeMap<usize, u32>,
-    ) {
+    ) -> Owned {
         let attempts = self.route(&listed.row).map_or(1, |route| route.attempts);
+        Owned::new(listed, items, attempts, outcomes, failures)
+    }
+
+    /// Begins to run a job.
+    pub fn own(self: &Arc<Self>, id: &str, owned: Owned) {
         event!(
             JobOwned,
             job:% = id,
             owner:% = self.shared.name,
-            listed = outcomes.len(),
-            items = items.len()
+            listed = owned.next_position,
+            items = owned.items.len()
         );
-        let owned = Owned::new(listed, items, attempts, outcomes, failures);
         let is_done = owned.progress.is_done();
         self.jobs().insert(id.to_owned(), owned);
         if is_done {
@@ -119,6 +131,7 @@
 
     /// Runs until the relay stops.
     pub async fn run(self: Arc<Self>) {
+        let mut saved = Instant::now();
         loop {
             // Either a change or the period; both lead to the same look.
             let _ = timeout(PERIOD, self.shared.batch_changed.notified()).await;
@@ -131,6 +144,10 @@
                 self.expire();
                 self.start_items();
                 self.tell_waiting();
+                if saved.elapsed() >= SAVE_PERIOD {
+                    saved = Instant::now();
+                    self.save();
+                }
             }
             sleep(SHORTEST_PERIOD).await;
         }
@@ -165,14 +182,20 @@
         }
     }
 
-    /// Stops the run at an upstream whose job is due last.
-    fn stop_latest(&self, upstream: cyclamengrade_control::relay::fleet::Key) {
+    /// Stops the least urgent run at an upstream.
+    fn stop_latest(&self, upstream: Key) {
+        let now_ms = self.shared.clock.store_ms().unwrap_or(0);
+        let pace = *lock(&self.pace);
         let mut jobs = self.jobs();
         let latest = jobs
             .iter()
             .flat_map(|(id, owned)| {
                 let runs = owned.runs.iter().filter(|(_, run)| run.upstream == upstream);
-                runs.map(move |(item, _)| (owned.listed.row.due_ms, id.clone(), *item))
+                runs.map(move |(item, _)| {
+                    let remaining = pace.remaining(owned.events(*item));
+                    let urgency = Urgency::new(now_ms, owned.listed.row.due_ms, remaining);
+                    (urgency, id.clone(), *item)
+                })
             })
             .max();
         let Some((_, id, item)) = latest else { return };
@@ -211,44 +234,68 @@
         }
     }
 
-    /// Starts waiting items, those of the job that is due first before the others.
+    /// Starts waiting items in order of their urgency.
     fn start_items(self: &Arc<Self>) {
-        let mut due: Vec<(u64, String)> = self
-            .jobs()
-            .iter()
-            .filter(|(_, owned)| owned.is_open())
-            .map(|(id, owned)| (owned.listed.row.due_ms, id.clone()))
-            .collect();
-        due.sort_unstable();
-        for (_, id) in due {
-            while let Some((item, flight)) = self.next_item(&id) {
+        for (_, id, item) in self.waiting() {
+            if let Some(flight) = self.place(&id) {
                 self.start(&id, item, flight);
             }
         }
     }
 
+    /// Items that wait for a slot, the most urgent first.
+    fn waiting(&self) -> Vec<(Urgency, String, usize)> {
+        let now = self.shared.clock.now();
+        let now_ms = self.shared.clock.store_ms().unwrap_or(0);
+        let pace = *lock(&self.pace);
+        let jobs = self.jobs();
+        let open = jobs.iter().filter(|(_, owned)| owned.is_open());
+        let mut waiting: Vec<_> = open
+            .flat_map(|(id, owned)| {
+                let items = owned
+                    .progress
+                    .waiting()
+                    .filter(move |item| owned.not_before.get(item).is_none_or(|time| *time <= now));
+                items.map(move |item| {
+                    let remaining = pace.remaining(owned.events(item));
+                    let urgency = Urgency::new(now_ms, owned.listed.row.due_ms, remaining);
+                    (urgency, id.clone(), item)
+                })
+            })
+            .collect();
+        waiting.sort_unstable();
+        waiting
+    }
+
+    /// Stores the texts of items that have grown, so that the next owner of a job goes on there.
+    fn save(self: &Arc<Self>) {
+        let most_bytes = self.shared.row_bytes / 2;
+        let mut grown = Vec::new();
+        for (id, owned) in self.jobs().iter_mut() {
+            if owned.is_open() && !owned.unsaved(SAVE_EVENTS, most_bytes).is_empty() {
+                owned.save = true;
+                grown.push(id.clone());
+            }
+        }
+        for id in grown {
+            self.commit(&id);
+        }
+    }
+
     /// Tells the other relays whether items wait here.
     fn tell_waiting(&self) {
-        let jobs = self.jobs();
-        let open = jobs.values().filter(|owned| owned.is_open());
-        let waiting: usize = open.map(|owned| owned.progress.waiting().count()).sum();
-        if self.shared.fleet().set_waiting(waiting as u32) {
+        let waiting = self.waiting().len() as u32;
+        if self.shared.fleet().set_waiting(waiting) {
             self.shared.occupancy_changed.notify_one();
         }
     }
 
-    fn next_item(&self, id: &str) -> Option<(usize, Flight)> {
-        let now = self.shared.clock.now();
+    /// A slot for an item of a job.
+    fn place(&self, id: &str) -> Option<Flight> {
         let jobs = self.jobs();
-        let owned = jobs.get(id)?;
-        let item = owned
-            .progress
-            .waiting()
-            .find(|item| owned.not_before.get(item).is_none_or(|time| *time <= now))?;
-        let route = self.route(&owned.listed.row)?;
-        let deployment = route.target(rand::random())?;
-        let flight = self.shared.place_spare(deployment, &BTreeSet::new())?;
-        Some((item, flight))
+        let route = self.route(&jobs.get(id)?.listed.row)?;
+        drop(jobs);
+        self.shared.place_spare(route.target(rand::random())?, &BTreeSet::new())
     }
 
     fn start(self: &Arc<Self>, id: &str, item: usize, flight: Flight) {
@@ -276,7 +323,8 @@
             let end = item::run(dispatcher.shared.clone(), outgoing, flight, transcript).await;
             dispatcher.finish(&id, item, end);
         });
-        owned.runs.insert(item, Run { upstream, abort: task.abort_handle() });
+        let (started, events) = (self.shared.clock.now(), owned.events(item));
+        owned.runs.insert(item, Run { upstream, abort: task.abort_handle(), started, events });
     }
 
     /// Takes over the end of a run.
@@ -284,11 +332,17 @@
         let now = self.shared.clock.now();
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
-        owned.runs.remove(&item);
+        let run = owned.runs.remove(&item);
+        let events = owned.events(item);
+        if let Some(run) = run {
+            let produced = events.saturating_sub(run.events);
+            lock(&self.pace).run(produced, now.since(run.started));
+        }
         let (fault, pause, outcome) = match end {
             End::Completed => {
                 counter!(ITEMS, "outcome" => "completed").increment(1);
                 owned.progress.end(item);
+                lock(&self.pace).complete(events);
                 let transcript = owned.transcripts.remove(&item).unwrap_or_default();
                 let text = std::mem::take(&mut lock(&transcript).text);
                 owned.pending.push(Pending { item, verdict: Verdict::Completed, text });
@@ -327,6 +381,7 @@
     pub async fn hand_back(&self) {
         let ids: Vec<String> = self.jobs().keys().cloned().collect();
         for id in ids {
+            self.save_all(&id).await;
             let listed = self.jobs().get(&id).map(|owned| owned.listed.clone());
             let Some(listed) = listed else { continue };
             let (name, incarnation) = (&self.shared.name, self.shared.incarnation);
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -138,6 +138,7 @@
                     None => {}
                 }
                 transcript.last = Some(id);
+                transcript.events += 1;
                 transcript.text.push_str(&data);
             }
         }
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -17,7 +17,7 @@
 use crate::{
     dialect::Item,
     job::row::{self, Outcome},
-    shared::Listed,
+    shared::{Listed, lock},
 };
 
 /// What the runs of an item have produced so far. It outlives a run that is stopped, so that the
@@ -28,6 +28,10 @@
     pub last: Option<u64>,
     /// Data of all events, separated by line feeds.
     pub text: String,
+    /// Events in the text.
+    pub events: u64,
+    /// Id of the last event that is in the store.
+    pub saved: Option<u64>,
 }
 
 /// A run of an item at an upstream.
@@ -36,6 +40,10 @@
     pub upstream: Key,
     /// Stops the run.
     pub abort: AbortHandle,
+    /// When it began.
+    pub started: Time,
+    /// Events of the item before it.
+    pub events: u64,
 }
 
 /// An item that ended and is not listed yet.
@@ -67,6 +75,8 @@
     pub pending: Vec<Pending>,
     /// Whether failures were counted that are not stored yet.
     pub failures_changed: bool,
+    /// Whether texts of unfinished items are to be stored.
+    pub save: bool,
     /// Results that are listed.
     pub next_position: usize,
     /// Whether a commit is under way.
@@ -95,6 +105,7 @@
             not_before: BTreeMap::new(),
             pending: Vec::new(),
             failures_changed: false,
+            save: false,
             next_position: 0,
             committing: false,
         };
@@ -122,6 +133,35 @@
         self.listed.row.state == row::State::Open
     }
 
+    /// Takes over the texts that an earlier owner stored.
+    pub fn restore(&mut self, partials: BTreeMap<usize, row::Partial>) {
+        for (item, partial) in partials {
+            let last = Some(partial.last);
+            let text = Transcript { last, text: partial.text, events: partial.events, saved: last };
+            self.transcripts.insert(item, Arc::new(Mutex::new(text)));
+        }
+    }
+
+    /// Texts of unfinished items that have grown by at least `events` since they were stored.
+    pub fn unsaved(&self, events: u64, most_bytes: usize) -> Vec<(usize, row::Partial)> {
+        let texts = self.transcripts.iter().filter_map(|(item, transcript)| {
+            let transcript = lock(transcript);
+            let last = transcript.last?;
+            let is_worth = last >= transcript.saved.unwrap_or(0) + events
+                && transcript.text.len() <= most_bytes;
+            is_worth.then(|| {
+                let (text, events) = (transcript.text.clone(), transcript.events);
+                (*item, row::Partial { last, text, events })
+            })
+        });
+        texts.collect()
+    }
+
+    /// Events that an item has produced.
+    pub fn events(&self, item: usize) -> u64 {
+        self.transcripts.get(&item).map_or(0, |transcript| lock(transcript).events)
+    }
+
     /// Stops all runs.
     pub fn stop(&mut self) {
         for run in self.runs.values() {
--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -82,7 +82,10 @@
         let items = store::input(&self.shared, id).await?;
         let outcomes = store::all_rows(&self.shared, id).await?;
         let failures = store::failures(&self.shared, id).await?;
-        self.own(id, listed, Arc::new(items), &outcomes, &failures);
+        let partials = store::partials(&self.shared, id).await?;
+        let mut owned = self.owned(listed, Arc::new(items), &outcomes, &failures);
+        owned.restore(partials);
+        self.own(id, owned);
         Ok(())
     }
 }
--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -48,7 +48,16 @@
         table: String,
     ) -> Self {
         let heard = Instant::now();
-        Self { shared, feed, directory, table, version: None, lost: None, heard, pause: FIRST_PAUSE }
+        Self {
+            shared,
+            feed,
+            directory,
+            table,
+            version: None,
+            lost: None,
+            heard,
+            pause: FIRST_PAUSE,
+        }
     }
 
     /// Follows the table until the process ends.
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -92,7 +92,8 @@
         && listed.row == job
         && running
     {
-        dispatcher.own(&id, listed, items, &[], &BTreeMap::new());
+        let owned = dispatcher.owned(listed, items, &[], &BTreeMap::new());
+        dispatcher.own(&id, owned);
     }
     drop(loading);
     online::empty(StatusCode::ACCEPTED)
--- a/components/relay/src/job/key.rs
+++ b/components/relay/src/job/key.rs
@@ -32,6 +32,16 @@
     format!("{}{position:06}", results(id))
 }
 
+/// What the keys of the texts of unfinished items of a job start with.
+pub fn partials(id: &str) -> String {
+    format!("partials/{}/{id}/", part(id))
+}
+
+/// Key of the text of an unfinished item.
+pub fn partial(id: &str, item: usize) -> String {
+    format!("{}{item:06}", partials(id))
+}
+
 /// Key of the row with the failures of a job's items.
 pub fn failures(id: &str) -> String {
     format!("failures/{}/{id}", part(id))
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -104,3 +104,14 @@
     /// Failures by position of the item in the job.
     pub counts: BTreeMap<usize, u32>,
 }
+
+/// Row with the text of an unfinished item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Partial {
+    /// Id of its last event.
+    pub last: u64,
+    /// Data of all events, separated by line feeds.
+    pub text: String,
+    /// Events in the text.
+    pub events: u64,
+}
--- a/components/relay/src/job/store.rs
+++ b/components/relay/src/job/store.rs
@@ -258,6 +258,28 @@
     }
 }
 
+/// Reads the texts of unfinished items that earlier owners stored.
+///
+/// # Errors
+///
+/// The store gives no answer, or a row cannot be read.
+pub async fn partials(shared: &Shared, id: &str) -> Result<BTreeMap<usize, row::Partial>, Error> {
+    let prefix = key::partials(id);
+    let mut all = BTreeMap::new();
+    let mut after = prefix.clone();
+    loop {
+        let rows = shared.table.scan(prefix.clone(), after.clone(), RESULT_ROWS).await?;
+        let Some(last) = rows.last() else { return Ok(all) };
+        after.clone_from(&last.key);
+        for row in &rows {
+            let item = row.key.strip_prefix(&prefix).and_then(|item| item.parse().ok());
+            if let Some(item) = item {
+                all.insert(item, decode(row)?);
+            }
+        }
+    }
+}
+
 /// A row value.
 ///
 /// # Errors
