Tell other relays which upstreams failed

Relays now tell which upstreams they pass over; one that answered here lately is trusted, and a relay that fails to reach most upstreams is not believed.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -87,6 +87,8 @@
     pub counts: BTreeMap<u32, Count>,
     /// Batch items that wait for a slot.
     pub waiting: u32,
+    /// Upstreams that failed and are passed over, by the hash of their ids.
+    pub failed: BTreeSet<u32>,
 }
 
 /// The number that stands for an upstream in reports.
@@ -110,11 +112,6 @@
         self.upstream.slots.unwrap_or(DEFAULT_SLOTS).max(1)
     }
 
-    /// Whether it is worth starting batch work there.
-    fn is_usable(&self, now: Time) -> bool {
-        !self.upstream.leaving && self.paused_until <= now && !self.is_quiet(now)
-    }
-
     fn is_quiet(&self, now: Time) -> bool {
         let since = self.oldest_wait.map(|start| start.max(self.last_byte));
         since.is_some_and(|since| now.since(since) > QUIET)
@@ -233,10 +230,12 @@
     }
 
     /// What this daemon has at the upstreams.
-    pub fn own(&self) -> Report {
+    pub fn own(&self, now: Time) -> Report {
         let counts = self.entries.values().filter(|entry| entry.own != Count::default());
         let counts = counts.map(|entry| (entry.number, entry.own)).collect();
-        Report { counts, waiting: self.waiting }
+        let failed = self.entries.values().filter(|entry| entry.paused_until > now);
+        let failed = failed.map(|entry| entry.number).collect();
+        Report { counts, waiting: self.waiting, failed }
     }
 
     /// Records how many batch items of this daemon wait for a slot; returns whether that changes
@@ -260,6 +259,22 @@
         before.count() as u32
     }
 
+    /// Whether an upstream may be down: it failed here, it is quiet, or another daemon says that it
+    /// failed there and nothing was heard of it here since.
+    fn is_doubtful(&self, entry: &Entry, now: Time) -> bool {
+        if entry.paused_until > now || entry.is_quiet(now) {
+            return true;
+        }
+        let is_heard = now.since(entry.last_byte) < QUIET;
+        !is_heard
+            && self.others.values().any(|(at, report)| {
+                now.since(*at) < REPORT_LIFE
+                    && report.failed.contains(&entry.number)
+                    // A daemon that fails to reach most upstreams says more of itself.
+                    && report.failed.len() * 2 <= self.entries.len()
+            })
+    }
+
     fn others(&self, entry: &Entry, now: Time) -> Count {
         let mut sum = Count::default();
         for (at, report) in self.others.values() {
@@ -384,7 +399,7 @@
             } else {
                 2.0 + f64::from(excess) / f64::from(slots)
             };
-            let doubt = match entry.paused_until > now || entry.is_quiet(now) {
+            let doubt = match self.is_doubtful(entry, now) {
                 true => 100.0 + f64::from(entry.failures),
                 false => 0.0,
             };
@@ -428,7 +443,8 @@
         let mut best: Option<(f64, Key)> = None;
         for key in candidates {
             let entry = &self.entries[key];
-            let unusable = !entry.is_usable(now) || tried.contains(&key);
+            let unusable =
+                entry.upstream.leaving || self.is_doubtful(entry, now) || tried.contains(&key);
             let total = self.total(entry, now);
             let used = total.online + total.batch;
             if unusable || used + self.turn(entry, now) >= entry.slots() {
@@ -445,7 +461,8 @@
     /// Free slots of the upstreams that can be used.
     fn free(&self, keys: &[Key], now: Time) -> f64 {
         let entries = keys.iter().map(|key| &self.entries[*key]);
-        let usable = entries.filter(|entry| entry.is_usable(now));
+        let usable =
+            entries.filter(|entry| !entry.upstream.leaving && !self.is_doubtful(entry, now));
         let free = usable.map(|entry| {
             let total = self.total(entry, now);
             f64::from(entry.slots().saturating_sub(total.online + total.batch))
--- a/components/peer/src/occupancy.rs
+++ b/components/peer/src/occupancy.rs
@@ -80,6 +80,7 @@
         leaving: notice.leaving,
         counts: counts.collect(),
         waiting: notice.report.waiting,
+        failed: notice.report.failed.iter().copied().collect(),
     }
 }
 
@@ -95,6 +96,10 @@
         sequence: message.sequence,
         store_age_ms: message.store_age_ms,
         leaving: message.leaving,
-        report: Report { counts, waiting: message.waiting },
+        report: Report {
+            counts,
+            waiting: message.waiting,
+            failed: message.failed.into_iter().collect(),
+        },
     }
 }
--- a/components/relay/src/gossip.rs
+++ b/components/relay/src/gossip.rs
@@ -24,7 +24,7 @@
         sequence += 1;
         let addresses: Vec<SocketAddr> =
             shared.members().values().map(|member| member.address).collect();
-        let report = shared.fleet().own();
+        let report = shared.fleet().own(shared.clock.now());
         let notice = Notice {
             from: shared.name.clone(),
             incarnation: shared.incarnation,
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -317,6 +317,7 @@
                 let now = self.shared.clock.now();
                 let pause = self.shared.fleet().fail(self.key, failure, now);
                 let Some(pause) = pause else { return };
+                self.shared.occupancy_changed.notify_one();
                 event!(
                     UpstreamPaused,
                     upstream:% = self.upstream.id,
