Tell callers of jobs to come back by the age of the outage

A submission that comes while the store is away was told to come back after 0.4 s and spent its only repetition in the same outage. The time to come back is now the age of the outage, from 0.4 s to 4 s.

--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -24,8 +24,10 @@
 
 /// Longest wait for results that is granted, in addition to the time of the calls.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
-/// Time to come back while the store cannot be used.
+/// Shortest time to come back while the store cannot be used.
 const STORE_RETRY: Duration = Duration::from_millis(400);
+/// Longest time to come back while the store cannot be used.
+const LONGEST_STORE_RETRY: Duration = Duration::from_secs(4);
 /// Longest time for which a submission may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Most items of a job.
@@ -54,7 +56,7 @@
         Ok(_) => return improper(&id, "too many items"),
         Err(cause) => return improper(&id, &cause),
     };
-    let Some(now) = shared.clock.store_ms() else { return online::refused(STORE_RETRY) };
+    let Some(now) = shared.clock.store_ms() else { return refused(shared) };
     let after = |duration: Duration| now + duration.as_millis() as u64;
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let running = *shared.phase.borrow() == Phase::Running;
@@ -74,7 +76,7 @@
         Accepted::Stored => {}
         Accepted::NotStored(error) => {
             event!(JobNotStored, job:% = id, status = 503, error:% = error);
-            return online::refused(STORE_RETRY);
+            return refused(shared);
         }
         Accepted::Unknown(error) => {
             event!(JobNotStored, job:% = id, status = 502, error:% = error);
@@ -99,6 +101,11 @@
     online::empty(StatusCode::ACCEPTED)
 }
 
+/// Refuses a call for want of the store. An outage is expected to go on for as long as it has lasted.
+fn refused(shared: &Shared) -> Response<Body> {
+    online::refused(shared.store_age().clamp(STORE_RETRY, LONGEST_STORE_RETRY))
+}
+
 fn improper(id: &str, cause: &str) -> Response<Body> {
     event!(RequestImproper, request:% = id, reason:% = cause, status = 400);
     online::empty(StatusCode::BAD_REQUEST)
@@ -129,7 +136,7 @@
         Ok(None) => online::empty(StatusCode::NOT_FOUND),
         Err(error) => {
             event!(JobCallFailed, job:% = id, error:% = error);
-            online::refused(STORE_RETRY)
+            refused(shared)
         }
     }
 }
