Pass over an upstream at whose address another one answers

A time-out that an upstream answers itself is no longer taken for its fault.

Ruled out: reused connections (a fresh one reaches the same instance). The stop settings of a relay are named stop.*; the time in which lapsed upstreams may return is store.return_ms.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -351,16 +351,16 @@
     pub fn fail(&mut self, key: Key, failure: Failure, now: Time) -> Option<Duration> {
         let entry = self.entries.get_mut(key)?;
         entry.failures += 1;
-        let passes = match failure {
-            Failure::Broken => entry.failures >= BROKEN_IN_A_ROW,
+        let doubled = (FIRST_PAUSE * 2_u32.pow(entry.failures.min(5) - 1)).min(LONGEST_PAUSE);
+        let pause = match failure {
+            Failure::NotRun => return None,
+            Failure::Broken if entry.failures < BROKEN_IN_A_ROW => return None,
             // One request that waits behind others, while others are answered.
-            Failure::Silent => now.since(entry.last_byte) >= QUIET,
-            Failure::NotSent | Failure::NotRun | Failure::Misdirected => true,
+            Failure::Silent if now.since(entry.last_byte) < QUIET => return None,
+            Failure::NotSent | Failure::Broken | Failure::Silent => doubled,
+            // The upstream is no longer at its address; the list will say so.
+            Failure::Misdirected => LONGEST_PAUSE,
         };
-        if !passes {
-            return None;
-        }
-        let pause = (FIRST_PAUSE * 2_u32.pow(entry.failures.min(5) - 1)).min(LONGEST_PAUSE);
         entry.paused_until = now + pause;
         Some(pause)
     }
--- a/components/control/tests/relay_fleet.rs
+++ b/components/control/tests/relay_fleet.rs
@@ -238,5 +238,19 @@
     expect_that!(fleet.fail(key, Failure::Broken, now), none());
     fleet.progress(key, now);
     expect_that!(fleet.fail(key, Failure::Silent, now), none());
+    expect_that!(fleet.fail(key, Failure::NotRun, now), none());
     verify_that!(fleet.fail(key, Failure::NotSent, now), some(gt(Duration::ZERO)))
 }
+
+/// Pattern: an upstream that was replaced at its address before the list says so, while batch items
+/// wait. Guards against a thousand attempts a second at an address where nobody runs them.
+#[gtest]
+fn replaced_upstream() -> Result<()> {
+    let mut daemons = Daemons::new(1, 1);
+    let now = daemons.now;
+    let fleet = &mut daemons.fleets[0];
+    let Choice::Send(key, _) = online(fleet, now, 0.0) else { return fail!("refused") };
+    expect_that!(fleet.fail(key, Failure::Misdirected, now), some(ge(Duration::from_secs(2))));
+    let later = now + Duration::from_millis(500);
+    verify_that!(fleet.choose_spare("chat", &BTreeSet::new(), later, 0.0), none())
+}
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -119,7 +119,7 @@
             Ok(whole) => {
                 flight.served();
                 let can_repeat =
-                    whole.status.is_server_error() && repeat_error(&mut request, &flight);
+                    is_fault(whole.status) && repeat_error(&mut request, &flight);
                 if !can_repeat {
                     return answered(&request, whole);
                 }
@@ -133,6 +133,12 @@
     }
 }
 
+/// Whether a status reports a fault of the upstream. A time-out of its own does not: it was given
+/// the time that the caller has.
+fn is_fault(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+}
+
 /// Whether an answer that reports a fault of the upstream is dropped for another attempt.
 fn repeat_error(request: &mut Request, flight: &Flight) -> bool {
     request.route.is_repeatable() && request.fail(flight, Failure::Broken, 0).is_ok()
@@ -164,7 +170,7 @@
             match answer.whole(&shared.pool, request.patience()).await {
                 Ok(whole) => {
                     let can_repeat =
-                        whole.status.is_server_error() && repeat_error(&mut request, &flight);
+                        is_fault(whole.status) && repeat_error(&mut request, &flight);
                     if can_repeat {
                         continue;
                     }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -83,7 +83,7 @@
     settings: &Settings,
 ) -> Result<thread::JoinHandle<()>, Error> {
     let runtime = runtime()?;
-    let return_time = Duration::from_millis(settings.timers.return_ms);
+    let return_time = Duration::from_millis(settings.store.return_ms);
     let body = move || runtime.block_on(follow(shared, feed, return_time));
     thread::Builder::new().name("control".into()).spawn(body).map_err(Error::Thread)
 }
@@ -128,7 +128,7 @@
     tokio::spawn(sweep(shared.clone()));
     tokio::spawn(announce(shared.clone()));
     let served: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(front.run(listener));
-    stop::run(shared, dispatcher, settings.timers, reload, served).await
+    stop::run(shared, dispatcher, settings.stop, reload, served).await
 }
 
 /// Logs when the relay becomes ready.
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -311,20 +311,16 @@
     /// Records a failure; the upstream is passed over for a while when it is to blame.
     pub fn failed(&self, failure: Failure) {
         counter!(RELAY_ATTEMPTS, "outcome" => failure.name()).increment(1);
-        match failure {
-            Failure::NotRun | Failure::Misdirected => {}
-            Failure::NotSent | Failure::Broken | Failure::Silent => {
-                let now = self.shared.clock.now();
-                let pause = self.shared.fleet().fail(self.key, failure, now);
-                let Some(pause) = pause else { return };
-                self.shared.occupancy_changed.notify_one();
-                event!(
-                    UpstreamPaused,
-                    upstream:% = self.upstream.id,
-                    failure:% = failure.name(),
-                    pause_ms = pause.as_millis() as u64
-                );
-            }
+        let now = self.shared.clock.now();
+        let pause = self.shared.fleet().fail(self.key, failure, now);
+        if let Some(pause) = pause {
+            self.shared.occupancy_changed.notify_one();
+            event!(
+                UpstreamPaused,
+                upstream:% = self.upstream.id,
+                failure:% = failure.name(),
+                pause_ms = pause.as_millis() as u64
+            );
         }
     }
 }
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use cyclamengrade_platform::table::Transaction;
-use cyclamengrade_settings::relay::Timers;
+use cyclamengrade_settings::relay::Stop;
 use cyclamengrade_telemetry::event;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -33,7 +33,7 @@
 pub async fn run(
     shared: Arc<Shared>,
     dispatcher: Arc<Dispatcher>,
-    timers: Timers,
+    times: Stop,
     reload: impl Fn() -> bool,
     served: impl Future<Output = ()>,
 ) -> Result<(), Error> {
@@ -50,13 +50,13 @@
         }
     }
     let asked = Instant::now();
-    let end = asked + timers.grace().saturating_sub(MARGIN);
+    let end = asked + times.grace().saturating_sub(MARGIN);
     event!(Leaving, daemon:% = shared.name);
     shared.phase.send_replace(Phase::Leaving);
     shared.occupancy_changed.notify_one();
     let handed_back = timeout_at(end, dispatcher.hand_back());
     tokio::select! {
-        () = async { tokio::join!(sleep_until(asked + timers.leave()), async { let _ = handed_back.await; }); } => {}
+        () = async { tokio::join!(sleep_until(asked + times.leave()), async { let _ = handed_back.await; }); } => {}
         () = &mut served => {}
     }
     event!(DrainStarted);
--- a/components/settings/src/relay.rs
+++ b/components/settings/src/relay.rs
@@ -30,9 +30,9 @@
     /// Memory that the process may use, in bytes; bounds what it buffers.
     #[serde(default = "default_memory_bytes")]
     pub memory_bytes: u64,
-    /// Periods and timeouts.
+    /// The planned stop.
     #[serde(default)]
-    pub timers: Timers,
+    pub stop: Stop,
     /// Lowest severity of the log lines.
     #[serde(default)]
     pub log_level: Level,
@@ -66,6 +66,9 @@
     /// Bytes of the largest row value.
     #[serde(default = "Store::default_row_bytes")]
     pub row_bytes: usize,
+    /// Time after an outage in which upstreams whose entries lapsed may return, in milliseconds.
+    #[serde(default = "Store::default_return_ms")]
+    pub return_ms: u64,
 }
 
 impl Store {
@@ -76,28 +79,30 @@
     const fn default_row_bytes() -> usize {
         64 << 10
     }
+
+    const fn default_return_ms() -> u64 {
+        2_000
+    }
 }
 
-/// Periods and timeouts of a relay, in milliseconds but for `grace_s`.
+/// The planned stop of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Timers {
-    /// Time from the signal to stop until the process is killed, in seconds.
+pub struct Stop {
+    /// Time from the signal until the process is killed, in seconds.
     pub grace_s: f64,
-    /// Time for which new connections are accepted after the signal to stop. The load balancer
-    /// asks once a second and stops sending after the second refusal.
+    /// Time for which new connections are accepted after the signal, in milliseconds. The load
+    /// balancer asks once a second and stops sending after the second refusal.
     pub leave_ms: u64,
-    /// Time after the store is back in which upstreams whose entries lapsed may return.
-    pub return_ms: u64,
 }
 
-impl Default for Timers {
+impl Default for Stop {
     fn default() -> Self {
-        Self { grace_s: 8.0, leave_ms: 3_000, return_ms: 2_000 }
+        Self { grace_s: 8.0, leave_ms: 3_000 }
     }
 }
 
-impl Timers {
+impl Stop {
     /// Time from the signal to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
@@ -140,10 +145,10 @@
         if self.name.is_empty() || self.name.contains('/') {
             return Err(format!("name is {:?}; write a name without a slash", self.name));
         }
-        if self.timers.leave() >= self.timers.grace() {
+        if self.stop.leave() >= self.stop.grace() {
             return Err(format!(
-                "timers.leave_ms is {}; write less than timers.grace_s, which is {}",
-                self.timers.leave_ms, self.timers.grace_s
+                "stop.leave_ms is {}; write less than stop.grace_s, which is {}",
+                self.stop.leave_ms, self.stop.grace_s
             ));
         }
         if self.store.timeout_ms == 0 {
--- a/tests/deployed_settings.rs
+++ b/tests/deployed_settings.rs
@@ -38,7 +38,7 @@
     expect_that!(output.code, eq(0), "{}", output.errors);
     let settings: serde_json::Value = serde_json::from_str(&output.text)?;
     expect_that!(settings["settings"]["dialect"].as_str(), some(eq("bridge")));
-    verify_that!(settings["settings"]["timers"]["grace_s"].as_f64(), some(eq(8.5)))
+    verify_that!(settings["settings"]["stop"]["grace_s"].as_f64(), some(eq(8.5)))
 }
 
 /// Guards against wrong settings that are taken, and messages that do not name the key.
@@ -47,9 +47,9 @@
     let wrong = [
         ("\"name\": \"front-a-1\"", "\"name\": \"a/b\"", "name"),
         ("\"dialect\": \"bridge\"", "\"dialect\": \"other\"", "dialect"),
-        ("\"grace_s\": 8.5", "\"grace_s\": 1", "timers.leave_ms"),
+        ("\"grace_s\": 8.5", "\"grace_s\": 1", "stop.leave_ms"),
         ("\"grace_s\": 8.5", "\"grace\": 8.5", "grace"),
-        ("\"timers\"", "\"timer\"", "timer"),
+        ("\"stop\"", "\"stopp\"", "stopp"),
     ];
     for (from, to, key) in wrong {
         let path = scratch("relay.jsonc", &rendered().replace(from, to));
