Explain failures of relays from their logs

Requests log the time to their first byte, without which a late one could not be told from a long one.

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -34,6 +34,8 @@
     pub arrived: Instant,
     /// When its caller or its route gives up.
     pub deadline: Instant,
+    /// Time until the first byte of the answer.
+    pub first: Option<Duration>,
     /// Attempts so far.
     pub spent: Spent,
     tried: BTreeSet<Key>,
@@ -60,7 +62,7 @@
         deadline: Instant,
     ) -> Self {
         let (spent, tried) = (Spent::default(), BTreeSet::new());
-        Self { shared, route, outgoing, arrived, deadline, spent, tried }
+        Self { shared, route, outgoing, arrived, deadline, first: None, spent, tried }
     }
 
     /// Time until the request is given up.
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -118,10 +118,9 @@
         match answer.whole(&shared.pool, request.patience()).await {
             Ok(whole) => {
                 flight.served();
-                let can_repeat =
-                    is_fault(whole.status) && repeat_error(&mut request, &flight);
+                let can_repeat = is_fault(whole.status) && repeat_error(&mut request, &flight);
                 if !can_repeat {
-                    return answered(&request, whole);
+                    return answered(request, whole);
                 }
             }
             Err(failure) => {
@@ -145,9 +144,9 @@
 }
 
 /// Passes a whole answer on as it came.
-fn answered(request: &Request, whole: Whole) -> Response<Body> {
-    first_byte(request);
-    ended(request, whole.status, "served");
+fn answered(mut request: Request, whole: Whole) -> Response<Body> {
+    first_byte(&mut request);
+    ended(&request, whole.status, "served");
     let mut response = Response::new(Body::new(whole.body));
     *response.status_mut() = whole.status;
     *response.headers_mut() = whole.headers;
@@ -169,12 +168,11 @@
         if !(answer.status.is_success() && answer.is_event_stream()) {
             match answer.whole(&shared.pool, request.patience()).await {
                 Ok(whole) => {
-                    let can_repeat =
-                        is_fault(whole.status) && repeat_error(&mut request, &flight);
+                    let can_repeat = is_fault(whole.status) && repeat_error(&mut request, &flight);
                     if can_repeat {
                         continue;
                     }
-                    return answered(&request, whole);
+                    return answered(request, whole);
                 }
                 Err(failure) => match request.fail(&flight, failure, 0) {
                     Ok(()) => continue,
@@ -187,7 +185,7 @@
         match events.next(request.patience()).await {
             Ok(first) => {
                 flight.progress();
-                first_byte(&request);
+                first_byte(&mut request);
                 let (sender, body) = Body::stream();
                 let mut relay = Relay { request, sender, last: asked, sent: 0 };
                 tokio::spawn(async move { relay.run(flight, events, first).await });
@@ -385,9 +383,10 @@
     response
 }
 
-fn first_byte(request: &Request) {
-    histogram!(RELAY_FIRST, "kind" => request.route.kind.name())
-        .record(request.arrived.elapsed().as_secs_f64());
+fn first_byte(request: &mut Request) {
+    let elapsed = request.arrived.elapsed();
+    request.first = Some(elapsed);
+    histogram!(RELAY_FIRST, "kind" => request.route.kind.name()).record(elapsed.as_secs_f64());
 }
 
 fn ended(request: &Request, status: StatusCode, outcome: &'static str) {
@@ -401,6 +400,7 @@
         route:% = request.route.name,
         status = status.as_u16(),
         attempts = request.spent.ran + request.spent.not_run + 1,
+        first_ms = request.first.map_or(0, |first| first.as_millis() as u64),
         elapsed_ms = elapsed.as_millis() as u64
     );
 }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -148,7 +148,8 @@
     /// A relay refused a request, which did not run. Fields: `request`, `route`, `reason`, `wait_ms`,
     /// `report_age_ms`, `retry_after_ms`, `configuration`.
     1202 Info RequestDeclined "request_declined" "request was refused and did not run",
-    /// A request of a relay ended. Fields: `request`, `route`, `status`, `attempts`, `elapsed_ms`.
+    /// A request of a relay ended. Fields: `request`, `route`, `status`, `attempts`, `first_ms` (0 when
+    /// no byte of an answer came), `elapsed_ms`.
     1203 Info RequestEnded "request_ended" "request ended",
     /// A stream of a relay broke off after its head was sent. Fields: `request`, `route`, `cause`,
     /// `events`, `elapsed_ms`.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod relay;
 mod settings;
+mod story;
 mod upstreams;
 
 use crate::{
@@ -31,6 +32,7 @@
   batch results ID     print the results of a job
   batch cancel ID      cancel a job
   upstreams            print the upstreams of a daemon
+  story ID FILE...     print what logs say of a request
 
 Options of all subcommands:
   --server HOST:PORT   daemon to ask
@@ -59,6 +61,7 @@
         "config" => (config::HELP, config::run),
         "batch" => (batch::HELP, batch::run),
         "upstreams" => (upstreams::HELP, upstreams::run),
+        "story" => (story::HELP, story::run),
         _ => return Err(Failure::usage(format!("unknown subcommand {name}; see --help"))),
     };
     if help { print::line(text) } else { body(call) }
