--- a/components/control/src/relay/job.rs
+++ b/components/control/src/relay/job.rs
@@ -55,14 +55,6 @@
         self
     }
 
-    /// An item that an earlier owner listed.
-    pub fn with_ended(mut self, item: usize) -> Self {
-        if let Some(state) = self.items.get_mut(item) {
-            *state = State::Ended;
-        }
-        self
-    }
-
     /// Items that wait for a run, in the order of the job.
     pub fn waiting(&self) -> impl Iterator<Item = usize> + '_ {
         let items = self.items.iter().enumerate();
@@ -74,9 +66,11 @@
         self.items[item] = State::Running;
     }
 
-    /// Records the end of an item.
+    /// Records the end of an item. Items that the job does not have are passed over.
     pub fn end(&mut self, item: usize) {
-        self.items[item] = State::Ended;
+        if let Some(state) = self.items.get_mut(item) {
+            *state = State::Ended;
+        }
     }
 
     /// Records a run without a whole text; returns the verdict when the item is given up.
--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod failure;
 pub mod fleet;
 pub mod job;
+pub mod ledger;
 pub mod listing;
 pub mod order;
 pub mod owner;
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cyclamengrade_control::relay::job::Progress;
+use cyclamengrade_control::relay::{
+    job::Progress,
+    ledger::{Batch, Entry},
+};
 use cyclamengrade_platform::{
     Error,
     table::{Commit, Transaction},
@@ -12,11 +15,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    batch::{
-        Dispatcher,
-        dispatcher::SAVE_EVENTS,
-        owned::{Owned, Pending},
-    },
+    batch::{Dispatcher, dispatcher::SAVE_EVENTS, owned::Owned},
     job::{key, row, store},
     shared::{Listed, lock},
 };
@@ -31,13 +30,11 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// What one transaction of a job stores.
-struct Batch {
+struct Write {
     listed: Listed,
-    from: usize,
-    results: Vec<Pending>,
+    results: Batch,
     failures: Option<row::Failures>,
     partials: Vec<(usize, row::Partial)>,
-    done: bool,
 }
 
 /// How a transaction went.
@@ -66,12 +63,13 @@
 
     async fn commit_all(&self, id: &str) {
         let mut pause = FIRST_PAUSE;
-        while let Some(batch) = self.next_batch(id) {
-            let (from, count, done) = (batch.from, batch.results.len(), batch.done);
-            match self.store(id, &batch).await {
+        while let Some(write) = self.next_write(id) {
+            let Batch { from, is_last, .. } = write.results;
+            let count = write.results.entries.len();
+            match self.store(id, &write).await {
                 Committed::Stored(version) => {
                     pause = FIRST_PAUSE;
-                    self.stored(id, &batch, version);
+                    self.stored(id, &write, version);
                     counter!(RELAY_RESULTS).increment(count as u64);
                     if count > 0 {
                         event!(
@@ -80,10 +78,10 @@
                             from = from,
                             count = count,
                             listed = from + count,
-                            items = batch.listed.row.items
+                            items = write.listed.row.items
                         );
                     }
-                    if done {
+                    if is_last {
                         self.release(id, "every item is listed");
                         return;
                     }
@@ -105,38 +103,25 @@
     }
 
     /// What to store next; clears the mark of the running commit when there is nothing.
-    fn next_batch(&self, id: &str) -> Option<Batch> {
+    fn next_write(&self, id: &str) -> Option<Write> {
         let mut jobs = self.jobs();
         let owned = jobs.get_mut(id)?;
-        let mut bytes = 0;
-        let results: Vec<Pending> = owned
-            .pending
-            .iter()
-            .take(LARGEST_COMMIT)
-            .take_while(|pending| {
-                let first = bytes == 0;
-                bytes += pending.text.len() + 1;
-                first || bytes <= LARGEST_COMMIT_BYTES
-            })
-            .cloned()
-            .collect();
-        let failures = owned.failures_changed.then(|| failures(&owned.progress, owned.items.len()));
-        let done = owned.progress.is_done() && results.len() == owned.pending.len();
+        let results = owned.ledger.batch(LARGEST_COMMIT, LARGEST_COMMIT_BYTES);
+        let bytes: usize = results.entries.iter().map(|entry| entry.text.len()).sum();
+        let progress = owned.ledger.progress();
+        let failures = owned.failures_changed.then(|| failures(progress, owned.items.len()));
         let partials = match std::mem::take(&mut owned.save) {
             true => self.partials(owned, SAVE_EVENTS, LARGEST_COMMIT_BYTES.saturating_sub(bytes)),
             false => Vec::new(),
         };
-        if results.is_empty()
-            && failures.is_none()
-            && partials.is_empty()
-            && !(done && owned.is_open())
-        {
+        let is_end = results.is_last && owned.is_open();
+        let is_empty = results.entries.is_empty() && failures.is_none() && partials.is_empty();
+        if is_empty && !is_end {
             owned.committing = false;
             return None;
         }
         owned.failures_changed = false;
-        let (listed, from) = (owned.listed.clone(), owned.next_position);
-        Some(Batch { listed, from, results, failures, partials, done })
+        Some(Write { listed: owned.listed.clone(), results, failures, partials })
     }
 
     /// Texts of unfinished items for one transaction.
@@ -157,53 +142,54 @@
 
     /// Stores the texts of all unfinished items of a job before it is handed back.
     pub(super) async fn save_all(&self, id: &str) {
-        let batch = {
+        let write = {
             let jobs = self.jobs();
             let Some(owned) = jobs.get(id) else { return };
             let partials = self.partials(owned, 1, LARGEST_COMMIT_BYTES);
-            let (listed, from) = (owned.listed.clone(), owned.next_position);
-            Batch { listed, from, results: Vec::new(), failures: None, partials, done: false }
+            let results =
+                Batch { from: owned.ledger.listed(), entries: Vec::new(), is_last: false };
+            Write { listed: owned.listed.clone(), results, failures: None, partials }
         };
-        if batch.partials.is_empty() {
+        if write.partials.is_empty() {
             return;
         }
         // Without it, the next owner runs more of the items again.
-        if let Err(error) = self.try_store(id, &batch).await {
+        if let Err(error) = self.try_store(id, &write).await {
             event!(ResultsWaiting, job:% = id, error:% = error);
         }
     }
 
-    async fn store(&self, id: &str, batch: &Batch) -> Committed {
-        match self.try_store(id, batch).await {
+    async fn store(&self, id: &str, write: &Write) -> Committed {
+        match self.try_store(id, write).await {
             Ok(Commit::Done { versions }) => {
-                Committed::Stored(versions.first().copied().filter(|_| batch.done))
+                Committed::Stored(versions.first().copied().filter(|_| write.results.is_last))
             }
             Ok(Commit::Conflict { .. }) => Committed::Uncertain,
             Err(error) if error.may_have_taken_effect() => Committed::Uncertain,
             Err(error) => {
-                self.mark_failures(id, batch);
+                self.mark_failures(id, write);
                 Committed::Failed(error)
             }
         }
     }
 
-    async fn try_store(&self, id: &str, batch: &Batch) -> Result<Commit, Error> {
-        let mut transaction = Transaction::new().with_condition(key::job(id), batch.listed.version);
-        if batch.done {
-            let row = row::Job { state: row::State::Done, ..batch.listed.row.clone() };
+    async fn try_store(&self, id: &str, write: &Write) -> Result<Commit, Error> {
+        let mut transaction = Transaction::new().with_condition(key::job(id), write.listed.version);
+        if write.results.is_last {
+            let row = row::Job { state: row::State::Done, ..write.listed.row.clone() };
             transaction = transaction.with_write(key::job(id), store::encode(&row)?);
         }
-        for (offset, pending) in batch.results.iter().enumerate() {
-            let key = key::result(id, batch.from + offset);
+        for (offset, pending) in write.results.entries.iter().enumerate() {
+            let key = key::result(id, write.results.from + offset);
             let outcome = self.outcome(id, pending).await?;
             transaction = transaction
                 .with_condition(key.clone(), 0)
                 .with_write(key, store::encode(&outcome)?);
         }
-        for (item, partial) in &batch.partials {
+        for (item, partial) in &write.partials {
             transaction = transaction.with_write(key::partial(id, *item), store::encode(partial)?);
         }
-        if let Some(failures) = &batch.failures {
+        if let Some(failures) = &write.failures {
             transaction = transaction.with_write(key::failures(id), store::encode(failures)?);
         }
         let commit = self.shared.table.commit(transaction).await?;
@@ -212,7 +198,7 @@
     }
 
     /// The row of a result. A text that does not fit into a row becomes an object first.
-    async fn outcome(&self, id: &str, pending: &Pending) -> Result<row::Outcome, Error> {
+    async fn outcome(&self, id: &str, pending: &Entry) -> Result<row::Outcome, Error> {
         let item = {
             let jobs = self.jobs();
             jobs.get(id).and_then(|owned| owned.items.get(pending.item)).map(|item| item.id.clone())
@@ -234,16 +220,15 @@
         }
     }
 
-    fn stored(&self, id: &str, batch: &Batch, version: Option<u64>) {
+    fn stored(&self, id: &str, write: &Write, version: Option<u64>) {
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
-        owned.next_position = batch.from + batch.results.len();
-        for (item, partial) in &batch.partials {
+        owned.ledger.stored(&write.results);
+        for (item, partial) in &write.partials {
             if let Some(transcript) = owned.transcripts.get(item) {
                 lock(transcript).saved = Some(partial.last);
             }
         }
-        owned.pending.retain(|pending| !batch.results.contains(pending));
         if let Some(version) = version {
             owned.listed.version = version;
             owned.listed.row.state = row::State::Done;
@@ -251,8 +236,8 @@
         }
     }
 
-    fn mark_failures(&self, id: &str, batch: &Batch) {
-        if batch.failures.is_some()
+    fn mark_failures(&self, id: &str, write: &Write) {
+        if write.failures.is_some()
             && let Some(owned) = self.jobs().get_mut(id)
         {
             owned.failures_changed = true;
@@ -293,5 +278,5 @@
 }
 
 fn has_failures(owned: &Owned) -> bool {
-    (0..owned.items.len()).any(|item| owned.progress.failures(item) > 0)
+    (0..owned.items.len()).any(|item| owned.ledger.progress().failures(item) > 0)
 }
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -8,7 +8,7 @@
 
 use cyclamengrade_control::relay::{
     fleet::Key,
-    job::{Fault, Verdict},
+    job::Fault,
     order::{Pace, Urgency},
     route::Route,
 };
@@ -19,7 +19,7 @@
 use crate::{
     batch::{
         item::{self, End},
-        owned::{Owned, Pending, Run},
+        owned::{Owned, Run},
     },
     dialect::Item,
     job::{row, store},
@@ -105,10 +105,10 @@
             JobOwned,
             job:% = id,
             owner:% = self.shared.name,
-            listed = owned.next_position,
+            listed = owned.ledger.listed(),
             items = owned.items.len()
         );
-        let is_done = owned.progress.is_done();
+        let is_done = owned.ledger.progress().is_done();
         self.jobs().insert(id.to_owned(), owned);
         if is_done {
             self.commit(id);
@@ -201,7 +201,7 @@
         let Some(owned) = jobs.get_mut(&id) else { return };
         let Some(run) = owned.runs.remove(&item) else { return };
         run.abort.abort();
-        owned.progress.fail(item, Fault::Interrupted);
+        owned.ledger.fail(item, Fault::Interrupted);
         let after = owned.transcripts.get(&item).and_then(|text| lock(text).last).unwrap_or(0);
         counter!(RELAY_ITEMS, "outcome" => "paused").increment(1);
         event!(
@@ -221,13 +221,10 @@
             if now < owned.listed.row.expires_ms || !owned.is_open() {
                 continue;
             }
-            for item in owned.progress.abandon() {
-                let verdict = Verdict::Abandoned;
-                owned.pending.push(Pending { item, verdict, text: String::new() });
+            if owned.ledger.abandon() > 0 {
                 expired.push(id.clone());
             }
         }
-        expired.dedup();
         for id in expired {
             self.commit(&id);
         }
@@ -251,10 +248,10 @@
         let open = jobs.iter().filter(|(_, owned)| owned.is_open());
         let mut waiting: Vec<_> = open
             .flat_map(|(id, owned)| {
-                let items = owned
-                    .progress
-                    .waiting()
-                    .filter(move |item| owned.not_before.get(item).is_none_or(|time| *time <= now));
+                let items =
+                    owned.ledger.progress().waiting().filter(move |item| {
+                        owned.not_before.get(item).is_none_or(|time| *time <= now)
+                    });
                 items.map(move |item| {
                     let remaining = pace.remaining(owned.events(item));
                     let urgency = Urgency::new(now_ms, owned.listed.row.due_ms, remaining);
@@ -304,10 +301,10 @@
         let Some(outgoing) = item::outgoing(&self.shared, host, &owned.items[item]) else {
             // Nothing can be sent that an upstream would accept as this item.
             drop(jobs);
-            self.finish(id, item, End::Fault(Fault::Failed));
+            self.fail(id, item, Fault::Failed, FAILURE_PAUSE);
             return;
         };
-        owned.progress.start(item);
+        owned.ledger.start(item);
         let transcript = owned.transcripts.entry(item).or_default().clone();
         let upstream = flight.key;
         event!(
@@ -326,54 +323,59 @@
         owned.runs.insert(item, Run { upstream, abort: task.abort_handle(), started, events });
     }
 
-    /// Takes over the end of a run.
+    /// Takes over the end of a run, unless the run was stopped meanwhile.
     fn finish(self: &Arc<Self>, id: &str, item: usize, end: End) {
         let now = self.shared.clock.now();
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
-        let run = owned.runs.remove(&item);
+        let Some(run) = owned.runs.remove(&item) else { return };
         let events = owned.events(item);
-        if let Some(run) = run {
-            let produced = events.saturating_sub(run.events);
-            lock(&self.pace).run(produced, now.since(run.started));
-        }
-        let (fault, pause, outcome) = match end {
+        lock(&self.pace).run(events.saturating_sub(run.events), now.since(run.started));
+        match end {
             End::Completed => {
                 counter!(RELAY_ITEMS, "outcome" => "completed").increment(1);
-                owned.progress.end(item);
                 lock(&self.pace).complete(events);
                 let transcript = owned.transcripts.remove(&item).unwrap_or_default();
-                let text = std::mem::take(&mut lock(&transcript).text);
-                owned.pending.push(Pending { item, verdict: Verdict::Completed, text });
+                owned.ledger.complete(item, std::mem::take(&mut lock(&transcript).text));
                 drop(jobs);
                 self.commit(id);
-                return;
             }
-            End::Fault(fault) => (fault, FAILURE_PAUSE, "failed"),
-            End::Interrupted(_) => (Fault::Interrupted, RETRY_PAUSE, "interrupted"),
-        };
-        counter!(RELAY_ITEMS, "outcome" => outcome).increment(1);
-        owned.not_before.insert(item, now + pause);
-        let verdict = owned.progress.fail(item, fault);
+            End::Fault(fault) => {
+                counter!(RELAY_ITEMS, "outcome" => "failed").increment(1);
+                drop(jobs);
+                self.fail(id, item, fault, FAILURE_PAUSE);
+            }
+            End::Interrupted(_) => {
+                counter!(RELAY_ITEMS, "outcome" => "interrupted").increment(1);
+                drop(jobs);
+                self.fail(id, item, Fault::Interrupted, RETRY_PAUSE);
+            }
+        }
+        self.shared.batch_changed.notify_one();
+    }
+
+    /// Records a run without a whole text and pauses the item.
+    fn fail(self: &Arc<Self>, id: &str, item: usize, fault: Fault, pause: Duration) {
+        let mut jobs = self.jobs();
+        let Some(owned) = jobs.get_mut(id) else { return };
+        owned.not_before.insert(item, self.shared.clock.now() + pause);
         owned.failures_changed |= fault == Fault::Failed;
-        if let Some(verdict) = verdict {
+        let is_given_up = owned.ledger.fail(item, fault);
+        if is_given_up {
             counter!(RELAY_ITEMS, "outcome" => "abandoned").increment(1);
             event!(
                 ItemAbandoned,
                 job:% = id,
                 item:% = owned.items[item].id,
-                failures = owned.progress.failures(item),
+                failures = owned.ledger.progress().failures(item),
                 cause:? = fault
             );
             owned.transcripts.remove(&item);
-            owned.pending.push(Pending { item, verdict, text: String::new() });
         }
-        let changed = verdict.is_some() || fault == Fault::Failed;
         drop(jobs);
-        if changed {
+        if is_given_up || fault == Fault::Failed {
             self.commit(id);
         }
-        self.shared.batch_changed.notify_one();
     }
 
     /// Hands all jobs back, so that other relays run them.
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -6,10 +6,7 @@
 };
 
 use cyclamengrade_control::{
-    relay::{
-        fleet::Key,
-        job::{Progress, Verdict},
-    },
+    relay::{fleet::Key, job::Progress, ledger::Ledger},
     time::Time,
 };
 use tokio::task::AbortHandle;
@@ -46,17 +43,6 @@
     pub events: u64,
 }
 
-/// An item that ended and is not listed yet.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pending {
-    /// Position of the item in the job.
-    pub item: usize,
-    /// How it ended.
-    pub verdict: Verdict,
-    /// Its text.
-    pub text: String,
-}
-
 /// A job that this relay owns.
 pub struct Owned {
     /// The row, at the version that commits depend on.
@@ -64,21 +50,17 @@
     /// Its items.
     pub items: Arc<Vec<Item>>,
     /// What became of them.
-    pub progress: Progress,
+    pub ledger: Ledger,
     /// Texts of items that began.
     pub transcripts: BTreeMap<usize, Arc<Mutex<Transcript>>>,
     /// Items that run.
     pub runs: BTreeMap<usize, Run>,
     /// Earliest time of the next run of an item.
     pub not_before: BTreeMap<usize, Time>,
-    /// Items that ended and are not listed yet.
-    pub pending: Vec<Pending>,
     /// Whether failures were counted that are not stored yet.
     pub failures_changed: bool,
     /// Whether texts of unfinished items are to be stored.
     pub save: bool,
-    /// Results that are listed.
-    pub next_position: usize,
     /// Whether a commit is under way.
     pub committing: bool,
 }
@@ -96,32 +78,25 @@
         for (item, count) in failures {
             progress = progress.with_failures(*item, *count);
         }
-        let mut owned = Self {
+        let listed_items = listed_items(&items, outcomes);
+        Self {
             listed,
             items,
-            progress,
+            ledger: Ledger::new(progress, &listed_items),
             transcripts: BTreeMap::new(),
             runs: BTreeMap::new(),
             not_before: BTreeMap::new(),
-            pending: Vec::new(),
             failures_changed: false,
             save: false,
-            next_position: 0,
             committing: false,
-        };
-        owned.reconcile(outcomes);
-        owned
+        }
     }
 
     /// Takes over what the store lists, after a commit whose outcome is not known.
     pub fn reconcile(&mut self, outcomes: &[Outcome]) {
-        let positions: BTreeMap<&str, usize> =
-            self.items.iter().enumerate().map(|(index, item)| (item.id.as_str(), index)).collect();
-        self.next_position = outcomes.len();
-        for outcome in outcomes {
-            let Some(item) = positions.get(outcome.item.as_str()).copied() else { continue };
-            self.progress.end(item);
-            self.pending.retain(|pending| pending.item != item);
+        let listed = listed_items(&self.items, outcomes);
+        self.ledger.reconcile(&listed);
+        for item in listed {
             if let Some(run) = self.runs.remove(&item) {
                 run.abort.abort();
             }
@@ -170,3 +145,12 @@
         self.runs.clear();
     }
 }
+
+/// Positions in the job of the items that are listed.
+fn listed_items(items: &[Item], outcomes: &[Outcome]) -> Vec<usize> {
+    let positions: BTreeMap<&str, usize> =
+        items.iter().enumerate().map(|(index, item)| (item.id.as_str(), index)).collect();
+    // An outcome of another item would be a broken row; it keeps its position all the same.
+    let found = outcomes.iter().map(|outcome| positions.get(outcome.item.as_str()).copied());
+    found.map(|item| item.unwrap_or(usize::MAX)).collect()
+}
