Bound the memory that bodies of requests take

The setting memory_bytes was read and not used: callers with many large bodies could exceed the memory of a vm of 88 MB. Bodies now share a quarter of it; a body without room is refused as not run, with the time to come back. The test sends eight bodies of one MB to a relay with four MB for them.

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -12,6 +12,7 @@
     route::Route,
 };
 use cyclamengrade_telemetry::event;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
     exchange::{self, Answer, Outgoing, Send},
@@ -39,6 +40,8 @@
     /// Attempts so far.
     pub spent: Spent,
     tried: BTreeSet<Key>,
+    /// Room that the body takes in memory.
+    _room: Option<OwnedSemaphorePermit>,
 }
 
 /// Why a request ends without an answer of an upstream.
@@ -62,7 +65,12 @@
         deadline: Instant,
     ) -> Self {
         let (spent, tried) = (Spent::default(), BTreeSet::new());
-        Self { shared, route, outgoing, arrived, deadline, first: None, spent, tried }
+        Self { shared, route, outgoing, arrived, deadline, first: None, spent, tried, _room: None }
+    }
+
+    /// Keeps the room that the body takes in memory until the request ends.
+    pub fn with_room(self, room: OwnedSemaphorePermit) -> Self {
+        Self { _room: Some(room), ..self }
     }
 
     /// Time until the request is given up.
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -47,11 +47,11 @@
         return online::empty(StatusCode::BAD_REQUEST);
     };
     let limits = shared.routes.load().limits;
-    let body = match online::read_body(body, &limits, BODY_TIMEOUT).await {
+    let body = match online::read_body(&shared.room, body, &limits, BODY_TIMEOUT).await {
         Ok(body) => body,
-        Err(status) => return online::empty(status),
+        Err(status) => return online::unread(status),
     };
-    let items = match shared.dialect.read_job(&body) {
+    let items = match shared.dialect.read_job(&body.bytes) {
         Ok(items) if items.len() <= MOST_ITEMS => Arc::new(items),
         Ok(_) => return improper(&id, "too many items"),
         Err(cause) => return improper(&id, &cause),
@@ -72,7 +72,7 @@
         owner: running.then_some(owner),
     };
     let loading = dispatcher.load(&id);
-    match store::accept(shared, &id, body, &job).await {
+    match store::accept(shared, &id, body.bytes.clone(), &job).await {
         Accepted::Stored => {}
         Accepted::NotStored(error) => {
             event!(JobNotStored, job:% = id, status = 503, error:% = error);
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -23,7 +23,10 @@
     http::request::Parts,
 };
 use metrics::{counter, histogram};
-use tokio::{sync::mpsc::Sender, time::timeout};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc::Sender},
+    time::timeout,
+};
 
 use crate::{
     attempt::{Request, Stop},
@@ -38,19 +41,36 @@
 /// Longest time to come back that is given.
 const LONGEST_RETRY: Duration = Duration::from_secs(2);
 
-/// Reads the body of a request within the limits.
+/// Bytes of bodies that are counted as one.
+const ROOM_UNIT: usize = 1 << 10;
+
+/// A body in memory, and the room that it takes there.
+pub struct Buffered {
+    /// The body.
+    pub bytes: Bytes,
+    /// Room in units of bytes, given back when this is dropped.
+    pub room: OwnedSemaphorePermit,
+}
+
+/// Reads the body of a request within the limits and the room that all bodies share.
 ///
 /// # Errors
 ///
-/// The status of the answer when the body is too large, broken or late.
+/// The status of the answer when the body is too large, broken or late, or when there is no room.
 pub async fn read_body(
+    room: &Arc<Semaphore>,
     body: Incoming,
     limits: &Limits,
     within: Duration,
-) -> Result<Bytes, StatusCode> {
+) -> Result<Buffered, StatusCode> {
+    let take = |units: u32| {
+        let taken = room.clone().try_acquire_many_owned(units);
+        taken.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
+    };
     let read = async {
         let mut body = body;
         let mut bytes = BytesMut::new();
+        let mut room = take(1)?;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
             if let Ok(data) = frame.into_data() {
@@ -58,9 +78,11 @@
                     return Err(StatusCode::PAYLOAD_TOO_LARGE);
                 }
                 bytes.extend_from_slice(&data);
+                let units = 1 + bytes.len() / ROOM_UNIT;
+                room.merge(take((units - room.num_permits()) as u32)?);
             }
         }
-        Ok(bytes.freeze())
+        Ok(Buffered { bytes: bytes.freeze(), room })
     };
     timeout(within, read).await.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
 }
@@ -80,7 +102,8 @@
         .map_or(route.timeout, |ms| Duration::from_millis(ms).min(route.timeout));
     let deadline = arrived + wait;
     let limits = shared.routes.load().limits;
-    let body = match read_body(body, &limits, deadline.saturating_duration_since(arrived)).await {
+    let within = deadline.saturating_duration_since(arrived);
+    let body = match read_body(&shared.room, body, &limits, within).await {
         Ok(body) => body,
         Err(status) => {
             event!(
@@ -89,14 +112,16 @@
                 reason = "body was not read",
                 status = status.as_u16()
             );
-            return empty(status);
+            return unread(status);
         }
     };
     let mut headers = head.headers;
     exchange::strip_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
+    let Buffered { bytes: body, room } = body;
     let outgoing = Outgoing { method: head.method, uri: origin(&head.uri), headers, body, id };
-    let request = Request::new(shared.clone(), route.clone(), outgoing, arrived, deadline);
+    let request =
+        Request::new(shared.clone(), route.clone(), outgoing, arrived, deadline).with_room(room);
     match route.kind {
         Kind::Stream => stream(shared, request).await,
         Kind::Safe | Kind::Unsafe | Kind::Batch => whole(shared, request).await,
@@ -376,6 +401,14 @@
     response
 }
 
+/// The answer to a request whose body was not read.
+pub fn unread(status: StatusCode) -> Response<Body> {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => refused(SHORT_RETRY),
+        status => empty(status),
+    }
+}
+
 /// An answer without a body.
 pub fn empty(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -55,7 +55,7 @@
     let metrics = metrics::install().map_err(|error| Error::Metrics(error.to_string()))?;
     let Parts { settings, dialect, table, objects, feed, reload } = parts;
     event!(Starting, daemon:% = settings.name, version = env!("CARGO_PKG_VERSION"));
-    let shared = Arc::new(Shared::new(
+    let shared = Shared::new(
         &settings.name,
         &settings.data_centre,
         rand::random::<u64>() >> 1,
@@ -63,7 +63,8 @@
         table,
         objects,
         settings.store.row_bytes,
-    ));
+    );
+    let shared = Arc::new(shared.with_memory(settings.memory_bytes));
     let control = control(shared.clone(), feed, &settings)?;
     let traffic = runtime()?;
     let result = traffic.block_on(serve(shared, settings, metrics, reload));
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -23,10 +23,14 @@
 use cyclamengrade_platform::{Objects, Table};
 use cyclamengrade_telemetry::{event, metrics::RELAY_ATTEMPTS};
 use metrics::counter;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::{clock::Clock, dialect::Dialect, job::row, pool::Pool};
 
+/// Part of the memory of the process that bodies of requests may take: a quarter, since each is held
+/// once for sending and once while it is read.
+const BODY_SHARE: u64 = 4;
+
 /// Life of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -113,6 +117,8 @@
     pub routes: ArcSwap<route::Table>,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Room in memory for the bodies of requests, in KiB.
+    pub room: Arc<Semaphore>,
     /// Wakes the sender of datagrams.
     pub occupancy_changed: Notify,
     /// Wakes the dispatcher of batch items.
@@ -150,6 +156,7 @@
             clock: Clock::new(),
             routes: ArcSwap::from_pointee(route::Table::default()),
             pool: Pool::default(),
+            room: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
             occupancy_changed: Notify::new(),
             batch_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
@@ -162,6 +169,13 @@
         }
     }
 
+    /// Bounds the memory that the bodies of requests take, by that of the process.
+    pub fn with_memory(self, bytes: u64) -> Self {
+        let units = usize::try_from(bytes / BODY_SHARE / 1_024).unwrap_or(usize::MAX);
+        let room = Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS)));
+        Self { room, ..self }
+    }
+
     /// Upstreams and their occupancy.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         lock(&self.fleet)
--- a/components/settings/src/relay.rs
+++ b/components/settings/src/relay.rs
@@ -27,7 +27,7 @@
     pub dialect: Dialect,
     /// The platform's store.
     pub store: Store,
-    /// Memory that the process may use, in bytes; bounds what it buffers.
+    /// Memory that the process may use, in bytes; bodies of requests take at most a quarter of it.
     #[serde(default = "default_memory_bytes")]
     pub memory_bytes: u64,
     /// The planned stop.
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -141,7 +141,7 @@
             "name": format!("vm-{number}"), "data_centre": "a", "listen": ports[0],
             "ready_listen": ports[1], "metrics_listen": ports[2], "peer_listen": ports[3],
             "dialect": "bridge", "store": {"address": self.store.address},
-            "stop": {"grace_s": 4.0, "leave_ms": 300}
+            "memory_bytes": 16 << 20, "stop": {"grace_s": 4.0, "leave_ms": 300}
         });
         let path = self.folder.join(format!("vm-{number}.json"));
         fs::write(&path, settings.to_string())?;
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cyclamengrade_standins::bridge::Harness;
+use cyclamengrade_standins::bridge::{Fault, Harness};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
@@ -65,6 +65,33 @@
     verify_that!(harness.plain.runs(), is_empty())
 }
 
+/// Guards against callers that fill the memory of the process with bodies.
+#[gtest]
+#[tokio::test]
+async fn many_bodies() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.plain.spoil(&[Fault::Silent; 8]);
+    let client = cyclamengrade_standins::client::Client::new();
+    // Eight bodies of one MB each, in a relay that has four MB for them.
+    let calls = (0..8).map(|number| {
+        let call = harness.call(0, "unsafe", &format!("r-{number}"));
+        let call = call.with_header("deadline-ms", "1500").with_body("x".repeat(1_000_000));
+        let client = client.clone();
+        tokio::spawn(async move { client.send(call).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut refused = 0;
+    for call in calls {
+        // A refusal may close the connection while the body is still being sent.
+        let reply = call.await?;
+        refused += usize::from(reply.is_err() || reply.is_ok_and(|reply| reply.status == 503));
+    }
+    expect_that!(refused, ge(3));
+    expect_that!(harness.plain.runs().len(), le(4));
+    let reply = harness.stream(0, "stream", "after", 2).await?;
+    verify_that!(reply.status, eq(200))
+}
+
 /// Guards against a job that is accepted at one relay and not known at another, and against
 /// results that differ between relays.
 #[gtest]
