Tell a relay that has joined what is at the upstreams at once

It heard of the others' requests only with their next change or after half a second, and sent its first requests to upstreams that looked empty.

--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -204,6 +204,8 @@
                         sequence: 0,
                     };
                     members.insert(name.to_owned(), member);
+                    // A relay that has just started knows nothing of the upstreams' occupancy.
+                    self.shared.occupancy_changed.notify_one();
                 }
             }
             None => {
