Delete old batch jobs from the store

Rows and objects of finished jobs stayed for ever. A job that has ended is deleted store.keep_s after its items may be abandoned, by the relay that rendezvous hashing names, its row last, so that a deletion that breaks off is taken up again. The table service's published DELETE of objects gets its client as well. Objects of submissions whose row was never written stay.

--- a/components/daemon/src/observed.rs
+++ b/components/daemon/src/observed.rs
@@ -117,6 +117,10 @@
 }
 
 impl Objects for Observed {
+    fn delete(&self, key: String) -> Boxed<'_, ()> {
+        Box::pin(self.objects.call("delete", self.client.delete(key)))
+    }
+
     fn put_new(&self, key: String, content: Bytes) -> Boxed<'_, bool> {
         Box::pin(self.objects.call("put", self.client.put_new(key, content)))
     }
--- a/components/daemon/tests/support/node.rs
+++ b/components/daemon/tests/support/node.rs
@@ -51,6 +51,10 @@
 }
 
 impl platform::Objects for Down {
+    fn delete(&self, _: String) -> platform::Boxed<'_, ()> {
+        down()
+    }
+
     fn put_new(&self, _: String, _: Bytes) -> platform::Boxed<'_, bool> {
         down()
     }
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -126,6 +126,10 @@
 }
 
 impl Objects for Client {
+    fn delete(&self, key: String) -> Boxed<'_, ()> {
+        Box::pin(async move { self.delete_object(&key).await })
+    }
+
     fn put_new(&self, key: String, content: Bytes) -> Boxed<'_, bool> {
         Box::pin(async move {
             let answer = self
@@ -169,6 +173,27 @@
     }
 }
 
+impl Client {
+    async fn delete_object(&self, key: &str) -> Result<(), Error> {
+        let answer = self
+            .transport
+            .call(Call {
+                effect: Effect::Write,
+                method: Method::DELETE,
+                address: self.objects,
+                path: object_path(key),
+                tag: None,
+                body: Bytes::new(),
+            })
+            .await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(()),
+            status if status.is_success() => Ok(()),
+            _ => Err(answer.unexpected()),
+        }
+    }
+}
+
 impl Vms for Client {
     fn list(&self, tag: Option<String>) -> Boxed<'_, Option<(String, Vec<Vm>)>> {
         Box::pin(async move {
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -46,6 +46,9 @@
 
     /// Reads an object; `None` when it does not exist.
     fn get(&self, key: String) -> Boxed<'_, Option<Bytes>>;
+
+    /// Deletes an object, if it exists.
+    fn delete(&self, key: String) -> Boxed<'_, ()>;
 }
 
 /// The platform's list of vms, which lags behind reality.
--- a/components/platform/src/memory.rs
+++ b/components/platform/src/memory.rs
@@ -240,6 +240,18 @@
 }
 
 impl crate::Objects for Objects {
+    fn delete(&self, key: String) -> Boxed<'_, ()> {
+        Box::pin(async move {
+            self.faults.before().await?;
+            {
+                let mut state = lock(&self.state);
+                state.1.writes += 1;
+                state.0.remove(&key);
+            }
+            self.faults.after_write()
+        })
+    }
+
     fn put_new(&self, key: String, content: Bytes) -> Boxed<'_, bool> {
         Box::pin(async move {
             self.faults.before().await?;
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -229,10 +229,10 @@
                 lock(transcript).saved = Some(partial.last);
             }
         }
+        drop(jobs);
         if let Some(version) = version {
-            owned.listed.version = version;
-            owned.listed.row.state = row::State::Done;
-            store::remember(&self.shared, id, version, owned.listed.row.clone());
+            let row = row::Job { state: row::State::Done, ..write.listed.row.clone() };
+            store::remember(&self.shared, id, version, row);
         }
     }
 
@@ -251,13 +251,8 @@
             self.release(id, "its row is gone");
             return Ok(());
         };
-        let (name, incarnation) = (&self.shared.name, self.shared.incarnation);
-        let mine = listed
-            .row
-            .owner
-            .as_ref()
-            .is_some_and(|owner| owner.name == *name && owner.incarnation == incarnation);
-        if !mine || listed.row.state != row::State::Open {
+        let is_mine = listed.row.is_owned_by(&self.shared.as_owner());
+        if !is_mine || listed.row.state != row::State::Open {
             self.release(id, "its row has changed");
             return Ok(());
         }
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -154,18 +154,16 @@
 
     /// Stops jobs that were ended or taken over, as the feed says.
     fn drop_ended(&self) {
+        let own = self.shared.as_owner();
         let ids: Vec<String> = self.jobs().keys().cloned().collect();
         for id in ids {
             let known = self.shared.jobs().get(&id).cloned();
             let Some(known) = known else { continue };
-            let mine = known.row.owner.as_ref().is_some_and(|owner| {
-                owner.name == self.shared.name && owner.incarnation == self.shared.incarnation
-            });
             let newer =
                 self.jobs().get(&id).is_some_and(|owned| known.version > owned.listed.version);
             if newer && known.row.state == row::State::Ended {
                 self.release(&id, "its caller ended it");
-            } else if newer && !mine {
+            } else if newer && !known.row.is_owned_by(&own) {
                 self.release(&id, "another relay owns it");
             }
         }
@@ -380,18 +378,14 @@
 
     /// Hands all jobs back, so that other relays run them.
     pub async fn hand_back(&self) {
+        let own = self.shared.as_owner();
         let ids: Vec<String> = self.jobs().keys().cloned().collect();
         for id in ids {
             self.save_all(&id).await;
             let listed = self.jobs().get(&id).map(|owned| owned.listed.clone());
             let Some(listed) = listed else { continue };
-            let (name, incarnation) = (&self.shared.name, self.shared.incarnation);
             let handed = store::update(&self.shared, &id, listed, |job| {
-                let mine = job
-                    .owner
-                    .as_ref()
-                    .is_some_and(|owner| owner.name == *name && owner.incarnation == incarnation);
-                mine.then(|| row::Job { owner: None, ..job.clone() })
+                job.is_owned_by(&own).then(|| row::Job { owner: None, ..job.clone() })
             });
             match handed.await {
                 Ok(_) => self.release(&id, "this relay stops"),
--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -65,8 +65,7 @@
     }
 
     async fn take_over(self: &Arc<Self>, id: &str, listed: Listed) -> Result<(), Error> {
-        let owner =
-            row::Owner { name: self.shared.name.clone(), incarnation: self.shared.incarnation };
+        let owner = self.shared.as_owner();
         let before = listed.row.owner.clone();
         let taken = store::update(&self.shared, id, listed, |job| {
             let same = job.state == row::State::Open && job.owner == before;
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -60,7 +60,6 @@
     let after = |duration: Duration| now + duration.as_millis() as u64;
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let running = *shared.phase.borrow() == Phase::Running;
-    let owner = row::Owner { name: shared.name.clone(), incarnation: shared.incarnation };
     let job = row::Job {
         host: host.to_owned(),
         path: head.uri.path().to_owned(),
@@ -69,7 +68,7 @@
         due_ms: after(route.completion),
         expires_ms: after(route.retention),
         state: row::State::Open,
-        owner: running.then_some(owner),
+        owner: running.then(|| shared.as_owner()),
     };
     let loading = dispatcher.load(&id);
     match store::accept(shared, &id, body.bytes.clone(), &job).await {
--- a/components/relay/src/job/mod.rs
+++ b/components/relay/src/job/mod.rs
@@ -4,6 +4,7 @@
 //! Results are written under the condition that the job's row is unchanged and that their positions
 //! are free, so that an owner that was replaced cannot write and no position changes.
 
+pub mod cleanup;
 pub mod key;
 pub mod row;
 pub mod store;
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -56,6 +56,13 @@
     pub owner: Option<Owner>,
 }
 
+impl Job {
+    /// Whether this start of a relay runs the job.
+    pub fn is_owned_by(&self, owner: &Owner) -> bool {
+        self.owner.as_ref() == Some(owner)
+    }
+}
+
 /// Row of a result.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcome {
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -31,6 +31,7 @@
             headers: Headers {
                 request_id: name("x-request-id"),
                 deadline_ms: name("x-deadline-ms"),
+                // The standard name (WHATWG HTML, "Server-sent events").
                 last_event_id: name("last-event-id"),
                 expect_instance: name("x-expect-instance"),
                 stamp: name("x-upstream-stamp"),
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -20,7 +20,7 @@
     follower::Follower,
     front::{self, Front},
     gossip,
-    job::{key, row, store},
+    job::{cleanup, key, row, store},
     shared::{Phase, Shared},
     stop,
 };
@@ -126,6 +126,7 @@
     tokio::spawn(enlist(shared.clone(), settings.clone()));
     tokio::spawn(dispatcher.clone().run());
     tokio::spawn(dispatcher.clone().watch_owners());
+    tokio::spawn(cleanup::run(shared.clone(), settings.store.keep()));
     tokio::spawn(sweep(shared.clone()));
     tokio::spawn(announce(shared.clone()));
     let served: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(front.run(listener));
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -191,6 +191,11 @@
         lock(&self.jobs)
     }
 
+    /// This start of this relay, as the rows of its jobs name it.
+    pub fn as_owner(&self) -> row::Owner {
+        row::Owner { name: self.name.clone(), incarnation: self.incarnation }
+    }
+
     /// Incarnation in this relay's own row, as the feed last brought it.
     pub fn own_listing(&self) -> Option<u64> {
         *lock(&self.own_listing)
--- a/components/settings/src/relay.rs
+++ b/components/settings/src/relay.rs
@@ -69,6 +69,9 @@
     /// Time after an outage in which upstreams whose entries lapsed may return, in milliseconds.
     #[serde(default = "Store::default_return_ms")]
     pub return_ms: u64,
+    /// Time for which a job that has ended stays after its items may be abandoned, in seconds.
+    #[serde(default = "Store::default_keep_s")]
+    pub keep_s: u64,
 }
 
 impl Store {
@@ -83,6 +86,15 @@
     const fn default_return_ms() -> u64 {
         2_000
     }
+
+    const fn default_keep_s() -> u64 {
+        120
+    }
+
+    /// Time for which a job that has ended stays after its items may be abandoned.
+    pub const fn keep(&self) -> Duration {
+        Duration::from_secs(self.keep_s)
+    }
 }
 
 /// The planned stop of a relay.
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -101,7 +101,7 @@
                 "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
                 "TimeoutMs": 5_000, "TargetLatencyMs": 400, "Priority": 0, "MaxAttempts": 2,
                 "Service": service, "Resumable": name == "stream", "GapAimMs": 400,
-                "CompletionTargetMs": 18_000, "RetentionS": 60
+                "CompletionTargetMs": 18_000, "RetentionS": if name == "brief" { 2 } else { 60 }
             })
         };
         let mut routes = vec![
@@ -110,6 +110,7 @@
             route("safe", "safe", "plain"),
             route("unsafe", "unsafe", "plain"),
             route("batch", "batch", "model"),
+            route("brief", "batch", "model"),
         ];
         routes.extend(more.as_array().cloned().unwrap_or_default());
         let services = json!([
@@ -140,7 +141,7 @@
         let settings = json!({
             "name": format!("vm-{number}"), "data_centre": "a", "listen": ports[0],
             "ready_listen": ports[1], "metrics_listen": ports[2], "peer_listen": ports[3],
-            "dialect": "bridge", "store": {"address": self.store.address},
+            "dialect": "bridge", "store": {"address": self.store.address, "keep_s": 1},
             "memory_bytes": 16 << 20, "stop": {"grace_s": 4.0, "leave_ms": 300}
         });
         let path = self.folder.join(format!("vm-{number}.json"));
@@ -271,6 +272,19 @@
         id: &str,
         count: usize,
         events: u64,
+    ) -> Result<(Job, u16), crate::client::Error> {
+        self.submit_to(relay, "batch", id, count, events).await
+    }
+
+    /// Submits a job on a route; the status of the answer. Items of the route `brief` may be
+    /// abandoned after two seconds, and its jobs are deleted a second later.
+    pub async fn submit_to(
+        &self,
+        relay: usize,
+        route: &str,
+        id: &str,
+        count: usize,
+        events: u64,
     ) -> Result<(Job, u16), crate::client::Error> {
         let items: Vec<String> = (0..count).map(|item| format!("{id}-{item}")).collect();
         let forms = items.iter().map(|item| {
@@ -281,7 +295,7 @@
             })
         });
         let body = json!({"Items": forms.collect::<Vec<_>>()});
-        let call = Call::post(self.relays[relay].listen, format!("/batch/{id}"))
+        let call = Call::post(self.relays[relay].listen, format!("/{route}/{id}"))
             .with_header("host", HOST)
             .with_header("request-id", id)
             .with_json(&body);
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -115,6 +115,11 @@
         names.map(|(.., key)| key.clone()).collect()
     }
 
+    /// Names of all objects.
+    pub fn objects(&self) -> Vec<String> {
+        self.shared.state().objects.keys().cloned().collect()
+    }
+
     /// Sets the troubles.
     pub fn set_faults(&self, faults: Faults) {
         self.shared.state().faults = faults;
@@ -262,6 +267,10 @@
         let status = if exists { StatusCode::PRECONDITION_FAILED } else { StatusCode::OK };
         return response(status, Bytes::new());
     }
+    if let Some(object) = path.strip_prefix("/-/blob-drop/") {
+        shared.state().objects.remove(object);
+        return response(StatusCode::OK, Bytes::new());
+    }
     let Ok(body) = serde_json::from_slice::<Value>(body) else {
         return response(StatusCode::BAD_REQUEST, Bytes::new());
     };
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -193,6 +193,8 @@
     1249 Info JobEnded "job_ended" "batch job was ended by its caller",
     /// A call about a job cannot be answered. Fields: `job`, `error`.
     1250 Warn JobCallFailed "job_call_failed" "call about a batch job cannot be answered",
+    /// The rows and objects of an old job were deleted. Fields: `job`.
+    1251 Info JobDeleted "job_deleted" "old batch job was deleted",
 
     /// The settings file changed or a signal asked to read it again. Fields: `applied`.
     1260 Info SettingsReloaded "settings_reloaded" "settings were read again",
--- a/tests/deployed_settings.rs
+++ b/tests/deployed_settings.rs
@@ -9,7 +9,7 @@
 use program::{Program, scratch};
 
 /// Values of the placeholders on one vm.
-const VALUES: [(&str, &str); 11] = [
+const VALUES: [(&str, &str); 12] = [
     ("{{NodeName|json}}", "\"front-a-1\""),
     ("{{Zone|json}}", "\"a\""),
     ("{{Listen.Front|json}}", "\"10.1.0.35:8144\""),
@@ -20,6 +20,7 @@
     ("{{Platform.Address|json}}", "\"10.200.1.7:8142\""),
     ("{{Platform.RowBytes|json}}", "65536"),
     ("{{Limits.MemoryMb}}", "130"),
+    ("{{Bounds.StatusS}}", "120"),
     ("{{Bounds.GraceS}}", "8.5"),
 ];
 
--- a/tests/relay_store.rs
+++ b/tests/relay_store.rs
@@ -110,6 +110,35 @@
     verify_that!(harness.events(0, "feed_lost").len(), ge(1))
 }
 
+/// Guards against rows and objects of finished jobs that stay for ever, and against jobs that are
+/// deleted while they may still be read.
+#[gtest]
+#[tokio::test]
+async fn old_jobs() -> Result<()> {
+    let harness = Harness::start(2).await?;
+    let (kept, _) = harness.submit(0, "kept", 2, 3).await?;
+    harness.complete(0, &kept).await?;
+    let (job, _) = harness.submit_to(1, "brief", "old", 2, 3).await?;
+    harness.complete(1, &job).await?;
+    harness
+        .eventually("the deletion of the job", async || {
+            let objects = harness.store.objects();
+            (!objects.iter().any(|object| object.contains("old"))).then_some(())
+        })
+        .await?;
+    harness
+        .eventually("the answer that there is no such job", async || {
+            let reply = harness.results(0, "old", 0).await.ok()?;
+            (reply.status == 404).then_some(())
+        })
+        .await?;
+    for table in ["results", "partials", "fleet", "failures"] {
+        let keys = harness.store.keys(table);
+        expect_that!(keys.iter().any(|key| key.contains("old")), eq(false), "{table}: {keys:?}");
+    }
+    verify_that!(harness.complete(1, &kept).await?.len(), eq(2))
+}
+
 /// Guards against jobs and results that do not survive the loss of all relays.
 #[gtest]
 #[tokio::test]
