--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -212,8 +212,8 @@
                 flight.progress();
                 first_byte(&mut request);
                 let (sender, body) = Body::stream();
-                let mut relay = Relay { request, sender, last: asked, sent: 0 };
-                tokio::spawn(async move { relay.run(flight, events, first).await });
+                let mut forwarder = Forwarder { request, sender, last: asked, sent: 0 };
+                tokio::spawn(async move { forwarder.run(flight, events, first).await });
                 let mut response = Response::new(body);
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
@@ -232,7 +232,7 @@
 }
 
 /// A stream whose head was sent.
-struct Relay {
+struct Forwarder {
     request: Request,
     sender: Sender<Result<Bytes, Broken>>,
     /// Id of the last event that the caller has.
@@ -247,7 +247,7 @@
     Failed(Failure),
 }
 
-impl Relay {
+impl Forwarder {
     async fn run(&mut self, mut flight: Flight, mut events: Events, first: Option<Event>) {
         let mut next = Ok(first);
         loop {
