--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -40,6 +40,9 @@
 /// it: a datagram, the stop of a run, and the first step without it. Batch work leaves as many slots
 /// free as online requests arrive in this time.
 const ROOM_TIME: Duration = Duration::from_millis(100);
+/// Time without a refusal after which an overload is over. Several times the pause between two
+/// refusals of one relay in an overload.
+const OVERLOAD_GAP: Duration = Duration::from_millis(700);
 /// Service time assumed before the first sample.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(500);
 /// Time to the first byte assumed before the first sample.
@@ -131,6 +134,13 @@
     }
 }
 
+/// Refusals of one deployment that follow each other closely.
+#[derive(Clone, Copy, Debug)]
+struct Overload {
+    first: Time,
+    last: Time,
+}
+
 /// The answer to a request for an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -163,6 +173,7 @@
     others: BTreeMap<String, (Time, Report)>,
     waiting: u32,
     pace: BTreeMap<String, Pace>,
+    overload: BTreeMap<String, Overload>,
 }
 
 impl Fleet {
@@ -177,6 +188,7 @@
             others: BTreeMap::new(),
             waiting: 0,
             pace: BTreeMap::new(),
+            overload: BTreeMap::new(),
         }
     }
 
@@ -422,6 +434,22 @@
         }
     }
 
+    /// Records a refusal; returns when the caller may come back.
+    ///
+    /// An overload is expected to go on for as long as it has lasted: a caller that comes back in the
+    /// same overload is refused again, and callers that are told the same short time add to it.
+    pub fn refuse(&mut self, deployment: &str, wait: Duration, now: Time) -> Duration {
+        let overload = self
+            .overload
+            .entry(deployment.to_owned())
+            .or_insert(Overload { first: now, last: now });
+        if now.since(overload.last) > OVERLOAD_GAP {
+            overload.first = now;
+        }
+        overload.last = now;
+        wait.max(now.since(overload.first))
+    }
+
     fn report_age(&self, now: Time) -> Duration {
         let ages = self.others.values().map(|(at, _)| now.since(*at));
         ages.filter(|age| *age < REPORT_LIFE).max().unwrap_or_default()
--- a/components/control/tests/relay_fleet.rs
+++ b/components/control/tests/relay_fleet.rs
@@ -254,3 +254,20 @@
     let later = now + Duration::from_millis(500);
     verify_that!(fleet.choose_spare("chat", &BTreeSet::new(), later, 0.0), none())
 }
+
+/// Pattern: an overload of some seconds. Guards against callers that are told to come back while it
+/// is sure to go on, and against a long time to come back after it has ended.
+#[gtest]
+fn time_to_come_back() {
+    let mut daemons = Daemons::new(1, 1);
+    let fleet = &mut daemons.fleets[0];
+    let wait = Duration::from_millis(200);
+    let mut told = Vec::new();
+    for step in 0..6 {
+        let now = Time::from_millis(10_000 + step * 300);
+        told.push(fleet.refuse("chat", wait, now).as_millis());
+    }
+    expect_that!(told, eq(&vec![200, 300, 600, 900, 1_200, 1_500]));
+    expect_that!(fleet.refuse("chat", wait, Time::from_millis(20_000)), eq(wait));
+    expect_that!(fleet.refuse("other", wait, Time::from_millis(20_000)), eq(wait));
+}
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -245,7 +245,10 @@
     ) -> (Choice, Option<Flight>) {
         let now = self.clock.now();
         let mut fleet = self.fleet();
-        let choice = fleet.choose(deployment, tried, left, now, rand::random());
+        let choice = match fleet.choose(deployment, tried, left, now, rand::random()) {
+            Choice::Refuse(wait, view) => Choice::Refuse(fleet.refuse(deployment, wait, now), view),
+            send => send,
+        };
         let flight = match choice {
             Choice::Refuse(..) => None,
             Choice::Send(key, _) => fleet.upstream(key).cloned().map(|upstream| {
