Stop in time while the store is silent

Cause, found by reading: the handover of jobs held up the step from leaving to draining, and against a silent store it takes three seconds a job, so that a relay took requests until the end of its grace time and cut them off. The handover now runs beside the stop. The test fails without it.

--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -87,7 +87,11 @@
                 }
                 Ok(table) if table.version <= self.shared.routes.load().version => {}
                 Ok(table) => {
-                    event!(ConfigurationInForce, revision = table.version, digest = change.version);
+                    event!(
+                        ConfigurationInForce,
+                        revision = table.version,
+                        row_version = change.version
+                    );
                     self.shared.routes.store(Arc::new(table));
                     self.shared.batch_changed.notify_one();
                 }
@@ -170,8 +174,13 @@
     fn fleet(&self, now: Time, update: Update) {
         let Update { changes, is_snapshot, .. } = update;
         if is_snapshot {
-            let listed: Vec<&str> = changes.rows.iter().map(|change| change.key.as_str()).collect();
-            self.shared.members().retain(|name, _| listed.contains(&key::member(name).as_str()));
+            let listed: BTreeSet<&str> =
+                changes.rows.iter().map(|change| change.key.as_str()).collect();
+            self.shared.members().retain(|name, _| listed.contains(key::member(name).as_str()));
+            // A job that was stored after the snapshot began is newer than the snapshot.
+            self.shared.jobs().retain(|id, known| {
+                listed.contains(key::job(id).as_str()) || known.version > changes.version
+            });
         }
         for change in &changes.rows {
             match key::subject(&change.key) {
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -54,14 +54,17 @@
     event!(Leaving, daemon:% = shared.name);
     shared.phase.send_replace(Phase::Leaving);
     shared.occupancy_changed.notify_one();
-    let handed_back = timeout_at(end, dispatcher.hand_back());
+    // The handover does not hold up the stop: without the store it may take longer than there is.
+    let handing_back = tokio::spawn(async move { dispatcher.hand_back().await });
     tokio::select! {
-        () = async { tokio::join!(sleep_until(asked + times.leave()), async { let _ = handed_back.await; }); } => {}
+        () = sleep_until(asked + times.leave()) => {}
         () = &mut served => {}
     }
     event!(DrainStarted);
     shared.phase.send_replace(Phase::Draining);
+    // What is cut off at the end of the grace time is logged by the requests themselves.
     let _ = timeout_at(end, &mut served).await;
+    let _ = timeout_at(end, handing_back).await;
     event!(DrainFinished);
     let removal = Transaction::new().with_delete(key::member(&shared.name));
     // Without the removal, others notice the silence.
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -181,6 +181,18 @@
         Ok(())
     }
 
+    /// Asks a relay to stop.
+    ///
+    /// # Errors
+    ///
+    /// The signal cannot be sent.
+    pub fn terminate_relay(&self, number: usize) -> Result<(), Error> {
+        if let Some(process) = &self.relays[number].process {
+            process.terminate()?;
+        }
+        Ok(())
+    }
+
     /// Asks a relay to stop and waits until it has; its exit code.
     ///
     /// # Errors
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -62,7 +62,8 @@
     /// A part of the daemon failed for a reason outside of the other events. Fields: `error`.
     106 Error InternalFault "internal_fault" "a part of the daemon failed",
 
-    /// A configuration revision is in force at this daemon. Fields: `revision`, `digest`.
+    /// A configuration revision is in force at this daemon. Fields: `revision`, `digest`;
+    /// of a relay `row_version` in place of the digest.
     200 Info ConfigurationInForce "configuration_in_force" "configuration revision is in force",
     /// A submitted configuration was refused. Fields: `reason`, `author`, `change_id`.
     201 Warn ConfigurationRefused "configuration_refused" "configuration was refused",
--- a/tests/relay_store.rs
+++ b/tests/relay_store.rs
@@ -139,6 +139,24 @@
     verify_that!(harness.complete(1, &kept).await?.len(), eq(2))
 }
 
+/// Guards against a stop that goes on taking requests until the end of its grace time, and then cuts
+/// them off, because a silent store holds up the handover of jobs.
+#[gtest]
+#[tokio::test]
+async fn stop_without_store() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for job in ["j-1", "j-2", "j-3"] {
+        harness.submit(0, job, 1, 900).await?;
+    }
+    harness.store.set_faults(Faults { silent: true, ..Faults::default() });
+    harness.terminate_relay(0)?;
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    // A new client has no open connection.
+    let client = cyclamengrade_standins::client::Client::new();
+    let reply = client.send(harness.call(0, "safe", "r-1")).await;
+    verify_that!(reply.is_err(), eq(true))
+}
+
 /// Guards against jobs and results that do not survive the loss of all relays.
 #[gtest]
 #[tokio::test]
