Sum up reports of occupancy once, and show the relay in the demo

Cause: each look of the dispatcher added up the reports of all relays for every upstream and hashed each pair of names, about 60 x 80 pairs at 60 relays, 200 times a second; the placement of each waiting item asked again although the deployment had just said that it has no spare slot. An upstream that said "not run" twice was passed over after one broken answer, as if it had failed three times (test full_upstream fails on the code before).

Reports are summed up when they arrive, names are hashed once, and a look asks each deployment at most once after it is full. Calls of an object are written once in the platform client, and the map of peers once in Shared.

Ruled out: a set of pairs for each upstream, since it takes memory for each pair at the planned size; mixing the two hashes takes nanoseconds.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -26,6 +26,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause of an upstream that failed.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Doublings of the first pause after which it is longer than the longest one.
+const MOST_DOUBLINGS: u32 = 4;
 /// Broken answers without a good one between them after which an upstream is passed over.
 const BROKEN_IN_A_ROW: u32 = 3;
 /// Time without any byte from an upstream that has requests, after which it is passed over.
@@ -100,9 +102,33 @@
     (hash::stable(&[id]) >> 32) as u32
 }
 
+/// Place of a daemon in the order of an upstream, by the hashes of both names. The order differs
+/// between upstreams and is the same at all daemons.
+const fn rank(daemon: u64, upstream: u64) -> u64 {
+    // The finalizer of SplitMix64 (Steele, Lea and Flood, 2014). The names were hashed once, since
+    // this runs for each pair at each look.
+    let mixed = daemon ^ upstream;
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Another daemon.
+struct Daemon {
+    /// Hash of its name.
+    hash: u64,
+    /// When its report arrived.
+    at: Time,
+    report: Report,
+}
+
 struct Entry {
     upstream: Upstream,
+    /// Hash of its id.
+    hash: u64,
     number: u32,
+    /// Requests of the other daemons.
+    others: Count,
     own: Count,
     failures: u32,
     paused_until: Time,
@@ -111,6 +137,11 @@
 }
 
 impl Entry {
+    fn total(&self) -> Count {
+        let (own, others) = (self.own, self.others);
+        Count { online: own.online + others.online, batch: own.batch + others.batch }
+    }
+
     fn slots(&self) -> u32 {
         self.upstream.slots.unwrap_or(DEFAULT_SLOTS).max(1)
     }
@@ -165,12 +196,15 @@
 
 /// The upstreams as this daemon knows them.
 pub struct Fleet {
-    name: String,
+    /// Hash of this daemon's name.
+    hash: u64,
     data_centre: String,
     entries: SlotMap<Key, Entry>,
     by_id: BTreeMap<String, Key>,
     by_deployment: BTreeMap<String, Vec<Key>>,
-    others: BTreeMap<String, (Time, Report)>,
+    by_number: BTreeMap<u32, Key>,
+    /// The other daemons; their reports are summed up in the entries.
+    others: BTreeMap<String, Daemon>,
     waiting: u32,
     pace: BTreeMap<String, Pace>,
     overload: BTreeMap<String, Overload>,
@@ -178,13 +212,14 @@
 
 impl Fleet {
     /// An empty fleet, seen by the daemon `name` in `data_centre`.
-    pub fn new(name: impl Into<String>, data_centre: impl Into<String>) -> Self {
+    pub fn new(name: &str, data_centre: impl Into<String>) -> Self {
         Self {
-            name: name.into(),
+            hash: hash::stable(&[name]),
             data_centre: data_centre.into(),
             entries: SlotMap::with_key(),
             by_id: BTreeMap::new(),
             by_deployment: BTreeMap::new(),
+            by_number: BTreeMap::new(),
             others: BTreeMap::new(),
             waiting: 0,
             pace: BTreeMap::new(),
@@ -206,8 +241,10 @@
                 Some(entry) => entry.upstream = upstream.clone(),
                 None => {
                     let key = self.entries.insert(Entry {
-                        number: number(id),
                         upstream: upstream.clone(),
+                        hash: hash::stable(&[id]),
+                        number: number(id),
+                        others: Count::default(),
                         own: Count::default(),
                         failures: 0,
                         paused_until: Time::default(),
@@ -219,26 +256,61 @@
             }
         }
         self.by_deployment.clear();
+        self.by_number.clear();
         for (key, entry) in &self.entries {
             self.by_deployment.entry(entry.upstream.deployment.clone()).or_default().push(key);
+            self.by_number.insert(entry.number, key);
+        }
+        for entry in self.entries.values_mut() {
+            entry.others = Count::default();
+        }
+        let others = std::mem::take(&mut self.others);
+        for daemon in others.values() {
+            self.sum_up(&daemon.report, u32::saturating_add);
         }
+        self.others = others;
         gone
     }
 
+    /// Adds the counts of a report to the entries, or takes them off again.
+    fn sum_up(&mut self, report: &Report, change: fn(u32, u32) -> u32) {
+        for (number, count) in &report.counts {
+            let key = self.by_number.get(number);
+            if let Some(entry) = key.and_then(|key| self.entries.get_mut(*key)) {
+                entry.others.online = change(entry.others.online, count.online);
+                entry.others.batch = change(entry.others.batch, count.batch);
+            }
+        }
+    }
+
+    /// Drops the reports of daemons that have been silent for too long.
+    fn expire(&mut self, now: Time) {
+        let silent = |daemon: &Daemon| now.since(daemon.at) >= REPORT_LIFE;
+        let gone = self.others.extract_if(.., |_, daemon| silent(daemon));
+        let gone: Vec<Daemon> = gone.map(|(_, daemon)| daemon).collect();
+        for daemon in gone {
+            self.sum_up(&daemon.report, u32::saturating_sub);
+        }
+    }
+
     /// The upstream of a key, unless it was removed.
     pub fn upstream(&self, key: Key) -> Option<&Upstream> {
         self.entries.get(key).map(|entry| &entry.upstream)
     }
 
     /// Takes over what another daemon has at the upstreams.
-    pub fn report(&mut self, now: Time, from: String, report: Report) {
-        self.others.insert(from, (now, report));
-        self.others.retain(|_, (at, _)| now.since(*at) < REPORT_LIFE);
+    pub fn report(&mut self, now: Time, from: &str, report: Report) {
+        self.forget(from);
+        self.sum_up(&report, u32::saturating_add);
+        let daemon = Daemon { hash: hash::stable(&[from]), at: now, report };
+        self.others.insert(from.to_owned(), daemon);
     }
 
     /// Forgets another daemon.
     pub fn forget(&mut self, from: &str) {
-        self.others.remove(from);
+        if let Some(daemon) = self.others.remove(from) {
+            self.sum_up(&daemon.report, u32::saturating_sub);
+        }
     }
 
     /// What this daemon has at the upstreams.
@@ -260,16 +332,13 @@
 
     /// Daemons with waiting batch items whose turn at an upstream comes before this one's.
     ///
-    /// The order differs between upstreams and is the same at all daemons, so that a slot that
-    /// becomes free is taken by one of them. Where several are free, daemons that have not heard of
-    /// each other may start more than fit; a stricter division fills free slots too slowly.
-    fn turn(&self, entry: &Entry, now: Time) -> u32 {
-        let rank = |name: &str| hash::stable(&[name, &entry.upstream.id]);
-        let own = rank(&self.name);
-        let before = self.others.iter().filter(|(name, (at, report))| {
-            report.waiting > 0 && now.since(*at) < REPORT_LIFE && rank(name) < own
-        });
-        before.count() as u32
+    /// A slot that becomes free is taken by one of them. Where several are free, daemons that have
+    /// not heard of each other may start more than fit; a stricter division fills free slots too
+    /// slowly.
+    fn turn(&self, entry: &Entry) -> u32 {
+        let own = rank(self.hash, entry.hash);
+        let waiting = self.others.values().filter(|daemon| daemon.report.waiting > 0);
+        waiting.filter(|daemon| rank(daemon.hash, entry.hash) < own).count() as u32
     }
 
     /// Whether an upstream may be down: it failed here, it is quiet, or another daemon says that it
@@ -280,32 +349,13 @@
         }
         let is_heard = now.since(entry.last_byte) < QUIET;
         !is_heard
-            && self.others.values().any(|(at, report)| {
-                now.since(*at) < REPORT_LIFE
-                    && report.failed.contains(&entry.number)
-                    // A daemon that fails to reach most upstreams says more of itself.
-                    && report.failed.len() * 2 <= self.entries.len()
+            && self.others.values().any(|daemon| {
+                let failed = &daemon.report.failed;
+                // A daemon that fails to reach most upstreams says more of itself.
+                failed.contains(&entry.number) && failed.len() * 2 <= self.entries.len()
             })
     }
 
-    fn others(&self, entry: &Entry, now: Time) -> Count {
-        let mut sum = Count::default();
-        for (at, report) in self.others.values() {
-            if now.since(*at) < REPORT_LIFE
-                && let Some(count) = report.counts.get(&entry.number)
-            {
-                sum.online += count.online;
-                sum.batch += count.batch;
-            }
-        }
-        sum
-    }
-
-    fn total(&self, entry: &Entry, now: Time) -> Count {
-        let others = self.others(entry, now);
-        Count { online: entry.own.online + others.online, batch: entry.own.batch + others.batch }
-    }
-
     /// Records a request that is sent to an upstream.
     pub fn start(&mut self, key: Key, class: Class, now: Time) {
         if let Some(entry) = self.entries.get_mut(key) {
@@ -362,8 +412,10 @@
     /// made or silence do.
     pub fn fail(&mut self, key: Key, failure: Failure, now: Time) -> Option<Duration> {
         let entry = self.entries.get_mut(key)?;
-        entry.failures += 1;
-        let doubled = (FIRST_PAUSE * 2_u32.pow(entry.failures.min(5) - 1)).min(LONGEST_PAUSE);
+        // A full upstream is not a failed one.
+        entry.failures += u32::from(failure != Failure::NotRun);
+        let doublings = entry.failures.saturating_sub(1).min(MOST_DOUBLINGS);
+        let doubled = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
         let pause = match failure {
             Failure::NotRun => return None,
             Failure::Broken if entry.failures < BROKEN_IN_A_ROW => return None,
@@ -377,29 +429,41 @@
         Some(pause)
     }
 
+    /// Upstreams of a deployment that take new work, from a point between 0 and 1 on.
+    fn candidates<'a>(
+        &'a self,
+        deployment: &str,
+        tried: &'a BTreeSet<Key>,
+        point: f64,
+    ) -> impl Iterator<Item = (Key, &'a Entry)> {
+        let keys = self.keys(deployment);
+        let offset = (point * keys.len() as f64) as usize;
+        let (before, after) = keys.split_at(offset.min(keys.len()));
+        let entries = after.iter().chain(before).map(|key| (*key, &self.entries[*key]));
+        entries.filter(|(key, entry)| !entry.upstream.leaving && !tried.contains(key))
+    }
+
+    fn keys(&self, deployment: &str) -> &[Key] {
+        self.by_deployment.get(deployment).map_or(&[], Vec::as_slice)
+    }
+
     /// Chooses the upstream of an online request.
     ///
     /// `point` is random between 0 and 1 and breaks ties, so that daemons with the same view spread
     /// their requests. Upstreams that failed are used only when no other can start the request.
     pub fn choose(
-        &self,
+        &mut self,
         deployment: &str,
         tried: &BTreeSet<Key>,
         left: Duration,
         now: Time,
         point: f64,
     ) -> Choice {
+        self.expire(now);
         let pace = self.pace.get(deployment).copied().unwrap_or_default();
-        let keys = self.by_deployment.get(deployment).map_or(&[][..], Vec::as_slice);
         let mut best: Option<(f64, Key, View)> = None;
-        let offset = (point * keys.len() as f64) as usize;
-        for index in 0..keys.len() {
-            let key = keys[(index + offset) % keys.len()];
-            let entry = &self.entries[key];
-            if entry.upstream.leaving || tried.contains(&key) {
-                continue;
-            }
-            let total = self.total(entry, now);
+        for (key, entry) in self.candidates(deployment, tried, point) {
+            let total = entry.total();
             let slots = entry.slots();
             let excess = (total.online + 1).saturating_sub(slots);
             let wait = pace.service.mul_f64(f64::from(excess) / f64::from(slots));
@@ -451,32 +515,26 @@
     }
 
     fn report_age(&self, now: Time) -> Duration {
-        let ages = self.others.values().map(|(at, _)| now.since(*at));
-        ages.filter(|age| *age < REPORT_LIFE).max().unwrap_or_default()
+        self.others.values().map(|daemon| now.since(daemon.at)).max().unwrap_or_default()
     }
 
     /// Chooses the upstream of a batch item: one with a slot that nothing else needs.
     pub fn choose_spare(
-        &self,
+        &mut self,
         deployment: &str,
         tried: &BTreeSet<Key>,
         now: Time,
         point: f64,
     ) -> Option<Key> {
-        let keys = self.by_deployment.get(deployment).map_or(&[][..], Vec::as_slice);
-        if self.free(keys, now) <= self.reserve(deployment, keys, now) {
+        self.expire(now);
+        if self.free(deployment, now) <= self.reserve(deployment) {
             return None;
         }
-        let offset = (point * keys.len() as f64) as usize;
-        let candidates = (0..keys.len()).map(|index| keys[(index + offset) % keys.len()]);
         let mut best: Option<(f64, Key)> = None;
-        for key in candidates {
-            let entry = &self.entries[key];
-            let unusable =
-                entry.upstream.leaving || self.is_doubtful(entry, now) || tried.contains(&key);
-            let total = self.total(entry, now);
+        for (key, entry) in self.candidates(deployment, tried, point) {
+            let total = entry.total();
             let used = total.online + total.batch;
-            if unusable || used + self.turn(entry, now) >= entry.slots() {
+            if self.is_doubtful(entry, now) || used + self.turn(entry) >= entry.slots() {
                 continue;
             }
             let cost = f64::from(used) / f64::from(entry.slots());
@@ -488,12 +546,12 @@
     }
 
     /// Free slots of the upstreams that can be used.
-    fn free(&self, keys: &[Key], now: Time) -> f64 {
-        let entries = keys.iter().map(|key| &self.entries[*key]);
+    fn free(&self, deployment: &str, now: Time) -> f64 {
+        let entries = self.keys(deployment).iter().map(|key| &self.entries[*key]);
         let usable =
             entries.filter(|entry| !entry.upstream.leaving && !self.is_doubtful(entry, now));
         let free = usable.map(|entry| {
-            let total = self.total(entry, now);
+            let total = entry.total();
             f64::from(entry.slots().saturating_sub(total.online + total.batch))
         });
         free.sum()
@@ -502,8 +560,9 @@
     /// Slots that batch work leaves to online requests: their number times the share of their
     /// service time that making room takes, which is the rate of their arrival (Little, 1961) times
     /// that time.
-    fn reserve(&self, deployment: &str, keys: &[Key], now: Time) -> f64 {
-        let online = keys.iter().map(|key| f64::from(self.total(&self.entries[*key], now).online));
+    fn reserve(&self, deployment: &str) -> f64 {
+        let entries = self.keys(deployment).iter().map(|key| &self.entries[*key]);
+        let online = entries.map(|entry| f64::from(entry.total().online));
         let service = self.pace.get(deployment).copied().unwrap_or_default().service;
         let share = ROOM_TIME.as_secs_f64() / service.as_secs_f64().max(ROOM_TIME.as_secs_f64());
         online.sum::<f64>() * share
@@ -514,24 +573,23 @@
     ///
     /// Owners give up their streams in an order that depends on the upstream and is the same at all
     /// daemons, so that two of them do not make room for the same request.
-    pub fn surplus(&self, now: Time) -> Vec<(Key, u32)> {
+    pub fn surplus(&mut self, now: Time) -> Vec<(Key, u32)> {
+        self.expire(now);
         let mut surplus = Vec::new();
         for (key, entry) in &self.entries {
             if entry.own.batch == 0 {
                 continue;
             }
-            let total = self.total(entry, now);
+            let total = entry.total();
             let mut excess = (total.online + total.batch).saturating_sub(entry.slots());
             if excess == 0 {
                 continue;
             }
-            let rank = |name: &str| hash::stable(&[name, &entry.upstream.id]);
-            let own = rank(&self.name);
-            for (name, (at, report)) in &self.others {
-                if now.since(*at) < REPORT_LIFE && rank(name) < own {
-                    let batch = report.counts.get(&entry.number).map_or(0, |count| count.batch);
-                    excess = excess.saturating_sub(batch);
-                }
+            let own = rank(self.hash, entry.hash);
+            for daemon in self.others.values().filter(|daemon| rank(daemon.hash, entry.hash) < own)
+            {
+                let count = daemon.report.counts.get(&entry.number);
+                excess = excess.saturating_sub(count.map_or(0, |count| count.batch));
             }
             let give_up = excess.min(entry.own.batch);
             if give_up > 0 {
--- a/components/control/src/relay/owner.rs
+++ b/components/control/src/relay/owner.rs
@@ -48,7 +48,7 @@
     own: Start<'_>,
     owner: Option<Start<'_>>,
     job: &str,
-    peers: &BTreeMap<&str, Peer>,
+    peers: &BTreeMap<String, Peer>,
 ) -> bool {
     match owner {
         // A write whose reply was lost made this relay the owner. Nobody else can know that it does
@@ -63,6 +63,6 @@
         Some(_) | None => {}
     }
     let able = peers.iter().filter(|(_, peer)| peer.is_alive() && !peer.leaving);
-    let names = able.map(|(name, _)| *name).chain([own.name]);
+    let names = able.map(|(name, _)| name.as_str()).chain([own.name]);
     hash::owner(names, job) == Some(own.name)
 }
--- a/components/control/tests/relay_fleet.rs
+++ b/components/control/tests/relay_fleet.rs
@@ -44,7 +44,7 @@
 impl Daemons {
     fn new(daemons: usize, count: usize) -> Self {
         let fleets = (0..daemons).map(|number| {
-            let mut fleet = Fleet::new(format!("vm-{number}"), "a");
+            let mut fleet = Fleet::new(&format!("vm-{number}"), "a");
             fleet.list(&upstreams(count));
             fleet
         });
@@ -56,7 +56,7 @@
         let reports: Vec<Report> = self.fleets.iter().map(|fleet| fleet.own(self.now)).collect();
         for (number, fleet) in self.fleets.iter_mut().enumerate() {
             for (from, report) in reports.iter().enumerate().filter(|(from, _)| *from != number) {
-                fleet.report(self.now, format!("vm-{from}"), report.clone());
+                fleet.report(self.now, &format!("vm-{from}"), report.clone());
             }
         }
     }
@@ -74,7 +74,7 @@
     }
 }
 
-fn online(fleet: &Fleet, now: Time, point: f64) -> Choice {
+fn online(fleet: &mut Fleet, now: Time, point: f64) -> Choice {
     fleet.choose("chat", &BTreeSet::new(), OBJECTIVE, now, point)
 }
 
@@ -146,13 +146,13 @@
     }
     daemons.exchange();
     for number in 0..3 {
-        let choice = online(&daemons.fleets[number], daemons.now, 0.5);
+        let choice = online(&mut daemons.fleets[number], daemons.now, 0.5);
         let Choice::Send(key, _) = choice else { return fail!("refused: {choice:?}") };
         let now = daemons.now;
         daemons.fleets[number].start(key, Class::Online, now);
     }
     daemons.exchange();
-    let surplus = daemons.fleets.iter().flat_map(|fleet| fleet.surplus(daemons.now));
+    let surplus = daemons.fleets.iter_mut().flat_map(|fleet| fleet.surplus(daemons.now));
     verify_that!(surplus.map(|(_, count)| count).sum::<u32>(), eq(3))
 }
 
@@ -182,10 +182,10 @@
 /// upstream.
 #[gtest]
 fn no_herd() -> Result<()> {
-    let daemons = Daemons::new(12, 6);
+    let mut daemons = Daemons::new(12, 6);
     let mut random = StdRng::seed_from_u64(7);
     let mut chosen: BTreeMap<String, u32> = BTreeMap::new();
-    for fleet in &daemons.fleets {
+    for fleet in &mut daemons.fleets {
         if let Choice::Send(key, _) = online(fleet, daemons.now, random.random()) {
             let id = fleet.upstream(key).map(|upstream| upstream.id.clone()).unwrap_or_default();
             *chosen.entry(id).or_default() += 1;
@@ -200,13 +200,13 @@
 fn shared_failures() -> Result<()> {
     let mut daemons = Daemons::new(2, 3);
     let now = daemons.now;
-    let Choice::Send(dark, _) = online(&daemons.fleets[0], now, 0.0) else {
+    let Choice::Send(dark, _) = online(&mut daemons.fleets[0], now, 0.0) else {
         return fail!("refused");
     };
     daemons.fleets[0].fail(dark, Failure::Silent, now);
     daemons.exchange();
     for point in [0.0, 0.2, 0.4, 0.6, 0.8] {
-        let choice = online(&daemons.fleets[1], now, point);
+        let choice = online(&mut daemons.fleets[1], now, point);
         let Choice::Send(key, _) = choice else { return fail!("refused: {choice:?}") };
         let other = daemons.fleets[1].upstream(key).map(|upstream| upstream.id.clone());
         let dark = daemons.fleets[0].upstream(dark).map(|upstream| upstream.id.clone());
@@ -214,7 +214,7 @@
     }
     let mut cut = Daemons::new(2, 3);
     let keys: Vec<Key> = (0..3)
-        .filter_map(|number| match online(&cut.fleets[0], now, f64::from(number) / 3.0) {
+        .filter_map(|number| match online(&mut cut.fleets[0], now, f64::from(number) / 3.0) {
             Choice::Send(key, _) => Some(key),
             Choice::Refuse(..) => None,
         })
@@ -242,6 +242,42 @@
     verify_that!(fleet.fail(key, Failure::NotSent, now), some(gt(Duration::ZERO)))
 }
 
+/// Guards against a full upstream that is passed over as if it had failed: two answers that say "not
+/// run" before one broken answer.
+#[gtest]
+fn full_upstream() -> Result<()> {
+    let mut daemons = Daemons::new(1, 1);
+    let now = daemons.now;
+    let fleet = &mut daemons.fleets[0];
+    let Choice::Send(key, _) = online(fleet, now, 0.0) else { return fail!("refused") };
+    expect_that!(fleet.fail(key, Failure::NotRun, now), none());
+    expect_that!(fleet.fail(key, Failure::NotRun, now), none());
+    verify_that!(fleet.fail(key, Failure::Broken, now), none())
+}
+
+/// Guards against slots that stay taken by a daemon that is gone, and against counts that are lost
+/// or doubled when reports are replaced and the list of upstreams changes.
+#[gtest]
+fn reported_counts() -> Result<()> {
+    let mut daemons = Daemons::new(2, 1);
+    let now = daemons.now;
+    let Choice::Send(key, _) = online(&mut daemons.fleets[1], now, 0.0) else {
+        return fail!("refused");
+    };
+    let count = |fleet: &mut Fleet, now| match online(fleet, now, 0.0) {
+        Choice::Send(_, view) | Choice::Refuse(_, view) => view.count.online,
+    };
+    for number in 1..=3 {
+        daemons.fleets[1].start(key, Class::Online, now);
+        daemons.exchange();
+        expect_that!(count(&mut daemons.fleets[0], now), eq(number));
+    }
+    daemons.fleets[0].list(&upstreams(2));
+    daemons.fleets[0].list(&upstreams(1));
+    expect_that!(count(&mut daemons.fleets[0], now), eq(3));
+    verify_that!(count(&mut daemons.fleets[0], now + Duration::from_secs(2)), eq(0))
+}
+
 /// Pattern: an upstream that was replaced at its address before the list says so, while batch items
 /// wait. Guards against a thousand attempts a second at an address where nobody runs them.
 #[gtest]
--- a/components/control/tests/relay_owner.rs
+++ b/components/control/tests/relay_owner.rs
@@ -15,8 +15,8 @@
 }
 
 /// The peers as one of the relays sees them.
-fn peers(own: &str) -> BTreeMap<&'static str, Peer> {
-    NAMES.into_iter().filter(|name| *name != own).map(|name| (name, peer(1))).collect()
+fn peers(own: &str) -> BTreeMap<String, Peer> {
+    NAMES.into_iter().filter(|name| *name != own).map(|name| (name.to_owned(), peer(1))).collect()
 }
 
 const fn start(name: &str) -> Start<'_> {
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -21,7 +21,7 @@
 use crate::{
     Boxed, Error, Objects, Table, Vm, Vms,
     table::{Commit, Row, Transaction},
-    transport::{self, Call, Effect, Transport},
+    transport::{self, Answer, Call, Effect, Transport},
 };
 
 /// Body of `POST /v1/table/read`.
@@ -96,6 +96,18 @@
         }
         serde_json::from_slice(&answer.body).map_err(|error| Error::Protocol(error.to_string()))
     }
+
+    async fn object(
+        &self,
+        effect: Effect,
+        method: Method,
+        key: &str,
+        tag: Option<String>,
+        body: Bytes,
+    ) -> Result<Answer, Error> {
+        let (address, path) = (self.objects, object_path(key));
+        self.transport.call(Call { effect, method, address, path, tag, body }).await
+    }
 }
 
 impl Table for Client {
@@ -126,23 +138,10 @@
 }
 
 impl Objects for Client {
-    fn delete(&self, key: String) -> Boxed<'_, ()> {
-        Box::pin(async move { self.delete_object(&key).await })
-    }
-
     fn put_new(&self, key: String, content: Bytes) -> Boxed<'_, bool> {
         Box::pin(async move {
-            let answer = self
-                .transport
-                .call(Call {
-                    effect: Effect::Write,
-                    method: Method::PUT,
-                    address: self.objects,
-                    path: object_path(&key),
-                    tag: Some("*".into()),
-                    body: content,
-                })
-                .await?;
+            let tag = Some("*".into());
+            let answer = self.object(Effect::Write, Method::PUT, &key, tag, content).await?;
             match answer.status {
                 StatusCode::CREATED => Ok(true),
                 StatusCode::PRECONDITION_FAILED => Ok(false),
@@ -153,17 +152,7 @@
 
     fn get(&self, key: String) -> Boxed<'_, Option<Bytes>> {
         Box::pin(async move {
-            let answer = self
-                .transport
-                .call(Call {
-                    effect: Effect::Read,
-                    method: Method::GET,
-                    address: self.objects,
-                    path: object_path(&key),
-                    tag: None,
-                    body: Bytes::new(),
-                })
-                .await?;
+            let answer = self.object(Effect::Read, Method::GET, &key, None, Bytes::new()).await?;
             match answer.status {
                 StatusCode::OK => Ok(Some(answer.body)),
                 StatusCode::NOT_FOUND => Ok(None),
@@ -171,26 +160,17 @@
             }
         })
     }
-}
 
-impl Client {
-    async fn delete_object(&self, key: &str) -> Result<(), Error> {
-        let answer = self
-            .transport
-            .call(Call {
-                effect: Effect::Write,
-                method: Method::DELETE,
-                address: self.objects,
-                path: object_path(key),
-                tag: None,
-                body: Bytes::new(),
-            })
-            .await?;
-        match answer.status {
-            StatusCode::NOT_FOUND => Ok(()),
-            status if status.is_success() => Ok(()),
-            _ => Err(answer.unexpected()),
-        }
+    fn delete(&self, key: String) -> Boxed<'_, ()> {
+        Box::pin(async move {
+            let answer =
+                self.object(Effect::Write, Method::DELETE, &key, None, Bytes::new()).await?;
+            match answer.status {
+                StatusCode::NOT_FOUND => Ok(()),
+                status if status.is_success() => Ok(()),
+                _ => Err(answer.unexpected()),
+            }
+        })
     }
 }
 
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -141,8 +141,8 @@
             self.yield_slots();
             if *self.shared.phase.borrow() == Phase::Running {
                 self.expire();
-                self.start_items();
-                self.tell_waiting();
+                let left = self.start_items();
+                self.tell_waiting(left);
                 if saved.elapsed() >= SAVE_PERIOD {
                     saved = Instant::now();
                     self.save();
@@ -228,13 +228,17 @@
         }
     }
 
-    /// Starts waiting items in order of their urgency.
-    fn start_items(self: &Arc<Self>) {
+    /// Starts waiting items in order of their urgency; returns how many are left.
+    fn start_items(self: &Arc<Self>) -> usize {
+        let mut full = BTreeSet::new();
+        let mut left = 0;
         for (_, id, item) in self.waiting() {
-            if let Some(flight) = self.place(&id) {
-                self.start(&id, item, flight);
+            match self.place(&id, &mut full) {
+                Some(flight) => self.start(&id, item, flight),
+                None => left += 1,
             }
         }
+        left
     }
 
     /// Items that wait for a slot, the most urgent first.
@@ -277,19 +281,26 @@
     }
 
     /// Tells the other relays whether items wait here.
-    fn tell_waiting(&self) {
-        let waiting = self.waiting().len() as u32;
-        if self.shared.fleet().set_waiting(waiting) {
+    fn tell_waiting(&self, count: usize) {
+        if self.shared.fleet().set_waiting(u32::try_from(count).unwrap_or(u32::MAX)) {
             self.shared.occupancy_changed.notify_one();
         }
     }
 
-    /// A slot for an item of a job.
-    fn place(&self, id: &str) -> Option<Flight> {
-        let jobs = self.jobs();
-        let route = self.route(&jobs.get(id)?.listed.row)?;
-        drop(jobs);
-        self.shared.place_spare(route.target(rand::random())?, &BTreeSet::new())
+    /// A slot for an item of a job. Deployments without one are added to `full`, so that a look
+    /// asks once for each.
+    fn place(&self, id: &str, full: &mut BTreeSet<String>) -> Option<Flight> {
+        let row = self.jobs().get(id)?.listed.row.clone();
+        let route = self.route(&row)?;
+        let deployment = route.target(rand::random())?;
+        if full.contains(deployment) {
+            return None;
+        }
+        let flight = self.shared.place_spare(deployment, &BTreeSet::new());
+        if flight.is_none() {
+            full.insert(deployment.to_owned());
+        }
+        flight
     }
 
     fn start(self: &Arc<Self>, id: &str, item: usize, flight: Flight) {
--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -1,8 +1,8 @@
 //! Takes over jobs whose owner is gone.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use cyclamengrade_control::relay::owner::{Peer, Start, takes_over};
+use cyclamengrade_control::relay::owner::{Start, takes_over};
 use cyclamengrade_platform::Error;
 use cyclamengrade_telemetry::event;
 use tokio::{sync::Semaphore, time::sleep};
@@ -47,18 +47,14 @@
     /// Jobs without an owner that this relay is to take over.
     fn orphans(&self) -> Vec<(String, Listed)> {
         let shared = &self.shared;
-        let now = shared.clock.now();
-        let members = shared.members();
-        let peers: BTreeMap<&str, Peer> =
-            members.iter().map(|(name, member)| (name.as_str(), member.peer(now))).collect();
-        let own = Start { name: &shared.name, incarnation: shared.incarnation };
+        let peers = shared.peers();
         let jobs = shared.jobs();
         let open = jobs.iter().filter(|(_, listed)| listed.row.state == row::State::Open);
         open.filter(|(id, listed)| {
             let owner = listed.row.owner.as_ref();
             let owner =
                 owner.map(|owner| Start { name: &owner.name, incarnation: owner.incarnation });
-            !self.owns(id) && takes_over(own, owner, id, &peers)
+            !self.owns(id) && takes_over(shared.as_start(), owner, id, &peers)
         })
         .map(|(id, listed)| (id.clone(), listed.clone()))
         .collect()
--- a/components/relay/src/gossip.rs
+++ b/components/relay/src/gossip.rs
@@ -67,7 +67,7 @@
             is_new
         };
         if is_new {
-            shared.fleet().report(now, notice.from, notice.report);
+            shared.fleet().report(now, &notice.from, notice.report);
             shared.batch_changed.notify_one();
         }
     }
--- a/components/relay/src/job/cleanup.rs
+++ b/components/relay/src/job/cleanup.rs
@@ -1,8 +1,8 @@
 //! Deletes what the store has of jobs that nobody may ask for any more.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use cyclamengrade_control::relay::owner::{Peer, Start, takes_over};
+use cyclamengrade_control::relay::owner::takes_over;
 use cyclamengrade_platform::{Error, table::Transaction};
 use cyclamengrade_telemetry::event;
 use tokio::time::sleep;
@@ -38,17 +38,13 @@
 /// Jobs that this relay is to delete, and the versions of their rows.
 fn old_jobs(shared: &Shared, keep: Duration) -> Vec<(String, u64)> {
     let Some(now_ms) = shared.clock.store_ms() else { return Vec::new() };
-    let now = shared.clock.now();
-    let members = shared.members();
-    let peers: BTreeMap<&str, Peer> =
-        members.iter().map(|(name, member)| (name.as_str(), member.peer(now))).collect();
-    let own = Start { name: &shared.name, incarnation: shared.incarnation };
+    let peers = shared.peers();
     let jobs = shared.jobs();
     let old = jobs.iter().filter(|(_, listed)| {
         listed.row.state != row::State::Open
             && now_ms >= listed.row.expires_ms + keep.as_millis() as u64
     });
-    let mine = old.filter(|(id, _)| takes_over(own, None, id, &peers));
+    let mine = old.filter(|(id, _)| takes_over(shared.as_start(), None, id, &peers));
     mine.map(|(id, listed)| (id.clone(), listed.version)).collect()
 }
 
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -15,7 +15,7 @@
     relay::{
         failure::Failure,
         fleet::{Choice, Class, Fleet, Key, Upstream},
-        owner::Peer,
+        owner::{Peer, Start},
         route,
     },
     time::Time,
@@ -186,6 +186,17 @@
         lock(&self.members)
     }
 
+    /// What is known of the other relays, by name.
+    pub fn peers(&self) -> BTreeMap<String, Peer> {
+        let now = self.clock.now();
+        self.members().iter().map(|(name, member)| (name.clone(), member.peer(now))).collect()
+    }
+
+    /// This start of this relay.
+    pub fn as_start(&self) -> Start<'_> {
+        Start { name: &self.name, incarnation: self.incarnation }
+    }
+
     /// The jobs in the store.
     pub fn jobs(&self) -> MutexGuard<'_, BTreeMap<String, Listed>> {
         lock(&self.jobs)
--- a/components/standins/src/demo.rs
+++ b/components/standins/src/demo/mod.rs
@@ -1,4 +1,7 @@
-//! Brings up a small fleet and shows online, batch and service traffic while a daemon dies.
+//! Brings up a small fleet and shows online, batch and service traffic while a daemon dies; then
+//! the same with relays.
+
+mod relay;
 
 use std::time::{Duration, Instant};
 
@@ -74,6 +77,8 @@
     report.check(once, "each service call ran exactly once");
     let code = fleet.stop_daemon(1).await?;
     report.check(code == Some(0), "entry-2 ended by graceful shutdown");
+    drop(fleet);
+    relay::show(&mut report).await?;
     match report.missing {
         0 => report.line(&format!("All shown in {:.1} s", start.elapsed().as_secs_f64())),
         missing => report.line(&format!("{missing} things are MISSING")),
