--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -3,6 +3,7 @@
 //! The relay does not read what it carries: a route names the deployment, and the kind of the route
 //! says what may run more than once.
 
+pub mod acceptance;
 pub mod failure;
 pub mod fleet;
 pub mod job;
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -176,7 +176,7 @@
     async fn try_store(&self, id: &str, write: &Write) -> Result<Commit, Error> {
         let mut transaction = Transaction::new().with_condition(key::job(id), write.listed.version);
         if write.results.is_last {
-            let row = row::Job { state: row::State::Done, ..write.listed.row.clone() };
+            let row = write.listed.row.done();
             transaction = transaction.with_write(key::job(id), store::encode(&row)?);
         }
         for (offset, pending) in write.results.entries.iter().enumerate() {
@@ -231,8 +231,7 @@
         }
         drop(jobs);
         if let Some(version) = version {
-            let row = row::Job { state: row::State::Done, ..write.listed.row.clone() };
-            store::remember(&self.shared, id, version, row);
+            store::remember(&self.shared, id, version, write.listed.row.done());
         }
     }
 
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -395,10 +395,9 @@
             self.save_all(&id).await;
             let listed = self.jobs().get(&id).map(|owned| owned.listed.clone());
             let Some(listed) = listed else { continue };
-            let handed = store::update(&self.shared, &id, listed, |job| {
-                job.is_owned_by(&own).then(|| row::Job { owner: None, ..job.clone() })
-            });
-            match handed.await {
+            let handed =
+                store::update(&self.shared, &id, listed, |job| job.handed_back(&own)).await;
+            match handed {
                 Ok(_) => self.release(&id, "this relay stops"),
                 Err(error) => {
                     event!(ResultsWaiting, job:% = id, error:% = error);
--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -63,11 +63,9 @@
     async fn take_over(self: &Arc<Self>, id: &str, listed: Listed) -> Result<(), Error> {
         let owner = self.shared.as_owner();
         let before = listed.row.owner.clone();
-        let taken = store::update(&self.shared, id, listed, |job| {
-            let same = job.state == row::State::Open && job.owner == before;
-            same.then(|| row::Job { owner: Some(owner.clone()), ..job.clone() })
-        })
-        .await?;
+        let taken =
+            store::update(&self.shared, id, listed, |job| job.taken_over(before.as_ref(), &owner))
+                .await?;
         let Some(listed) = taken else { return Ok(()) };
         self.resume(id, listed).await
     }
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -61,6 +61,27 @@
     pub fn is_owned_by(&self, owner: &Owner) -> bool {
         self.owner.as_ref() == Some(owner)
     }
+
+    /// The row after `by` took the job over; `None` when it is not open or `from` no longer owns it.
+    pub fn taken_over(&self, from: Option<&Owner>, by: &Owner) -> Option<Self> {
+        let same = self.state == State::Open && self.owner.as_ref() == from;
+        same.then(|| Self { owner: Some(by.clone()), ..self.clone() })
+    }
+
+    /// The row after its owner handed it back; `None` when `owner` is not its owner.
+    pub fn handed_back(&self, owner: &Owner) -> Option<Self> {
+        self.is_owned_by(owner).then(|| Self { owner: None, ..self.clone() })
+    }
+
+    /// The row after its caller ended the job; `None` when that was done.
+    pub fn ended(&self) -> Option<Self> {
+        (self.state != State::Ended).then(|| Self { state: State::Ended, ..self.clone() })
+    }
+
+    /// The row after every item got its result.
+    pub fn done(&self) -> Self {
+        Self { state: State::Done, ..self.clone() }
+    }
 }
 
 /// Row of a result.
--- a/components/relay/src/job/store.rs
+++ b/components/relay/src/job/store.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cyclamengrade_control::relay::acceptance::{Acceptance, Next, Write};
 use cyclamengrade_platform::{
     Error,
     table::{Commit, Row, Transaction},
@@ -22,8 +23,8 @@
 const RESULT_ROWS: usize = 100;
 /// Bytes of text in one page of results. A page is at least one result long.
 const PAGE_BYTES: usize = 1 << 20;
-/// Time in which writes of an acceptance whose replies were lost are repeated.
-const ACCEPT_RETRY_TIME: Duration = Duration::from_secs(1);
+/// Pause before the writes of an acceptance are repeated.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Repetitions of a transaction that met a newer row.
 const CONFLICT_RETRIES: usize = 8;
 
@@ -43,39 +44,37 @@
 /// A write whose reply is lost is repeated, since it is conditional and finds its own effect.
 pub async fn accept(shared: &Shared, id: &str, body: Bytes, job: &row::Job) -> Accepted {
     let started = Instant::now();
-    let mut is_uncertain = false;
+    let mut acceptance = Acceptance::default();
     loop {
-        let error = match try_accept(shared, id, body.clone(), job).await {
+        let (write, error) = match try_accept(shared, id, body.clone(), job).await {
             Ok(()) => return Accepted::Stored,
-            Err(Step::Object(error)) => error,
-            Err(Step::Row(error)) => {
-                is_uncertain |= error.may_have_taken_effect();
-                error
-            }
+            Err(failed) => failed,
         };
-        if !error.may_have_taken_effect() || started.elapsed() > ACCEPT_RETRY_TIME {
-            return match is_uncertain {
-                true => Accepted::Unknown(error),
-                // An object without a row is not a job, so that nothing runs.
-                false => Accepted::NotStored(error),
-            };
+        match acceptance.fail(write, error.may_have_taken_effect(), started.elapsed()) {
+            Next::Repeat => sleep(ACCEPT_PAUSE).await,
+            Next::Refuse => return Accepted::NotStored(error),
+            Next::Admit => return Accepted::Unknown(error),
         }
     }
 }
 
-/// The step of an acceptance that failed.
-enum Step {
-    Object(Error),
-    Row(Error),
+async fn try_accept(
+    shared: &Shared,
+    id: &str,
+    body: Bytes,
+    job: &row::Job,
+) -> Result<(), (Write, Error)> {
+    let put = shared.objects.put_new(key::input(id), body).await;
+    put.map_err(|error| (Write::Object, error))?;
+    shared.hear_store();
+    write_row(shared, id, job).await.map_err(|error| (Write::Row, error))
 }
 
-async fn try_accept(shared: &Shared, id: &str, body: Bytes, job: &row::Job) -> Result<(), Step> {
-    shared.objects.put_new(key::input(id), body).await.map_err(Step::Object)?;
-    shared.hear_store();
-    let value = encode(job).map_err(Step::Row)?;
+async fn write_row(shared: &Shared, id: &str, job: &row::Job) -> Result<(), Error> {
+    let value = encode(job)?;
     let transaction =
         Transaction::new().with_condition(key::job(id), 0).with_write(key::job(id), value);
-    let commit = shared.table.commit(transaction).await.map_err(Step::Row)?;
+    let commit = shared.table.commit(transaction).await?;
     shared.hear_store();
     match commit {
         Commit::Done { versions } => {
@@ -325,12 +324,6 @@
 /// The store gives no answer.
 pub async fn end(shared: &Arc<Shared>, id: &str) -> Result<bool, Error> {
     let Some(listed) = find(shared, id).await? else { return Ok(false) };
-    update(shared, id, listed, |job| match job.state {
-        row::State::Ended => None,
-        row::State::Open | row::State::Done => {
-            Some(row::Job { state: row::State::Ended, ..job.clone() })
-        }
-    })
-    .await?;
+    update(shared, id, listed, row::Job::ended).await?;
     Ok(true)
 }
