Refuse stalled heads with 408 and lengths stated twice with 400

Cause: the HTTP library takes a request with both Content-Length and Transfer-Encoding as chunked, and its timer for heads also covers the time between two requests, so that it had to be set to the idle limit: a stalled head was closed after 15 s without an answer.

control::relay::framing follows the bytes of a connection through heads, lengths, chunks and trailers; the connection is answered with 400 or 408 and closed when no request on it is served. Requests before the ambiguous one on the same connection are served.

Ruled out: looking at the parsed headers, since the library drops Content-Length when Transfer-Encoding comes first; a shorter timer, since it would close idle connections that callers may reuse.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod acceptance;
 pub mod failure;
 pub mod fleet;
+pub mod framing;
 pub mod job;
 pub mod ledger;
 pub mod listing;
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -4,6 +4,7 @@
 
 use cyclamengrade_control::relay::route::{Kind, Route};
 use cyclamengrade_telemetry::{event, metrics::Handle};
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -13,6 +14,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     task::JoinSet,
 };
@@ -20,11 +22,13 @@
 use crate::{
     batch::Dispatcher,
     body::Body,
+    front::watch::{Fault, Stream, Watch},
     online,
     shared::{Phase, Shared},
 };
 
 mod jobs;
+mod watch;
 
 /// Smallest buffer that the HTTP library takes, in bytes.
 const SMALLEST_BUFFER: usize = 8 << 10;
@@ -71,24 +75,42 @@
         // An unset option only delays small answers.
         let _ = stream.set_nodelay(true);
         let shared = self.shared.clone();
+        let watch = Watch::new();
+        let watched = watch.clone();
         let service = service_fn(move |request| {
-            let front = self.clone();
-            async move { Ok::<_, Infallible>(front.serve(request).await) }
+            let (front, serving) = (self.clone(), watched.serve());
+            async move {
+                let response = front.serve(request).await;
+                // The request is served until its body was sent or dropped.
+                let held = response.map(|body| {
+                    body.map_frame(move |frame| {
+                        let _ = &serving;
+                        frame
+                    })
+                });
+                Ok::<_, Infallible>(held)
+            }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             // Covers the time between two requests as well, so it is the longer of the two limits.
             .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
             .max_buf_size(limits.head_bytes.max(SMALLEST_BUFFER))
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        tokio::select! {
-            // How a connection ends shows in the requests on it.
-            _ = connection.as_mut() => return,
-            () = shared.reached(Phase::Draining) => {}
-        }
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+            .serve_connection(TokioIo::new(Stream::new(stream, watch.clone())), service);
+        let mut is_draining = false;
+        let fault = loop {
+            tokio::select! {
+                biased;
+                // How a connection ends shows in the requests on it.
+                _ = &mut connection => return,
+                fault = watch.fault(limits.head_timeout) => break fault,
+                () = shared.reached(Phase::Draining), if !is_draining => {
+                    is_draining = true;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+        };
+        refuse(connection.into_parts().io.into_inner(), fault).await;
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
@@ -143,6 +165,19 @@
     }
 }
 
+/// Answers a connection that is refused and closes it.
+async fn refuse(mut stream: Stream, fault: Fault) {
+    let status = match fault {
+        Fault::Stalled => StatusCode::REQUEST_TIMEOUT,
+        Fault::Ambiguous => StatusCode::BAD_REQUEST,
+    };
+    event!(ConnectionRefused, reason:? = fault, status = status.as_u16());
+    let answer = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+    // The caller may be gone.
+    let _ = stream.write_all(answer.as_bytes()).await;
+    let _ = stream.shutdown().await;
+}
+
 /// Answers the load balancer: whether this relay takes new connections.
 pub async fn ready(shared: Arc<Shared>, listener: TcpListener) {
     serve_small(listener, move |_| match shared.is_ready() {
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -225,6 +225,11 @@
         .await
     }
 
+    /// Where a relay takes requests.
+    pub fn address(&self, relay: usize) -> SocketAddr {
+        self.relays[relay].listen
+    }
+
     /// Status of the readiness probe; `None` when nothing answers.
     pub async fn readiness(&self, number: usize) -> Option<u16> {
         let call = Call::get(self.relays[number].ready, "/-/readyz");
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -159,6 +159,8 @@
     1205 Info CallerLeft "caller_left" "caller left before the end of the answer",
     /// A relay does not pass a request on because of what it is. Fields: `request`, `reason`, `status`.
     1206 Info RequestImproper "request_improper" "request was not passed on",
+    /// A caller's connection is closed for what it sent. Fields: `reason`, `status`.
+    1207 Info ConnectionRefused "connection_refused" "connection of a caller is refused",
 
     /// The store cannot be followed. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "changes of a table cannot be read",
