Keep the jobs of a stopping relay until their results are stored

A relay that stops while the store is away tried to hand its jobs back once, then ended, and what it had ready was lost. When the store had just come back, the handover raised the version of the job's row before the ready results were listed, which made their commit void.

The handover lists what is ready, stops the runs, stores their texts and gives the row back, in this order, and is repeated until the end of the grace time; items go on meanwhile. New event item_completed.

Ruled out: ending at once and leaving the job to its next owner (before).

--- a/components/control/src/relay/ledger.rs
+++ b/components/control/src/relay/ledger.rs
@@ -55,6 +55,11 @@
         self.next
     }
 
+    /// Whether every item that ended is listed.
+    pub const fn is_listed(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Records that an item runs.
     pub fn start(&mut self, item: usize) {
         self.progress.start(item);
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -140,23 +140,22 @@
         fitting.take(LARGEST_COMMIT / 2).collect()
     }
 
-    /// Stores the texts of all unfinished items of a job before it is handed back.
-    pub(super) async fn save_all(&self, id: &str) {
+    /// Stores the texts of all unfinished items of a job before it is handed back. Without them, the
+    /// next owner runs more of the items again.
+    pub(super) async fn save_all(&self, id: &str) -> Result<(), Error> {
         let write = {
             let jobs = self.jobs();
-            let Some(owned) = jobs.get(id) else { return };
+            let Some(owned) = jobs.get(id) else { return Ok(()) };
             let partials = self.partials(owned, 1, LARGEST_COMMIT_BYTES);
             let results =
                 Batch { from: owned.ledger.listed(), entries: Vec::new(), is_last: false };
             Write { listed: owned.listed.clone(), results, failures: None, partials }
         };
-        if write.partials.is_empty() {
-            return;
-        }
-        // Without it, the next owner runs more of the items again.
-        if let Err(error) = self.try_store(id, &write).await {
-            event!(ResultsWaiting, job:% = id, error:% = error);
+        if !write.partials.is_empty() {
+            // A conflict means that the job is no longer this relay's.
+            self.try_store(id, &write).await?;
         }
+        Ok(())
     }
 
     async fn store(&self, id: &str, write: &Write) -> Committed {
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -22,7 +22,7 @@
         owned::{Owned, Run},
     },
     dialect::Item,
-    job::{row, store},
+    job::row,
     shared::{Flight, Listed, Phase, Shared, lock},
 };
 
@@ -134,19 +134,19 @@
         loop {
             // Either a change or the period; both lead to the same look.
             let _ = timeout(PERIOD, self.shared.batch_changed.notified()).await;
-            if *self.shared.phase.borrow() >= Phase::Draining {
+            let phase = *self.shared.phase.borrow();
+            if phase >= Phase::Draining && self.jobs().is_empty() {
                 return;
             }
             self.drop_ended();
             self.yield_slots();
-            if *self.shared.phase.borrow() == Phase::Running {
-                self.expire();
-                let left = self.start_items();
-                self.tell_waiting(left);
-                if saved.elapsed() >= SAVE_PERIOD {
-                    saved = Instant::now();
-                    self.save();
-                }
+            self.expire();
+            // Jobs that cannot be handed over go on here.
+            let left = self.start_items();
+            self.tell_waiting(left);
+            if phase == Phase::Running && saved.elapsed() >= SAVE_PERIOD {
+                saved = Instant::now();
+                self.save();
             }
             sleep(SHORTEST_PERIOD).await;
         }
@@ -247,7 +247,7 @@
         let now_ms = self.shared.clock.store_ms().unwrap_or(0);
         let pace = *lock(&self.pace);
         let jobs = self.jobs();
-        let open = jobs.iter().filter(|(_, owned)| owned.is_open());
+        let open = jobs.iter().filter(|(_, owned)| owned.is_open() && !owned.is_held);
         let mut waiting: Vec<_> = open
             .flat_map(|(id, owned)| {
                 let items =
@@ -315,7 +315,7 @@
         };
         owned.ledger.start(item);
         let transcript = owned.transcripts.entry(item).or_default().clone();
-        let upstream = flight.key;
+        let (upstream, name) = (flight.key, flight.upstream.id.clone());
         event!(
             ItemStarted,
             job:% = id,
@@ -329,7 +329,9 @@
             dispatcher.finish(&id, item, end);
         });
         let (started, events) = (self.shared.clock.now(), owned.events(item));
-        owned.runs.insert(item, Run { upstream, abort: task.abort_handle(), started, events });
+        owned
+            .runs
+            .insert(item, Run { upstream, name, abort: task.abort_handle(), started, events });
     }
 
     /// Takes over the end of a run, unless the run was stopped meanwhile.
@@ -344,6 +346,14 @@
             End::Completed => {
                 counter!(RELAY_ITEMS, "outcome" => "completed").increment(1);
                 lock(&self.pace).complete(events);
+                event!(
+                    ItemCompleted,
+                    job:% = id,
+                    item:% = owned.items[item].id,
+                    upstream:% = run.name,
+                    events = events,
+                    elapsed_ms = now.since(run.started).as_millis() as u64
+                );
                 let transcript = owned.transcripts.remove(&item).unwrap_or_default();
                 owned.ledger.complete(item, std::mem::take(&mut lock(&transcript).text));
                 drop(jobs);
@@ -386,23 +396,4 @@
             self.commit(id);
         }
     }
-
-    /// Hands all jobs back, so that other relays run them.
-    pub async fn hand_back(&self) {
-        let own = self.shared.as_owner();
-        let ids: Vec<String> = self.jobs().keys().cloned().collect();
-        for id in ids {
-            self.save_all(&id).await;
-            let listed = self.jobs().get(&id).map(|owned| owned.listed.clone());
-            let Some(listed) = listed else { continue };
-            let handed =
-                store::update(&self.shared, &id, listed, |job| job.handed_back(&own)).await;
-            match handed {
-                Ok(_) => self.release(&id, "this relay stops"),
-                Err(error) => {
-                    event!(ResultsWaiting, job:% = id, error:% = error);
-                }
-            }
-        }
-    }
 }
--- a/components/relay/src/batch/mod.rs
+++ b/components/relay/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod commit;
 mod dispatcher;
+mod handover;
 mod item;
 mod owned;
 mod takeover;
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -35,6 +35,8 @@
 pub struct Run {
     /// Upstream.
     pub upstream: Key,
+    /// Its id, for logs.
+    pub name: String,
     /// Stops the run.
     pub abort: AbortHandle,
     /// When it began.
@@ -63,6 +65,8 @@
     pub save: bool,
     /// Whether a commit is under way.
     pub committing: bool,
+    /// Whether the job is being handed over, so that no item starts.
+    pub is_held: bool,
 }
 
 impl Owned {
@@ -89,6 +93,7 @@
             failures_changed: false,
             save: false,
             committing: false,
+            is_held: false,
         }
     }
 
@@ -108,6 +113,11 @@
         self.listed.row.state == row::State::Open
     }
 
+    /// Whether the store has every result that is ready.
+    pub const fn is_stored(&self) -> bool {
+        self.ledger.is_listed() && !self.committing
+    }
+
     /// Takes over the texts that an earlier owner stored.
     pub fn restore(&mut self, partials: BTreeMap<usize, row::Partial>) {
         for (item, partial) in partials {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -198,6 +198,9 @@
     1250 Warn JobCallFailed "job_call_failed" "call about a batch job cannot be answered",
     /// The rows and objects of an old job were deleted. Fields: `job`.
     1251 Info JobDeleted "job_deleted" "old batch job was deleted",
+    /// A run brought an item's last event; its result is stored next. Fields: `job`, `item`,
+    /// `upstream`, `events`, `elapsed_ms` (of this run).
+    1252 Info ItemCompleted "item_completed" "batch item is complete",
 
     /// The settings file changed or a signal asked to read it again. Fields: `applied`.
     1260 Info SettingsReloaded "settings_reloaded" "settings were read again",
--- a/tests/relay_store.rs
+++ b/tests/relay_store.rs
@@ -191,3 +191,25 @@
     harness.await_ready(0).await?;
     verify_that!(harness.send(harness.call(0, "safe", "r-2")).await?.status, eq(200))
 }
+
+/// Guards against items that run twice since their relay stops while the store is away: their
+/// results are ready and not stored.
+#[gtest]
+#[tokio::test]
+async fn ready_results() -> Result<()> {
+    let harness = Harness::start(2).await?;
+    let (job, status) = harness.submit(0, "j-1", 4, 40).await?;
+    expect_that!(status, eq(202));
+    harness.store.set_faults(Faults { refuse: true, ..Faults::default() });
+    harness
+        .eventually("complete items", async || {
+            (harness.events(0, "item_completed").len() == 4).then_some(())
+        })
+        .await?;
+    harness.terminate_relay(0)?;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    harness.store.set_faults(Faults::default());
+    harness.complete(1, &job).await?;
+    let runs: usize = harness.runners.iter().map(|runner| runner.runs().len()).sum();
+    verify_that!(runs, eq(4))
+}
