--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod daemon;
 mod relay;
+mod report;
 mod settings;
 mod story;
 mod upstreams;
@@ -33,6 +34,7 @@
   batch cancel ID      cancel a job
   upstreams            print the upstreams of a daemon
   story ID FILE...     print what logs say of a request
+  report FILE...       sum up what logs say of a time
 
 Options of all subcommands:
   --server HOST:PORT   daemon to ask
@@ -62,6 +64,7 @@
         "batch" => (batch::HELP, batch::run),
         "upstreams" => (upstreams::HELP, upstreams::run),
         "story" => (story::HELP, story::run),
+        "report" => (report::HELP, report::run),
         _ => return Err(Failure::usage(format!("unknown subcommand {name}; see --help"))),
     };
     if help { print::line(text) } else { body(call) }
--- a/tests/docs_pages.rs
+++ b/tests/docs_pages.rs
@@ -124,7 +124,9 @@
 fn cli_page() -> Result<()> {
     let page = fs::read_to_string("docs/cli.md").or_fail()?;
     let mut help = String::new();
-    for subcommand in ["", "daemon", "relay", "settings", "config", "batch", "upstreams", "story"] {
+    for subcommand in
+        ["", "daemon", "relay", "settings", "config", "batch", "upstreams", "story", "report"]
+    {
         help += &Program::new(&format!("{subcommand} --help")).run().text;
     }
     expect_that!(options(&page), eq(&options(&help)));
