Apply the level of the log and the times of a stop after HUP

Cause: HUP read the settings and threw them away; a file that could not be read was told as `applied=false` without its cause. The level of the log and the times of a stop apply at once now, event 1260 says whether something else has changed, and event 1262 names why settings cannot be used.

Ruled out: applying addresses or the store, which needs new listeners and clients for a case that a restart covers.

--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -1,6 +1,6 @@
 //! Puts a relay together and runs it.
 
-use std::{future::Future, sync::Arc, thread, time::Duration};
+use std::{future::Future, path::PathBuf, sync::Arc, thread, time::Duration};
 
 use cyclamengrade_peer::occupancy::Occupancy;
 use cyclamengrade_platform::{Feed, Objects, Table, table::Transaction};
@@ -42,8 +42,8 @@
     pub objects: Arc<dyn Objects>,
     /// Changes of the store, for the control thread.
     pub feed: Arc<dyn Feed>,
-    /// Reads the settings again; returns whether they could be read.
-    pub reload: Box<dyn Fn() -> bool + Send>,
+    /// File that the settings are read from again after a signal.
+    pub path: PathBuf,
 }
 
 /// Runs a relay until a signal stops it.
@@ -53,7 +53,7 @@
 /// An address cannot be bound, or threads, signals or metrics cannot be set up.
 pub fn run(parts: Parts) -> Result<(), Error> {
     let metrics = metrics::install().map_err(|error| Error::Metrics(error.to_string()))?;
-    let Parts { settings, dialect, table, objects, feed, reload } = parts;
+    let Parts { settings, dialect, table, objects, feed, path } = parts;
     event!(Starting, daemon:% = settings.name, version = env!("CARGO_PKG_VERSION"));
     let shared = Shared::new(
         &settings.name,
@@ -67,7 +67,7 @@
     let shared = Arc::new(shared.with_memory(settings.memory_bytes));
     let control = control(shared.clone(), feed, &settings)?;
     let traffic = runtime()?;
-    let result = traffic.block_on(serve(shared, settings, metrics, reload));
+    let result = traffic.block_on(serve(shared, settings, metrics, path));
     traffic.shutdown_background();
     drop(control);
     result
@@ -110,7 +110,7 @@
     shared: Arc<Shared>,
     settings: Settings,
     metrics: metrics::Handle,
-    reload: Box<dyn Fn() -> bool + Send>,
+    path: PathBuf,
 ) -> Result<(), Error> {
     let socket = Occupancy::bind(settings.peer_listen)
         .await
@@ -130,7 +130,7 @@
     tokio::spawn(sweep(shared.clone()));
     tokio::spawn(announce(shared.clone()));
     let served: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(front.run(listener));
-    stop::run(shared, dispatcher, settings.stop, reload, served).await
+    stop::run(shared, dispatcher, settings, path, served).await
 }
 
 /// Logs when the relay becomes ready.
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -1,10 +1,14 @@
 //! Signals, and the way from running to stopped.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use cyclamengrade_platform::table::Transaction;
-use cyclamengrade_settings::relay::Stop;
-use cyclamengrade_telemetry::event;
+use cyclamengrade_settings::Relay as Settings;
+use cyclamengrade_telemetry::{event, logs};
 use tokio::{
     signal::unix::{SignalKind, signal},
     time::{Instant, sleep, sleep_until, timeout_at},
@@ -33,8 +37,8 @@
 pub async fn run(
     shared: Arc<Shared>,
     dispatcher: Arc<Dispatcher>,
-    times: Stop,
-    reload: impl Fn() -> bool,
+    mut settings: Settings,
+    path: PathBuf,
     served: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signals)?;
@@ -45,10 +49,11 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => event!(SettingsReloaded, applied = reload()),
+            _ = hangup.recv() => reload(&path, &mut settings),
             () = &mut served => break,
         }
     }
+    let times = settings.stop;
     let asked = Instant::now();
     let end = asked + times.grace().saturating_sub(MARGIN);
     event!(Leaving, daemon:% = shared.name);
@@ -75,3 +80,17 @@
     sleep(Duration::from_millis(20)).await;
     Ok(())
 }
+
+/// Reads the settings again and applies what can be changed while the relay runs: the level of the
+/// log and the times of a stop.
+fn reload(path: &Path, settings: &mut Settings) {
+    match Settings::read(path) {
+        Ok(new) => {
+            let applied = Settings { log_level: new.log_level, stop: new.stop, ..settings.clone() };
+            event!(SettingsReloaded, restart_needed = applied != new);
+            logs::set_level(applied.log_level.filter());
+            *settings = applied;
+        }
+        Err(error) => event!(SettingsUnusable, error:% = error),
+    }
+}
--- a/components/settings/src/daemon.rs
+++ b/components/settings/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use log::LevelFilter;
 use serde::{Deserialize, Serialize};
 
 /// Settings of `cyclamengrade daemon`.
@@ -231,4 +232,15 @@
             Self::Trace => "trace",
         }
     }
+
+    /// The least severe level that is written.
+    pub const fn filter(self) -> LevelFilter {
+        match self {
+            Self::Error => LevelFilter::Error,
+            Self::Warn => LevelFilter::Warn,
+            Self::Info => LevelFilter::Info,
+            Self::Debug => LevelFilter::Debug,
+            Self::Trace => LevelFilter::Trace,
+        }
+    }
 }
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -193,6 +193,27 @@
         Ok(())
     }
 
+    /// Changes the settings of a relay and asks it to read them.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written, or the signal cannot be sent.
+    pub fn reload_relay(
+        &self,
+        number: usize,
+        change: impl FnOnce(&mut Value),
+    ) -> Result<(), Error> {
+        let relay = &self.relays[number];
+        let text = fs::read_to_string(&relay.settings)?;
+        let mut settings = serde_json::from_str(&text).map_err(io::Error::other)?;
+        change(&mut settings);
+        fs::write(&relay.settings, settings.to_string())?;
+        if let Some(process) = &relay.process {
+            process.hang_up()?;
+        }
+        Ok(())
+    }
+
     /// Asks a relay to stop and waits until it has; its exit code.
     ///
     /// # Errors
--- a/components/standins/src/process.rs
+++ b/components/standins/src/process.rs
@@ -103,6 +103,11 @@
         self.signal("TERM")
     }
 
+    /// Asks the process to read its settings again.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.signal("HUP")
+    }
+
     /// Whether the process has ended.
     pub fn status(&mut self) -> io::Result<Option<ExitStatus>> {
         self.child.try_wait()
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -202,10 +202,13 @@
     /// `upstream`, `events`, `elapsed_ms` (of this run).
     1252 Info ItemCompleted "item_completed" "batch item is complete",
 
-    /// The settings file changed or a signal asked to read it again. Fields: `applied`.
+    /// A signal asked to read the settings again. Fields: `restart_needed` (whether anything but the
+    /// level of the log and the times of a stop has changed).
     1260 Info SettingsReloaded "settings_reloaded" "settings were read again",
     /// Log lines were dropped because standard output was too slow. Fields: `lines`.
     1261 Warn LinesDropped "lines_dropped" "log lines were dropped",
+    /// A signal asked to read the settings again, and they cannot be used. Fields: `error`.
+    1262 Warn SettingsUnusable "settings_unusable" "settings cannot be used; the former ones stay in force",
 }
 
 /// Logs a numbered event with key-value fields.
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -63,10 +63,17 @@
             dropped.fetch_add(1, Ordering::Relaxed);
         }
     });
-    dispatch(level).chain(output).apply()?;
+    // The level is kept where it can be changed later.
+    dispatch(LevelFilter::Trace).chain(output).apply()?;
+    set_level(level);
     Ok(())
 }
 
+/// Changes the level of the log lines that are written.
+pub fn set_level(level: LevelFilter) {
+    log::set_max_level(level);
+}
+
 /// Writes queued lines, several at a time, and tells of dropped ones.
 fn write_lines(receiver: &mpsc::Receiver<String>, dropped: &AtomicU64) {
     while let Ok(mut lines) = receiver.recv() {
--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -22,7 +22,7 @@
     let path = call.free("the settings FILE")?;
     call.finish()?;
     let settings = settings::Daemon::read(&path).map_err(|error| refused(&error))?;
-    let level = settings.telemetry.log_level.name().parse().map_err(Failure::usage)?;
+    let level = settings.telemetry.log_level.filter();
     logs::install(level).map_err(|cause| Failure::new(Exit::Internal, cause))?;
     trace::install(settings.telemetry.trace_share);
     serve(settings)
--- a/src/cmd/relay.rs
+++ b/src/cmd/relay.rs
@@ -26,8 +26,8 @@
     let path = call.free("the settings FILE")?;
     call.finish()?;
     let settings = Relay::read(&path).map_err(|error| refused(&error))?;
-    let level = settings.log_level.name().parse().map_err(Failure::usage)?;
-    logs::install_bounded(level).map_err(|cause| Failure::new(Exit::Internal, cause))?;
+    logs::install_bounded(settings.log_level.filter())
+        .map_err(|cause| Failure::new(Exit::Internal, cause))?;
     let timeout = Duration::from_millis(settings.store.timeout_ms);
     // A client for each thread, so that a busy one does not hold up the connections of the other.
     let traffic = Client::new(settings.store.address, timeout);
@@ -40,7 +40,7 @@
         table: Arc::new(traffic.clone()),
         objects: Arc::new(traffic),
         feed: Arc::new(control),
-        reload: Box::new(move || Relay::read(&path).is_ok()),
+        path: path.into(),
         settings,
     };
     run_relay(parts).map_err(|cause| Failure::new(Exit::Internal, cause))
