Place requests as if those unseen since the reports had their places

Cause: in a large fleet all relays sent to the upstream that looked emptiest when they last heard.

The number of requests that others have sent and not reported follows from their rate and the pause between reports; a random part of twice that number takes the best places first. Relays whose batch streams have to make room for an online request are told at once instead of with the next report.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -7,7 +7,8 @@
 //! objective is refused before it waits.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    cmp::{Ordering, Reverse},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
     time::Duration,
 };
 
@@ -34,6 +35,11 @@
 const QUIET: Duration = Duration::from_millis(600);
 /// Time after which the occupancy that another daemon reported no longer counts.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// Shortest time between two reports of a daemon.
+const SHORTEST_REPORT_PAUSE: Duration = Duration::from_millis(20);
+/// Reports that one daemon sends in a second at most, each to one other; bounds the cost in a large
+/// fleet.
+const REPORTS_PER_S: u32 = 500;
 /// Weight of a new sample in the moving averages.
 const SMOOTHING: f64 = 0.1;
 /// Share of the latency objective that the expected wait may use; the rest covers its error.
@@ -96,6 +102,12 @@
     pub failed: BTreeSet<u32>,
 }
 
+/// Shortest time between two reports of a daemon to this many others.
+pub fn report_pause(others: usize) -> Duration {
+    let paced = Duration::from_secs(1) * u32::try_from(others).unwrap_or(u32::MAX) / REPORTS_PER_S;
+    paced.max(SHORTEST_REPORT_PAUSE)
+}
+
 /// The number that stands for an upstream in reports.
 pub fn number(id: &str) -> u32 {
     // The upper half; collisions only blur a count.
@@ -172,6 +184,50 @@
     last: Time,
 }
 
+/// An upstream that an online request may be sent to. The greatest has the least cost.
+struct Candidate {
+    /// Cost that does not depend on its requests.
+    base: f64,
+    count: Count,
+    slots: u32,
+    order: Reverse<usize>,
+    key: Key,
+}
+
+impl Candidate {
+    /// Free slots come before slots of batch streams, and these before a queue.
+    fn cost(&self) -> f64 {
+        let Count { online, batch } = self.count;
+        let share = |requests: u32| f64::from(requests) / f64::from(self.slots);
+        self.base
+            + match () {
+                () if online + batch < self.slots => share(online + batch),
+                () if online < self.slots => 1.0 + share(online),
+                () => 2.0 + share(online + 1 - self.slots),
+            }
+    }
+}
+
+impl Ord for Candidate {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.cost().total_cmp(&self.cost()).then(self.order.cmp(&other.order))
+    }
+}
+
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Candidate {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Candidate {}
+
 /// The answer to a request for an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -449,8 +505,10 @@
 
     /// Chooses the upstream of an online request.
     ///
-    /// `point` is random between 0 and 1 and breaks ties, so that daemons with the same view spread
-    /// their requests. Upstreams that failed are used only when no other can start the request.
+    /// `point` is random between 0 and 1. It breaks ties, and it says how many of the requests that
+    /// arrived elsewhere since the reports are taken to have their places before this one: daemons
+    /// with the same view would otherwise all send to the upstream that looks best, and the more the
+    /// older the reports are. Upstreams that failed are used only when no other can start the request.
     pub fn choose(
         &mut self,
         deployment: &str,
@@ -461,35 +519,32 @@
     ) -> Choice {
         self.expire(now);
         let pace = self.pace.get(deployment).copied().unwrap_or_default();
-        let mut best: Option<(f64, Key, View)> = None;
+        let mut candidates = BinaryHeap::new();
         for (key, entry) in self.candidates(deployment, tried, point) {
-            let total = entry.total();
-            let slots = entry.slots();
-            let excess = (total.online + 1).saturating_sub(slots);
-            let wait = pace.service.mul_f64(f64::from(excess) / f64::from(slots));
             let near = if entry.upstream.data_centre == self.data_centre { 0.0 } else { 0.01 };
-            let held = f64::from(total.online + total.batch) / f64::from(slots);
-            let cost = if total.online + total.batch < slots {
-                held
-            } else if total.online < slots {
-                1.0 + f64::from(total.online) / f64::from(slots)
-            } else {
-                2.0 + f64::from(excess) / f64::from(slots)
-            };
             let doubt = match self.is_doubtful(entry, now) {
                 true => 100.0 + f64::from(entry.failures),
                 false => 0.0,
             };
-            let cost = cost + near + doubt;
-            if best.is_none_or(|(least, _, _)| cost < least) {
-                let report_age = Duration::ZERO;
-                best = Some((cost, key, View { count: total, slots, wait, report_age }));
+            let (count, slots) = (entry.total(), entry.slots());
+            // Of equal ones, the first from the point on.
+            let order = Reverse(candidates.len());
+            candidates.push(Candidate { base: near + doubt, count, slots, order, key });
+        }
+        let unseen = self.unseen(deployment, pace.service, now);
+        let share = (point * self.keys(deployment).len() as f64).fract();
+        for _ in 0..(share * 2.0 * unseen) as usize {
+            if let Some(mut first) = candidates.peek_mut() {
+                first.count.online += 1;
             }
         }
-        let Some((_, key, view)) = best else {
+        let Some(Candidate { key, .. }) = candidates.pop() else {
             return Choice::Refuse(FIRST_PAUSE, View::default());
         };
-        let view = View { report_age: self.report_age(now), ..view };
+        let (count, slots) = (self.entries[key].total(), self.entries[key].slots());
+        let excess = (count.online + 1).saturating_sub(slots);
+        let wait = pace.service.mul_f64(f64::from(excess) / f64::from(slots));
+        let view = View { count, slots, wait, report_age: self.report_age(now) };
         let response = pace.response.min(left.mul_f64(0.5));
         let in_time = view.wait + response <= left.mul_f64(OBJECTIVE_SHARE);
         match in_time || view.wait.is_zero() {
@@ -514,6 +569,18 @@
         wait.max(now.since(overload.first))
     }
 
+    /// Online requests that other daemons have sent and not reported, on average: their number divided
+    /// by their service time is the rate of their arrival (Little, 1961). A daemon reports each change
+    /// after its pause, so that an older report says that nothing has changed.
+    fn unseen(&self, deployment: &str, service: Duration, now: Time) -> f64 {
+        let entries = self.keys(deployment).iter().map(|key| &self.entries[*key]);
+        let online: f64 = entries.map(|entry| f64::from(entry.others.online)).sum();
+        let pause = report_pause(self.others.len());
+        let ages = self.others.values().map(|daemon| now.since(daemon.at).min(pause).as_secs_f64());
+        let age = ages.sum::<f64>() / self.others.len().max(1) as f64;
+        online * age / service.as_secs_f64().max(0.001)
+    }
+
     fn report_age(&self, now: Time) -> Duration {
         self.others.values().map(|daemon| now.since(daemon.at)).max().unwrap_or_default()
     }
@@ -568,6 +635,21 @@
         online.sum::<f64>() * share
     }
 
+    /// Daemons whose batch streams have to make room at an upstream, if it has more requests than
+    /// slots. They are told at once: in a large fleet, the regular reports take too long.
+    pub fn holders(&self, key: Key) -> Vec<&str> {
+        let Some(entry) = self.entries.get(key) else { return Vec::new() };
+        let total = entry.total();
+        if total.online + total.batch <= entry.slots() {
+            return Vec::new();
+        }
+        let has_batch = |daemon: &Daemon| {
+            daemon.report.counts.get(&entry.number).is_some_and(|count| count.batch > 0)
+        };
+        let holders = self.others.iter().filter(|(_, daemon)| has_batch(daemon));
+        holders.map(|(name, _)| name.as_str()).collect()
+    }
+
     /// How many batch streams this daemon gives up, by upstream, so that online requests get their
     /// slots.
     ///
--- a/components/control/tests/relay_fleet.rs
+++ b/components/control/tests/relay_fleet.rs
@@ -178,6 +178,27 @@
     verify_that!(refused.0, gt(Duration::ZERO))
 }
 
+/// Pattern: a step of online load in front of upstreams that are full of batch streams, in a fleet
+/// whose regular reports are late. Guards against online requests that wait for a report, and against
+/// datagrams to daemons that have nothing to give up.
+#[gtest]
+fn told_holders() -> Result<()> {
+    let mut daemons = Daemons::new(6, 1);
+    let now = daemons.now;
+    let mut key = Key::default();
+    for fleet in &mut daemons.fleets[..2] {
+        key = fleet.choose_spare("chat", &BTreeSet::new(), now, 0.0).or_fail()?;
+        for _ in 0..4 {
+            fleet.start(key, Class::Batch, now);
+        }
+    }
+    daemons.exchange();
+    let fleet = &mut daemons.fleets[5];
+    expect_that!(fleet.holders(key), is_empty());
+    fleet.start(key, Class::Online, now);
+    verify_that!(fleet.holders(key), unordered_elements_are![eq(&"vm-0"), eq(&"vm-1")])
+}
+
 /// Pattern: a burst at daemons with the same view. Guards against all of them choosing the same
 /// upstream.
 #[gtest]
@@ -194,6 +215,44 @@
     verify_that!(chosen.values().max(), some(le(&6)))
 }
 
+/// Pattern: a step of online load at many daemons that hear of each other late. Guards against
+/// daemons that all send to the upstreams that looked emptiest when they last heard.
+#[gtest]
+fn late_reports() -> Result<()> {
+    let mut daemons = Daemons::new(60, 60);
+    let mut random = StdRng::seed_from_u64(3);
+    // Reports arrive every 120 ms, and 50 requests in this time; a request takes 800 ms.
+    let (period, arrivals, service) = (120, 50, 800);
+    let mut ends: Vec<(Time, usize, Key)> = Vec::new();
+    let (mut placed, mut queued) = (0, 0);
+    for round in 0..40 {
+        for _ in 0..arrivals {
+            daemons.now = daemons.now + Duration::from_micros(period * 1_000 / arrivals);
+            let now = daemons.now;
+            for (_, daemon, key) in ends.extract_if(.., |(end, ..)| *end <= now) {
+                daemons.fleets[daemon].end(key, Class::Online);
+                daemons.fleets[daemon].served(key, Duration::from_millis(service));
+            }
+            let daemon = random.random_range(0..daemons.fleets.len());
+            let fleet = &mut daemons.fleets[daemon];
+            if let Choice::Send(key, _) = online(fleet, now, random.random()) {
+                fleet.start(key, Class::Online, now);
+                fleet.progress(key, now);
+                let there = ends.iter().filter(|(_, _, other)| *other == key).count();
+                ends.push((now + Duration::from_millis(service), daemon, key));
+                if round >= 20 {
+                    placed += 1;
+                    queued += usize::from(there >= SLOTS as usize);
+                }
+            }
+        }
+        daemons.exchange();
+    }
+    // 333 requests run at once in 480 slots; without a slot, the first token of 95 in 100 is late.
+    expect_that!(placed, ge(900));
+    verify_that!(queued * 20, le(placed))
+}
+
 /// Pattern: an upstream that went dark in front of many daemons. Guards against a late request at
 /// each daemon, and against one daemon without a path that makes the others avoid sound upstreams.
 #[gtest]
--- a/components/relay/src/gossip.rs
+++ b/components/relay/src/gossip.rs
@@ -1,7 +1,15 @@
 //! Tells the other relays what this one has at the upstreams, and hears them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
+use cyclamengrade_control::relay::fleet::report_pause;
 use cyclamengrade_peer::occupancy::{Notice, Occupancy};
 use cyclamengrade_telemetry::event;
 use tokio::time::{sleep, timeout};
@@ -10,33 +18,62 @@
 
 /// Time between two notices when nothing changes.
 const PERIOD: Duration = Duration::from_millis(500);
-/// Shortest time between two notices.
-const SHORTEST_PERIOD: Duration = Duration::from_millis(20);
-/// Datagrams that one relay sends in a second at most; bounds the cost in a large fleet.
-const DATAGRAMS_PER_S: u32 = 500;
+/// Shortest time between two notices to relays that have to make room. A step of online load brings
+/// several requests in this time.
+const SHORTEST_ROOM_PERIOD: Duration = Duration::from_millis(5);
 
-/// Sends notices until the relay has stopped.
-pub async fn send(shared: Arc<Shared>, socket: Arc<Occupancy>) {
-    let mut sequence = 0;
-    loop {
-        // Either a change or the period; both lead to a notice.
-        let _ = timeout(PERIOD, shared.occupancy_changed.notified()).await;
-        sequence += 1;
-        let addresses: Vec<SocketAddr> =
-            shared.members().values().map(|member| member.address).collect();
+/// Sends what this relay has at the upstreams.
+pub struct Sender {
+    shared: Arc<Shared>,
+    socket: Arc<Occupancy>,
+    sequence: AtomicU64,
+}
+
+impl Sender {
+    /// A sender that has sent nothing.
+    pub const fn new(shared: Arc<Shared>, socket: Arc<Occupancy>) -> Self {
+        Self { shared, socket, sequence: AtomicU64::new(0) }
+    }
+
+    /// Tells all relays about changes, until the process ends.
+    pub async fn tell_all(self: Arc<Self>) {
+        loop {
+            // Either a change or the period; both lead to a notice.
+            let _ = timeout(PERIOD, self.shared.occupancy_changed.notified()).await;
+            let addresses: Vec<SocketAddr> =
+                self.shared.members().values().map(|member| member.address).collect();
+            self.send(&addresses).await;
+            sleep(report_pause(addresses.len())).await;
+        }
+    }
+
+    /// Tells the relays that have to make room for online requests, until the process ends.
+    pub async fn ask_for_room(self: Arc<Self>) {
+        loop {
+            self.shared.room_needed.notified().await;
+            let holders = self.shared.take_holders();
+            let addresses: Vec<SocketAddr> = {
+                let members = self.shared.members();
+                holders.iter().filter_map(|name| Some(members.get(name)?.address)).collect()
+            };
+            self.send(&addresses).await;
+            sleep(SHORTEST_ROOM_PERIOD).await;
+        }
+    }
+
+    async fn send(&self, addresses: &[SocketAddr]) {
+        let shared = &self.shared;
         let report = shared.fleet().own(shared.clock.now());
         let notice = Notice {
             from: shared.name.clone(),
             incarnation: shared.incarnation,
-            sequence,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             store_age_ms: u32::try_from(shared.store_age().as_millis()).unwrap_or(u32::MAX),
             leaving: *shared.phase.borrow() >= Phase::Leaving,
             report,
         };
         // A datagram that is not sent is as good as one that is lost; the next one replaces it.
-        let _ = socket.send(&addresses, &notice).await;
-        let spread = Duration::from_secs(1) * addresses.len() as u32 / DATAGRAMS_PER_S;
-        sleep(spread.max(SHORTEST_PERIOD)).await;
+        let _ = self.socket.send(addresses, &notice).await;
     }
 }
 
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -121,7 +121,9 @@
     let listener = front::bind(settings.listen).await?;
     tokio::spawn(front::ready(shared.clone(), front::bind(settings.ready_listen).await?));
     tokio::spawn(front::metrics(metrics, front::bind(settings.metrics_listen).await?));
-    tokio::spawn(gossip::send(shared.clone(), socket.clone()));
+    let sender = Arc::new(gossip::Sender::new(shared.clone(), socket.clone()));
+    tokio::spawn(sender.clone().tell_all());
+    tokio::spawn(sender.ask_for_room());
     tokio::spawn(gossip::receive(shared.clone(), socket));
     tokio::spawn(enlist(shared.clone(), settings.clone()));
     tokio::spawn(dispatcher.clone().run());
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -121,6 +121,10 @@
     pub room: Arc<Semaphore>,
     /// Wakes the sender of datagrams.
     pub occupancy_changed: Notify,
+    /// Relays whose batch streams have to make room for online requests of this one.
+    holders: Mutex<BTreeSet<String>>,
+    /// Wakes the sender of datagrams to them.
+    pub room_needed: Notify,
     /// Wakes the dispatcher of batch items.
     pub batch_changed: Notify,
     /// Life of this relay.
@@ -158,6 +162,8 @@
             pool: Pool::default(),
             room: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
             occupancy_changed: Notify::new(),
+            holders: Mutex::default(),
+            room_needed: Notify::new(),
             batch_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
             known: watch::Sender::new(Known::default()),
@@ -264,6 +270,7 @@
             Choice::Refuse(..) => None,
             Choice::Send(key, _) => fleet.upstream(key).cloned().map(|upstream| {
                 fleet.start(key, Class::Online, now);
+                self.ask_for_room(&fleet.holders(key));
                 self.flight(key, Class::Online, upstream, now)
             }),
         };
@@ -275,6 +282,18 @@
         (choice, flight)
     }
 
+    fn ask_for_room(&self, holders: &[&str]) {
+        if !holders.is_empty() {
+            lock(&self.holders).extend(holders.iter().map(|name| (*name).to_owned()));
+            self.room_needed.notify_one();
+        }
+    }
+
+    /// The relays that have to make room, each once.
+    pub fn take_holders(&self) -> BTreeSet<String> {
+        std::mem::take(&mut *lock(&self.holders))
+    }
+
     /// Chooses an upstream for a batch item and counts the item there.
     pub fn place_spare(
         self: &Arc<Self>,
