Gather changes of jobs before the next call for them

Cause: each change of a job's row ended the waiting call of every relay, so that 40 jobs cost 340 calls at three relays, and 160 jobs of a minute about half of the 800 calls a second at 60. A relay waits 200 ms after a change of the fleet table before it asks for the next ones; nothing that follows from them is due earlier than seconds after.

Ruled out: a longer wait of each call, which finds a silent connection later; a feed of own jobs only, which hides ends and owners.

--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     directory::{Directory, Update},
+    job::key,
     shared::Shared,
 };
 
@@ -22,6 +23,9 @@
 const MARGIN: Duration = Duration::from_millis(500);
 /// Longest time of a snapshot. Covers a store that answers fifty times as slowly as usual.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time in which changes of relays and jobs gather for one call. Every change goes to every relay,
+/// and nothing that follows from one is due in less than seconds.
+const GATHER: Duration = Duration::from_millis(200);
 /// First pause after a failed call; doubled for each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after a failed call. Short, since all requests depend on what the store says.
@@ -68,7 +72,13 @@
                 Some(version) => (self.changes(version).await, false),
             };
             match result {
-                Ok(changes) => self.apply(changes, is_snapshot).await,
+                Ok(changes) => {
+                    let has_rows = !changes.rows.is_empty();
+                    self.apply(changes, is_snapshot).await;
+                    if has_rows && self.table == key::FLEET {
+                        sleep(GATHER).await;
+                    }
+                }
                 Err(Error::HistoryLost(_)) => {
                     self.lose(&Error::HistoryLost(self.version.unwrap_or(0)));
                     self.version = None;
--- a/tests/relay_store.rs
+++ b/tests/relay_store.rs
@@ -213,3 +213,22 @@
     let runs: usize = harness.runners.iter().map(|runner| runner.runs().len()).sum();
     verify_that!(runs, eq(4))
 }
+
+/// Guards against a call of every relay for every change of every job.
+#[gtest]
+#[tokio::test]
+async fn gathered_changes() -> Result<()> {
+    let harness = Harness::start(3).await?;
+    let started = std::time::Instant::now();
+    let before = harness.store.calls();
+    for number in 0..40 {
+        harness.submit(number % 3, &format!("j-{number}"), 1, 2).await?;
+    }
+    let last = harness.submit(0, "last", 1, 2).await?.0;
+    harness.complete(1, &last).await?;
+    let calls = (harness.store.calls() - before) as f64;
+    // A job takes an object, its row and its result; each relay reads the changes of its tables at
+    // most five times a second each, and one of them polls for results.
+    let most = 41.0 * 4.0 + 3.0 * 3.0 * 5.0 * (started.elapsed().as_secs_f64() + 0.5);
+    verify_that!(calls, le(most))
+}
