--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -578,7 +578,8 @@
         let pause = report_pause(self.others.len());
         let ages = self.others.values().map(|daemon| now.since(daemon.at).min(pause).as_secs_f64());
         let age = ages.sum::<f64>() / self.others.len().max(1) as f64;
-        online * age / service.as_secs_f64().max(0.001)
+        // As many as are there now have come and gone in a service time; more say nothing new.
+        online * (age / service.as_secs_f64().max(0.001)).min(1.0)
     }
 
     fn report_age(&self, now: Time) -> Duration {
