Name the change of counts by a report, and borrow a job's row for its route

Cause: found in reading the diff: the row of a job was cloned for each waiting item and look, and sum_up also took counts off.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -322,14 +322,14 @@
         }
         let others = std::mem::take(&mut self.others);
         for daemon in others.values() {
-            self.sum_up(&daemon.report, u32::saturating_add);
+            self.count_report(&daemon.report, u32::saturating_add);
         }
         self.others = others;
         gone
     }
 
-    /// Adds the counts of a report to the entries, or takes them off again.
-    fn sum_up(&mut self, report: &Report, change: fn(u32, u32) -> u32) {
+    /// Changes the counts of the entries by those of a report: adds them, or takes them off again.
+    fn count_report(&mut self, report: &Report, change: fn(u32, u32) -> u32) {
         for (number, count) in &report.counts {
             let key = self.by_number.get(number);
             if let Some(entry) = key.and_then(|key| self.entries.get_mut(*key)) {
@@ -345,7 +345,7 @@
         let gone = self.others.extract_if(.., |_, daemon| silent(daemon));
         let gone: Vec<Daemon> = gone.map(|(_, daemon)| daemon).collect();
         for daemon in gone {
-            self.sum_up(&daemon.report, u32::saturating_sub);
+            self.count_report(&daemon.report, u32::saturating_sub);
         }
     }
 
@@ -357,7 +357,7 @@
     /// Takes over what another daemon has at the upstreams.
     pub fn report(&mut self, now: Time, from: &str, report: Report) {
         self.forget(from);
-        self.sum_up(&report, u32::saturating_add);
+        self.count_report(&report, u32::saturating_add);
         let daemon = Daemon { hash: hash::stable(&[from]), at: now, report };
         self.others.insert(from.to_owned(), daemon);
     }
@@ -365,7 +365,7 @@
     /// Forgets another daemon.
     pub fn forget(&mut self, from: &str) {
         if let Some(daemon) = self.others.remove(from) {
-            self.sum_up(&daemon.report, u32::saturating_sub);
+            self.count_report(&daemon.report, u32::saturating_sub);
         }
     }
 
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -290,8 +290,7 @@
     /// A slot for an item of a job. Deployments without one are added to `full`, so that a look
     /// asks once for each.
     fn place(&self, id: &str, full: &mut BTreeSet<String>) -> Option<Flight> {
-        let row = self.jobs().get(id)?.listed.row.clone();
-        let route = self.route(&row)?;
+        let route = self.route(&self.jobs().get(id)?.listed.row)?;
         let deployment = route.target(rand::random())?;
         if full.contains(deployment) {
             return None;
--- a/components/relay/src/batch/handover.rs
+++ b/components/relay/src/batch/handover.rs
@@ -52,8 +52,8 @@
     fn hold(&self, id: &str, is_held: bool) {
         if let Some(owned) = self.jobs().get_mut(id) {
             owned.is_held = is_held;
-            let items: Vec<usize> = owned.runs.keys().copied().collect();
             if is_held {
+                let items: Vec<usize> = owned.runs.keys().copied().collect();
                 owned.stop();
                 for item in items {
                     owned.ledger.fail(item, Fault::Interrupted);
