Hold back the start of programs while a port is looked for

Cause: relay_path failed once each in three runs beside load: twice "a relay is ready" was not in time, and with the log's end in the error, "cannot listen: address already in use". A child of another test's thread has copies of all sockets until it runs its program, so that a port that was found free could still be taken when the relay bound it. Starts and looks for a port exclude each other now. The third, `configuration`, slept 300 ms and then counted log lines; it waits for the line now and checks the same.

Ruled out, by a program that tries it: outgoing connections of 127.0.0.1 that take a port of another loopback address (0 of 50).

--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -22,6 +22,8 @@
 const HOST: &str = "calls.example";
 /// Longest wait for something that must happen.
 const LIMIT: Duration = Duration::from_secs(20);
+/// Lines of a log that an error shows.
+const LOG_LINES: usize = 20;
 /// Time between two looks.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -238,12 +240,16 @@
     ///
     /// # Errors
     ///
-    /// It does not become ready in time.
+    /// It does not become ready in time; the error has the end of its log.
     pub async fn await_ready(&self, number: usize) -> Result<(), Error> {
-        self.eventually("a relay is ready", async || {
-            (self.readiness(number).await == Some(200)).then_some(())
-        })
-        .await
+        let ready = async || (self.readiness(number).await == Some(200)).then_some(());
+        if let Err(error) = self.eventually("a relay is ready", ready).await {
+            let log = fs::read_to_string(&self.relays[number].log).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().rev().take(LOG_LINES).collect();
+            let text = lines.into_iter().rev().collect::<Vec<_>>().join("\n");
+            return Err(io::Error::other(format!("{error}; the end of its log:\n{text}")).into());
+        }
+        Ok(())
     }
 
     /// Where a relay takes requests.
--- a/components/standins/src/fleet/mod.rs
+++ b/components/standins/src/fleet/mod.rs
@@ -29,7 +29,7 @@
 };
 use crate::{
     client::{self, Call, Client},
-    process::Process,
+    process::{Process, hold_starts},
 };
 
 /// Longest wait for a condition of the fleet.
@@ -413,6 +413,7 @@
 
 /// A port that is free for TCP and UDP.
 pub(crate) fn free_port(host: IpAddr, taken: &[SocketAddr]) -> Result<SocketAddr, Error> {
+    let _held = hold_starts();
     loop {
         let listener = TcpListener::bind((host, 0))?;
         let address = listener.local_addr()?;
--- a/components/standins/src/process.rs
+++ b/components/standins/src/process.rs
@@ -7,6 +7,7 @@
     net::SocketAddr,
     path::Path,
     process::{Child, ChildStdin, Command, ExitStatus, Stdio},
+    sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -24,6 +25,21 @@
     _input: Option<ChildStdin>,
 }
 
+/// Held while a program is started, and while a port is looked for. A child has copies of all sockets
+/// of this process until it runs its program: a port that was found free in this time is still taken
+/// when its daemon starts.
+static STARTING: Mutex<()> = Mutex::new(());
+
+/// Keeps other threads from starting programs until the guard is dropped.
+pub(crate) fn hold_starts() -> MutexGuard<'static, ()> {
+    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn spawn(command: &mut Command) -> io::Result<Child> {
+    let _held = hold_starts();
+    command.spawn()
+}
+
 impl Process {
     /// Starts a stand-in and waits until it listens. Its log goes to the file `log`.
     pub fn standin<I, S>(binary: &Path, arguments: I, log: &Path) -> io::Result<(Self, SocketAddr)>
@@ -31,13 +47,14 @@
         I: IntoIterator<Item = S>,
         S: AsRef<OsStr>,
     {
-        let mut child = Command::new(binary)
+        let mut command = Command::new(binary);
+        command
             .args(arguments)
             .arg("--exit-with-stdin")
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
-            .stderr(File::create(log)?)
-            .spawn()?;
+            .stderr(File::create(log)?);
+        let mut child = spawn(&mut command)?;
         let output = child.stdout.take();
         let process = Self { _input: child.stdin.take(), child };
         let output = output.ok_or_else(|| io::Error::other("the child has no output"))?;
@@ -68,12 +85,9 @@
         S: AsRef<OsStr>,
     {
         let output = File::create(log)?;
-        let child = Command::new(binary)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone()?)
-            .stderr(output)
-            .spawn()?;
+        let mut command = Command::new(binary);
+        command.args(arguments).stdin(Stdio::null()).stdout(output.try_clone()?).stderr(output);
+        let child = spawn(&mut command)?;
         Ok(Self { child, _input: None })
     }
 
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -167,10 +167,14 @@
     }
     harness.store.put("op", "config", &json!({"Version": 1, "Routes": [], "Services": []}));
     harness.store.put_bytes("op", "config", b"no configuration");
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    // The feed brings the rows in their order, so the older configuration was seen before.
+    harness
+        .eventually("the refusal of the damaged row", async || {
+            (!harness.events(0, "row_unusable").is_empty()).then_some(())
+        })
+        .await?;
     let reply = harness.send(harness.call(0, "added", "r-2")).await?;
-    expect_that!(reply.status, eq(200));
-    verify_that!(harness.events(0, "row_unusable").len(), ge(1))
+    verify_that!(reply.status, eq(200))
 }
 
 /// Guards against requests that reach an upstream after it said that it leaves, and against
