Keep the platform's names of the demo in the stand-in

Cause: found in reading the diff: the demo wrote a route and read results in the platform's words, outside of the folder that has them; relay_path wrote the same route again.

--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -106,6 +106,7 @@
                 fault = watch.fault(limits.head_timeout) => break fault,
                 () = shared.reached(Phase::Draining), if !is_draining => {
                     is_draining = true;
+                    // `select!` has a `Pin` of its own in scope.
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
             }
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -129,6 +129,14 @@
         self.store.put("op", "config", &manifest);
     }
 
+    /// Writes a configuration with a route of the kind `safe` in addition.
+    pub fn add_route(&mut self, name: &str) {
+        self.configure(json!([{
+            "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": "safe",
+            "TimeoutMs": 5_000, "TargetLatencyMs": 400, "MaxAttempts": 2, "Service": "plain"
+        }]));
+    }
+
     fn add_relay(&mut self, number: usize) -> Result<(), Error> {
         let mut taken = Vec::new();
         for relay in &self.relays {
@@ -392,6 +400,14 @@
         .await
     }
 
+    /// Items of results whose text is that of a run with this many events.
+    pub fn whole_items(results: &[Value], events: u64) -> Vec<&str> {
+        let texts: Vec<String> = (1..=events).map(|event| format!("piece {event}")).collect();
+        let text = texts.join("\n");
+        let whole = results.iter().filter(|result| result["Text"] == text.as_str());
+        whole.filter_map(|result| result["Id"].as_str()).collect()
+    }
+
     /// Lines of a relay's log with this event name.
     pub fn events(&self, relay: usize, name: &str) -> Vec<Value> {
         let text = fs::read_to_string(&self.relays[relay].log).unwrap_or_default();
--- a/components/standins/src/demo/relay.rs
+++ b/components/standins/src/demo/relay.rs
@@ -1,7 +1,5 @@
 //! Two relays in front of runners, on the stand-in of the users' platform.
 
-use serde_json::json;
-
 use crate::{
     bridge::{Harness, Job},
     demo::Report,
@@ -24,7 +22,7 @@
     call(&harness, report, "unsafe").await?;
     configure(&mut harness, report).await?;
 
-    let (job, status) = harness.submit(0, "demo-lot", ITEMS, ITEM_EVENTS).await?;
+    let (job, status) = harness.submit(0, "demo-relays", ITEMS, ITEM_EVENTS).await?;
     report.check(status == 202, &format!("{ITEMS} items accepted as job {}", job.id));
     harness
         .eventually("runs of the job", async || {
@@ -59,10 +57,7 @@
 }
 
 async fn configure(harness: &mut Harness, report: &mut Report) -> Result<(), Error> {
-    harness.configure(json!([{
-        "Name": "added", "Host": "calls.example", "PathPrefix": "/added/", "Kind": "safe",
-        "TimeoutMs": 5_000, "TargetLatencyMs": 400, "MaxAttempts": 2, "Service": "plain"
-    }]));
+    harness.add_route("added");
     for relay in 0..2 {
         harness
             .eventually("the added route", async || {
@@ -77,13 +72,11 @@
 
 async fn finish(harness: &Harness, report: &mut Report, job: &Job) -> Result<(), Error> {
     let results = harness.complete(1, job).await?;
-    let texts: Vec<String> = (1..=ITEM_EVENTS).map(|event| format!("piece {event}")).collect();
-    let text = texts.join("\n");
-    let right = results.iter().filter(|result| result["Text"] == text.as_str()).count();
-    let mut items: Vec<&str> = results.iter().filter_map(|result| result["Id"].as_str()).collect();
+    let mut items = Harness::whole_items(&results, ITEM_EVENTS);
     items.sort_unstable();
     items.dedup();
-    let once = items.len() == results.len();
+    let right = items.len();
+    let once = results.len() == ITEMS;
     report.check(right == ITEMS && once, &format!("{right} of {ITEMS} results are right"));
     Ok(())
 }
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -151,11 +151,7 @@
 #[tokio::test]
 async fn configuration() -> Result<()> {
     let mut harness = Harness::start(2).await?;
-    let route = json!([{
-        "Name": "added", "Host": "calls.example", "PathPrefix": "/added/", "Kind": "safe",
-        "TimeoutMs": 5_000, "TargetLatencyMs": 400, "MaxAttempts": 2, "Service": "plain"
-    }]);
-    harness.configure(route);
+    harness.add_route("added");
     harness.store.forget_history();
     for relay in 0..2 {
         harness
