Take over a job only when the feed has brought its owner

From the logs of both relays: relay 1 read the job's row for a caller 0.15 s before its feed came back after an outage; the row named an owner whose own row the feed had not brought, so the owner seemed gone and the job was taken over. A job counts only up to the version that the feed has reached, where its owner is known.

A second weakness found on the way: after an outage of the store every relay seems cut off to every other one. The time counts now from when the judging relay itself has reached the store again (test relay_owner::after_outage).

Ruled out by the logs: the wait of the commit (1 s) and the handover; a silent owner (its datagrams were dropped since its row was not known).

--- a/components/control/src/relay/listing.rs
+++ b/components/control/src/relay/listing.rs
@@ -7,8 +7,9 @@
 
 use crate::{relay::fleet::Upstream, time::Time};
 
-/// Time without an answer of the store after which entries may have lapsed for want of renewal.
-const OUTAGE: Duration = Duration::from_millis(1_500);
+/// Time without an answer of the store after which it counts as away: entries may have lapsed for want
+/// of renewal.
+pub const OUTAGE: Duration = Duration::from_millis(1_500);
 
 /// What a change of the list did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/components/control/src/relay/owner.rs
+++ b/components/control/src/relay/owner.rs
@@ -36,6 +36,14 @@
     pub leaving: bool,
 }
 
+/// Time for which a relay has been cut off from the store while this one was in touch with it.
+///
+/// After an outage all relays seem cut off until they have reached the store again; the time counts
+/// from when this one has.
+pub fn cut_off(store_age: Duration, silent: Duration, in_touch: Duration) -> Duration {
+    (store_age + silent).min(in_touch)
+}
+
 impl Peer {
     /// Whether it can run jobs.
     pub fn is_alive(&self) -> bool {
--- a/components/control/tests/relay_owner.rs
+++ b/components/control/tests/relay_owner.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use cyclamengrade_control::relay::owner::{Peer, Start, takes_over};
+use cyclamengrade_control::relay::owner::{Peer, Start, cut_off, takes_over};
 use googletest::prelude::*;
 
 /// What happens to the owner as others see it.
@@ -90,3 +90,18 @@
         expect_that!(takes_over(start("a"), None, job, &peers), eq(true), "{job}");
     }
 }
+
+/// Pattern: an outage of the store that ends for all relays at about the same time. Guards against
+/// relays that take each other's jobs over because everyone was cut off, and against a relay that
+/// stays cut off and keeps its jobs.
+#[gtest]
+fn after_outage() {
+    let (outage, heard) = (Duration::from_secs(6), Duration::from_millis(200));
+    let takers = |in_touch: Duration| {
+        let change = |peer: &mut Peer| peer.cut_off = cut_off(outage, heard, in_touch);
+        let takers = takers(Some(start("b")), "j1", change).into_iter();
+        takers.filter(|name| *name != "b").collect::<Vec<_>>()
+    };
+    expect_that!(takers(Duration::from_millis(500)), is_empty());
+    expect_that!(takers(Duration::from_secs(60)).len(), eq(1));
+}
--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -49,7 +49,10 @@
         let shared = &self.shared;
         let peers = shared.peers();
         let jobs = shared.jobs();
-        let open = jobs.iter().filter(|(_, listed)| listed.row.state == row::State::Open);
+        let seen = shared.fleet_version();
+        let open = jobs
+            .iter()
+            .filter(|(_, listed)| listed.row.state == row::State::Open && listed.version <= seen);
         open.filter(|(id, listed)| {
             let owner = listed.row.owner.as_ref();
             let owner =
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -194,6 +194,7 @@
                 None => {}
             }
         }
+        self.shared.set_fleet_version(changes.version);
         self.shared.known.send_if_modified(|known| !std::mem::replace(&mut known.fleet, true));
     }
 
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -15,7 +15,8 @@
     relay::{
         failure::Failure,
         fleet::{Choice, Class, Fleet, Key, Upstream},
-        owner::{Peer, Start},
+        listing::OUTAGE,
+        owner::{self, Peer, Start},
         route,
     },
     time::Time,
@@ -80,10 +81,10 @@
 }
 
 impl Member {
-    /// What is known of it now.
-    pub fn peer(&self, now: Time) -> Peer {
+    /// What is known of it now, by a relay that has been in touch with the store for a time.
+    fn peer(&self, now: Time, in_touch: Duration) -> Peer {
         let silent = now.since(self.heard);
-        let cut_off = self.store_age + silent;
+        let cut_off = owner::cut_off(self.store_age, silent, in_touch);
         Peer { incarnation: self.incarnation, silent, cut_off, leaving: self.leaving }
     }
 }
@@ -133,10 +134,14 @@
     pub known: watch::Sender<Known>,
     /// When the store last answered.
     store_heard: AtomicU64,
+    /// When it answered again after the last outage.
+    store_back: AtomicU64,
     fleet: Mutex<Fleet>,
     members: Mutex<BTreeMap<String, Member>>,
     jobs: Mutex<BTreeMap<String, Listed>>,
     own_listing: Mutex<Option<u64>>,
+    /// Version up to which the feed has brought relays and jobs.
+    fleet_version: AtomicU64,
 }
 
 impl Shared {
@@ -168,10 +173,12 @@
             phase: watch::Sender::new(Phase::Running),
             known: watch::Sender::new(Known::default()),
             store_heard: AtomicU64::new(0),
+            store_back: AtomicU64::new(0),
             fleet: Mutex::new(Fleet::new(name, data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
             own_listing: Mutex::default(),
+            fleet_version: AtomicU64::new(0),
         }
     }
 
@@ -195,7 +202,9 @@
     /// What is known of the other relays, by name.
     pub fn peers(&self) -> BTreeMap<String, Peer> {
         let now = self.clock.now();
-        self.members().iter().map(|(name, member)| (name.clone(), member.peer(now))).collect()
+        let in_touch = now.since(Time(self.store_back.load(Ordering::Relaxed)));
+        let members = self.members();
+        members.iter().map(|(name, member)| (name.clone(), member.peer(now, in_touch))).collect()
     }
 
     /// This start of this relay.
@@ -223,9 +232,24 @@
         *lock(&self.own_listing) = incarnation;
     }
 
+    /// Version up to which the feed has brought relays and jobs. What is known of a job beyond it was
+    /// read by itself, and its owner may not be known yet.
+    pub fn fleet_version(&self) -> u64 {
+        self.fleet_version.load(Ordering::Relaxed)
+    }
+
+    /// Records how far the feed has come.
+    pub fn set_fleet_version(&self, version: u64) {
+        self.fleet_version.store(version, Ordering::Relaxed);
+    }
+
     /// Records that the store answered.
     pub fn hear_store(&self) {
-        self.store_heard.store(self.clock.now().0, Ordering::Relaxed);
+        let now = self.clock.now();
+        let last = Time(self.store_heard.swap(now.0, Ordering::Relaxed));
+        if now.since(last) > OUTAGE {
+            self.store_back.store(now.0, Ordering::Relaxed);
+        }
     }
 
     /// Time since the store last answered.
