Drop parameters that nothing sets, and split the fleet by job

Behaviour stays as it is; tests change only where a parameter went. Ruled out: one function for the pages of both dialects, which share a shape and no name.

--- a/components/control/src/relay/fleet.rs
+++ b/components/control/src/relay/fleet.rs
@@ -6,14 +6,22 @@
 //! streams, which their owners give up in a fixed order; what cannot start within its latency
 //! objective is refused before it waits.
 
+mod candidate;
+mod report;
+
 use std::{
-    cmp::{Ordering, Reverse},
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
     time::Duration,
 };
 
 use slotmap::{SlotMap, new_key_type};
 
+pub use self::report::{Count, Report, number, report_pause};
+use self::{
+    candidate::Candidate,
+    report::{Daemon, rank},
+};
 use crate::{hash, relay::failure::Failure, time::Time};
 
 new_key_type! {
@@ -35,11 +43,6 @@
 const QUIET: Duration = Duration::from_millis(600);
 /// Time after which the occupancy that another daemon reported no longer counts.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
-/// Shortest time between two reports of a daemon.
-const SHORTEST_REPORT_PAUSE: Duration = Duration::from_millis(20);
-/// Reports that one daemon sends in a second at most, each to one other; bounds the cost in a large
-/// fleet.
-const REPORTS_PER_S: u32 = 500;
 /// Weight of a new sample in the moving averages.
 const SMOOTHING: f64 = 0.1;
 /// Share of the latency objective that the expected wait may use; the rest covers its error.
@@ -82,58 +85,6 @@
     Batch,
 }
 
-/// Requests at one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Count {
-    /// Requests that callers wait for.
-    pub online: u32,
-    /// Batch items.
-    pub batch: u32,
-}
-
-/// Requests of one daemon by the hash of the upstream's id.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Counts that are not zero.
-    pub counts: BTreeMap<u32, Count>,
-    /// Batch items that wait for a slot.
-    pub waiting: u32,
-    /// Upstreams that failed and are passed over, by the hash of their ids.
-    pub failed: BTreeSet<u32>,
-}
-
-/// Shortest time between two reports of a daemon to this many others.
-pub fn report_pause(others: usize) -> Duration {
-    let paced = Duration::from_secs(1) * u32::try_from(others).unwrap_or(u32::MAX) / REPORTS_PER_S;
-    paced.max(SHORTEST_REPORT_PAUSE)
-}
-
-/// The number that stands for an upstream in reports.
-pub fn number(id: &str) -> u32 {
-    // The upper half; collisions only blur a count.
-    (hash::stable(&[id]) >> 32) as u32
-}
-
-/// Place of a daemon in the order of an upstream, by the hashes of both names. The order differs
-/// between upstreams and is the same at all daemons.
-const fn rank(daemon: u64, upstream: u64) -> u64 {
-    // The finalizer of SplitMix64 (Steele, Lea and Flood, 2014). The names were hashed once, since
-    // this runs for each pair at each look.
-    let mixed = daemon ^ upstream;
-    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
-
-/// Another daemon.
-struct Daemon {
-    /// Hash of its name.
-    hash: u64,
-    /// When its report arrived.
-    at: Time,
-    report: Report,
-}
-
 struct Entry {
     upstream: Upstream,
     /// Hash of its id.
@@ -184,50 +135,6 @@
     last: Time,
 }
 
-/// An upstream that an online request may be sent to. The greatest has the least cost.
-struct Candidate {
-    /// Cost that does not depend on its requests.
-    base: f64,
-    count: Count,
-    slots: u32,
-    order: Reverse<usize>,
-    key: Key,
-}
-
-impl Candidate {
-    /// Free slots come before slots of batch streams, and these before a queue.
-    fn cost(&self) -> f64 {
-        let Count { online, batch } = self.count;
-        let share = |requests: u32| f64::from(requests) / f64::from(self.slots);
-        self.base
-            + match () {
-                () if online + batch < self.slots => share(online + batch),
-                () if online < self.slots => 1.0 + share(online),
-                () => 2.0 + share(online + 1 - self.slots),
-            }
-    }
-}
-
-impl Ord for Candidate {
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.cost().total_cmp(&self.cost()).then(self.order.cmp(&other.order))
-    }
-}
-
-impl PartialOrd for Candidate {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Candidate {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Candidate {}
-
 /// The answer to a request for an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -499,6 +406,10 @@
         entries.filter(|(key, entry)| !entry.upstream.leaving && !tried.contains(key))
     }
 
+    fn entries(&self, deployment: &str) -> impl Iterator<Item = &Entry> {
+        self.keys(deployment).iter().map(|key| &self.entries[*key])
+    }
+
     fn keys(&self, deployment: &str) -> &[Key] {
         self.by_deployment.get(deployment).map_or(&[], Vec::as_slice)
     }
@@ -573,7 +484,7 @@
     /// by their service time is the rate of their arrival (Little, 1961). A daemon reports each change
     /// after its pause, so that an older report says that nothing has changed.
     fn unseen(&self, deployment: &str, service: Duration, now: Time) -> f64 {
-        let entries = self.keys(deployment).iter().map(|key| &self.entries[*key]);
+        let entries = self.entries(deployment);
         let online: f64 = entries.map(|entry| f64::from(entry.others.online)).sum();
         let pause = report_pause(self.others.len());
         let ages = self.others.values().map(|daemon| now.since(daemon.at).min(pause).as_secs_f64());
@@ -587,19 +498,13 @@
     }
 
     /// Chooses the upstream of a batch item: one with a slot that nothing else needs.
-    pub fn choose_spare(
-        &mut self,
-        deployment: &str,
-        tried: &BTreeSet<Key>,
-        now: Time,
-        point: f64,
-    ) -> Option<Key> {
+    pub fn choose_spare(&mut self, deployment: &str, now: Time, point: f64) -> Option<Key> {
         self.expire(now);
         if self.free(deployment, now) <= self.reserve(deployment) {
             return None;
         }
         let mut best: Option<(f64, Key)> = None;
-        for (key, entry) in self.candidates(deployment, tried, point) {
+        for (key, entry) in self.candidates(deployment, &BTreeSet::new(), point) {
             let total = entry.total();
             let used = total.online + total.batch;
             if self.is_doubtful(entry, now) || used + self.turn(entry) >= entry.slots() {
@@ -615,7 +520,7 @@
 
     /// Free slots of the upstreams that can be used.
     fn free(&self, deployment: &str, now: Time) -> f64 {
-        let entries = self.keys(deployment).iter().map(|key| &self.entries[*key]);
+        let entries = self.entries(deployment);
         let usable =
             entries.filter(|entry| !entry.upstream.leaving && !self.is_doubtful(entry, now));
         let free = usable.map(|entry| {
@@ -629,7 +534,7 @@
     /// service time that making room takes, which is the rate of their arrival (Little, 1961) times
     /// that time.
     fn reserve(&self, deployment: &str) -> f64 {
-        let entries = self.keys(deployment).iter().map(|key| &self.entries[*key]);
+        let entries = self.entries(deployment);
         let online = entries.map(|entry| f64::from(entry.total().online));
         let service = self.pace.get(deployment).copied().unwrap_or_default().service;
         let share = ROOM_TIME.as_secs_f64() / service.as_secs_f64().max(ROOM_TIME.as_secs_f64());
--- a/components/control/tests/relay_fleet.rs
+++ b/components/control/tests/relay_fleet.rs
@@ -65,7 +65,7 @@
     fn start_batch(&mut self) -> Vec<(usize, Key)> {
         let mut started = Vec::new();
         for (number, fleet) in self.fleets.iter_mut().enumerate() {
-            while let Some(key) = fleet.choose_spare("chat", &BTreeSet::new(), self.now, 0.0) {
+            while let Some(key) = fleet.choose_spare("chat", self.now, 0.0) {
                 fleet.start(key, Class::Batch, self.now);
                 started.push((number, key));
             }
@@ -137,10 +137,9 @@
 #[gtest]
 fn room_for_online() -> Result<()> {
     let mut daemons = Daemons::new(4, 1);
-    let key =
-        daemons.fleets[0].choose_spare("chat", &BTreeSet::new(), daemons.now, 0.0).or_fail()?;
+    let key = daemons.fleets[0].choose_spare("chat", daemons.now, 0.0).or_fail()?;
     for fleet in &mut daemons.fleets {
-        let key = fleet.choose_spare("chat", &BTreeSet::new(), daemons.now, 0.0).unwrap_or(key);
+        let key = fleet.choose_spare("chat", daemons.now, 0.0).unwrap_or(key);
         fleet.start(key, Class::Batch, daemons.now);
         fleet.start(key, Class::Batch, daemons.now);
     }
@@ -187,7 +186,7 @@
     let now = daemons.now;
     let mut key = Key::default();
     for fleet in &mut daemons.fleets[..2] {
-        key = fleet.choose_spare("chat", &BTreeSet::new(), now, 0.0).or_fail()?;
+        key = fleet.choose_spare("chat", now, 0.0).or_fail()?;
         for _ in 0..4 {
             fleet.start(key, Class::Batch, now);
         }
@@ -282,7 +281,7 @@
         cut.fleets[0].fail(*key, Failure::NotSent, now);
     }
     cut.exchange();
-    let spare = cut.fleets[1].choose_spare("chat", &BTreeSet::new(), now, 0.0);
+    let spare = cut.fleets[1].choose_spare("chat", now, 0.0);
     verify_that!(spare.is_some(), eq(true))
 }
 
@@ -347,7 +346,7 @@
     let Choice::Send(key, _) = online(fleet, now, 0.0) else { return fail!("refused") };
     expect_that!(fleet.fail(key, Failure::Misdirected, now), some(ge(Duration::from_secs(2))));
     let later = now + Duration::from_millis(500);
-    verify_that!(fleet.choose_spare("chat", &BTreeSet::new(), later, 0.0), none())
+    verify_that!(fleet.choose_spare("chat", later, 0.0), none())
 }
 
 /// Pattern: an overload of some seconds. Guards against callers that are told to come back while it
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -181,18 +181,13 @@
 
     /// Stops the least urgent run at an upstream.
     fn stop_latest(&self, upstream: Key) {
-        let now_ms = self.shared.clock.store_ms().unwrap_or(0);
-        let pace = *lock(&self.pace);
+        let clock = self.urgency_clock();
         let mut jobs = self.jobs();
         let latest = jobs
             .iter()
             .flat_map(|(id, owned)| {
                 let runs = owned.runs.iter().filter(|(_, run)| run.upstream == upstream);
-                runs.map(move |(item, _)| {
-                    let remaining = pace.remaining(owned.events(*item));
-                    let urgency = Urgency::new(now_ms, owned.listed.row.due_ms, remaining);
-                    (urgency, id.clone(), *item)
-                })
+                runs.map(move |(item, _)| (urgency(clock, owned, *item), id.clone(), *item))
             })
             .max();
         let Some((_, id, item)) = latest else { return };
@@ -244,8 +239,7 @@
     /// Items that wait for a slot, the most urgent first.
     fn waiting(&self) -> Vec<(Urgency, String, usize)> {
         let now = self.shared.clock.now();
-        let now_ms = self.shared.clock.store_ms().unwrap_or(0);
-        let pace = *lock(&self.pace);
+        let clock = self.urgency_clock();
         let jobs = self.jobs();
         let open = jobs.iter().filter(|(_, owned)| owned.is_open() && !owned.is_held);
         let mut waiting: Vec<_> = open
@@ -254,17 +248,18 @@
                     owned.ledger.progress().waiting().filter(move |item| {
                         owned.not_before.get(item).is_none_or(|time| *time <= now)
                     });
-                items.map(move |item| {
-                    let remaining = pace.remaining(owned.events(item));
-                    let urgency = Urgency::new(now_ms, owned.listed.row.due_ms, remaining);
-                    (urgency, id.clone(), item)
-                })
+                items.map(move |item| (urgency(clock, owned, item), id.clone(), item))
             })
             .collect();
         waiting.sort_unstable();
         waiting
     }
 
+    /// The store's clock in milliseconds, and what items take: what urgencies depend on.
+    fn urgency_clock(&self) -> (u64, Pace) {
+        (self.shared.clock.store_ms().unwrap_or(0), *lock(&self.pace))
+    }
+
     /// Stores the texts of items that have grown, so that the next owner of a job goes on there.
     fn save(self: &Arc<Self>) {
         let most_bytes = self.shared.row_bytes / 2;
@@ -295,7 +290,7 @@
         if full.contains(deployment) {
             return None;
         }
-        let flight = self.shared.place_spare(deployment, &BTreeSet::new());
+        let flight = self.shared.place_spare(deployment);
         if flight.is_none() {
             full.insert(deployment.to_owned());
         }
@@ -396,3 +391,7 @@
         }
     }
 }
+
+fn urgency((now_ms, pace): (u64, Pace), owned: &Owned, item: usize) -> Urgency {
+    Urgency::new(now_ms, owned.listed.row.due_ms, pace.remaining(owned.events(item)))
+}
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -193,7 +193,7 @@
     outgoing: &Outgoing,
     send: Send,
 ) -> Result<Answer, Failure> {
-    let connection = pool.take(&upstream.id, upstream.address, false, send.most_connections).await;
+    let connection = pool.take(&upstream.id, upstream.address, send.most_connections).await;
     let Some(mut connection) = connection else { return Err(Failure::NotSent) };
     let request = request(names, upstream, outgoing, send).ok_or(Failure::NotSent)?;
     let response = match timeout(send.patience, connection.sender.try_send_request(request)).await {
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -102,8 +102,7 @@
         .map_or(route.timeout, |ms| Duration::from_millis(ms).min(route.timeout));
     let deadline = arrived + wait;
     let limits = shared.routes.load().limits;
-    let within = deadline.saturating_duration_since(arrived);
-    let body = match read_body(&shared.room, body, &limits, within).await {
+    let body = match read_body(&shared.room, body, &limits, wait).await {
         Ok(body) => body,
         Err(status) => {
             event!(
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -77,15 +77,9 @@
 impl Pool {
     /// A connection that is ready for a request; `None` when none can be made.
     ///
-    /// `fresh` asks for a new one, and `most` bounds the open connections to this upstream.
-    pub async fn take(
-        &self,
-        id: &str,
-        address: SocketAddr,
-        fresh: bool,
-        most: usize,
-    ) -> Option<Connection> {
-        if !fresh && let Some(connection) = self.reuse(id) {
+    /// `most` bounds the open connections to this upstream.
+    pub async fn take(&self, id: &str, address: SocketAddr, most: usize) -> Option<Connection> {
+        if let Some(connection) = self.reuse(id) {
             return Some(connection);
         }
         let permit = self.permit(id, most)?;
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -319,14 +319,10 @@
     }
 
     /// Chooses an upstream for a batch item and counts the item there.
-    pub fn place_spare(
-        self: &Arc<Self>,
-        deployment: &str,
-        tried: &BTreeSet<Key>,
-    ) -> Option<Flight> {
+    pub fn place_spare(self: &Arc<Self>, deployment: &str) -> Option<Flight> {
         let now = self.clock.now();
         let mut fleet = self.fleet();
-        let key = fleet.choose_spare(deployment, tried, now, rand::random())?;
+        let key = fleet.choose_spare(deployment, now, rand::random())?;
         let upstream = fleet.upstream(key).cloned()?;
         fleet.start(key, Class::Batch, now);
         drop(fleet);
--- a/src/cmd/report/day.rs
+++ b/src/cmd/report/day.rs
@@ -156,22 +156,20 @@
         let mut online = Occupancy::default();
         let mut batch = Occupancy::default();
         let mut backlog = Backlog::default();
+        let mut last = 0;
         for line in &self.lines {
             let index = ((line.time_ms - start_ms) / step_ms) as usize;
+            // A step without lines has the backlog of the one before.
+            for step in &mut steps[last..index] {
+                step.backlog = backlog.items();
+            }
+            last = index;
             count_line(&mut steps[index], line);
             online.online(line);
             batch.batch(line);
             backlog.take(line);
-            steps[index].backlog = backlog.items();
-        }
-        // A step without lines has the backlog of the one before.
-        let quiet: BTreeSet<usize> =
-            self.lines.iter().map(|line| ((line.time_ms - start_ms) / step_ms) as usize).collect();
-        for index in 1..count {
-            if !quiet.contains(&index) {
-                steps[index].backlog = steps[index - 1].backlog;
-            }
         }
+        steps[last].backlog = backlog.items();
         for (index, step) in steps.iter_mut().enumerate() {
             let from = start_ms + index as u64 * step_ms;
             step.online = online.mean(from, from + step_ms);
