Assign the ports of test relays instead of finding free ones

Cause: the harness bound a port to find it free, released it, and started the relay with it later. The ports of metrics and of messages between relays were not even remembered for the next relay, so that it could get the port that an earlier relay had not bound yet (relay_store::ready_results, 'Address already in use'). Change: each harness has a loopback address of its own, and its relays get fixed ports below the range from which the system assigns ports. Ruled out: retries of the start, which hide a port that is really taken.

--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -15,7 +15,7 @@
 use crate::{
     bridge::{Runner, Store},
     client::{Call, Client, Reply},
-    fleet::{Error, binary, create_folder, free_port, loopback_address},
+    fleet::{Error, binary, create_folder, loopback_address},
     process::Process,
 };
 
@@ -28,6 +28,12 @@
 /// Number of lines from the end of a log that an error shows.
 const ERROR_LOG_LINES: usize = 20;
 
+/// First port of the first relay.
+const FIRST_RELAY_PORT: u16 = 20_000;
+
+/// Ports that one relay listens on.
+const PORTS_PER_RELAY: u16 = 4;
+
 /// Interval between two checks of a condition.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -140,16 +146,11 @@
     }
 
     fn add_relay(&mut self, number: usize) -> Result<(), Error> {
-        let mut taken = Vec::new();
-        for relay in &self.relays {
-            taken.extend([relay.listen, relay.ready]);
-        }
-        let mut ports = Vec::new();
-        for _ in 0..4 {
-            let address = free_port(self.host, &taken)?;
-            taken.push(address);
-            ports.push(address);
-        }
+        // No other process uses the address of this harness, and the system does not assign ports
+        // below its ephemeral range.
+        let first = FIRST_RELAY_PORT + PORTS_PER_RELAY * number as u16;
+        let ports: Vec<SocketAddr> =
+            (first..first + PORTS_PER_RELAY).map(|port| (self.host, port).into()).collect();
         let settings = json!({
             "name": format!("vm-{number}"), "data_centre": "a", "listen": ports[0],
             "ready_listen": ports[1], "metrics_listen": ports[2], "peer_listen": ports[3],
