--- /dev/null
+++ b/components/control/src/relay/broker/mod.rs
@@ -0,0 +1,561 @@
+//! Slots of upstreams, granted by one relay on behalf of all.
+//!
+//! Upstreams admit requests in order of arrival and know no priorities, so a burst of online
+//! requests would queue behind batch streams. The upstreams of a deployment are divided into
+//! shards, and each shard has one broker among the relays. A relay asks the broker for a slot before
+//! it sends a request. The broker grants a free slot, or the slot of a batch stream that it stops, or
+//! lets the request wait, or refuses it if it cannot start in time.
+//!
+//! Nothing here has to be exact for correctness: two relays that both act as the broker of a shard
+//! overfill its upstreams for a time, and a lost message is repaired by the next [`Sync`].
+
+mod message;
+mod queue;
+mod suspension;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+pub use self::message::{Answer, Ask, Class, Held, Holder, Load, Sync, Ticket, Urgency, Want};
+use self::{
+    queue::{Queue, Waiting},
+    suspension::Suspensions,
+};
+use crate::time::Time;
+
+/// Time without a message after which the slots of a relay are free again.
+const HOLDER_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Wait of an online request from which a batch stream is stopped for it. Shorter waits end by
+/// themselves, and each stop makes an upstream read an item again.
+const PREEMPTION_WAIT: Duration = Duration::from_millis(20);
+/// Batch items leave as many slots free as online requests arrive in this time, so that most online
+/// requests find a free slot.
+const RESERVE_TIME: Duration = Duration::from_millis(50);
+/// Number of waiting online requests among which one with an open connection is sought.
+const LOOKAHEAD: usize = 16;
+/// Weight of a new sample in the moving average of the service time.
+const EWMA_WEIGHT: f64 = 0.05;
+/// Service time of an online request assumed before the first sample.
+const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(500);
+/// Shortest service time that the estimates use.
+const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
+
+/// An upstream as a broker sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Short id of the upstream.
+    pub upstream: u32,
+    pub shard: u32,
+    pub slots: u32,
+    /// Hash of its data centre.
+    pub data_centre: u32,
+    /// Whether it accepts no new work.
+    pub leaving: bool,
+}
+
+/// Slots in use at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Used {
+    online: u32,
+    batch: u32,
+}
+
+impl Used {
+    const fn total(self) -> u32 {
+        self.online + self.batch
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    upstream: u32,
+    class: Class,
+    urgency: Urgency,
+    since: Time,
+}
+
+/// A relay with slots, waiting requests or reported failures.
+#[derive(Debug, Default)]
+struct Client {
+    grants: BTreeMap<Ticket, Grant>,
+    /// Shards in which the relay has waiting requests.
+    waiting: BTreeMap<Ticket, u32>,
+    failed: BTreeSet<u32>,
+    last_heard: Time,
+}
+
+/// A message to a relay.
+pub type Outgoing = (Holder, Answer);
+
+/// Grants the slots of the shards for which other relays ask it.
+#[derive(Debug, Default)]
+pub struct Broker {
+    places: BTreeMap<u32, Place>,
+    by_shard: BTreeMap<u32, Vec<u32>>,
+    used: BTreeMap<u32, Used>,
+    clients: BTreeMap<Holder, Client>,
+    queues: BTreeMap<u32, Queue>,
+    suspensions: Suspensions,
+    /// Moving average of the service time of online requests, by shard.
+    service: BTreeMap<u32, Duration>,
+}
+
+impl Broker {
+    /// Creates a broker that knows no upstreams.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the list of upstreams.
+    pub fn set_places(&mut self, places: impl IntoIterator<Item = Place>) {
+        self.places = places.into_iter().map(|place| (place.upstream, place)).collect();
+        self.by_shard.clear();
+        for place in self.places.values() {
+            self.by_shard.entry(place.shard).or_default().push(place.upstream);
+        }
+        let places = &self.places;
+        self.suspensions.retain(|upstream| places.contains_key(&upstream));
+    }
+
+    /// Handles a request for a slot. A repeated request gets the current state of the first one.
+    pub fn ask(&mut self, now: Time, from: Holder, ask: Ask) -> Vec<Outgoing> {
+        let (ticket, shard) = (ask.ticket, ask.shard);
+        if !self.by_shard.contains_key(&shard) {
+            // The list of upstreams has not arrived yet. The relay places the request itself.
+            return Vec::new();
+        }
+        let client = self.touch(now, from);
+        let granted = client.grants.get(&ticket).map(|grant| grant.upstream);
+        let is_waiting = client.waiting.contains_key(&ticket);
+        let load = self.load(shard);
+        if let Some(upstream) = granted {
+            return vec![(from, Answer::Granted { ticket, upstream, load })];
+        }
+        if is_waiting {
+            return vec![(from, Answer::Queued { ticket, load })];
+        }
+        let start_by = now + ask.start_within;
+        let start_within = ask.start_within;
+        let waiting = Waiting { start_by, since: now, ask };
+        self.queues.entry(shard).or_default().push_online(from, waiting);
+        self.touch(now, from).waiting.insert(ticket, shard);
+        let mut outgoing = self.fill(now, shard);
+        if self.is_waiting(from, ticket) {
+            let load = self.load(shard);
+            let ahead =
+                self.queues.get(&shard).map_or(0, |queue| queue.online_before(from, ticket));
+            let refused = self.wait(shard, ahead) > start_within;
+            if refused {
+                self.forget(from, ticket);
+            }
+            outgoing.push((
+                from,
+                match refused {
+                    true => Answer::Refused { ticket, load },
+                    false => Answer::Queued { ticket, load },
+                },
+            ));
+        }
+        outgoing
+    }
+
+    /// Frees slots, or withdraws requests for them.
+    pub fn release(&mut self, now: Time, from: Holder, tickets: &[Ticket]) -> Vec<Outgoing> {
+        let mut shards = BTreeSet::new();
+        for ticket in tickets {
+            shards.extend(self.remove(now, from, *ticket));
+        }
+        self.fill_all(now, shards)
+    }
+
+    /// Replaces what a relay holds and wants.
+    pub fn sync(&mut self, now: Time, from: Holder, sync: Sync) -> Vec<Outgoing> {
+        let failed = std::mem::replace(&mut self.touch(now, from).failed, sync.failed);
+        if failed != self.clients[&from].failed {
+            self.update_suspects(now);
+        }
+        let client = &self.clients[&from];
+        let wanted: BTreeMap<Ticket, Want> =
+            sync.wants.iter().map(|want| (want.ticket, *want)).collect();
+        let held: BTreeMap<Ticket, Held> =
+            sync.held.iter().map(|held| (held.ticket, *held)).collect();
+        let is_current = |ticket: &Ticket| {
+            wanted.contains_key(ticket)
+                || held.contains_key(ticket)
+                || sync.pending.contains(ticket)
+        };
+        let grants = client.grants.keys();
+        let known = grants.chain(client.waiting.keys()).copied();
+        let ended: Vec<Ticket> = known.filter(|ticket| !is_current(ticket)).collect();
+        let mut shards = BTreeSet::new();
+        for ticket in ended {
+            shards.extend(self.remove(now, from, ticket));
+        }
+        let mut outgoing = Vec::new();
+        for held in held.values() {
+            shards.extend(self.adopt(now, from, *held));
+        }
+        for want in wanted.values() {
+            let client = self.touch(now, from);
+            if let Some(grant) = client.grants.get(&want.ticket) {
+                // The answer was lost.
+                let (ticket, upstream) = (want.ticket, grant.upstream);
+                let load = self.load(want.shard);
+                outgoing.push((from, Answer::Granted { ticket, upstream, load }));
+                continue;
+            }
+            self.forget(from, want.ticket);
+            self.touch(now, from).waiting.insert(want.ticket, want.shard);
+            self.queues.entry(want.shard).or_default().push_batch(from, want.ticket, want.urgency);
+            shards.insert(want.shard);
+        }
+        outgoing.extend(self.fill_all(now, shards));
+        outgoing
+    }
+
+    /// Removes relays that have fallen silent, refuses requests that can no longer start in time,
+    /// and stops batch streams for requests that wait.
+    pub fn tick(&mut self, now: Time) -> Vec<Outgoing> {
+        let is_silent = |client: &Client| now.since(client.last_heard) > HOLDER_TIMEOUT;
+        let silent: Vec<Holder> = self
+            .clients
+            .iter()
+            .filter(|(_, client)| is_silent(client))
+            .map(|(holder, _)| *holder)
+            .collect();
+        for holder in silent {
+            let Some(client) = self.clients.get(&holder) else { continue };
+            let tickets: Vec<Ticket> =
+                client.grants.keys().chain(client.waiting.keys()).copied().collect();
+            for ticket in tickets {
+                self.remove(now, holder, ticket);
+            }
+            self.clients.remove(&holder);
+            self.update_suspects(now);
+        }
+        let mut outgoing = Vec::new();
+        let shards: Vec<u32> = self.queues.keys().copied().collect();
+        for shard in &shards {
+            let load = self.load(*shard);
+            while let Some((holder, ticket)) =
+                self.queues.get(shard).and_then(|queue| queue.expired(now))
+            {
+                self.forget(holder, ticket);
+                outgoing.push((holder, Answer::Refused { ticket, load }));
+            }
+        }
+        outgoing.extend(self.fill_all(now, shards));
+        outgoing
+    }
+
+    /// Whether online requests wait.
+    pub fn has_waiting(&self) -> bool {
+        self.queues.values().any(|queue| queue.online_len() > 0)
+    }
+
+    /// Returns the load of a shard.
+    pub fn load(&self, shard: u32) -> Load {
+        let (mut slots, mut used) = (0, 0);
+        for place in self.shard(shard) {
+            slots += place.slots;
+            used += self.used(place.upstream).total();
+        }
+        let waiting = self.queues.get(&shard).map_or(0, Queue::online_len);
+        let permille = (used + waiting as u32) * 1_000 / slots.max(1);
+        let wait = if used < slots { Duration::ZERO } else { self.wait(shard, waiting) };
+        Load { permille, wait }
+    }
+
+    fn touch(&mut self, now: Time, holder: Holder) -> &mut Client {
+        let client = self.clients.entry(holder).or_default();
+        client.last_heard = now;
+        client
+    }
+
+    fn shard(&self, shard: u32) -> impl Iterator<Item = &Place> {
+        let upstreams = self.by_shard.get(&shard).map_or(&[][..], Vec::as_slice);
+        upstreams.iter().filter_map(|upstream| self.places.get(upstream))
+    }
+
+    fn used(&self, upstream: u32) -> Used {
+        self.used.get(&upstream).copied().unwrap_or_default()
+    }
+
+    fn is_waiting(&self, holder: Holder, ticket: Ticket) -> bool {
+        self.clients.get(&holder).is_some_and(|client| client.waiting.contains_key(&ticket))
+    }
+
+    /// Determines the upstreams that relays report as failed. Reports that name more than half of a
+    /// shard are ignored for that shard: then the fault is more likely in the network of the relays
+    /// that sent them.
+    fn update_suspects(&mut self, now: Time) {
+        let mut suspects = BTreeSet::new();
+        for upstreams in self.by_shard.values() {
+            let reports = self.clients.values().map(|client| {
+                let failed = upstreams.iter().copied().filter(|id| client.failed.contains(id));
+                failed.collect::<BTreeSet<u32>>()
+            });
+            let plausible = reports.filter(|failed| failed.len() * 2 <= upstreams.len());
+            let failed: BTreeSet<u32> = plausible.flatten().collect();
+            if failed.len() * 2 <= upstreams.len() {
+                suspects.extend(failed);
+            }
+        }
+        self.suspensions.set_reported(suspects, now);
+    }
+
+    /// Returns the rate at which online requests of a shard end, per second. By Little's law (1961),
+    /// it is their number divided by their service time.
+    fn online_rate(&self, shard: u32) -> f64 {
+        let online: u32 = self.shard(shard).map(|place| self.used(place.upstream).online).sum();
+        let service = self.service.get(&shard).copied().unwrap_or(INITIAL_SERVICE_TIME);
+        f64::from(online) / service.max(MIN_SERVICE_TIME).as_secs_f64()
+    }
+
+    /// Returns the expected wait of an online request behind `ahead` others.
+    fn wait(&self, shard: u32, ahead: usize) -> Duration {
+        let seconds = (ahead + 1) as f64 / self.online_rate(shard).max(0.001);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    fn fill_all(&mut self, now: Time, shards: impl IntoIterator<Item = u32>) -> Vec<Outgoing> {
+        shards.into_iter().flat_map(|shard| self.fill(now, shard)).collect()
+    }
+
+    /// Grants the slots of a shard: free ones to online requests first, then those of batch streams,
+    /// then the free ones beyond the reserve to batch items.
+    fn fill(&mut self, now: Time, shard: u32) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        while let Some((holder, ticket, upstream)) = self.next_grant(now, shard) {
+            outgoing.push(self.grant(now, holder, ticket, upstream, Class::Online, None));
+        }
+        self.preempt(now, shard, &mut outgoing);
+        self.fill_batch(now, shard, &mut outgoing);
+        outgoing
+    }
+
+    /// Returns the next waiting online request that gets a free slot.
+    ///
+    /// A request whose relay has a connection to the upstream may overtake earlier ones while the
+    /// first of them has more than half of its time left.
+    fn next_grant(&self, now: Time, shard: u32) -> Option<(Holder, Ticket, u32)> {
+        let queue = self.queues.get(&shard)?;
+        let mut first = None;
+        for (holder, waiting) in queue.online().take(LOOKAHEAD) {
+            let Some(upstream) = self.free_place(now, shard, &waiting.ask) else {
+                if waiting.ask.avoid.is_empty() {
+                    break;
+                }
+                continue;
+            };
+            let grant = (holder, waiting.ask.ticket, upstream);
+            let may_wait = now.since(waiting.since) * 2 < waiting.start_by.since(waiting.since);
+            if waiting.ask.connected.contains(&upstream) || (first.is_none() && !may_wait) {
+                return Some(grant);
+            }
+            first.get_or_insert(grant);
+        }
+        first
+    }
+
+    fn next_online(
+        &self,
+        shard: u32,
+        skipped: &BTreeSet<(Holder, Ticket)>,
+    ) -> Option<(Holder, Waiting)> {
+        let queue = self.queues.get(&shard)?;
+        let next = queue
+            .online()
+            .find(|(holder, waiting)| !skipped.contains(&(*holder, waiting.ask.ticket)));
+        next.map(|(holder, waiting)| (holder, waiting.clone()))
+    }
+
+    /// Returns the upstream with a free slot that suits an online request best: one with an open
+    /// connection, then one in the same data centre, then the least used one.
+    ///
+    /// Suspended upstreams are used only if there is no other, however full the others are: a failed
+    /// upstream has free slots because it fails.
+    fn free_place(&self, now: Time, shard: u32, ask: &Ask) -> Option<u32> {
+        let accepting = || {
+            self.shard(shard).filter(|place| !place.leaving && !ask.avoid.contains(&place.upstream))
+        };
+        let is_suspended = |place: &Place| self.suspensions.is_suspended(place.upstream, now);
+        let has_sound = accepting().any(|place| !is_suspended(place));
+        let usable = accepting().filter(|place| {
+            self.used(place.upstream).total() < place.slots && !(has_sound && is_suspended(place))
+        });
+        let best = usable.min_by_key(|place| {
+            let used = self.used(place.upstream).total();
+            (
+                !ask.connected.contains(&place.upstream),
+                place.data_centre != ask.data_centre,
+                used * 1_000 / place.slots.max(1),
+                // Spreads equal choices over the upstreams.
+                place.upstream.wrapping_add(ask.ticket.0 as u32).wrapping_mul(0x9e37_79b9),
+            )
+        });
+        best.map(|place| place.upstream)
+    }
+
+    /// Stops batch streams for online requests that would wait too long.
+    fn preempt(&mut self, now: Time, shard: u32, outgoing: &mut Vec<Outgoing>) {
+        let mut skipped = BTreeSet::new();
+        while let Some((holder, waiting)) = self.next_online(shard, &skipped) {
+            let ticket = waiting.ask.ticket;
+            let length = self.queues.get(&shard).map_or(0, Queue::online_len);
+            let has_waited = now.since(waiting.since) >= PREEMPTION_WAIT;
+            if !has_waited && self.wait(shard, length - 1) <= PREEMPTION_WAIT {
+                return;
+            }
+            let Some((victim, stopped)) = self.least_urgent(now, shard, &waiting.ask) else {
+                skipped.insert((holder, ticket));
+                continue;
+            };
+            let upstream = self.clients[&victim].grants[&stopped].upstream;
+            self.remove(now, victim, stopped);
+            outgoing.push((victim, Answer::Stop { ticket: stopped }));
+            outgoing.push(self.grant(now, holder, ticket, upstream, Class::Online, None));
+        }
+    }
+
+    /// Returns the least urgent batch stream at an upstream that an online request may use.
+    fn least_urgent(&self, now: Time, shard: u32, ask: &Ask) -> Option<(Holder, Ticket)> {
+        let is_usable = |upstream: u32| {
+            !ask.avoid.contains(&upstream)
+                && !self.suspensions.is_suspended(upstream, now)
+                && self.places.get(&upstream).is_some_and(|place| {
+                    place.shard == shard && !place.leaving
+                        // An overfull upstream gives its slots back first.
+                        && self.used(upstream).total() <= place.slots
+                })
+        };
+        let streams = self.clients.iter().flat_map(|(holder, client)| {
+            let grants = client.grants.iter();
+            grants.map(move |(ticket, grant)| (*holder, *ticket, grant))
+        });
+        let batch = streams
+            .filter(|(_, _, grant)| grant.class == Class::Batch && is_usable(grant.upstream));
+        let least = batch.max_by_key(|(holder, ticket, grant)| (grant.urgency, *holder, *ticket));
+        least.map(|(holder, ticket, _)| (holder, ticket))
+    }
+
+    fn fill_batch(&mut self, now: Time, shard: u32, outgoing: &mut Vec<Outgoing>) {
+        if self
+            .queues
+            .get(&shard)
+            .is_none_or(|queue| queue.batch_len() == 0 || queue.online_len() > 0)
+        {
+            return;
+        }
+        let reserve = self.online_rate(shard) * RESERVE_TIME.as_secs_f64();
+        let usable: Vec<Place> = self
+            .shard(shard)
+            .filter(|place| !place.leaving && !self.suspensions.is_suspended(place.upstream, now))
+            .copied()
+            .collect();
+        let free = |broker: &Self, place: &Place| {
+            place.slots.saturating_sub(broker.used(place.upstream).total())
+        };
+        let mut spare: u32 = usable.iter().map(|place| free(self, place)).sum();
+        while f64::from(spare) > reserve {
+            let best = usable.iter().filter(|place| free(self, place) > 0);
+            let Some(place) = best.max_by_key(|place| free(self, place) * 1_000 / place.slots)
+            else {
+                return;
+            };
+            let queue = self.queues.get(&shard);
+            let Some((urgency, holder, ticket)) = queue.and_then(Queue::most_urgent) else {
+                return;
+            };
+            let upstream = place.upstream;
+            outgoing.push(self.grant(now, holder, ticket, upstream, Class::Batch, Some(urgency)));
+            spare -= 1;
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: Time,
+        holder: Holder,
+        ticket: Ticket,
+        upstream: u32,
+        class: Class,
+        urgency: Option<Urgency>,
+    ) -> Outgoing {
+        let shard = self.places.get(&upstream).map_or(0, |place| place.shard);
+        self.forget(holder, ticket);
+        self.suspensions.record_grant(upstream, holder, ticket);
+        self.insert(
+            holder,
+            ticket,
+            Grant {
+                upstream,
+                class,
+                urgency: urgency.unwrap_or(Urgency { late: false, due_ms: 0 }),
+                since: now,
+            },
+        );
+        (holder, Answer::Granted { ticket, upstream, load: self.load(shard) })
+    }
+
+    fn insert(&mut self, holder: Holder, ticket: Ticket, grant: Grant) {
+        let used = self.used.entry(grant.upstream).or_default();
+        match grant.class {
+            Class::Online => used.online += 1,
+            Class::Batch => used.batch += 1,
+        }
+        if let Some(client) = self.clients.get_mut(&holder) {
+            client.grants.insert(ticket, grant);
+        }
+    }
+
+    /// Records a slot that a relay holds without a grant of this broker, for example because an
+    /// earlier broker granted it. Returns the shard.
+    fn adopt(&mut self, now: Time, from: Holder, held: Held) -> Option<u32> {
+        let shard = self.places.get(&held.upstream)?.shard;
+        let known = self.clients.get(&from).and_then(|client| client.grants.get(&held.ticket));
+        if known.is_some_and(|grant| grant.upstream == held.upstream) {
+            return None;
+        }
+        self.remove(now, from, held.ticket);
+        let urgency = Urgency { late: held.class == Class::Batch, due_ms: u64::MAX };
+        let grant = Grant { upstream: held.upstream, class: held.class, urgency, since: now };
+        self.insert(from, held.ticket, grant);
+        Some(shard)
+    }
+
+    /// Removes a grant or a waiting request. Returns its shard.
+    fn remove(&mut self, now: Time, holder: Holder, ticket: Ticket) -> Option<u32> {
+        let waited_in = self.forget(holder, ticket);
+        let grant = self.clients.get_mut(&holder).and_then(|client| client.grants.remove(&ticket));
+        let Some(grant) = grant else { return waited_in };
+        self.suspensions.record_end(grant.upstream, holder, ticket, now);
+        if let Some(used) = self.used.get_mut(&grant.upstream) {
+            match grant.class {
+                Class::Online => used.online = used.online.saturating_sub(1),
+                Class::Batch => used.batch = used.batch.saturating_sub(1),
+            }
+            if used.total() == 0 {
+                self.used.remove(&grant.upstream);
+            }
+        }
+        let shard = self.places.get(&grant.upstream)?.shard;
+        if grant.class == Class::Online {
+            let service = self.service.entry(shard).or_insert(INITIAL_SERVICE_TIME);
+            let sample = now.since(grant.since);
+            *service = service.mul_f64(1.0 - EWMA_WEIGHT) + sample.mul_f64(EWMA_WEIGHT);
+        }
+        Some(shard)
+    }
+
+    /// Removes a waiting request. Returns its shard.
+    fn forget(&mut self, holder: Holder, ticket: Ticket) -> Option<u32> {
+        let shard = self.clients.get_mut(&holder)?.waiting.remove(&ticket)?;
+        if let Some(queue) = self.queues.get_mut(&shard) {
+            queue.remove(holder, ticket);
+        }
+        Some(shard)
+    }
+}
--- a/components/control/src/relay/job.rs
+++ b/components/control/src/relay/job.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Whether an item has ended. Positions outside the job have not.
+    pub fn has_ended(&self, item: usize) -> bool {
+        self.items.get(item) == Some(&State::Ended)
+    }
+
     /// Records a run without a complete text. Returns the final state if the item is abandoned;
     /// otherwise it waits for another run.
     pub fn record_failure(&mut self, item: usize, failure: RunFailure) -> Option<FinalState> {
--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -3,13 +3,17 @@
 //! The relay does not interpret request or response bodies. A route names the deployments that
 //! serve a request, and the kind of the route says what may run more than once.
 
+pub mod broker;
 pub mod failure;
 pub mod framing;
 pub mod job;
+pub mod monitor;
 pub mod owner;
 pub mod priority;
+pub mod quota;
 pub mod registry;
 pub mod results;
 pub mod route;
 pub mod selector;
+pub mod shard;
 pub mod submission;
--- a/components/control/src/relay/owner.rs
+++ b/components/control/src/relay/owner.rs
@@ -10,7 +10,7 @@
 
 /// Time without a datagram after which the jobs of a relay go to others. Commits are fenced, so a
 /// false positive only costs repeated runs.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time without contact to the store after which the jobs of a relay go to others, since the relay
 /// cannot commit results.
 const STORE_TIMEOUT: Duration = Duration::from_secs(3);
--- a/components/control/src/relay/priority.rs
+++ b/components/control/src/relay/priority.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::relay::broker::Urgency;
+
 /// Weight of a new sample in the exponentially weighted moving averages.
 const EWMA_WEIGHT: f64 = 0.1;
 /// Events per item assumed before the first item is complete.
@@ -58,6 +60,12 @@
     due_ms: u64,
 }
 
+impl From<Priority> for Urgency {
+    fn from(priority: Priority) -> Self {
+        Self { late: priority.late, due_ms: priority.due_ms }
+    }
+}
+
 impl Priority {
     /// Returns the priority of an item that is due at `due_ms` and is expected to run for
     /// `remaining` from `now_ms`. Both times are milliseconds of the same clock.
--- a/components/control/src/relay/results.rs
+++ b/components/control/src/relay/results.rs
@@ -56,6 +56,13 @@
         self.committed
     }
 
+    /// Returns the items of a job of `total` items that have no committed result.
+    pub fn uncommitted(&self, total: usize) -> impl Iterator<Item = usize> + '_ {
+        (0..total).filter(|item| {
+            !self.progress.has_ended(*item) || self.pending.iter().any(|entry| entry.item == *item)
+        })
+    }
+
     /// Whether the result of every item that ended is committed.
     pub const fn is_committed(&self) -> bool {
         self.pending.is_empty()
--- a/components/control/src/relay/route.rs
+++ b/components/control/src/relay/route.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use crate::relay::quota::Quota;
+
 /// Kind of a route, which says whether its requests may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
@@ -63,6 +65,8 @@
     pub completion_target: Duration,
     /// Time from the acceptance of a job until its items may be abandoned.
     pub retention: Duration,
+    /// Limit on the tokens that wait for a run, for a batch route.
+    pub quota: Quota,
     /// Deployments that serve the route; never empty.
     pub targets: Vec<Target>,
 }
--- /dev/null
+++ b/components/control/tests/relay_broker.rs
@@ -0,0 +1,370 @@
+//! Tests of the broker that grants the slots of upstreams to all relays.
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeSet, time::Duration};
+
+use cyclamengrade_control::{
+    relay::broker::{
+        Answer, Ask, Broker, Class, Held, Holder, Outgoing, Place, Sync, Ticket, Urgency, Want,
+    },
+    time::Time,
+};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const SHARD: u32 = 9;
+const SLOTS: u32 = 4;
+const SERVICE: Duration = Duration::from_millis(500);
+const START_WITHIN: Duration = Duration::from_millis(180);
+const NOW: Time = Time::from_millis(10_000);
+
+fn place(upstream: u32) -> Place {
+    Place { upstream, shard: SHARD, slots: SLOTS, data_centre: 1, leaving: false }
+}
+
+fn broker(upstreams: u32) -> Broker {
+    let mut broker = Broker::new();
+    broker.set_places((0..upstreams).map(place));
+    broker
+}
+
+fn ask(ticket: u64) -> Ask {
+    Ask {
+        ticket: Ticket(ticket),
+        shard: SHARD,
+        start_within: START_WITHIN,
+        data_centre: 1,
+        connected: BTreeSet::new(),
+        avoid: BTreeSet::new(),
+    }
+}
+
+fn want(ticket: u64, due_ms: u64) -> Want {
+    Want { ticket: Ticket(ticket), shard: SHARD, urgency: Urgency { late: false, due_ms } }
+}
+
+fn wants(tickets: std::ops::Range<u64>) -> Sync {
+    Sync { wants: tickets.map(|ticket| want(ticket, 1_000 + ticket)).collect(), ..Sync::default() }
+}
+
+/// Returns the upstreams granted to a relay.
+fn granted(outgoing: &[Outgoing], to: Holder) -> Vec<(Ticket, u32)> {
+    let answers = outgoing.iter().filter(|(holder, _)| *holder == to);
+    let grants = answers.filter_map(|(_, answer)| match answer {
+        Answer::Granted { ticket, upstream, .. } => Some((*ticket, *upstream)),
+        _ => None,
+    });
+    grants.collect()
+}
+
+fn stopped(outgoing: &[Outgoing], to: Holder) -> Vec<Ticket> {
+    let answers = outgoing.iter().filter(|(holder, _)| *holder == to);
+    let stops = answers.filter_map(|(_, answer)| match answer {
+        Answer::Stop { ticket } => Some(*ticket),
+        _ => None,
+    });
+    stops.collect()
+}
+
+fn is_refused(outgoing: &[Outgoing], ticket: u64) -> bool {
+    let refused = |answer: &Answer| matches!(answer, Answer::Refused { ticket: found, .. } if found.0 == ticket);
+    outgoing.iter().any(|(_, answer)| refused(answer))
+}
+
+/// Guards against more batch streams than slots when many relays have waiting items: the streams
+/// would queue at the upstreams, ahead of online requests.
+#[gtest]
+fn many_relays_with_items() {
+    let mut broker = broker(3);
+    let mut started = 0;
+    for relay in 0..20 {
+        let outgoing = broker.sync(NOW, Holder(relay), wants(0..5));
+        started += granted(&outgoing, Holder(relay)).len();
+    }
+    expect_that!(started, eq((3 * SLOTS) as usize));
+}
+
+/// Guards against online requests that wait behind batch streams: a step in traffic must stop as
+/// many streams as it needs, each once, the least urgent first.
+#[gtest]
+fn step_stops_batch() {
+    let mut broker = broker(2);
+    let batch = Holder(1);
+    expect_that!(granted(&broker.sync(NOW, batch, wants(0..8)), batch).len(), eq(8));
+    let mut stops = Vec::new();
+    let mut grants = 0;
+    for ticket in 0..5 {
+        let outgoing = broker.ask(NOW, Holder(2), ask(ticket));
+        stops.extend(stopped(&outgoing, batch));
+        grants += granted(&outgoing, Holder(2)).len();
+    }
+    expect_that!(grants, eq(5));
+    let expected: Vec<Ticket> = (3..8).rev().map(Ticket).collect();
+    expect_that!(stops, eq(&expected));
+}
+
+/// Guards against batch items that take the slots that the next online requests need, and so are
+/// stopped again at once.
+#[gtest]
+fn reserve_for_online() {
+    let mut broker = broker(50);
+    let online = Holder(1);
+    for ticket in 0..100 {
+        broker.ask(NOW, online, ask(ticket));
+    }
+    let outgoing = broker.sync(NOW, Holder(2), wants(0..150));
+    // 100 requests of 500 ms: ten arrive in the time that the reserve covers.
+    expect_that!(granted(&outgoing, Holder(2)).len(), eq(90));
+}
+
+/// Guards against requests that wait although no slot can become free in time, and against refusals
+/// while slots are free.
+#[gtest]
+fn early_refusal() {
+    let mut broker = broker(2);
+    let holder = Holder(1);
+    for ticket in 0..8 {
+        expect_that!(granted(&broker.ask(NOW, holder, ask(ticket)), holder).len(), eq(1));
+    }
+    // Eight slots become free in 500 ms, so that two requests can start within 180 ms.
+    expect_that!(is_refused(&broker.ask(NOW, holder, ask(8)), 8), is_false());
+    expect_that!(is_refused(&broker.ask(NOW, holder, ask(9)), 9), is_false());
+    expect_that!(is_refused(&broker.ask(NOW, holder, ask(10)), 10), is_true());
+    expect_that!(broker.release(NOW, holder, &[Ticket(3)]), not(is_empty()));
+    let later = NOW + START_WITHIN + Duration::from_millis(1);
+    expect_that!(is_refused(&broker.tick(later), 9), is_true());
+}
+
+/// Guards against a slot that two requests get, or that stays in use, when messages are repeated or
+/// lost.
+#[gtest]
+fn lost_messages() {
+    let mut broker = broker(1);
+    let holder = Holder(1);
+    let first = granted(&broker.ask(NOW, holder, ask(1)), holder);
+    expect_that!(granted(&broker.ask(NOW, holder, ask(1)), holder), eq(&first));
+    for ticket in 2..=4 {
+        broker.ask(NOW, holder, ask(ticket));
+    }
+    // The releases of the tickets 1 to 3 are lost. The next state of the relay repairs that.
+    let held = Held { ticket: Ticket(4), upstream: 0, class: Class::Online };
+    broker.sync(NOW, holder, Sync { held: vec![held], ..Sync::default() });
+    let outgoing = broker.sync(NOW, Holder(2), wants(0..4));
+    expect_that!(granted(&outgoing, Holder(2)).len(), eq(3));
+    // The answers are lost. The relay still wants the slots and gets the same ones.
+    let again = broker.sync(NOW, Holder(2), wants(0..4));
+    expect_that!(granted(&again, Holder(2)).len(), eq(3));
+}
+
+/// Guards against slots that stay in use after the relay that held them has died.
+#[gtest]
+fn dead_relay() {
+    let mut broker = broker(1);
+    for ticket in 0..4 {
+        broker.ask(NOW, Holder(1), ask(ticket));
+    }
+    let later = NOW + Duration::from_secs(2);
+    broker.sync(later, Holder(2), wants(0..4));
+    expect_that!(granted(&broker.tick(later), Holder(2)).len(), ge(3));
+}
+
+/// Guards against a new broker that grants slots which relays hold from the earlier broker.
+#[gtest]
+fn change_of_broker() {
+    let mut broker = broker(1);
+    let held =
+        (0..3).map(|number| Held { ticket: Ticket(number), upstream: 0, class: Class::Online });
+    let sync = Sync { held: held.collect(), ..Sync::default() };
+    broker.sync(NOW, Holder(1), sync.clone());
+    broker.sync(NOW, Holder(1), sync);
+    let outgoing: Vec<Outgoing> =
+        (10..12).flat_map(|ticket| broker.ask(NOW, Holder(2), ask(ticket))).collect();
+    expect_that!(granted(&outgoing, Holder(2)).len(), eq(1));
+}
+
+/// Guards against new work at an upstream that is leaving, that this request has tried, or that
+/// relays report as failed, and against reports of one disconnected relay that exclude all.
+#[gtest]
+fn unusable_upstreams() {
+    let mut broker = broker(4);
+    broker.set_places((0..4).map(|id| Place { leaving: id == 0, ..place(id) }));
+    broker.sync(NOW, Holder(7), Sync { failed: [1].into(), ..Sync::default() });
+    broker.sync(NOW, Holder(8), Sync { failed: [0, 1, 2, 3].into(), ..Sync::default() });
+    let avoiding = Ask { avoid: [2].into(), ..ask(1) };
+    let outgoing = broker.ask(NOW, Holder(1), avoiding);
+    expect_that!(granted(&outgoing, Holder(1)), elements_are![eq(&(Ticket(1), 3))]);
+}
+
+/// Guards against requests that all go to failed upstreams because these have free slots: while the
+/// others are full, requests wait, and after the relay that reported the failure has forgotten it, a
+/// single request tries the upstream.
+#[gtest]
+fn failed_upstreams_attract_no_load() {
+    let mut broker = broker(2);
+    let report = |failed: BTreeSet<u32>| Sync { failed, ..Sync::default() };
+    broker.sync(NOW, Holder(7), report([0].into()));
+    for ticket in 0..4 {
+        let outgoing = broker.ask(NOW, Holder(1), ask(ticket));
+        expect_that!(granted(&outgoing, Holder(1))[0].1, eq(1));
+    }
+    expect_that!(granted(&broker.ask(NOW, Holder(1), ask(4)), Holder(1)), is_empty());
+    broker.release(NOW, Holder(1), &[Ticket(4)]);
+    let later = NOW + Duration::from_millis(400);
+    broker.sync(later, Holder(7), report(BTreeSet::new()));
+    let held =
+        (0..4).map(|ticket| Held { ticket: Ticket(ticket), upstream: 1, class: Class::Online });
+    broker.sync(later, Holder(1), Sync { held: held.collect(), ..Sync::default() });
+    expect_that!(granted(&broker.ask(later, Holder(2), ask(5)), Holder(2)), len(eq(1)));
+    expect_that!(granted(&broker.ask(later, Holder(2), ask(6)), Holder(2)), is_empty());
+    // The probe fails, so the next one has to wait longer.
+    broker.release(later, Holder(2), &[Ticket(5), Ticket(6)]);
+    broker.sync(later, Holder(2), report([0].into()));
+    let soon = later + Duration::from_millis(500);
+    broker.sync(soon, Holder(2), report(BTreeSet::new()));
+    expect_that!(granted(&broker.ask(soon, Holder(2), ask(7)), Holder(2)), is_empty());
+    broker.release(soon, Holder(2), &[Ticket(7)]);
+    let last = later + Duration::from_millis(700);
+    expect_that!(granted(&broker.ask(last, Holder(2), ask(8)), Holder(2)), len(eq(1)));
+    broker.release(last, Holder(2), &[Ticket(8)]);
+    // The probe succeeds.
+    let end = last + Duration::from_millis(60);
+    for ticket in 9..13 {
+        expect_that!(granted(&broker.ask(end, Holder(2), ask(ticket)), Holder(2)), len(eq(1)));
+    }
+}
+
+/// Guards against a new connection for each request: an upstream with an idle connection of the
+/// relay goes first while it has a free slot.
+#[gtest]
+fn open_connections() {
+    let mut broker = broker(40);
+    for ticket in 0..u64::from(SLOTS) {
+        let connected = Ask { connected: [17].into(), ..ask(ticket) };
+        let outgoing = broker.ask(NOW, Holder(1), connected);
+        expect_that!(granted(&outgoing, Holder(1))[0].1, eq(17));
+    }
+    let full = Ask { connected: [17].into(), ..ask(90) };
+    expect_that!(granted(&broker.ask(NOW, Holder(1), full), Holder(1))[0].1, ne(17));
+}
+
+/// Guards against new connections in a step of traffic, when slots become free one by one: a waiting
+/// request whose relay has a connection to the upstream goes first, but the others are not put off
+/// for more than half of their time.
+#[gtest]
+fn connections_in_steps() {
+    let mut broker = broker(2);
+    for ticket in 0..8 {
+        broker.ask(NOW, Holder(1), ask(ticket));
+    }
+    broker.ask(NOW, Holder(2), ask(20));
+    broker.ask(NOW, Holder(3), Ask { connected: [0, 1].into(), ..ask(30) });
+    let outgoing = broker.release(NOW, Holder(1), &[Ticket(0)]);
+    expect_that!(granted(&outgoing, Holder(3)), len(eq(1)));
+    let soon = NOW + Duration::from_millis(60);
+    broker.ask(soon, Holder(3), Ask { connected: [0, 1].into(), ..ask(31) });
+    let later = NOW + START_WITHIN * 3 / 4;
+    let outgoing = broker.release(later, Holder(1), &[Ticket(1)]);
+    expect_that!(granted(&outgoing, Holder(2)), len(eq(1)));
+}
+
+/// Guards against lost or doubled slots under random requests, releases, states of relays that are
+/// lost or late, relays that die, and upstreams that come and go: an upstream never has more grants
+/// than slots, and once all messages arrive again, every slot can be granted.
+#[gtest]
+fn random_schedules() {
+    const RELAYS: usize = 6;
+    for seed in 0..300 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut broker = broker(5);
+        let mut now = NOW;
+        let mut held: Vec<Vec<Held>> = vec![Vec::new(); RELAYS];
+        let mut next = 1_000;
+        let mut reported = [now; RELAYS];
+        let receive = |outgoing: Vec<Outgoing>, held: &mut Vec<Vec<Held>>| {
+            for (holder, answer) in outgoing {
+                let list = &mut held[holder.0 as usize];
+                match answer {
+                    Answer::Granted { ticket, upstream, .. } => {
+                        let class = if ticket.0 % 2 == 0 { Class::Online } else { Class::Batch };
+                        list.retain(|held| held.ticket != ticket);
+                        list.push(Held { ticket, upstream, class });
+                    }
+                    Answer::Stop { ticket } => list.retain(|held| held.ticket != ticket),
+                    Answer::Queued { .. } | Answer::Refused { .. } => {}
+                }
+            }
+        };
+        for _ in 0..400 {
+            now = now + Duration::from_millis(random.random_range(1..30));
+            let relay = random.random_range(0..RELAYS);
+            let holder = Holder(relay as u64);
+            next += 2;
+            let outgoing = match random.random_range(0..10) {
+                0..4 => broker.ask(now, holder, ask(next)),
+                4 => {
+                    let wants = vec![want(next + 1, random.random_range(0..50))];
+                    broker.sync(
+                        now,
+                        holder,
+                        Sync { held: held[relay].clone(), wants, ..Sync::default() },
+                    )
+                }
+                5..8 if !held[relay].is_empty() => {
+                    let index = random.random_range(0..held[relay].len());
+                    let ended = held[relay].swap_remove(index);
+                    // A lost release is repaired by the next state.
+                    match random.random_range(0..4) {
+                        0 => Vec::new(),
+                        _ => broker.release(now, holder, &[ended.ticket]),
+                    }
+                }
+                8 => {
+                    let leaving = random.random_range(0..5);
+                    broker
+                        .set_places((0..5).map(|id| Place { leaving: id == leaving, ..place(id) }));
+                    Vec::new()
+                }
+                _ => broker.tick(now),
+            };
+            receive(outgoing, &mut held);
+            for relay in 0..RELAYS {
+                if now.since(reported[relay]) >= Duration::from_millis(500) {
+                    reported[relay] = now;
+                    let state = Sync { held: held[relay].clone(), ..Sync::default() };
+                    receive(broker.sync(now, Holder(relay as u64), state), &mut held);
+                }
+            }
+            for upstream in 0..5 {
+                let used = held.iter().flatten().filter(|held| held.upstream == upstream).count();
+                assert!(used <= SLOTS as usize, "seed {seed}: {used} grants at {upstream}");
+            }
+        }
+        for relay in 0..RELAYS {
+            broker.sync(now, Holder(relay as u64), Sync::default());
+        }
+        broker.set_places((0..5).map(place));
+        let free = (0..5 * u64::from(SLOTS)).filter(|ticket| {
+            let asked = ask(100_000 + ticket);
+            !granted(&broker.ask(now, Holder(0), asked), Holder(0)).is_empty()
+        });
+        assert_eq!(free.count(), 5 * SLOTS as usize, "seed {seed}");
+    }
+}
+
+/// Guards against an estimate of the wait that ignores how long requests take.
+#[gtest]
+fn service_time() {
+    let mut broker = broker(1);
+    let mut now = NOW;
+    for ticket in 0..200 {
+        broker.ask(now, Holder(1), ask(ticket));
+        now = now + Duration::from_millis(40);
+        broker.release(now, Holder(1), &[Ticket(ticket)]);
+    }
+    for ticket in 1_000..1_004 {
+        broker.ask(now, Holder(1), ask(ticket));
+    }
+    let wait = broker.load(SHARD).wait;
+    expect_that!(wait, le(SERVICE / 10));
+    expect_that!(wait, ge(Duration::from_millis(5)));
+}
--- a/components/control/tests/relay_priority.rs
+++ b/components/control/tests/relay_priority.rs
@@ -7,6 +7,7 @@
     failure::{Attempts, Failure},
     job::{FinalState, Progress, RunFailure},
     priority::{Estimate, Priority},
+    quota::Quota,
     route::{Deployment, Kind, Limits, Route, Table, Target},
 };
 use googletest::prelude::*;
@@ -62,6 +63,7 @@
         latency_objective: Duration::from_millis(300),
         gap_objective: Duration::from_millis(400),
         max_attempts: attempts,
+        quota: Quota::default(),
         resumable,
         completion_target: Duration::ZERO,
         retention: Duration::ZERO,
--- a/components/control/tests/relay_registry.rs
+++ b/components/control/tests/relay_registry.rs
@@ -22,6 +22,7 @@
         data_centre: "a".into(),
         slots: Some(8),
         leaving: false,
+        born: None,
     }
 }
 
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -1,10 +1,10 @@
 //! Communication between daemons, by gRPC calls and membership datagrams over UDP, and between
-//! relays, by occupancy notices over UDP.
+//! relays, by messages about slots over UDP.
 
 mod client;
 mod convert;
-pub mod occupancy;
 mod server;
+pub mod slots;
 mod socket;
 
 pub use crate::{
--- /dev/null
+++ b/components/peer/src/slots.rs
@@ -0,0 +1,238 @@
+//! UDP socket for the messages between relays and the brokers of their slots.
+
+use std::{collections::BTreeSet, io, net::SocketAddr, time::Duration};
+
+use cyclamengrade_control::relay::{
+    broker::{Answer, Ask, Class, Held, Load, Sync, Ticket, Urgency, Want},
+    monitor::{Exception, Status},
+};
+use prost::Message as _;
+use tokio::net::UdpSocket;
+
+use crate::wire::{self, slot_message::Kind};
+
+/// Maximum size of a received datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
+
+/// A message of a relay to a broker or back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content {
+    Ask(Ask),
+    /// Frees slots or withdraws requests for them.
+    Release(Vec<Ticket>),
+    /// What the sender holds and wants, with its own state.
+    Sync(Status, Sync),
+    Answer(Answer),
+    /// Answer to a [`Content::Sync`].
+    Ack(Ack),
+}
+
+/// Answer of a broker or monitor to the state of a relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ack {
+    /// Sequence number of the message that this one answers.
+    pub sequence: u64,
+    /// Version up to which the sender knows the fleet table.
+    pub fleet_version: u64,
+    /// Relays that are silent, disconnected from the store or shutting down.
+    pub exceptions: Vec<Exception>,
+}
+
+/// A message with its sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Identifies the process of the sender; it differs after every restart.
+    pub incarnation: u64,
+    pub content: Content,
+}
+
+/// A bound UDP socket that sends and receives messages.
+pub struct Socket {
+    receiver: UdpSocket,
+    /// Handle of the same socket for sending without waiting.
+    sender: std::net::UdpSocket,
+}
+
+impl Socket {
+    /// Binds a socket. Has to be called within the runtime that receives the messages.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let sender = std::net::UdpSocket::bind(address)?;
+        sender.set_nonblocking(true)?;
+        let receiver = UdpSocket::from_std(sender.try_clone()?)?;
+        Ok(Self { receiver, sender })
+    }
+
+    /// Sends a message. Returns whether the system accepted it; its delivery is not confirmed.
+    pub fn send(&self, to: SocketAddr, message: Message) -> bool {
+        self.sender.send_to(&encode(message).encode_to_vec(), to).is_ok()
+    }
+
+    /// Waits for the next well-formed message and ignores malformed ones.
+    pub async fn receive(&self, buffer: &mut Vec<u8>) -> (SocketAddr, Message) {
+        buffer.resize(MAX_DATAGRAM_BYTES, 0);
+        loop {
+            // An error reports that an earlier send reached a closed port. It does not mean that
+            // the next read will fail.
+            let Ok((length, from)) = self.receiver.recv_from(buffer).await else { continue };
+            let message = wire::SlotMessage::decode(&buffer[..length]).ok();
+            if let Some(message) = message.and_then(decode) {
+                return (from, message);
+            }
+        }
+    }
+}
+
+fn encode(message: Message) -> wire::SlotMessage {
+    let kind = match message.content {
+        Content::Ask(ask) => Kind::Ask(wire::SlotAsk {
+            ticket: ask.ticket.0,
+            shard: ask.shard,
+            start_within_us: u64::try_from(ask.start_within.as_micros()).unwrap_or(u64::MAX),
+            data_centre: ask.data_centre,
+            connected: ask.connected.into_iter().collect(),
+            avoid: ask.avoid.into_iter().collect(),
+        }),
+        Content::Release(tickets) => Kind::Release(wire::SlotRelease {
+            tickets: tickets.into_iter().map(|ticket| ticket.0).collect(),
+        }),
+        Content::Sync(status, sync) => Kind::Sync(encode_sync(status, sync)),
+        Content::Answer(Answer::Granted { ticket, upstream, load }) => {
+            Kind::Granted(wire::SlotGranted {
+                ticket: ticket.0,
+                upstream,
+                load: Some(encode_load(load)),
+            })
+        }
+        Content::Answer(Answer::Queued { ticket, load }) => {
+            Kind::Queued(wire::SlotQueued { ticket: ticket.0, load: Some(encode_load(load)) })
+        }
+        Content::Answer(Answer::Refused { ticket, load }) => {
+            Kind::Refused(wire::SlotRefused { ticket: ticket.0, load: Some(encode_load(load)) })
+        }
+        Content::Answer(Answer::Stop { ticket }) => Kind::Stop(wire::SlotStop { ticket: ticket.0 }),
+        Content::Ack(ack) => Kind::Ack(wire::SlotAck {
+            sequence: ack.sequence,
+            fleet_version: ack.fleet_version,
+            exceptions: ack.exceptions.into_iter().map(encode_exception).collect(),
+        }),
+    };
+    wire::SlotMessage { incarnation: message.incarnation, kind: Some(kind) }
+}
+
+fn encode_sync(status: Status, sync: Sync) -> wire::SlotSync {
+    let held = sync.held.into_iter().map(|held| wire::SlotHeld {
+        ticket: held.ticket.0,
+        upstream: held.upstream,
+        batch: held.class == Class::Batch,
+    });
+    let wants = sync.wants.into_iter().map(|want| wire::SlotWant {
+        ticket: want.ticket.0,
+        shard: want.shard,
+        late: want.urgency.late,
+        due_ms: want.urgency.due_ms,
+    });
+    wire::SlotSync {
+        from: status.name,
+        sequence: status.sequence,
+        store_age_ms: milliseconds(status.store_age),
+        leaving: status.leaving,
+        held: held.collect(),
+        pending: sync.pending.into_iter().map(|ticket| ticket.0).collect(),
+        wants: wants.collect(),
+        failed: sync.failed.into_iter().collect(),
+    }
+}
+
+fn encode_exception(exception: Exception) -> wire::SlotMember {
+    wire::SlotMember {
+        relay: exception.relay,
+        silence_ms: milliseconds(exception.silence),
+        store_age_ms: milliseconds(exception.store_age),
+        leaving: exception.leaving,
+    }
+}
+
+fn encode_load(load: Load) -> wire::SlotLoad {
+    wire::SlotLoad { permille: load.permille, wait_ms: milliseconds(load.wait) }
+}
+
+fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn decode(message: wire::SlotMessage) -> Option<Message> {
+    let content = match message.kind? {
+        Kind::Ask(ask) => Content::Ask(Ask {
+            ticket: Ticket(ask.ticket),
+            shard: ask.shard,
+            start_within: Duration::from_micros(ask.start_within_us),
+            data_centre: ask.data_centre,
+            connected: ask.connected.into_iter().collect(),
+            avoid: ask.avoid.into_iter().collect(),
+        }),
+        Kind::Release(release) => {
+            Content::Release(release.tickets.into_iter().map(Ticket).collect())
+        }
+        Kind::Sync(sync) => decode_sync(sync),
+        Kind::Granted(granted) => Content::Answer(Answer::Granted {
+            ticket: Ticket(granted.ticket),
+            upstream: granted.upstream,
+            load: decode_load(granted.load),
+        }),
+        Kind::Queued(queued) => Content::Answer(Answer::Queued {
+            ticket: Ticket(queued.ticket),
+            load: decode_load(queued.load),
+        }),
+        Kind::Refused(refused) => Content::Answer(Answer::Refused {
+            ticket: Ticket(refused.ticket),
+            load: decode_load(refused.load),
+        }),
+        Kind::Stop(stop) => Content::Answer(Answer::Stop { ticket: Ticket(stop.ticket) }),
+        Kind::Ack(ack) => Content::Ack(Ack {
+            sequence: ack.sequence,
+            fleet_version: ack.fleet_version,
+            exceptions: ack.exceptions.into_iter().map(decode_exception).collect(),
+        }),
+    };
+    Some(Message { incarnation: message.incarnation, content })
+}
+
+fn decode_sync(sync: wire::SlotSync) -> Content {
+    let held = sync.held.into_iter().map(|held| Held {
+        ticket: Ticket(held.ticket),
+        upstream: held.upstream,
+        class: if held.batch { Class::Batch } else { Class::Online },
+    });
+    let wants = sync.wants.into_iter().map(|want| Want {
+        ticket: Ticket(want.ticket),
+        shard: want.shard,
+        urgency: Urgency { late: want.late, due_ms: want.due_ms },
+    });
+    let status = Status {
+        name: sync.from,
+        sequence: sync.sequence,
+        store_age: Duration::from_millis(sync.store_age_ms.into()),
+        leaving: sync.leaving,
+    };
+    let pending: BTreeSet<Ticket> = sync.pending.into_iter().map(Ticket).collect();
+    let failed = sync.failed.into_iter().collect();
+    Content::Sync(status, Sync { held: held.collect(), pending, wants: wants.collect(), failed })
+}
+
+fn decode_exception(member: wire::SlotMember) -> Exception {
+    Exception {
+        relay: member.relay,
+        silence: Duration::from_millis(member.silence_ms.into()),
+        store_age: Duration::from_millis(member.store_age_ms.into()),
+        leaving: member.leaving,
+    }
+}
+
+fn decode_load(load: Option<wire::SlotLoad>) -> Load {
+    let load = load.unwrap_or_default();
+    Load { permille: load.permille, wait: Duration::from_millis(load.wait_ms.into()) }
+}
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -9,7 +9,7 @@
 use cyclamengrade_control::relay::{
     failure::{Attempts, Failure},
     route::Route,
-    selector::{Choice, Key, Load},
+    selector::Key,
 };
 use cyclamengrade_telemetry::event;
 use tokio::sync::OwnedSemaphorePermit;
@@ -17,6 +17,7 @@
 use crate::{
     exchange::{self, Options, Outgoing, Response},
     shared::{Flight, Shared},
+    slots::Placement,
 };
 
 /// Silence timeout as a multiple of the larger of the route's latency and gap objectives.
@@ -48,9 +49,9 @@
 /// Why a request ends without a response of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
-    /// No upstream can start the request in time. The caller may retry after the duration. The load
-    /// is logged.
-    Refused(Duration, Load),
+    /// No upstream can start the request in time. The caller may retry after the duration. The
+    /// placement is logged.
+    Refused(Duration, Placement),
     /// The last attempt failed, and no further one is allowed.
     AttemptsExhausted(Failure),
     /// The deadline of the request has passed.
@@ -110,7 +111,7 @@
     }
 
     /// Chooses an upstream and counts the request there.
-    pub fn choose_upstream(&self) -> Result<(Flight, Load), Error> {
+    pub async fn choose_upstream(&self) -> Result<(Flight, Placement), Error> {
         let elapsed = self.arrived.elapsed();
         // The first attempt has to start within the latency objective. A request that has missed
         // its objective, or whose first attempt failed, is still worth serving until its deadline.
@@ -119,11 +120,8 @@
             _ => self.remaining(),
         };
         let deployment = self.route.deployment(rand::random()).unwrap_or_default();
-        match self.shared.acquire_online(deployment, &self.tried, remaining) {
-            (Choice::Send(_, load), Some(flight)) => Ok((flight, load)),
-            (Choice::Refuse(wait, load), _) => Err(Error::Refused(wait, load)),
-            (Choice::Send(_, load), None) => Err(Error::Refused(Duration::ZERO, load)),
-        }
+        let placed = self.shared.acquire_online(deployment, &self.tried, remaining).await;
+        placed.map_err(|(wait, placement)| Error::Refused(wait, placement))
     }
 
     /// Sends the request to one upstream after the other until one responds or no further attempt
@@ -133,8 +131,8 @@
             if self.remaining().is_zero() {
                 return Err(Error::DeadlineExceeded);
             }
-            let (mut flight, load) = self.choose_upstream()?;
-            self.log_send(&flight, load);
+            let (mut flight, placement) = self.choose_upstream().await?;
+            self.log_send(&flight, placement);
             let options = Options {
                 deadline: Some(self.deadline),
                 resume_after,
@@ -142,9 +140,7 @@
                 max_connections: self.shared.max_connections(&flight.upstream.deployment),
             };
             let names = self.shared.dialect.headers();
-            let sent =
-                exchange::send(&self.shared.pool, names, &flight.upstream, &self.outgoing, options);
-            match sent.await {
+            match exchange::send(&flight, names, &self.outgoing, options).await {
                 Ok(response) => {
                     flight.record_bytes();
                     return Ok((flight, response));
@@ -187,18 +183,16 @@
         }
     }
 
-    fn log_send(&self, flight: &Flight, load: Load) {
+    fn log_send(&self, flight: &Flight, placement: Placement) {
         event!(
             RequestSent,
             request:% = self.outgoing.id,
             route:% = self.route.name,
             upstream:% = flight.upstream.id,
             attempt = self.attempts.possibly_run + self.attempts.not_run + 1,
-            online = load.counts.online,
-            batch = load.counts.batch,
-            slots = load.slots,
-            wait_ms = load.expected_wait.as_millis() as u64,
-            report_age_ms = load.report_age.as_millis() as u64,
+            granted = placement.granted,
+            load_permille = placement.load.permille,
+            wait_ms = placement.elapsed.as_millis() as u64,
             configuration = self.shared.routes.load().version
         );
     }
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -36,6 +36,8 @@
     job: Job,
     results: Batch,
     failures: Option<row::Failures>,
+    /// New row of the job, if the transaction changes it.
+    row: Option<row::Job>,
     /// Texts of unfinished items, with the positions of the items in the job.
     partials: Vec<(usize, row::Partial)>,
 }
@@ -127,7 +129,27 @@
             return None;
         }
         owned.failures_changed = false;
-        Some(Write { job: owned.job.clone(), results, failures, partials })
+        let row = match results.is_last {
+            true => Some(owned.job.row.done()),
+            false if results.entries.is_empty() => None,
+            false => self.reduced_row(owned, &results),
+        };
+        Some(Write { job: owned.job.clone(), results, failures, row, partials })
+    }
+
+    /// Returns the row of a job without the tokens of its finished items, if its route is near the
+    /// limit on waiting tokens.
+    fn reduced_row(&self, owned: &Owned, results: &Batch) -> Option<row::Job> {
+        let route = self.route(&owned.job.row)?;
+        if !route.quota.is_limited()
+            || !route.quota.needs_exact_count(self.shared.waiting_tokens(&route))
+        {
+            return None;
+        }
+        let tokens = |item: usize| owned.items.get(item).map_or(0, |item| item.tokens);
+        let finished: u64 = results.entries.iter().map(|entry| tokens(entry.item)).sum();
+        let unfinished = owned.unfinished_tokens().saturating_sub(finished);
+        Some(owned.job.row.with_tokens(unfinished))
     }
 
     /// Returns texts of unfinished items with at least `min_events` new events, as many as fit into
@@ -156,7 +178,7 @@
             let partials = self.partials(owned, 1, MAX_COMMIT_BYTES);
             let results =
                 Batch { from: owned.results.committed(), entries: Vec::new(), is_last: false };
-            Write { job: owned.job.clone(), results, failures: None, partials }
+            Write { job: owned.job.clone(), results, failures: None, row: None, partials }
         };
         if !write.partials.is_empty() {
             // A conflict is ignored: it means that the job has ended or belongs to another relay.
@@ -168,7 +190,7 @@
     async fn store(&self, id: &str, write: &Write) -> Outcome {
         match self.try_store(id, write).await {
             Ok(Commit::Done { versions }) => {
-                Outcome::Stored(versions.first().copied().filter(|_| write.results.is_last))
+                Outcome::Stored(versions.first().copied().filter(|_| write.row.is_some()))
             }
             Ok(Commit::Conflict { .. }) => Outcome::Unknown,
             Err(error) if error.may_have_taken_effect() => Outcome::Unknown,
@@ -181,9 +203,8 @@
 
     async fn try_store(&self, id: &str, write: &Write) -> Result<Commit, Error> {
         let mut transaction = Transaction::new().with_condition(key::job(id), write.job.version);
-        if write.results.is_last {
-            let row = write.job.row.done();
-            transaction = transaction.with_write(key::job(id), store::encode(&row)?);
+        if let Some(row) = &write.row {
+            transaction = transaction.with_write(key::job(id), store::encode(row)?);
         }
         for (offset, pending) in write.results.entries.iter().enumerate() {
             let key = key::result(id, write.results.from + offset);
@@ -238,9 +259,10 @@
                 lock(transcript).saved = Some(partial.last);
             }
         }
-        drop(jobs);
-        if let Some(version) = version {
-            store::record_row(&self.shared, id, version, write.job.row.done());
+        if let (Some(version), Some(row)) = (version, &write.row) {
+            owned.job = Job { version, row: row.clone() };
+            drop(jobs);
+            store::record_row(&self.shared, id, version, row.clone());
         }
     }
 
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -8,10 +8,10 @@
 };
 
 use cyclamengrade_control::relay::{
+    broker::{Ticket, Urgency},
     job::RunFailure,
     priority::{Estimate, Priority},
     route::Route,
-    selector::Key,
 };
 use cyclamengrade_telemetry::{event, metrics::RELAY_ITEMS};
 use metrics::counter;
@@ -33,6 +33,8 @@
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(5);
 /// Delay before the retry of an item whose run was interrupted for a reason unrelated to the item.
 const INTERRUPTED_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Time for which an item waits for a slot of one shard of upstreams before it asks another one.
+const SHARD_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Time between two saves of unfinished texts. A run takes several seconds, and a save costs far
 /// less than repeating it.
 const SAVE_PERIOD: Duration = Duration::from_secs(2);
@@ -50,6 +52,8 @@
     loading: Mutex<BTreeSet<String>>,
     /// Estimate of the time that items take.
     estimate: Mutex<Estimate>,
+    /// Requests for the slots of waiting items, by job and item.
+    wants: Mutex<BTreeMap<(String, usize), Ticket>>,
 }
 
 /// Exclusive permission to load a job. No other task of this process loads the job until this value
@@ -67,8 +71,13 @@
 
 impl Dispatcher {
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
-        let (jobs, loading, estimate) = (Mutex::default(), Mutex::default(), Mutex::default());
-        Arc::new(Self { shared, jobs, loading, estimate })
+        Arc::new(Self {
+            shared,
+            jobs: Mutex::default(),
+            loading: Mutex::default(),
+            estimate: Mutex::default(),
+            wants: Mutex::default(),
+        })
     }
 
     /// Begins to load a job. Returns `None` if the job is already being loaded or owned.
@@ -147,8 +156,7 @@
             self.preempt();
             self.abandon_expired();
             // While the relay drains, jobs that cannot be handed over continue here.
-            let waiting = self.start_items();
-            self.report_waiting(waiting);
+            self.start_items();
             if phase == Phase::Running && saved.elapsed() >= SAVE_PERIOD {
                 saved = Instant::now();
                 self.request_saves();
@@ -175,28 +183,21 @@
         }
     }
 
-    /// Stops runs whose slots online requests need.
+    /// Stops the runs whose slots online requests need.
     fn preempt(&self) {
-        let preemptions = self.shared.selector().preemptions(self.shared.clock.now());
-        for (upstream, count) in preemptions {
-            for _ in 0..count {
-                self.stop_least_urgent(upstream);
-            }
+        for ticket in self.shared.take_stopped() {
+            self.stop_run(ticket);
         }
     }
 
-    /// Stops the least urgent run at an upstream.
-    fn stop_least_urgent(&self, upstream: Key) {
-        let inputs = self.priority_inputs();
+    /// Stops the run that holds a slot.
+    fn stop_run(&self, ticket: Ticket) {
         let mut jobs = self.jobs();
-        let least_urgent = jobs
-            .iter()
-            .flat_map(|(id, owned)| {
-                let runs = owned.runs.iter().filter(|(_, run)| run.upstream == upstream);
-                runs.map(move |(item, _)| (priority(inputs, owned, *item), id.clone(), *item))
-            })
-            .max();
-        let Some((_, id, item)) = least_urgent else { return };
+        let found = jobs.iter().find_map(|(id, owned)| {
+            let run = owned.runs.iter().find(|(_, run)| run.ticket == ticket);
+            run.map(|(item, _)| (id.clone(), *item))
+        });
+        let Some((id, item)) = found else { return };
         let Some(owned) = jobs.get_mut(&id) else { return };
         let Some(run) = owned.runs.remove(&item) else { return };
         run.abort.abort();
@@ -229,17 +230,46 @@
         }
     }
 
-    /// Starts waiting items in the order of their priorities. Returns how many still wait.
-    fn start_items(self: &Arc<Self>) -> usize {
-        let mut full = BTreeSet::new();
-        let mut waiting = 0;
-        for (_, id, item) in self.waiting_items() {
-            match self.acquire(&id, &mut full) {
-                Some(flight) => self.start_item(&id, item, flight),
-                None => waiting += 1,
+    /// Requests slots for the waiting items, and starts those whose slots were granted.
+    fn start_items(self: &Arc<Self>) {
+        let waiting = self.waiting_items();
+        let mut former = std::mem::take(&mut *lock(&self.wants));
+        for (priority, id, item) in waiting {
+            let urgency = priority.into();
+            let key = (id, item);
+            let ticket = former.remove(&key);
+            if let Some(upstream) = ticket.and_then(|ticket| self.shared.take_granted(ticket)) {
+                let flight = ticket.and_then(|ticket| self.shared.acquire_batch(ticket, upstream));
+                if let Some(flight) = flight {
+                    self.start_item(&key.0, item, flight);
+                    continue;
+                }
+            }
+            let waited = ticket.and_then(|ticket| self.shared.update_want(ticket, urgency));
+            let ticket = match (ticket, waited) {
+                (Some(ticket), Some(waited)) if waited < SHARD_PATIENCE => Some(ticket),
+                (ticket, _) => {
+                    if let Some(ticket) = ticket {
+                        self.shared.release_slot(ticket);
+                    }
+                    self.want(&key.0, urgency)
+                }
+            };
+            if let Some(ticket) = ticket {
+                lock(&self.wants).insert(key, ticket);
             }
         }
-        waiting
+        for ticket in former.into_values() {
+            self.shared.release_slot(ticket);
+        }
+    }
+
+    /// Requests a slot for an item of a job.
+    fn want(&self, id: &str, urgency: Urgency) -> Option<Ticket> {
+        let route = self.route(&self.jobs().get(id)?.job.row)?;
+        let deployment = route.deployment(rand::random())?;
+        let shards = self.shared.selector().shards(deployment);
+        self.shared.want_slot(&shards, urgency)
     }
 
     /// Returns the items that wait for a slot, the most urgent first.
@@ -283,28 +313,6 @@
         }
     }
 
-    /// Reports the number of waiting items to the other relays if it has changed.
-    fn report_waiting(&self, count: usize) {
-        if self.shared.selector().set_waiting(u32::try_from(count).unwrap_or(u32::MAX)) {
-            self.shared.occupancy_changed.notify_one();
-        }
-    }
-
-    /// Acquires a slot for an item of a job. Deployments without a free slot are added to `full`,
-    /// so that each is tried once per pass.
-    fn acquire(&self, id: &str, full: &mut BTreeSet<String>) -> Option<Flight> {
-        let route = self.route(&self.jobs().get(id)?.job.row)?;
-        let deployment = route.deployment(rand::random())?;
-        if full.contains(deployment) {
-            return None;
-        }
-        let flight = self.shared.acquire_batch(deployment);
-        if flight.is_none() {
-            full.insert(deployment.to_owned());
-        }
-        flight
-    }
-
     fn start_item(self: &Arc<Self>, id: &str, item: usize, flight: Flight) {
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
@@ -317,7 +325,7 @@
         };
         owned.results.start(item);
         let transcript = owned.transcripts.entry(item).or_default().clone();
-        let (upstream, upstream_id) = (flight.key, flight.upstream.id.clone());
+        let (ticket, upstream_id) = (flight.ticket, flight.upstream.id.clone());
         event!(
             ItemStarted,
             job:% = id,
@@ -333,7 +341,7 @@
         let (started, events_before) = (self.shared.clock.now(), owned.events(item));
         owned.runs.insert(
             item,
-            Run { upstream, upstream_id, abort: task.abort_handle(), started, events_before },
+            Run { ticket, upstream_id, abort: task.abort_handle(), started, events_before },
         );
     }
 
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -6,7 +6,7 @@
 };
 
 use cyclamengrade_control::{
-    relay::{job::Progress, results::Results, selector::Key},
+    relay::{broker::Ticket, job::Progress, results::Results},
     time::Time,
 };
 use tokio::task::AbortHandle;
@@ -33,7 +33,8 @@
 
 /// A run of an item at an upstream.
 pub struct Run {
-    pub upstream: Key,
+    /// Slot that the run holds.
+    pub ticket: Ticket,
     /// Id of the upstream, for logs.
     pub upstream_id: String,
     /// Aborts the run.
@@ -118,6 +119,12 @@
         self.results.is_committed() && !self.committing
     }
 
+    /// Returns the tokens of the items without a committed result.
+    pub fn unfinished_tokens(&self) -> u64 {
+        let unfinished = self.results.uncommitted(self.items.len());
+        unfinished.map(|item| self.items[item].tokens).sum()
+    }
+
     /// Restores the texts that earlier owners stored.
     pub fn restore(&mut self, partials: BTreeMap<usize, row::Partial>) {
         for (item, partial) in partials {
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -26,6 +26,8 @@
     pub stamp: HeaderName,
     /// Present in a response that reports that the request did not run.
     pub not_run: HeaderName,
+    /// Present in every response of an upstream that is leaving.
+    pub leaving: HeaderName,
 }
 
 /// Tables and keys of the rows that the relay reads and the platform or its operators write.
@@ -67,6 +69,8 @@
     pub headers: BTreeMap<String, String>,
     /// Body of the item's request.
     pub body: Bytes,
+    /// Tokens of the prompt and the longest output.
+    pub tokens: u64,
 }
 
 /// Result of an item.
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -8,7 +8,10 @@
 };
 
 use cyclamengrade_control::{
-    relay::registry::{self, Registry},
+    relay::{
+        monitor::Health,
+        registry::{self, Registry},
+    },
     time::Time,
 };
 use cyclamengrade_platform::feed::{Change, Changes, Content};
@@ -160,6 +163,7 @@
     /// Passes the upstreams to the selector, and closes the idle connections to those removed.
     fn publish(&self) {
         let removed = self.shared.selector().set_upstreams(&self.registry.upstreams());
+        self.shared.publish_places();
         self.shared.pool.close_idle(&removed);
         self.shared.batch_changed.notify_one();
     }
@@ -214,21 +218,17 @@
                     let member = Member {
                         address: row.address,
                         incarnation: row.incarnation,
-                        last_heard: now,
-                        store_age: Duration::ZERO,
-                        leaving: false,
-                        sequence: 0,
+                        capacity: row.capacity,
+                        joined_ms: row.joined_ms,
+                        health: Health::new(name, change.version, now),
                     };
                     members.insert(name.to_owned(), member);
-                    // A relay that has just started does not know the occupancy of the upstreams.
-                    self.shared.occupancy_changed.notify_one();
                 }
             }
             None => {
                 if members.remove(name).is_some() {
                     event!(MemberGone, member:% = name);
                 }
-                self.shared.selector().remove_report(name);
             }
         }
     }
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -16,6 +16,7 @@
     dialect::Headers,
     events::{Event, Splitter},
     pool::{Connection, Pool},
+    shared::Flight,
 };
 
 /// Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1, and RFC 9112).
@@ -186,12 +187,12 @@
 /// Fails if the request could not be sent, if the upstream did not run it, or if there was no valid
 /// response.
 pub async fn send(
-    pool: &Pool,
+    flight: &Flight,
     names: &Headers,
-    upstream: &Upstream,
     outgoing: &Outgoing,
     options: Options,
 ) -> Result<Response, Failure> {
+    let (pool, upstream) = (flight.pool(), &flight.upstream);
     let connection = pool.acquire(&upstream.id, upstream.address, options.max_connections).await;
     let Some(mut connection) = connection else { return Err(Failure::NotSent) };
     let request = request(names, upstream, outgoing, options).ok_or(Failure::NotSent)?;
@@ -207,6 +208,10 @@
             }
         };
     let (head, body) = response.into_parts();
+    // A misdirected request was answered by another upstream.
+    if head.status != StatusCode::MISDIRECTED_REQUEST && head.headers.contains_key(&names.leaving) {
+        flight.record_leaving();
+    }
     let response = Response { status: head.status, headers: head.headers, body, connection };
     validate(pool, names, outgoing, response, options.timeout).await
 }
--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -16,17 +16,27 @@
     shared::Shared,
 };
 
-/// Longest time for which the store may hold a call until a change exists. A silent connection is
-/// detected after this time and [`ANSWER_MARGIN`], well within the two seconds in which a change
-/// must be in force.
-const LONG_POLL_WAIT: Duration = Duration::from_millis(600);
-/// Time after [`LONG_POLL_WAIT`] within which the answer must arrive.
+/// Part of the time in which a change has to be in force for which the store may hold a call until
+/// there is a change. A silent connection is detected after this time and [`ANSWER_MARGIN`].
+const LONG_POLL_SHARE: f64 = 0.4;
+/// Time that is left for a new connection after a silent one, in addition.
+const RECONNECT_TIME: Duration = Duration::from_millis(200);
+/// Longest wait. With [`ANSWER_MARGIN`], it is at most the silence that counts as an outage.
+const MAX_WAIT: Duration = Duration::from_millis(1_000);
+/// Wait of calls for the changes of relays and jobs, by whose age jobs are admitted.
+const FLEET_WAIT: Duration = Duration::from_millis(600);
+/// Time after the requested wait within which the answer must arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Timeout of a snapshot. It allows for a store that is fifty times slower than usual.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Pause after changes of relays and jobs, so that further changes arrive together in one call.
-/// Every change is delivered to every relay, and a reaction within seconds is soon enough.
-const FLEET_COALESCING_DELAY: Duration = Duration::from_millis(200);
+/// Shortest pause after changes of relays and jobs, so that further changes arrive together in one
+/// call. Every change is delivered to every relay, and a reaction within seconds is soon enough.
+const MIN_COALESCING_DELAY: Duration = Duration::from_millis(200);
+/// Longest pause after changes of relays and jobs. The end of a job takes effect after it.
+const MAX_COALESCING_DELAY: Duration = Duration::from_millis(1_000);
+/// Number of relays up to which the pause is the shortest. In a larger fleet it grows with the
+/// number of relays, and with it the number of changes in one call.
+const COALESCING_RELAYS: u32 = 60;
 /// Backoff after the first failed call; doubled for each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest backoff after a failed call. It is short, because all requests depend on the state that
@@ -39,6 +49,8 @@
     feed: Arc<dyn Feed>,
     directory: ActorRef<Directory>,
     table: String,
+    /// Longest time for which the store may hold a call until there is a change.
+    wait: Duration,
     /// Version up to which changes were received; `None` before the first snapshot and after the
     /// store has dropped the history.
     version: Option<u64>,
@@ -49,19 +61,26 @@
 }
 
 impl Follower {
-    /// Creates a follower that begins with a snapshot of the table.
+    /// Creates a follower that begins with a snapshot of the table. A change of the table has to be
+    /// in force within `apply`.
     pub fn new(
         shared: Arc<Shared>,
         feed: Arc<dyn Feed>,
         directory: ActorRef<Directory>,
         table: String,
+        apply: Duration,
     ) -> Self {
         let last_answer = Instant::now();
+        let wait = match table == key::FLEET {
+            true => FLEET_WAIT,
+            false => apply.mul_f64(LONG_POLL_SHARE).saturating_sub(RECONNECT_TIME).min(MAX_WAIT),
+        };
         Self {
             shared,
             feed,
             directory,
             table,
+            wait,
             version: None,
             lost_since: None,
             last_answer,
@@ -81,7 +100,7 @@
                     let has_rows = !changes.rows.is_empty();
                     self.apply(changes, is_snapshot).await;
                     if has_rows && self.table == key::FLEET {
-                        sleep(FLEET_COALESCING_DELAY).await;
+                        sleep(self.coalescing_delay()).await;
                     }
                 }
                 Err(Error::HistoryLost(_)) => {
@@ -97,14 +116,20 @@
         }
     }
 
+    fn coalescing_delay(&self) -> Duration {
+        let relays = u32::try_from(self.shared.members().len()).unwrap_or(u32::MAX);
+        let delay = MIN_COALESCING_DELAY * relays / COALESCING_RELAYS;
+        delay.clamp(MIN_COALESCING_DELAY, MAX_COALESCING_DELAY)
+    }
+
     async fn snapshot(&self) -> Result<Changes, Error> {
         let call = self.feed.snapshot(self.table.clone());
         timeout(SNAPSHOT_TIMEOUT, call).await.unwrap_or_else(|_| Err(timeout_error()))
     }
 
     async fn changes(&self, version: u64) -> Result<Changes, Error> {
-        let call = self.feed.changes(self.table.clone(), version, LONG_POLL_WAIT);
-        timeout(LONG_POLL_WAIT + ANSWER_MARGIN, call).await.unwrap_or_else(|_| Err(timeout_error()))
+        let call = self.feed.changes(self.table.clone(), version, self.wait);
+        timeout(self.wait + ANSWER_MARGIN, call).await.unwrap_or_else(|_| Err(timeout_error()))
     }
 
     async fn apply(&mut self, changes: Changes, is_snapshot: bool) {
@@ -119,9 +144,12 @@
         self.backoff = MIN_BACKOFF;
         let silence = std::mem::replace(&mut self.last_answer, Instant::now()).elapsed();
         self.shared.record_store_contact();
+        if self.table == key::FLEET {
+            self.shared.record_fleet_answer();
+        }
         self.shared.clock.record_store_time(changes.clock_ms);
         self.version = Some(changes.version.max(self.version.unwrap_or(0)));
-        if changes.rows.is_empty() && !is_snapshot && silence < LONG_POLL_WAIT + ANSWER_MARGIN {
+        if changes.rows.is_empty() && !is_snapshot && silence < self.wait + ANSWER_MARGIN {
             return;
         }
         let update = Update { table: self.table.clone(), changes, is_snapshot, silence };
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use cyclamengrade_control::relay::route::Route;
+use cyclamengrade_control::relay::{quota::Admission, route::Route};
 use cyclamengrade_platform::Error;
 use cyclamengrade_telemetry::event;
 use hyper::{
@@ -19,7 +19,7 @@
     dialect::JobCall,
     job::{row, store, store::Acceptance},
     online,
-    shared::{Phase, Shared},
+    shared::{Phase, Reservation, Shared},
 };
 
 /// Longest wait for the first result in one call, in addition to the time of the calls to the
@@ -57,6 +57,11 @@
         Ok(_) => return bad_request(&id, "too many items"),
         Err(cause) => return bad_request(&id, &cause),
     };
+    let tokens = items.iter().map(|item| item.tokens).fold(0, u64::saturating_add);
+    let _reservation = match reserve(shared, &route, &id, tokens).await {
+        Ok(reservation) => reservation,
+        Err(response) => return response,
+    };
     let Some(now) = shared.clock.store_ms() else { return store_unavailable(shared) };
     let after = |duration: Duration| now + duration.as_millis() as u64;
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -65,6 +70,7 @@
         host: host.to_owned(),
         path: head.uri.path().to_owned(),
         items: items.len(),
+        tokens,
         accepted_ms: now,
         due_ms: after(route.completion_target),
         expires_ms: after(route.retention),
@@ -102,6 +108,35 @@
     online::empty(StatusCode::ACCEPTED)
 }
 
+/// Reserves the tokens of a job within the limit of its route. A job that is stored already needs no
+/// reservation. The error is the response to the submission.
+async fn reserve(
+    shared: &Arc<Shared>,
+    route: &Route,
+    id: &str,
+    tokens: u64,
+) -> Result<Option<Reservation>, Response<Body>> {
+    let refused = match shared.reserve_tokens(route, tokens) {
+        Ok(reservation) => return Ok(Some(reservation)),
+        Err(refused) => refused,
+    };
+    match store::find(shared, id).await {
+        Ok(Some(_)) => return Ok(None),
+        Ok(None) => {}
+        Err(error) => {
+            event!(JobCallFailed, job:% = id, error:% = error);
+            return Err(store_unavailable(shared));
+        }
+    }
+    let waiting = shared.waiting_tokens(route);
+    event!(JobOverLimit, job:% = id, route:% = route.name, tokens = tokens, waiting = waiting, decision:? = refused);
+    Err(match refused {
+        Admission::Full(wait) => online::refusal(StatusCode::TOO_MANY_REQUESTS, wait),
+        Admission::TooLarge => online::empty(StatusCode::TOO_MANY_REQUESTS),
+        Admission::Unknown | Admission::Admitted => store_unavailable(shared),
+    })
+}
+
 /// Refuses a call because the store is unavailable. `Retry-After` is the duration of the outage so
 /// far, as an outage is expected to go on for as long as it has lasted.
 fn store_unavailable(shared: &Shared) -> Response<Body> {
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -8,10 +8,21 @@
 /// Row of a relay.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
-    /// Address for occupancy datagrams.
+    /// Address for messages about slots.
     pub address: SocketAddr,
     /// Random number that identifies this start of the relay.
     pub incarnation: u64,
+    /// Processor time that the relay may use, in thousandths of a core. Larger vms serve as brokers
+    /// and monitors.
+    #[serde(default = "default_capacity")]
+    pub capacity: u32,
+    /// When the relay joined, on the store's clock in milliseconds.
+    #[serde(default)]
+    pub joined_ms: u64,
+}
+
+const fn default_capacity() -> u32 {
+    1_000
 }
 
 /// Owner of a job: one start of a relay.
@@ -44,6 +55,10 @@
     pub path: String,
     /// Number of items.
     pub items: usize,
+    /// Tokens of the items that count towards the limit of the route: those of all items, or of the
+    /// unfinished ones while the route is near its limit.
+    #[serde(default)]
+    pub tokens: u64,
     /// Time of acceptance, in milliseconds on the store's clock.
     pub accepted_ms: u64,
     /// Time when the results are due, in milliseconds on the store's clock.
@@ -78,6 +93,11 @@
         (self.state != State::Ended).then(|| Self { state: State::Ended, ..self.clone() })
     }
 
+    /// Returns the row with the number of tokens of the unfinished items.
+    pub fn with_tokens(&self, tokens: u64) -> Self {
+        Self { tokens, ..self.clone() }
+    }
+
     /// Returns the row after every item got its result.
     pub fn done(&self) -> Self {
         Self { state: State::Done, ..self.clone() }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -17,11 +17,12 @@
 mod front;
 pub mod job;
 mod native;
-mod occupancy;
 mod online;
+mod peers;
 mod pool;
 mod run;
 mod shared;
+mod slots;
 mod stop;
 
 pub use crate::{
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cyclamengrade_control::relay::{
     job::FinalState,
+    quota::Quota,
     route::{Deployment, Kind, Limits, Route, Table, Target},
     selector::Upstream,
 };
@@ -34,6 +35,7 @@
                 expect_instance: name("x-expect-instance"),
                 stamp: name("x-upstream-stamp"),
                 not_run: name("x-not-run"),
+                leaving: name("x-upstream-leaving"),
             },
             sources: Sources {
                 configuration_table: "relay".into(),
@@ -84,6 +86,9 @@
     /// Time from the acceptance of a job until its items may be abandoned.
     #[serde(default)]
     retention_ms: u64,
+    /// Tokens that may wait for a run; 0 for no limit.
+    #[serde(default)]
+    waiting_tokens: u64,
     /// Weights of the deployments that serve the route, by name of the deployment.
     targets: BTreeMap<String, u32>,
 }
@@ -117,6 +122,8 @@
     slots: Option<u32>,
     #[serde(default)]
     leaving: bool,
+    /// Differs between the starts of an upstream that keeps its id.
+    born: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -133,6 +140,9 @@
     #[serde(default)]
     headers: BTreeMap<String, String>,
     body: String,
+    /// Tokens of the prompt and the longest output.
+    #[serde(default)]
+    tokens: u64,
 }
 
 #[derive(Serialize)]
@@ -172,6 +182,7 @@
             resumable: json.resumable,
             completion_target: Duration::from_millis(json.completion_ms),
             retention: Duration::from_millis(json.retention_ms),
+            quota: Quota::new(json.waiting_tokens),
             targets: targets.map(|(deployment, weight)| Target { deployment, weight }).collect(),
         }
     }
@@ -204,6 +215,7 @@
             data_centre: json.data_centre,
             slots: json.slots,
             leaving: json.leaving,
+            born: json.born,
         })
     }
 
@@ -234,6 +246,7 @@
             path: item.path,
             headers: item.headers,
             body: item.body.into(),
+            tokens: item.tokens,
         });
         Ok(items.collect())
     }
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -9,7 +9,6 @@
 use cyclamengrade_control::relay::{
     failure::Failure,
     route::{Kind, Limits, Route},
-    selector::Load,
 };
 use cyclamengrade_telemetry::{
     event,
@@ -34,6 +33,7 @@
     events::Event,
     exchange::{self, Collected, Events, Outgoing},
     shared::{Flight, Shared},
+    slots::Placement,
 };
 
 /// Shortest time that `Retry-After` states. It is also stated if a request is refused for another
@@ -379,14 +379,16 @@
 /// request certainly did not run.
 fn error_response(request: &Request, error: attempt::Error) -> Response<Body> {
     let is_not_run = request.attempts.is_not_run();
-    let (wait, load, reason) = match error {
-        attempt::Error::Refused(wait, load) => {
-            (wait, load, "no upstream can start the request in time")
+    let (wait, placement, reason) = match error {
+        attempt::Error::Refused(wait, placement) => {
+            (wait, placement, "no upstream can start the request in time")
         }
         attempt::Error::AttemptsExhausted(failure) => {
-            (MIN_RETRY_AFTER, Load::default(), failure.name())
+            (MIN_RETRY_AFTER, Placement::default(), failure.name())
+        }
+        attempt::Error::DeadlineExceeded => {
+            (Duration::ZERO, Placement::default(), "deadline exceeded")
         }
-        attempt::Error::DeadlineExceeded => (Duration::ZERO, Load::default(), "deadline exceeded"),
     };
     if !is_not_run {
         let status = match error {
@@ -404,8 +406,9 @@
         request:% = request.outgoing.id,
         route:% = request.route.name,
         reason:% = reason,
-        wait_ms = load.expected_wait.as_millis() as u64,
-        report_age_ms = load.report_age.as_millis() as u64,
+        granted = placement.granted,
+        load_permille = placement.load.permille,
+        wait_ms = placement.elapsed.as_millis() as u64,
         retry_after_ms = retry_after.as_millis() as u64
     );
     counter!(RELAY_REQUESTS, "kind" => request.route.kind.name(), "outcome" => "refused")
@@ -415,7 +418,12 @@
 
 /// Returns a response which says that the request did not run and when to retry it.
 pub fn unavailable(retry_after: Duration) -> Response<Body> {
-    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after)
+}
+
+/// Returns a response with a status that says that the request did not run, and when to retry it.
+pub fn refusal(status: StatusCode, retry_after: Duration) -> Response<Body> {
+    let mut response = empty(status);
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
--- /dev/null
+++ b/components/relay/src/peers.rs
@@ -0,0 +1,189 @@
+//! Messages with the other relays: this relay reports what it holds, answers as a broker and as a
+//! monitor, and learns which relays are well.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use cyclamengrade_control::{
+    relay::{
+        broker::{Broker, Holder, Outgoing, Sync},
+        monitor::{self, Status},
+    },
+    time::Time,
+};
+use cyclamengrade_peer::slots::{Ack, Content, Message, Socket};
+use cyclamengrade_telemetry::event;
+use tokio::time::{sleep, timeout};
+
+use crate::shared::{MONITOR_KEY, MONITORS, Phase, Shared};
+
+/// Time between two regular messages to brokers and monitors.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Time in which changes are collected into one message to a broker.
+const COALESCING_DELAY: Duration = Duration::from_millis(5);
+/// Longest time between two checks of the broker while online requests wait.
+const BUSY_TICK: Duration = Duration::from_millis(10);
+/// Longest time between two checks of the broker otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(250);
+
+/// Tells the brokers and monitors the state of this relay regularly, until the process ends.
+pub async fn report(shared: Arc<Shared>) {
+    loop {
+        let mut syncs = shared.syncs(None);
+        let now = shared.clock.now();
+        for (name, address) in shared.servers(MONITOR_KEY, MONITORS, now) {
+            syncs.entry(address).or_insert((name, Sync::default()));
+        }
+        let targets: BTreeSet<SocketAddr> = syncs.keys().copied().collect();
+        for former in shared.swap_targets(targets) {
+            // A former broker learns that this relay holds nothing there any more.
+            syncs.entry(former).or_default();
+        }
+        send(&shared, syncs);
+        sleep(REPORT_PERIOD).await;
+    }
+}
+
+/// Tells the brokers of changes, until the process ends.
+pub async fn report_changes(shared: Arc<Shared>) {
+    loop {
+        shared.slots.dirty.notified().await;
+        sleep(COALESCING_DELAY).await;
+        let shards = shared.take_dirty_shards();
+        if !shards.is_empty() {
+            send(&shared, shared.syncs(Some(&shards)));
+        }
+    }
+}
+
+fn send(shared: &Shared, syncs: BTreeMap<SocketAddr, (String, Sync)>) {
+    let now = shared.clock.now();
+    for (address, (name, sync)) in syncs {
+        shared.record_report(&name, now);
+        let status = Status {
+            name: shared.name.clone(),
+            sequence: shared.next_sequence(),
+            store_age: shared.store_age(),
+            leaving: *shared.phase.borrow() >= Phase::Leaving,
+        };
+        shared.send(address, Content::Sync(status, sync));
+    }
+}
+
+/// Receives the messages of the other relays, and acts as the broker of the shards for which it is
+/// asked, until the process ends.
+pub async fn receive(shared: Arc<Shared>, socket: Arc<Socket>) {
+    let mut server = Server { shared: shared.clone(), addresses: BTreeMap::new() };
+    let mut buffer = Vec::new();
+    let mut ticked_at = shared.clock.now();
+    loop {
+        let is_busy = shared.broker_state().has_waiting();
+        let limit = if is_busy { BUSY_TICK } else { IDLE_TICK };
+        if let Ok((from, message)) = timeout(limit, socket.receive(&mut buffer)).await {
+            server.handle(from, message);
+        }
+        let now = shared.clock.now();
+        if now.since(ticked_at) >= limit {
+            ticked_at = now;
+            let outgoing = shared.broker_state().tick(now);
+            server.dispatch(outgoing);
+        }
+    }
+}
+
+struct Server {
+    shared: Arc<Shared>,
+    /// Last addresses of the relays that hold or want slots.
+    addresses: BTreeMap<Holder, SocketAddr>,
+}
+
+impl Server {
+    fn handle(&mut self, from: SocketAddr, message: Message) {
+        let now = self.shared.clock.now();
+        let holder = Holder(message.incarnation);
+        match message.content {
+            Content::Ask(ask) => self.serve(holder, from, |broker| broker.ask(now, holder, ask)),
+            Content::Release(tickets) => {
+                self.serve(holder, from, |broker| broker.release(now, holder, &tickets));
+            }
+            Content::Sync(status, sync) => {
+                let is_new = self.record_status(message.incarnation, &status, now);
+                if is_new {
+                    self.serve(holder, from, |broker| broker.sync(now, holder, sync));
+                    let ack = self.ack(status.sequence, now);
+                    self.shared.send(from, Content::Ack(ack));
+                }
+            }
+            Content::Answer(answer) => {
+                self.shared.record_answer(message.incarnation, now);
+                self.shared.handle_answer(from, answer);
+            }
+            // This relay's own view is used by `Shared::peers`.
+            Content::Ack(_) if message.incarnation == self.shared.incarnation => {}
+            Content::Ack(ack) => {
+                self.shared.record_answer(message.incarnation, now);
+                self.record_news(&ack, now);
+            }
+        }
+    }
+
+    fn serve(
+        &mut self,
+        holder: Holder,
+        from: SocketAddr,
+        handle: impl FnOnce(&mut Broker) -> Vec<Outgoing>,
+    ) {
+        self.addresses.insert(holder, from);
+        let outgoing = handle(&mut self.shared.broker_state());
+        self.dispatch(outgoing);
+    }
+
+    fn dispatch(&self, outgoing: Vec<Outgoing>) {
+        for (holder, answer) in outgoing {
+            if let Some(address) = self.addresses.get(&holder) {
+                self.shared.send(*address, Content::Answer(answer));
+            }
+        }
+    }
+
+    /// Records the state that a relay reports of itself. Returns whether the report is new.
+    fn record_status(&self, incarnation: u64, status: &Status, now: Time) -> bool {
+        if incarnation == self.shared.incarnation {
+            return true;
+        }
+        let mut members = self.shared.members();
+        // A relay whose row the feed has not delivered yet reports again.
+        let Some(member) = members.get_mut(&status.name) else { return false };
+        if member.incarnation != incarnation {
+            return false;
+        }
+        let was_leaving = member.health.is_leaving();
+        let is_new = member.health.record_status(status, now);
+        if member.health.is_leaving() && !was_leaving {
+            event!(MemberLeaving, member:% = status.name);
+        }
+        is_new
+    }
+
+    fn ack(&self, sequence: u64, now: Time) -> Ack {
+        let members = self.shared.members();
+        let exceptions = members.values().filter_map(|member| member.health.exception(now));
+        let exceptions = exceptions.collect();
+        Ack { sequence, fleet_version: self.shared.fleet_version(), exceptions }
+    }
+
+    fn record_news(&self, ack: &Ack, now: Time) {
+        let exceptions = monitor::by_relay(&ack.exceptions);
+        for (name, member) in self.shared.members().iter_mut() {
+            let exception = exceptions.get(&member.health.relay()).copied();
+            if member.health.record_news(exception, ack.fleet_version, now) {
+                event!(MemberLeaving, member:% = name);
+            }
+        }
+        self.shared.record_news(now);
+    }
+}
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -95,6 +95,16 @@
         Some(Connection { sender, task, permit })
     }
 
+    /// Returns up to `max` ids of upstreams to which a connection is idle.
+    pub fn idle_ids(&self, max: usize) -> Vec<String> {
+        let now = Instant::now();
+        let idle = lock(&self.idle);
+        let usable = idle.iter().filter(|(_, list)| {
+            list.iter().any(|idle| idle.expires > now && idle.connection.sender.is_ready())
+        });
+        usable.take(max).map(|(id, _)| id.clone()).collect()
+    }
+
     fn reuse(&self, id: &str) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = lock(&self.idle);
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, path::PathBuf, sync::Arc, thread, time::Duration};
 
-use cyclamengrade_peer::occupancy::Socket;
+use cyclamengrade_peer::slots::Socket;
 use cyclamengrade_platform::{Feed, Objects, Table, table::Transaction};
 use cyclamengrade_settings::Relay as Settings;
 use cyclamengrade_telemetry::{event, metrics};
@@ -20,8 +20,8 @@
     follower::Follower,
     front,
     job::{cleanup, key, row, store},
-    occupancy,
-    shared::{Phase, Shared},
+    peers,
+    shared::{Phase, Readiness, Shared},
     stop,
 };
 
@@ -65,6 +65,7 @@
         settings.store.row_bytes,
     );
     let shared = Arc::new(shared.with_memory(settings.memory_bytes));
+    shared.set_peer(settings.peer_listen, settings.capacity());
     let control = spawn_control(shared.clone(), feed, &settings)?;
     let traffic = runtime()?;
     let result = traffic.block_on(serve(shared, settings, metrics, path));
@@ -77,7 +78,8 @@
     Builder::new_current_thread().enable_all().build().map_err(Error::Thread)
 }
 
-/// Starts the thread that follows the store until the process ends.
+/// Starts the thread that follows the store and exchanges messages with the other relays until the
+/// process ends.
 fn spawn_control(
     shared: Arc<Shared>,
     feed: Arc<dyn Feed>,
@@ -85,15 +87,34 @@
 ) -> Result<thread::JoinHandle<()>, Error> {
     let runtime = runtime()?;
     let grace_period = Duration::from_millis(settings.store.return_ms);
-    let body = move || runtime.block_on(follow_store(shared, feed, grace_period));
+    let apply = Duration::from_millis(settings.store.apply_ms);
+    let socket = {
+        let _context = runtime.enter();
+        let socket = Socket::bind(settings.peer_listen);
+        Arc::new(socket.map_err(|cause| Error::Listen(settings.peer_listen, cause))?)
+    };
+    shared.slots.set_socket(socket.clone());
+    let body = move || {
+        runtime.block_on(async move {
+            tokio::spawn(peers::receive(shared.clone(), socket));
+            tokio::spawn(peers::report(shared.clone()));
+            tokio::spawn(peers::report_changes(shared.clone()));
+            follow_store(shared, feed, grace_period, apply).await;
+        });
+    };
     thread::Builder::new().name("control".into()).spawn(body).map_err(Error::Thread)
 }
 
-async fn follow_store(shared: Arc<Shared>, feed: Arc<dyn Feed>, grace_period: Duration) {
+async fn follow_store(
+    shared: Arc<Shared>,
+    feed: Arc<dyn Feed>,
+    grace_period: Duration,
+    apply: Duration,
+) {
     let directory = Directory::spawn(Directory::new(shared.clone(), grace_period));
     let sources = shared.dialect.sources().clone();
     for table in [sources.configuration_table, sources.upstream_table, key::FLEET.into()] {
-        let follower = Follower::new(shared.clone(), feed.clone(), directory.clone(), table);
+        let follower = Follower::new(shared.clone(), feed.clone(), directory.clone(), table, apply);
         tokio::spawn(follower.run());
     }
     let mut period = interval(SWEEP_PERIOD);
@@ -112,19 +133,11 @@
     metrics: metrics::Handle,
     path: PathBuf,
 ) -> Result<(), Error> {
-    let socket = Socket::bind(settings.peer_listen)
-        .await
-        .map_err(|cause| Error::Listen(settings.peer_listen, cause))?;
-    let socket = Arc::new(socket);
     let dispatcher = Dispatcher::new(shared.clone());
     let front = Arc::new(front::Server::new(shared.clone(), dispatcher.clone()));
     let listener = front::bind(settings.listen).await?;
     tokio::spawn(front::ready(shared.clone(), front::bind(settings.ready_listen).await?));
     tokio::spawn(front::metrics(metrics, front::bind(settings.metrics_listen).await?));
-    let sender = Arc::new(occupancy::Sender::new(shared.clone(), socket.clone()));
-    tokio::spawn(sender.clone().report_to_all());
-    tokio::spawn(sender.report_to_preemption_targets());
-    tokio::spawn(occupancy::receive(shared.clone(), socket));
     tokio::spawn(maintain_row(shared.clone(), settings.clone()));
     tokio::spawn(dispatcher.clone().run());
     tokio::spawn(dispatcher.clone().watch_owners());
@@ -153,7 +166,18 @@
 /// Writes the row of this relay to the store, and writes it again when it was replaced. A delayed
 /// write of an earlier start may replace it.
 async fn maintain_row(shared: Arc<Shared>, settings: Settings) {
-    let row = row::Member { address: settings.peer_listen, incarnation: shared.incarnation };
+    // The clock of the store is known once one of its tables was read.
+    let mut readiness = shared.readiness.subscribe();
+    let is_any_read = |readiness: &Readiness| *readiness != Readiness::default();
+    let _ = readiness.wait_for(is_any_read).await;
+    let joined_ms = shared.clock.store_ms().unwrap_or_default();
+    shared.set_joined_ms(joined_ms);
+    let row = row::Member {
+        address: settings.peer_listen,
+        incarnation: shared.incarnation,
+        capacity: shared.capacity(),
+        joined_ms,
+    };
     let Ok(value) = store::encode(&row) else { return };
     let mut is_written = false;
     while *shared.phase.borrow() == Phase::Running {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -3,9 +3,9 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -14,25 +14,40 @@
 use arc_swap::ArcSwap;
 use cyclamengrade_control::{
     relay::{
+        broker::{Broker, Class, Load, Ticket},
         failure::Failure,
+        monitor::Health,
         owner::{self, Instance, Peer},
+        quota::{Admission, View},
         registry::OUTAGE_THRESHOLD,
-        route,
-        selector::{Choice, Class, Key, Selector, Upstream},
+        route::{self, Route},
+        selector::{Choice, Key, Selector, Upstream},
     },
     time::Time,
 };
+use cyclamengrade_peer::slots::Content;
 use cyclamengrade_platform::{Objects, Table};
 use cyclamengrade_telemetry::{event, metrics::RELAY_ATTEMPTS};
 use metrics::counter;
 use tokio::sync::{Notify, Semaphore, watch};
 
-use crate::{clock::Clock, dialect::Dialect, job::row, pool::Pool};
+use crate::{
+    clock::Clock,
+    dialect::Dialect,
+    job::row,
+    pool::Pool,
+    slots::{Outcome, Placement, Slots},
+};
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
 /// held twice: once while it is read and once for sending.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
+/// Number of relays that observe the liveness of all.
+pub const MONITORS: usize = 3;
+/// Key under which the monitors are chosen.
+pub const MONITOR_KEY: &str = "monitor";
+
 /// Phase in the life cycle of a relay, from running to stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -65,27 +80,26 @@
 /// Another relay of the fleet.
 #[derive(Clone, Debug)]
 pub struct Member {
-    /// Address for occupancy datagrams.
+    /// Address for messages about slots.
     pub address: SocketAddr,
     /// Random number that identifies this start of the relay.
     pub incarnation: u64,
-    /// When its last datagram arrived, or when its row was first seen.
-    pub last_heard: Time,
-    /// Time since it last reached the store, according to its last datagram.
-    pub store_age: Duration,
-    /// Whether it is shutting down.
-    pub leaving: bool,
-    /// Sequence number of its newest datagram.
-    pub sequence: u64,
+    /// Processing capacity, see [`row::Member::capacity`].
+    pub capacity: u32,
+    /// When it joined, on the store's clock in milliseconds.
+    pub joined_ms: u64,
+    pub health: Health,
 }
 
 impl Member {
-    /// Returns the state of the member at `now`. `connected` is the time since this relay regained
-    /// contact with the store.
-    fn peer(&self, now: Time, connected: Duration) -> Peer {
-        let silence = now.since(self.last_heard);
-        let store_disconnection = owner::store_disconnection(self.store_age, silence, connected);
-        Peer { incarnation: self.incarnation, silence, store_disconnection, leaving: self.leaving }
+    /// Returns the state of the member according to news of the time `seen`. `connected` is the time
+    /// since this relay regained contact with the store.
+    fn peer(&self, seen: Time, connected: Duration) -> Peer {
+        let silence = self.health.silence(seen);
+        let store_disconnection =
+            owner::store_disconnection(self.health.store_age(), silence, connected);
+        let leaving = self.health.is_leaving();
+        Peer { incarnation: self.incarnation, silence, store_disconnection, leaving }
     }
 }
 
@@ -115,12 +129,18 @@
     pub pool: Pool,
     /// Memory for request bodies, in KiB.
     pub body_memory: Arc<Semaphore>,
-    /// Wakes the sender of occupancy reports.
-    pub occupancy_changed: Notify,
-    /// Relays that are to stop batch streams because online requests of this relay need the slots.
-    preemption_targets: Mutex<BTreeSet<String>>,
-    /// Wakes the sender of reports to the preemption targets.
-    pub preemption_needed: Notify,
+    /// Data centre of the vm.
+    pub data_centre: String,
+    /// Slots that this relay holds and requests for slots.
+    pub slots: Slots,
+    /// Slots that this relay grants to others.
+    broker: Mutex<Broker>,
+    /// Address for messages about slots and the processing capacity of this relay.
+    peer: OnceLock<(SocketAddr, u32)>,
+    /// When this relay joined, on the store's clock in milliseconds.
+    joined_ms: AtomicU64,
+    /// Time of the last news of the other relays' state, in microseconds of the monotonic clock.
+    last_news: AtomicU64,
     /// Wakes the dispatcher of batch items after a change that may start or stop one.
     pub batch_changed: Notify,
     /// Phase of this relay.
@@ -140,6 +160,11 @@
     own_row_incarnation: Mutex<Option<u64>>,
     /// Version up to which the feed has delivered the fleet table.
     fleet_version: AtomicU64,
+    /// Time of the last answer of the feed of the fleet table, in microseconds of the monotonic
+    /// clock.
+    last_fleet_answer: AtomicU64,
+    /// Tokens of the jobs that this relay is storing, by name of the route.
+    reserved_tokens: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Shared {
@@ -164,19 +189,24 @@
             routes: ArcSwap::from_pointee(route::Table::default()),
             pool: Pool::default(),
             body_memory: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
-            occupancy_changed: Notify::new(),
-            preemption_targets: Mutex::default(),
-            preemption_needed: Notify::new(),
+            data_centre: data_centre.to_owned(),
+            slots: Slots::default(),
+            broker: Mutex::default(),
+            peer: OnceLock::new(),
+            joined_ms: AtomicU64::new(u64::MAX),
+            last_news: AtomicU64::new(0),
             batch_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
             readiness: watch::Sender::new(Readiness::default()),
             last_store_contact: AtomicU64::new(0),
             store_connected_since: AtomicU64::new(0),
-            selector: Mutex::new(Selector::new(name, data_centre)),
+            selector: Mutex::new(Selector::new(data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
             own_row_incarnation: Mutex::default(),
             fleet_version: AtomicU64::new(0),
+            last_fleet_answer: AtomicU64::new(0),
+            reserved_tokens: Mutex::default(),
         }
     }
 
@@ -197,12 +227,104 @@
         lock(&self.members)
     }
 
+    /// Locks the slots that this relay grants to others.
+    pub fn broker_state(&self) -> MutexGuard<'_, Broker> {
+        lock(&self.broker)
+    }
+
+    /// Sets the address for messages about slots and the processing capacity of this relay. Later
+    /// calls have no effect.
+    pub fn set_peer(&self, address: SocketAddr, capacity: u32) {
+        let _ = self.peer.set((address, capacity));
+    }
+
+    /// Returns the address for messages about slots.
+    pub fn address(&self) -> SocketAddr {
+        self.peer.get().map_or_else(|| (Ipv4Addr::LOCALHOST, 0).into(), |(address, _)| *address)
+    }
+
+    /// Returns the processing capacity of this relay.
+    pub fn capacity(&self) -> u32 {
+        self.peer.get().map_or(0, |(_, capacity)| *capacity)
+    }
+
+    /// Sends a message to another relay, or to this one. Its delivery is not confirmed.
+    pub fn send(&self, to: SocketAddr, content: Content) {
+        self.slots.send(self.incarnation, to, content);
+    }
+
+    /// Returns when this relay joined, on the store's clock in milliseconds; the latest time before
+    /// it has joined.
+    pub fn joined_ms(&self) -> u64 {
+        self.joined_ms.load(Ordering::Relaxed)
+    }
+
+    /// Records when this relay joined, on the store's clock in milliseconds.
+    pub fn set_joined_ms(&self, ms: u64) {
+        self.joined_ms.store(ms, Ordering::Relaxed);
+    }
+
+    /// Records that a regular message was sent to another relay.
+    pub fn record_report(&self, name: &str, now: Time) {
+        if let Some(member) = self.members().get_mut(name) {
+            member.health.record_report(now);
+        }
+    }
+
+    /// Records that another relay did not answer in time.
+    pub fn record_miss(&self, name: &str, now: Time) {
+        if let Some(member) = self.members().get_mut(name) {
+            member.health.record_miss(now);
+        }
+    }
+
+    /// Records that another relay answered.
+    pub fn record_answer(&self, incarnation: u64, now: Time) {
+        let mut members = self.members();
+        let member = members.values_mut().find(|member| member.incarnation == incarnation);
+        if let Some(member) = member {
+            member.health.record_answer(now);
+        }
+    }
+
+    /// Records that a monitor told the state of the other relays.
+    pub fn record_news(&self, now: Time) {
+        self.last_news.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Passes the upstreams to the broker.
+    pub fn publish_places(&self) {
+        let places = self.selector().places();
+        self.broker_state().set_places(places);
+    }
+
     /// Returns the current state of the other relays, by name.
     pub fn peers(&self) -> BTreeMap<String, Peer> {
         let now = self.clock.now();
         let connected = now.since(Time(self.store_connected_since.load(Ordering::Relaxed)));
+        self.observe(now);
+        let seen = Time(self.last_news.load(Ordering::Relaxed));
         let members = self.members();
-        members.iter().map(|(name, member)| (name.clone(), member.peer(now, connected))).collect()
+        members.iter().map(|(name, member)| (name.clone(), member.peer(seen, connected))).collect()
+    }
+
+    /// Records what this relay observes if it is a monitor. Its own observation is ignored when it
+    /// hears nothing from most relays of a larger fleet, because then it is more likely cut off.
+    fn observe(&self, now: Time) {
+        let monitors = self.servers(MONITOR_KEY, MONITORS, now);
+        if !monitors.iter().any(|(name, _)| *name == self.name) {
+            return;
+        }
+        let mut members = self.members();
+        let silent =
+            members.values().filter(|member| member.health.own_silence(now) > owner::PEER_TIMEOUT);
+        if members.len() < MONITORS || silent.count() * 2 <= members.len() {
+            for member in members.values_mut() {
+                member.health.record_own_observation();
+            }
+            drop(members);
+            self.record_news(now);
+        }
     }
 
     /// Identifies this start of this relay.
@@ -242,6 +364,47 @@
         self.fleet_version.store(version, Ordering::Relaxed);
     }
 
+    /// Records that the feed of the fleet table answered.
+    pub fn record_fleet_answer(&self) {
+        self.last_fleet_answer.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    /// Returns the tokens of the open jobs of a batch route that wait for a run.
+    pub fn waiting_tokens(&self, route: &Route) -> u64 {
+        let routes = self.routes.load();
+        let jobs = self.jobs();
+        let open = jobs.values().filter(|job| job.row.state == row::State::Open);
+        let of_route = open.filter(|job| {
+            let found = routes.find(&job.row.host, &job.row.path);
+            found.is_some_and(|found| found.name == route.name)
+        });
+        of_route.map(|job| job.row.tokens).fold(0, u64::saturating_add)
+    }
+
+    /// Decides whether a submitted job of `tokens` fits into the limit of its route, and reserves
+    /// the tokens while the job is being stored.
+    pub fn reserve_tokens(
+        self: &Arc<Self>,
+        route: &Route,
+        tokens: u64,
+    ) -> Result<Reservation, Admission> {
+        let age = self.clock.now().since(Time(self.last_fleet_answer.load(Ordering::Relaxed)));
+        let waiting = if route.quota.is_limited() { self.waiting_tokens(route) } else { 0 };
+        let mut reserved = lock(&self.reserved_tokens);
+        let total = reserved.entry(route.name.clone()).or_default();
+        match route.quota.admit(
+            View { waiting, reserved: *total, age },
+            tokens,
+            route.completion_target,
+        ) {
+            Admission::Admitted => {
+                *total = total.saturating_add(tokens);
+                Ok(Reservation { shared: self.clone(), route: route.name.clone(), tokens })
+            }
+            refused => Err(refused),
+        }
+    }
+
     /// Records that the store answered.
     pub fn record_store_contact(&self) {
         let now = self.clock.now();
@@ -278,70 +441,122 @@
 
     /// Chooses an upstream for an online request and counts the request there. The upstreams in
     /// `tried` are excluded. The request has to start within `time_left`.
-    pub fn acquire_online(
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may retry if no upstream can start the request in
+    /// time.
+    pub async fn acquire_online(
         self: &Arc<Self>,
         deployment: &str,
         tried: &BTreeSet<Key>,
         time_left: Duration,
-    ) -> (Choice, Option<Flight>) {
+    ) -> Result<(Flight, Placement), (Duration, Placement)> {
+        let begin = self.clock.now();
+        let (shards, start_within, avoid) = {
+            let selector = self.selector();
+            let mut avoid = selector.avoided(begin);
+            avoid.extend(tried.iter().map(|key| selector.short_id(*key)));
+            let start_within = selector.start_within(deployment, time_left);
+            (selector.shards(deployment), start_within, avoid)
+        };
+        let outcome = self.ask_slot(&shards, start_within, &avoid).await;
         let now = self.clock.now();
-        let mut selector = self.selector();
-        let choice = match selector.choose_online(deployment, tried, time_left, now, rand::random())
-        {
-            // The recorded refusal gives the time after which the caller may retry.
-            Choice::Refuse(wait, load) => {
-                Choice::Refuse(selector.record_refusal(deployment, wait, now), load)
+        let elapsed = now.since(begin);
+        match outcome {
+            Outcome::Granted { ticket, upstream, load } => {
+                let placement = Placement { granted: true, load, elapsed };
+                let key = self.selector().usable_key(upstream, now);
+                let flight = key
+                    .filter(|key| !tried.contains(key))
+                    .and_then(|key| self.flight(key, Class::Online, ticket, now));
+                match flight {
+                    Some(flight) => {
+                        Self::record_placement("granted");
+                        Ok((flight, placement))
+                    }
+                    None => {
+                        self.release_slot(ticket);
+                        self.place_alone(deployment, tried, elapsed)
+                    }
+                }
             }
-            send => send,
-        };
-        let flight = match choice {
-            Choice::Refuse(..) => None,
-            Choice::Send(key, _) => selector.upstream(key).cloned().map(|upstream| {
-                selector.record_start(key, Class::Online, now);
-                self.request_preemption(&selector.preemption_targets(key));
-                self.flight(key, Class::Online, upstream, now)
-            }),
-        };
-        drop(selector);
-        if flight.is_some() {
-            self.occupancy_changed.notify_one();
-            self.batch_changed.notify_one();
+            Outcome::Refused(load) => {
+                Self::record_placement("refused");
+                let wait = self.selector().record_refusal(deployment, load.wait, now);
+                Err((wait, Placement { granted: true, load, elapsed }))
+            }
+            Outcome::Unanswered => self.place_alone(deployment, tried, elapsed),
         }
-        (choice, flight)
     }
 
-    fn request_preemption(&self, targets: &[&str]) {
-        if !targets.is_empty() {
-            lock(&self.preemption_targets).extend(targets.iter().map(|name| (*name).to_owned()));
-            self.preemption_needed.notify_one();
+    /// Chooses an upstream without a broker.
+    fn place_alone(
+        self: &Arc<Self>,
+        deployment: &str,
+        tried: &BTreeSet<Key>,
+        elapsed: Duration,
+    ) -> Result<(Flight, Placement), (Duration, Placement)> {
+        let now = self.clock.now();
+        let placement = Placement { granted: false, load: Load::default(), elapsed };
+        let points = [rand::random(), rand::random()];
+        let choice = self.selector().choose(deployment, tried, now, points);
+        let placed = match choice {
+            Choice::Send(key) => self.selector().place(key).map(|place| (key, place)),
+            Choice::Refuse(_) => None,
+        };
+        if let Some((key, (shard, upstream))) = placed {
+            let ticket = self.hold_slot(shard, upstream, Class::Online);
+            if let Some(flight) = self.flight(key, Class::Online, ticket, now) {
+                Self::record_placement("alone");
+                return Ok((flight, placement));
+            }
+            self.release_slot(ticket);
         }
+        Self::record_placement("refused");
+        let wait = self.selector().record_refusal(deployment, Duration::ZERO, now);
+        Err((wait, placement))
     }
 
-    /// Returns the relays to notify of a needed preemption, and clears them.
-    pub fn take_preemption_targets(&self) -> BTreeSet<String> {
-        std::mem::take(&mut *lock(&self.preemption_targets))
-    }
-
-    /// Chooses an upstream with a free slot for a batch item and counts the item there.
-    pub fn acquire_batch(self: &Arc<Self>, deployment: &str) -> Option<Flight> {
+    /// Begins the run of a batch item with a slot that was granted to it. Returns `None`, and frees
+    /// the slot, if the upstream cannot be used.
+    pub fn acquire_batch(self: &Arc<Self>, ticket: Ticket, upstream: u32) -> Option<Flight> {
         let now = self.clock.now();
-        let mut selector = self.selector();
-        let key = selector.choose_batch(deployment, now, rand::random())?;
-        let upstream = selector.upstream(key).cloned()?;
-        selector.record_start(key, Class::Batch, now);
-        drop(selector);
-        self.occupancy_changed.notify_one();
-        Some(self.flight(key, Class::Batch, upstream, now))
+        let key = self.selector().usable_key(upstream, now);
+        let flight = key.and_then(|key| self.flight(key, Class::Batch, ticket, now));
+        if flight.is_none() {
+            self.release_slot(ticket);
+        }
+        flight
     }
 
     fn flight(
         self: &Arc<Self>,
         key: Key,
         class: Class,
-        upstream: Upstream,
+        ticket: Ticket,
         started: Time,
-    ) -> Flight {
-        Flight { shared: self.clone(), key, class, upstream, started, responded: false }
+    ) -> Option<Flight> {
+        let mut selector = self.selector();
+        let upstream = selector.upstream(key).cloned()?;
+        selector.record_start(key, started);
+        let shared = self.clone();
+        Some(Flight { shared, key, class, ticket, upstream, started, responded: false })
+    }
+}
+
+/// Tokens of a job that is being stored. They are free again when this value is dropped.
+pub struct Reservation {
+    shared: Arc<Shared>,
+    route: String,
+    tokens: u64,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if let Some(total) = lock(&self.shared.reserved_tokens).get_mut(&self.route) {
+            *total = total.saturating_sub(self.tokens);
+        }
     }
 }
 
@@ -351,6 +566,8 @@
     /// Key of the upstream in the selector.
     pub key: Key,
     class: Class,
+    /// Slot that the request holds.
+    pub ticket: Ticket,
     pub upstream: Upstream,
     /// When the request was sent.
     pub started: Time,
@@ -370,6 +587,20 @@
         }
     }
 
+    /// Records that a response said that the upstream is leaving.
+    pub fn record_leaving(&self) {
+        let is_new = self.shared.selector().record_leaving(self.key);
+        if is_new {
+            self.shared.publish_places();
+            self.shared.mark_all_dirty();
+            event!(
+                UpstreamLeaving,
+                upstream:% = self.upstream.id,
+                deployment:% = self.upstream.deployment
+            );
+        }
+    }
+
     /// Returns the connections to upstreams.
     pub fn pool(&self) -> &Pool {
         &self.shared.pool
@@ -390,7 +621,7 @@
         let now = self.shared.clock.now();
         let ejection = self.shared.selector().record_failure(self.key, failure, now);
         if let Some(ejection) = ejection {
-            self.shared.occupancy_changed.notify_one();
+            self.shared.mark_all_dirty();
             event!(
                 UpstreamPaused,
                 upstream:% = self.upstream.id,
@@ -403,8 +634,8 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.shared.selector().record_end(self.key, self.class);
-        self.shared.occupancy_changed.notify_one();
+        self.shared.selector().record_end(self.key);
+        self.shared.release_slot(self.ticket);
         self.shared.batch_changed.notify_one();
     }
 }
--- /dev/null
+++ b/components/relay/src/slots.rs
@@ -0,0 +1,513 @@
+//! Slots of upstreams that this relay holds, and its requests for them to the brokers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock},
+    time::Duration,
+};
+
+use cyclamengrade_control::{
+    relay::{
+        broker::{Answer, Ask, Class, Held, Load, Sync, Ticket, Urgency, Want},
+        shard::{self, Candidate},
+    },
+    time::Time,
+};
+use cyclamengrade_peer::slots::{Content, Message, Socket};
+use cyclamengrade_telemetry::{event, metrics::RELAY_PLACEMENTS};
+use metrics::counter;
+use rand::RngExt;
+use tokio::{
+    sync::{Notify, mpsc},
+    time::timeout,
+};
+
+use crate::shared::{Shared, lock};
+
+/// Time within which a broker answers. Several times a round trip between data centres, and a
+/// fraction of the latency objectives.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Time after which a request that waits at a broker is repeated, in case the broker has failed.
+const REPEAT_PERIOD: Duration = Duration::from_millis(100);
+/// Time for which the choice of a broker is kept.
+const BROKER_CACHE_TIME: Duration = Duration::from_millis(200);
+/// Largest number of upstreams with an idle connection that a request names.
+const MAX_CONNECTED: usize = 32;
+/// Largest number of waiting batch items in one message; the most urgent ones are named.
+const MAX_WANTS: usize = 64;
+
+/// A slot that this relay holds.
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    shard: u32,
+    upstream: u32,
+    class: Class,
+}
+
+/// A batch item that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    shard: u32,
+    urgency: Urgency,
+    since: Time,
+}
+
+struct Pending {
+    shard: u32,
+    answers: mpsc::UnboundedSender<Answer>,
+}
+
+#[derive(Clone, Debug)]
+struct Broker {
+    name: String,
+    address: SocketAddr,
+    chosen_at: Time,
+}
+
+#[derive(Default)]
+struct State {
+    last_ticket: u64,
+    sequence: u64,
+    /// Online requests that wait for an answer.
+    pending: BTreeMap<Ticket, Pending>,
+    held: BTreeMap<Ticket, Slot>,
+    wanted: BTreeMap<Ticket, Wanted>,
+    /// Granted slots of batch items that have not started yet.
+    granted: BTreeMap<Ticket, Slot>,
+    /// Batch streams that brokers asked to stop.
+    stopped: BTreeSet<Ticket>,
+    loads: BTreeMap<u32, Load>,
+    brokers: BTreeMap<u32, Broker>,
+    /// Shards whose brokers are to be told what this relay holds and wants.
+    dirty: BTreeSet<u32>,
+    /// Addresses that the last regular messages were sent to.
+    targets: BTreeSet<SocketAddr>,
+}
+
+/// How an online request got its upstream, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// Whether a broker chose the upstream.
+    pub granted: bool,
+    /// Load of the shard according to the broker.
+    pub load: Load,
+    /// Time that the choice took.
+    pub elapsed: Duration,
+}
+
+/// Answer to an online request for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Granted {
+        ticket: Ticket,
+        upstream: u32,
+        load: Load,
+    },
+    Refused(Load),
+    /// The broker did not answer.
+    Unanswered,
+}
+
+/// Slots that this relay holds and requests for slots.
+#[derive(Default)]
+pub struct Slots {
+    state: Mutex<State>,
+    socket: OnceLock<Arc<Socket>>,
+    /// Wakes the sender of messages to the brokers of dirty shards.
+    pub dirty: Notify,
+}
+
+impl Slots {
+    /// Sets the socket for messages to other relays. Later calls have no effect.
+    pub fn set_socket(&self, socket: Arc<Socket>) {
+        let _ = self.socket.set(socket);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Sends a message as the process `incarnation`. Its delivery is not confirmed.
+    pub fn send(&self, incarnation: u64, to: SocketAddr, content: Content) {
+        if let Some(socket) = self.socket.get() {
+            // A failure to send is handled like a lost datagram.
+            let _ = socket.send(to, Message { incarnation, content });
+        }
+    }
+}
+
+/// Withdraws a request for a slot that is dropped before its answer was used.
+struct Guard {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    is_done: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.is_done {
+            self.shared.release_slot(self.ticket);
+        }
+    }
+}
+
+impl Shared {
+    /// Asks for a slot of a deployment's upstreams for an online request that has to be sent within
+    /// `start_within`. If the broker of one shard refuses, another shard is asked.
+    pub async fn ask_slot(
+        self: &Arc<Self>,
+        shards: &[u32],
+        start_within: Duration,
+        avoid: &BTreeSet<u32>,
+    ) -> Outcome {
+        let begin = self.clock.now();
+        let Some(first) = self.pick_shard(shards) else { return Outcome::Unanswered };
+        let outcome = self.ask_shard(first, start_within, avoid).await;
+        let Outcome::Refused(load) = outcome else { return outcome };
+        let others: Vec<u32> = shards.iter().copied().filter(|shard| *shard != first).collect();
+        let left = start_within.saturating_sub(self.clock.now().since(begin));
+        let Some(second) = self.pick_shard(&others) else { return outcome };
+        match self.ask_shard(second, left, avoid).await {
+            Outcome::Unanswered => Outcome::Refused(load),
+            answered => answered,
+        }
+    }
+
+    async fn ask_shard(
+        self: &Arc<Self>,
+        shard: u32,
+        start_within: Duration,
+        avoid: &BTreeSet<u32>,
+    ) -> Outcome {
+        let (ticket, mut answers) = self.open_ticket(shard);
+        let mut guard = Guard { shared: self.clone(), ticket, is_done: false };
+        let ask = Ask {
+            ticket,
+            shard,
+            start_within,
+            data_centre: shard::name_id(&self.data_centre),
+            connected: self.connected(),
+            avoid: avoid.clone(),
+        };
+        let begin = self.clock.now();
+        let mut is_queued = false;
+        self.send_ask(&ask, begin);
+        loop {
+            let limit = if is_queued { REPEAT_PERIOD } else { ANSWER_TIMEOUT };
+            match timeout(limit, answers.recv()).await {
+                Ok(Some(Answer::Granted { upstream, load, .. })) => {
+                    guard.is_done = true;
+                    return Outcome::Granted { ticket, upstream, load };
+                }
+                Ok(Some(Answer::Refused { load, .. })) => return Outcome::Refused(load),
+                Ok(Some(Answer::Queued { .. })) => is_queued = true,
+                Ok(Some(Answer::Stop { .. })) => {}
+                Err(_) if is_queued => {
+                    is_queued = false;
+                    let left = start_within.saturating_sub(self.clock.now().since(begin));
+                    self.send_ask(&Ask { start_within: left, ..ask.clone() }, self.clock.now());
+                }
+                Ok(None) | Err(_) => {
+                    self.record_silence(shard);
+                    return Outcome::Unanswered;
+                }
+            }
+        }
+    }
+
+    fn open_ticket(&self, shard: u32) -> (Ticket, mpsc::UnboundedReceiver<Answer>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut state = self.slots.state();
+        let ticket = next_ticket(&mut state);
+        state.pending.insert(ticket, Pending { shard, answers: sender });
+        (ticket, receiver)
+    }
+
+    fn send_ask(&self, ask: &Ask, now: Time) {
+        let broker = self.broker(ask.shard, now);
+        self.slots.send(self.incarnation, broker.address, Content::Ask(ask.clone()));
+    }
+
+    /// Records that the broker of a shard did not answer, so that another relay takes its place
+    /// after repeated silence.
+    fn record_silence(&self, shard: u32) {
+        let broker = self.slots.state().brokers.remove(&shard);
+        if let Some(broker) = broker {
+            self.record_miss(&broker.name, self.clock.now());
+            event!(BrokerSilent, member:% = broker.name, shard = shard);
+        }
+    }
+
+    fn connected(&self) -> BTreeSet<u32> {
+        let ids = self.pool.idle_ids(MAX_CONNECTED);
+        self.selector().short_ids(&ids)
+    }
+
+    /// Records that a request uses an upstream without a grant of the broker, which learns of it.
+    pub fn hold_slot(&self, shard: u32, upstream: u32, class: Class) -> Ticket {
+        let mut state = self.slots.state();
+        let ticket = next_ticket(&mut state);
+        state.held.insert(ticket, Slot { shard, upstream, class });
+        state.dirty.insert(shard);
+        drop(state);
+        self.slots.dirty.notify_one();
+        ticket
+    }
+
+    /// Frees a slot, or withdraws a request for one.
+    pub fn release_slot(&self, ticket: Ticket) {
+        let mut state = self.slots.state();
+        let pending = state.pending.remove(&ticket).map(|pending| pending.shard);
+        let wanted = state.wanted.remove(&ticket).map(|wanted| wanted.shard);
+        let granted = state.granted.remove(&ticket).map(|slot| slot.shard);
+        let held = state.held.remove(&ticket).map(|slot| slot.shard);
+        state.stopped.remove(&ticket);
+        drop(state);
+        if let Some(shard) = pending.or(wanted).or(granted).or(held) {
+            let broker = self.broker(shard, self.clock.now());
+            self.slots.send(self.incarnation, broker.address, Content::Release(vec![ticket]));
+        }
+    }
+
+    /// Requests a slot for a batch item.
+    pub fn want_slot(&self, shards: &[u32], urgency: Urgency) -> Option<Ticket> {
+        let shard = self.pick_shard(shards)?;
+        let since = self.clock.now();
+        let mut state = self.slots.state();
+        let ticket = next_ticket(&mut state);
+        state.wanted.insert(ticket, Wanted { shard, urgency, since });
+        state.dirty.insert(shard);
+        drop(state);
+        self.slots.dirty.notify_one();
+        Some(ticket)
+    }
+
+    /// Updates the urgency of a batch item that waits. Returns the time for which it has waited, or
+    /// `None` if it no longer waits.
+    pub fn update_want(&self, ticket: Ticket, urgency: Urgency) -> Option<Duration> {
+        let now = self.clock.now();
+        let mut state = self.slots.state();
+        let wanted = state.wanted.get_mut(&ticket)?;
+        let is_changed = std::mem::replace(&mut wanted.urgency, urgency) != urgency;
+        let (shard, waited) = (wanted.shard, now.since(wanted.since));
+        if is_changed {
+            state.dirty.insert(shard);
+            drop(state);
+            self.slots.dirty.notify_one();
+        }
+        Some(waited)
+    }
+
+    /// Takes the slot that was granted to a batch item. Returns the upstream.
+    pub fn take_granted(&self, ticket: Ticket) -> Option<u32> {
+        let mut state = self.slots.state();
+        let slot = state.granted.remove(&ticket)?;
+        state.held.insert(ticket, slot);
+        Some(slot.upstream)
+    }
+
+    /// Takes the batch streams that brokers asked to stop.
+    pub fn take_stopped(&self) -> BTreeSet<Ticket> {
+        std::mem::take(&mut self.slots.state().stopped)
+    }
+
+    /// Handles an answer of a broker.
+    pub fn handle_answer(&self, from: SocketAddr, answer: Answer) {
+        let mut state = self.slots.state();
+        match answer {
+            Answer::Granted { ticket, upstream, load } => {
+                if let Some(pending) = state.pending.remove(&ticket) {
+                    let slot = Slot { shard: pending.shard, upstream, class: Class::Online };
+                    state.loads.insert(slot.shard, load);
+                    state.held.insert(ticket, slot);
+                    drop(state);
+                    // Fails only if the request was dropped, and its guard frees the slot.
+                    let _ = pending.answers.send(answer);
+                } else if let Some(wanted) = state.wanted.remove(&ticket) {
+                    let slot = Slot { shard: wanted.shard, upstream, class: Class::Batch };
+                    state.loads.insert(slot.shard, load);
+                    state.granted.insert(ticket, slot);
+                    drop(state);
+                    self.batch_changed.notify_one();
+                } else if !state.held.contains_key(&ticket) && !state.granted.contains_key(&ticket)
+                {
+                    drop(state);
+                    self.slots.send(self.incarnation, from, Content::Release(vec![ticket]));
+                }
+            }
+            Answer::Queued { ticket, load } | Answer::Refused { ticket, load } => {
+                let Some(pending) = state.pending.get(&ticket) else { return };
+                let (shard, answers) = (pending.shard, pending.answers.clone());
+                state.loads.insert(shard, load);
+                drop(state);
+                let _ = answers.send(answer);
+            }
+            Answer::Stop { ticket } => {
+                if state.held.contains_key(&ticket) {
+                    state.stopped.insert(ticket);
+                    drop(state);
+                    self.batch_changed.notify_one();
+                } else if state.granted.contains_key(&ticket) {
+                    drop(state);
+                    self.release_slot(ticket);
+                    self.batch_changed.notify_one();
+                }
+            }
+        }
+    }
+
+    /// Returns the less loaded of two random shards, as far as the load is known.
+    fn pick_shard(&self, shards: &[u32]) -> Option<u32> {
+        let mut random = rand::rng();
+        let state = self.slots.state();
+        let mut pick = || match shards.len() {
+            0 => None,
+            count => shards.get(random.random_range(0..count)).copied(),
+        };
+        let load = |shard: &u32| state.loads.get(shard).map_or(0, |load| load.permille);
+        [pick(), pick()].into_iter().flatten().min_by_key(load)
+    }
+
+    /// Returns the broker of a shard.
+    fn broker(&self, shard: u32, now: Time) -> Broker {
+        let known = self.slots.state().brokers.get(&shard).cloned();
+        if let Some(known) = known
+            && now.since(known.chosen_at) < BROKER_CACHE_TIME
+        {
+            return known;
+        }
+        let key = format!("broker {shard}");
+        let name = self.servers(&key, 1, now).into_iter().next();
+        let (name, address) = name.unwrap_or_else(|| (self.name.clone(), self.address()));
+        let broker = Broker { name, address, chosen_at: now };
+        let previous = self.slots.state().brokers.insert(shard, broker.clone());
+        if previous.is_none_or(|previous| previous.name != broker.name) {
+            event!(BrokerChosen, member:% = broker.name, shard = shard);
+        }
+        broker
+    }
+
+    /// Returns the relays, with their addresses, that serve a key for all others.
+    pub fn servers(&self, key: &str, count: usize, now: Time) -> Vec<(String, SocketAddr)> {
+        let members = self.members();
+        let responsive = members.iter().filter(|(_, member)| member.health.is_responsive(now));
+        let own =
+            Candidate { name: &self.name, capacity: self.capacity(), joined_ms: self.joined_ms() };
+        let candidates: Vec<Candidate<'_>> = responsive
+            .map(|(name, member)| Candidate {
+                name,
+                capacity: member.capacity,
+                joined_ms: member.joined_ms,
+            })
+            .chain([own])
+            .collect();
+        let now_ms = self.clock.store_ms().unwrap_or(0);
+        let address =
+            |name: &str| members.get(name).map_or_else(|| self.address(), |member| member.address);
+        shard::servers(&candidates, key, count, now_ms)
+            .into_iter()
+            .map(|name| (name.to_owned(), address(name)))
+            .collect()
+    }
+
+    /// Returns the messages that tell the brokers of the given shards what this relay holds and
+    /// wants, by address; of all shards in use if `shards` is `None`.
+    pub fn syncs(&self, shards: Option<&BTreeSet<u32>>) -> BTreeMap<SocketAddr, (String, Sync)> {
+        let now = self.clock.now();
+        let failed = self.selector().avoided(now);
+        self.update_shards();
+        let mut in_use: BTreeSet<u32> = {
+            let state = self.slots.state();
+            let held = state.held.values().chain(state.granted.values()).map(|slot| slot.shard);
+            let pending = state.pending.values().map(|pending| pending.shard);
+            let wanted = state.wanted.values().map(|wanted| wanted.shard);
+            held.chain(pending).chain(wanted).collect()
+        };
+        in_use.extend(shards.into_iter().flatten());
+        let brokers: BTreeMap<u32, Broker> =
+            in_use.into_iter().map(|shard| (shard, self.broker(shard, now))).collect();
+        let wanted_targets: BTreeSet<SocketAddr> = match shards {
+            Some(shards) => shards.iter().map(|shard| brokers[shard].address).collect(),
+            None => brokers.values().map(|broker| broker.address).collect(),
+        };
+        let state = self.slots.state();
+        let mut syncs: BTreeMap<SocketAddr, (String, Sync)> = BTreeMap::new();
+        for broker in brokers.values().filter(|broker| wanted_targets.contains(&broker.address)) {
+            let sync = Sync { failed: failed.clone(), ..Sync::default() };
+            syncs.entry(broker.address).or_insert((broker.name.clone(), sync));
+        }
+        let address = |shard: u32| brokers.get(&shard).map(|broker| broker.address);
+        for (ticket, slot) in state.held.iter().chain(&state.granted) {
+            let Some((_, sync)) = address(slot.shard).and_then(|to| syncs.get_mut(&to)) else {
+                continue;
+            };
+            let Slot { upstream, class, .. } = *slot;
+            sync.held.push(Held { ticket: *ticket, upstream, class });
+        }
+        for (ticket, pending) in &state.pending {
+            if let Some((_, sync)) = address(pending.shard).and_then(|to| syncs.get_mut(&to)) {
+                sync.pending.insert(*ticket);
+            }
+        }
+        let mut wanted: Vec<(&Ticket, &Wanted)> = state.wanted.iter().collect();
+        wanted.sort_by_key(|(ticket, wanted)| (wanted.urgency, **ticket));
+        for (ticket, wanted) in wanted {
+            if let Some((_, sync)) = address(wanted.shard).and_then(|to| syncs.get_mut(&to))
+                && sync.wants.len() < MAX_WANTS
+            {
+                let Wanted { shard, urgency, .. } = *wanted;
+                sync.wants.push(Want { ticket: *ticket, shard, urgency });
+            }
+        }
+        syncs
+    }
+
+    /// Moves the slots of upstreams whose shard has changed to their new shards.
+    fn update_shards(&self) {
+        let selector = self.selector();
+        let mut state = self.slots.state();
+        let State { held, granted, .. } = &mut *state;
+        for slot in held.values_mut().chain(granted.values_mut()) {
+            slot.shard = selector.shard_of(slot.upstream).unwrap_or(slot.shard);
+        }
+    }
+
+    /// Returns the shards whose brokers are to be told of changes, and clears them.
+    pub fn take_dirty_shards(&self) -> BTreeSet<u32> {
+        std::mem::take(&mut self.slots.state().dirty)
+    }
+
+    /// Marks all shards in use as changed, for example after an upstream failed.
+    pub fn mark_all_dirty(&self) {
+        let mut state = self.slots.state();
+        let held = state.held.values().map(|slot| slot.shard);
+        let wanted = state.wanted.values().map(|wanted| wanted.shard);
+        let shards: BTreeSet<u32> = held.chain(wanted).collect();
+        state.dirty.extend(shards);
+        drop(state);
+        self.slots.dirty.notify_one();
+    }
+
+    /// Replaces the addresses of the last regular messages, and returns the previous ones.
+    pub fn swap_targets(&self, targets: BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
+        std::mem::replace(&mut self.slots.state().targets, targets)
+    }
+
+    /// Returns the next sequence number of a message about the state of this relay.
+    pub fn next_sequence(&self) -> u64 {
+        let mut state = self.slots.state();
+        state.sequence += 1;
+        state.sequence
+    }
+
+    /// Counts a placement of an online request.
+    pub fn record_placement(outcome: &'static str) {
+        counter!(RELAY_PLACEMENTS, "outcome" => outcome).increment(1);
+    }
+}
+
+fn next_ticket(state: &mut State) -> Ticket {
+    state.last_ticket += 1;
+    Ticket(state.last_ticket)
+}
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -59,7 +59,7 @@
     let end = requested_at + times.grace().saturating_sub(EXIT_MARGIN);
     event!(Leaving, daemon:% = shared.name);
     shared.phase.send_replace(Phase::Leaving);
-    shared.occupancy_changed.notify_one();
+    shared.mark_all_dirty();
     // The handover runs concurrently. Without the store, it may take longer than the grace time.
     let handover = tokio::spawn(async move { dispatcher.hand_over().await });
     tokio::select! {
--- a/components/relay/tests/job_schedules.rs
+++ b/components/relay/tests/job_schedules.rs
@@ -210,6 +210,7 @@
             host: "h".into(),
             path: "/p".into(),
             items: ITEMS,
+            tokens: 0,
             accepted_ms: self.steps.len() as u64,
             due_ms: 0,
             expires_ms: 0,
--- a/components/settings/src/relay.rs
+++ b/components/settings/src/relay.rs
@@ -6,6 +6,10 @@
 
 use crate::{Error, Level, read};
 
+/// Shortest `store.apply_ms`. With less, a silent connection to the store would not be detected in
+/// time.
+const MIN_APPLY_MS: u64 = 1_000;
+
 /// Settings of `cyclamengrade relay`, read from its settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -29,6 +33,10 @@
     /// Memory that the process may use, in bytes. Request bodies take at most a quarter of it.
     #[serde(default = "default_memory_bytes")]
     pub memory_bytes: u64,
+    /// Processor time that the process may use, in cores, above 0. Larger vms grant the slots of
+    /// upstreams to all relays.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
     #[serde(default)]
     pub stop: Stop,
     /// Least severe level that is logged.
@@ -36,6 +44,10 @@
     pub log_level: Level,
 }
 
+const fn default_cpu_share() -> f64 {
+    1.0
+}
+
 const fn default_memory_bytes() -> u64 {
     256 << 20
 }
@@ -67,6 +79,10 @@
     /// may return, in milliseconds.
     #[serde(default = "Store::default_return_ms")]
     pub return_ms: u64,
+    /// Time within which a change of the configuration or of the upstreams has to be in force, in
+    /// milliseconds, at least 1000. The longer it is, the fewer calls to the store are needed.
+    #[serde(default = "Store::default_apply_ms")]
+    pub apply_ms: u64,
     /// Time for which an ended job stays in the store, counted from when its items may be abandoned,
     /// in seconds.
     #[serde(default = "Store::default_keep_s")]
@@ -86,6 +102,10 @@
         2_000
     }
 
+    const fn default_apply_ms() -> u64 {
+        2_000
+    }
+
     const fn default_keep_s() -> u64 {
         120
     }
@@ -154,7 +174,18 @@
         Ok(settings)
     }
 
+    /// Returns `cpu_share` in thousandths of a core.
+    pub fn capacity(&self) -> u32 {
+        (self.cpu_share * 1_000.0) as u32
+    }
+
     fn check(&self) -> Result<(), String> {
+        if !(self.cpu_share > 0.0 && self.cpu_share.is_finite()) {
+            return Err(format!(
+                "cpu_share is {}; write a number of cores above 0",
+                self.cpu_share
+            ));
+        }
         if self.name.is_empty() || self.name.contains('/') {
             return Err(format!("name is {:?}; write a name without a slash", self.name));
         }
@@ -164,6 +195,12 @@
                 self.stop.leave_ms, self.stop.grace_s
             ));
         }
+        if self.store.apply_ms < MIN_APPLY_MS {
+            return Err(format!(
+                "store.apply_ms is {}; write {MIN_APPLY_MS} or more",
+                self.store.apply_ms
+            ));
+        }
         if self.store.timeout_ms == 0 {
             return Err("store.timeout_ms is 0; write a time in milliseconds".into());
         }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -151,13 +151,15 @@
     1100 Info SpanEnded "span_ended" "trace span ended",
 
     /// A relay sent a request to an upstream. Fields: `request`, `route`, `upstream`, `attempt`,
-    /// `online`, `batch`, `slots`, `wait_ms`, `report_age_ms`, `configuration`.
+    /// `granted` (whether a broker chose the upstream), `load_permille` of the upstreams according to
+    /// the broker, `wait_ms` for the choice, `configuration`.
     1200 Info RequestSent "request_sent" "request was sent to an upstream",
     /// An attempt of a relay failed. Fields: `request`, `upstream`, `failure`, `elapsed_ms`,
     /// `events`.
     1201 Info AttemptFailed "attempt_failed" "attempt at an upstream failed",
     /// A relay refused a request, which did not run. Fields: `request`, `route`, `reason`,
-    /// `wait_ms`, `report_age_ms`, `retry_after_ms`, `configuration`.
+    /// `granted` (whether a broker refused it), `load_permille` of the upstreams according to the
+    /// broker, `wait_ms` for the decision, `retry_after_ms`.
     1202 Info RequestDeclined "request_declined" "request was refused and did not run",
     /// A request to a relay ended. Fields: `request`, `route`, `status`, `attempts`, `first_ms` (0
     /// when no byte of an answer arrived), `elapsed_ms`.
@@ -188,6 +190,12 @@
     /// An upstream failed and receives no requests for the length of the pause. Fields: `upstream`,
     /// `failure`, `pause_ms`.
     1224 Warn UpstreamPaused "upstream_paused" "upstream is paused after a failure",
+    /// Another relay became the broker of some upstreams, or this one did. Fields: `member`, `shard`
+    /// of upstreams.
+    1225 Info BrokerChosen "broker_chosen" "relay grants the slots of some upstreams",
+    /// A broker did not answer a request for a slot; the relay chooses the upstream itself. Fields:
+    /// `member`, `shard` of upstreams.
+    1226 Warn BrokerSilent "broker_silent" "broker did not answer in time",
 
     /// A batch job was stored. Fields: `job`, `items`, `elapsed_ms`.
     1240 Info JobStored "job_stored" "batch job was stored",
@@ -216,6 +224,9 @@
     /// A run received the last event of a batch item; its result is stored next. Fields: `job`,
     /// `item`, `upstream`, `events`, `elapsed_ms` (duration of this run).
     1252 Info ItemCompleted "item_completed" "batch item is complete",
+    /// A submitted job was refused because of the limit on the waiting tokens of its route. Fields:
+    /// `job`, `route`, `tokens` of the job, `waiting` tokens of the route, `decision`.
+    1253 Info JobOverLimit "job_over_limit" "batch job exceeds the limit on waiting tokens",
 
     /// The settings were reloaded on a signal. Fields: `restart_needed` (whether any setting other
     /// than the log level and the shutdown times changed and takes effect only after a restart).
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -123,6 +123,9 @@
     RELAY_ATTEMPTS "relay_attempts_total" Counter Count "outcome"
         "Attempts of a relay at upstreams, by outcome: ok, not_sent, not_run, misdirected, broken or \
          silent.",
+    RELAY_PLACEMENTS "relay_placements_total" Counter Count "outcome"
+        "Choices of an upstream for online requests: granted by a broker, refused, or made alone \
+         because no broker answered.",
     RELAY_CONNECTIONS_OPENED "relay_connections_opened_total" Counter Count ""
         "Connections that a relay opened to upstreams.",
     RELAY_ITEMS "relay_items_total" Counter Count "outcome"
--- a/tests/deployed_settings.rs
+++ b/tests/deployed_settings.rs
@@ -9,7 +9,7 @@
 use program::{Program, scratch};
 
 /// Example values of the placeholders of the template.
-const PLACEHOLDERS: [(&str, &str); 11] = [
+const PLACEHOLDERS: [(&str, &str); 13] = [
     ("{{NodeName|json}}", "\"front-a-1\""),
     ("{{Zone|json}}", "\"a\""),
     ("{{Listen.Front|json}}", "\"10.1.0.35:8144\""),
@@ -18,7 +18,9 @@
     ("{{PortRange.0}}", "7660"),
     ("{{Platform.Address|json}}", "\"10.200.1.7:8142\""),
     ("{{Platform.RowBytes|json}}", "65536"),
+    ("{{Limits.CpuShare}}", "0.5"),
     ("{{Limits.MemoryMb}}", "130"),
+    ("{{Bounds.ConfigApplyMs}}", "2000"),
     ("{{Bounds.StatusS}}", "120"),
     ("{{Bounds.GraceS}}", "8.5"),
 ];
