--- a/components/control/src/relay/monitor.rs
+++ b/components/control/src/relay/monitor.rs
@@ -5,7 +5,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{relay::shard, time::Time};
+use crate::{
+    relay::{owner::PEER_TIMEOUT, shard},
+    time::Time,
+};
 
 /// Silence from which a monitor reports a relay.
 const REPORTED_SILENCE: Duration = Duration::from_millis(900);
@@ -28,6 +31,8 @@
     pub store_age: Duration,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Whether it asks the receiver, as a monitor, for the state of the other relays.
+    pub wants_news: bool,
 }
 
 /// A relay that a monitor reports.
@@ -134,16 +139,24 @@
         self.last_heard = now;
     }
 
-    /// Whether the relay may serve others as a broker or monitor.
-    pub fn is_responsive(&self, now: Time) -> bool {
+    /// Whether the relay may serve others as a broker or monitor, by the answers that this relay gets
+    /// and by the last news of the monitors, of the time `seen`.
+    pub fn is_responsive(&self, now: Time, seen: Time) -> bool {
         let excluded = UNRESPONSIVE_TIME..UNRESPONSIVE_TIME + RETRY_PERIOD;
         let is_silent = self.first_miss.is_some_and(|miss| excluded.contains(&now.since(miss)));
-        !self.leaving && !is_silent
+        // A relay that died stays listed, and would be tried again after each period.
+        !self.leaving && !is_silent && self.silence(seen) <= PEER_TIMEOUT
     }
 
     /// Returns the report of a monitor on the relay, or `None` if the relay is well.
+    ///
+    /// A relay that has never reported to this monitor may have died before the monitor started. The
+    /// monitor knows nothing of it, which the longest silence expresses.
     pub fn exception(&self, now: Time) -> Option<Exception> {
-        let silence = now.since(self.reported_at);
+        let silence = match self.sequence {
+            0 => Duration::MAX,
+            _ => now.since(self.reported_at),
+        };
         let is_well =
             silence < REPORTED_SILENCE && self.store_age < REPORTED_STORE_AGE && !self.leaving;
         let (relay, store_age, leaving) = (self.relay, self.store_age, self.leaving);
--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -32,7 +32,7 @@
 pub struct Ack {
     /// Sequence number of the message that this one answers.
     pub sequence: u64,
-    /// Version up to which the sender knows the fleet table.
+    /// Version up to which the sender knows the fleet table; 0 if it was not asked for news.
     pub fleet_version: u64,
     /// Relays that are silent, disconnected from the store or shutting down.
     pub exceptions: Vec<Exception>,
@@ -144,6 +144,7 @@
         pending: sync.pending.into_iter().map(|ticket| ticket.0).collect(),
         wants: wants.collect(),
         failed: sync.failed.into_iter().collect(),
+        news: status.wants_news,
     }
 }
 
@@ -217,6 +218,7 @@
         sequence: sync.sequence,
         store_age: Duration::from_millis(sync.store_age_ms.into()),
         leaving: sync.leaving,
+        wants_news: sync.news,
     };
     let pending: BTreeSet<Ticket> = sync.pending.into_iter().map(Ticket).collect();
     let failed = sync.failed.into_iter().collect();
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -35,15 +35,18 @@
     loop {
         let mut syncs = shared.syncs(None);
         let now = shared.clock.now();
-        for (name, address) in shared.servers(MONITOR_KEY, MONITORS, now) {
-            syncs.entry(address).or_insert((name, Sync::default()));
+        let monitors = shared.servers(MONITOR_KEY, MONITORS, now);
+        for (name, address) in &monitors {
+            syncs.entry(*address).or_insert((name.clone(), Sync::default()));
         }
         let targets: BTreeSet<SocketAddr> = syncs.keys().copied().collect();
         for former in shared.swap_targets(targets) {
             // A former broker learns that this relay holds nothing there any more.
             syncs.entry(former).or_default();
         }
-        send(&shared, syncs);
+        let monitors: BTreeSet<SocketAddr> =
+            monitors.into_iter().map(|(_, address)| address).collect();
+        send(&shared, syncs, &monitors);
         sleep(REPORT_PERIOD).await;
     }
 }
@@ -55,12 +58,17 @@
         sleep(COALESCING_DELAY).await;
         let shards = shared.take_dirty_shards();
         if !shards.is_empty() {
-            send(&shared, shared.syncs(Some(&shards)));
+            send(&shared, shared.syncs(Some(&shards)), &BTreeSet::new());
         }
     }
 }
 
-fn send(shared: &Shared, syncs: BTreeMap<SocketAddr, (String, Sync)>) {
+/// Sends the state of this relay, and asks `monitors` for the state of the others.
+fn send(
+    shared: &Shared,
+    syncs: BTreeMap<SocketAddr, (String, Sync)>,
+    monitors: &BTreeSet<SocketAddr>,
+) {
     let now = shared.clock.now();
     for (address, (name, sync)) in syncs {
         shared.record_report(&name, now);
@@ -69,6 +77,7 @@
             sequence: shared.next_sequence(),
             store_age: shared.store_age(),
             leaving: *shared.phase.borrow() >= Phase::Leaving,
+            wants_news: monitors.contains(&address),
         };
         shared.send(address, Content::Sync(status, sync));
     }
@@ -114,7 +123,7 @@
                 let is_new = self.record_status(message.incarnation, &status, now);
                 if is_new {
                     self.serve(holder, from, |broker| broker.sync(now, holder, sync));
-                    let ack = self.ack(status.sequence, now);
+                    let ack = self.ack(&status, now);
                     self.shared.send(from, Content::Ack(ack));
                 }
             }
@@ -126,7 +135,9 @@
             Content::Ack(_) if message.incarnation == self.shared.incarnation => {}
             Content::Ack(ack) => {
                 self.shared.record_answer(message.incarnation, now);
-                self.record_news(&ack, now);
+                if ack.fleet_version > 0 {
+                    self.record_news(&ack, now);
+                }
             }
         }
     }
@@ -169,7 +180,11 @@
         is_new
     }
 
-    fn ack(&self, sequence: u64, now: Time) -> Ack {
+    fn ack(&self, status: &Status, now: Time) -> Ack {
+        let sequence = status.sequence;
+        if !status.wants_news {
+            return Ack { sequence, fleet_version: 0, exceptions: Vec::new() };
+        }
         let members = self.shared.members();
         let exceptions = members.values().filter_map(|member| member.health.exception(now));
         let exceptions = exceptions.collect();
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -292,6 +292,11 @@
         self.last_news.store(now.0, Ordering::Relaxed);
     }
 
+    /// Returns the time of the last news of the other relays' state.
+    pub fn last_news(&self) -> Time {
+        Time(self.last_news.load(Ordering::Relaxed))
+    }
+
     /// Passes the upstreams to the broker.
     pub fn publish_places(&self) {
         let places = self.selector().places();
@@ -303,7 +308,7 @@
         let now = self.clock.now();
         let connected = now.since(Time(self.store_connected_since.load(Ordering::Relaxed)));
         self.observe(now);
-        let seen = Time(self.last_news.load(Ordering::Relaxed));
+        let seen = self.last_news();
         let members = self.members();
         members.iter().map(|(name, member)| (name.clone(), member.peer(seen, connected))).collect()
     }
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -381,8 +381,13 @@
         let name = self.servers(&key, 1, now).into_iter().next();
         let (name, address) = name.unwrap_or_else(|| (self.name.clone(), self.address()));
         let broker = Broker { name, address, chosen_at: now };
-        let previous = self.slots.state().brokers.insert(shard, broker.clone());
+        let mut state = self.slots.state();
+        let previous = state.brokers.insert(shard, broker.clone());
         if previous.is_none_or(|previous| previous.name != broker.name) {
+            // The new broker does not know what this relay holds.
+            state.dirty.insert(shard);
+            drop(state);
+            self.slots.dirty.notify_one();
             event!(BrokerChosen, member:% = broker.name, shard = shard);
         }
         broker
@@ -390,8 +395,10 @@
 
     /// Returns the relays, with their addresses, that serve a key for all others.
     pub fn servers(&self, key: &str, count: usize, now: Time) -> Vec<(String, SocketAddr)> {
+        let seen = self.last_news();
         let members = self.members();
-        let responsive = members.iter().filter(|(_, member)| member.health.is_responsive(now));
+        let responsive =
+            members.iter().filter(|(_, member)| member.health.is_responsive(now, seen));
         let own =
             Candidate { name: &self.name, capacity: self.capacity(), joined_ms: self.joined_ms() };
         let candidates: Vec<Candidate<'_>> = responsive
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -341,6 +341,19 @@
         count: usize,
         events: u64,
     ) -> Result<(Job, u16), crate::client::Error> {
+        let (job, reply) = self.submission(relay, route, id, count, events).await?;
+        Ok((job, reply.status))
+    }
+
+    /// Submits a job on a route. Returns it with the response.
+    pub async fn submission(
+        &self,
+        relay: usize,
+        route: &str,
+        id: &str,
+        count: usize,
+        events: u64,
+    ) -> Result<(Job, Reply), crate::client::Error> {
         let items: Vec<String> = (0..count).map(|item| format!("{id}-{item}")).collect();
         let entries = items.iter().map(|item| {
             json!({
@@ -355,7 +368,7 @@
             .with_header("request-id", id)
             .with_json(&body);
         let reply = self.client.send(call).await?;
-        Ok((Job { id: id.to_owned(), items }, reply.status))
+        Ok((Job { id: id.to_owned(), items }, reply))
     }
 
     /// Requests the results of a job after a position; the relay waits up to 500 ms for new ones.
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -56,6 +56,7 @@
     faults: Vec<Fault>,
     runs: Vec<Run>,
     connections: usize,
+    is_leaving: bool,
 }
 
 #[derive(Clone)]
@@ -88,6 +89,11 @@
         self.state().faults.extend_from_slice(faults);
     }
 
+    /// Says in all further responses that this runner is leaving. Its entry stays as it is.
+    pub fn announce_leaving(&self) {
+        self.state().is_leaving = true;
+    }
+
     /// Returns the requests that ran here, in order of arrival.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -147,7 +153,10 @@
             deadline_ms: request.header("deadline-ms").parse().ok(),
         });
         let id = if fault == Some(Fault::WrongId) { "another" } else { id };
-        let headers = [("Request-Id", id), ("Server-Stamp", "stamp")];
+        let mut headers = vec![("Request-Id", id), ("Server-Stamp", "stamp")];
+        if self.state().is_leaving {
+            headers.push(("Server-Leaving", "1"));
+        }
         match fault {
             Some(Fault::Silent) => {
                 sleep(Duration::from_secs(30)).await;
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -139,3 +139,29 @@
     let text: Vec<String> = (1..=9).map(|event| format!("piece {event}")).collect();
     verify_that!(results[0]["Text"].as_str(), some(eq(text.join("\n").as_str())))
 }
+
+/// Guards against new work at a runner whose answer said that it is leaving while the store still
+/// lists it as ready: online requests, and items of batch jobs.
+#[gtest]
+#[tokio::test]
+async fn leaving_answer() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    let leaving = &harness.runners[0];
+    leaving.announce_leaving();
+    for number in 0..20 {
+        expect_that!(harness.stream(0, "stream", &format!("a-{number}"), 2).await?.status, eq(200));
+        if !leaving.runs().is_empty() {
+            break;
+        }
+    }
+    let known = leaving.runs().len();
+    expect_that!(known, eq(1));
+    for number in 0..20 {
+        expect_that!(harness.stream(0, "stream", &format!("b-{number}"), 2).await?.status, eq(200));
+    }
+    let (job, status) = harness.submit(0, "job-1", 6, 3).await?;
+    expect_that!(status, eq(202));
+    harness.await_results(0, &job).await?;
+    expect_that!(leaving.runs().len(), eq(known));
+    verify_that!(harness.runners[1].runs().len(), ge(26))
+}
