Stop batch streams at overfull upstreams, and let a new broker learn first

The broker that remained did not stop streams at upstreams with more requests than slots, so every online request was refused for three seconds although all slots held batch items. Change: a broker stops the least urgent batch streams at an overfull upstream, and gives slots to batch items only 600 ms after it first hears of a shard. Tests: relay_broker::overfull_upstream (no stream was stopped before) and new_broker_learns. Ruled out: too few slots (load 157 to 277 of 1,000 in the refusals' broker), and the estimate of the service time, which does not matter without online requests in flight.

--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -33,6 +33,11 @@
 /// Batch items leave as many slots free as online requests arrive in this time, so that most online
 /// requests find a free slot.
 const RESERVE_TIME: Duration = Duration::from_millis(50);
+/// Time after the first message about a shard in which no batch item gets a slot. By its end, all
+/// relays have reported the slots that an earlier broker granted to them.
+const LEARNING_TIME: Duration = Duration::from_millis(600);
+/// Time without messages about a shard after which another relay may have been its broker.
+const RELEARNING_TIME: Duration = Duration::from_secs(2);
 /// Number of waiting online requests among which one with an open connection is sought.
 const LOOKAHEAD: usize = 16;
 /// Weight of a new sample in the moving average of the service time.
@@ -97,6 +102,8 @@
     used: BTreeMap<u32, Used>,
     clients: BTreeMap<Holder, Client>,
     queues: BTreeMap<u32, Queue>,
+    /// Times of the first and the last message about each shard.
+    contacts: BTreeMap<u32, (Time, Time)>,
     suspensions: Suspensions,
     /// Moving average of the service time of online requests, by shard.
     service: BTreeMap<u32, Duration>,
@@ -126,6 +133,7 @@
             // The list of upstreams has not arrived yet. The relay places the request itself.
             return Vec::new();
         }
+        self.record_contact(now, shard);
         let client = self.touch(now, from);
         let granted = client.grants.get(&ticket).map(|grant| grant.upstream);
         let is_waiting = client.waiting.contains_key(&ticket);
@@ -195,9 +203,13 @@
         }
         let mut outgoing = Vec::new();
         for held in held.values() {
+            if let Some(shard) = self.places.get(&held.upstream).map(|place| place.shard) {
+                self.record_contact(now, shard);
+            }
             shards.extend(self.adopt(now, from, *held));
         }
         for want in wanted.values() {
+            self.record_contact(now, want.shard);
             let client = self.touch(now, from);
             if let Some(grant) = client.grants.get(&want.ticket) {
                 // The answer was lost.
@@ -268,6 +280,18 @@
         Load { permille, wait }
     }
 
+    fn record_contact(&mut self, now: Time, shard: u32) {
+        let (first, last) = self.contacts.entry(shard).or_insert((now, now));
+        if now.since(*last) > RELEARNING_TIME {
+            *first = now;
+        }
+        *last = now;
+    }
+
+    fn is_learning(&self, now: Time, shard: u32) -> bool {
+        self.contacts.get(&shard).is_none_or(|(first, _)| now.since(*first) < LEARNING_TIME)
+    }
+
     fn touch(&mut self, now: Time, holder: Holder) -> &mut Client {
         let client = self.clients.entry(holder).or_default();
         client.last_heard = now;
@@ -328,6 +352,7 @@
     /// then the free ones beyond the reserve to batch items.
     fn fill(&mut self, now: Time, shard: u32) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
+        self.trim(now, shard, &mut outgoing);
         while let Some((holder, ticket, upstream)) = self.next_grant(now, shard) {
             outgoing.push(self.grant(now, holder, ticket, upstream, Class::Online, None));
         }
@@ -336,6 +361,25 @@
         outgoing
     }
 
+    /// Stops batch streams at upstreams with more requests than slots. Two brokers may have granted the
+    /// same slots, or the message that stops a stream was lost.
+    fn trim(&mut self, now: Time, shard: u32, outgoing: &mut Vec<Outgoing>) {
+        let overfull: Vec<(u32, u32)> = self
+            .shard(shard)
+            .filter(|place| self.used(place.upstream).total() > place.slots)
+            .map(|place| (place.upstream, place.slots))
+            .collect();
+        for (upstream, slots) in overfull {
+            while self.used(upstream).total() > slots {
+                let Some((holder, ticket)) = self.least_urgent_at(|other| other == upstream) else {
+                    break;
+                };
+                self.remove(now, holder, ticket);
+                outgoing.push((holder, Answer::Stop { ticket }));
+            }
+        }
+    }
+
     /// Returns the next waiting online request that gets a free slot.
     ///
     /// A request whose relay has a connection to the upstream may overtake earlier ones while the
@@ -422,15 +466,20 @@
 
     /// Returns the least urgent batch stream at an upstream that an online request may use.
     fn least_urgent(&self, now: Time, shard: u32, ask: &Ask) -> Option<(Holder, Ticket)> {
-        let is_usable = |upstream: u32| {
+        self.least_urgent_at(|upstream| {
             !ask.avoid.contains(&upstream)
                 && !self.suspensions.is_suspended(upstream, now)
                 && self.places.get(&upstream).is_some_and(|place| {
-                    place.shard == shard && !place.leaving
+                    place.shard == shard
+                        && !place.leaving
                         // An overfull upstream gives its slots back first.
                         && self.used(upstream).total() <= place.slots
                 })
-        };
+        })
+    }
+
+    /// Returns the least urgent batch stream at the upstreams that `is_usable` accepts.
+    fn least_urgent_at(&self, is_usable: impl Fn(u32) -> bool) -> Option<(Holder, Ticket)> {
         let streams = self.clients.iter().flat_map(|(holder, client)| {
             let grants = client.grants.iter();
             grants.map(move |(ticket, grant)| (*holder, *ticket, grant))
@@ -446,6 +495,7 @@
             .queues
             .get(&shard)
             .is_none_or(|queue| queue.batch_len() == 0 || queue.online_len() > 0)
+            || self.is_learning(now, shard)
         {
             return;
         }
--- a/components/control/tests/relay_broker.rs
+++ b/components/control/tests/relay_broker.rs
@@ -22,12 +22,22 @@
     Place { upstream, shard: SHARD, slots: SLOTS, data_centre: 1, leaving: false }
 }
 
-fn broker(upstreams: u32) -> Broker {
+fn new_broker(upstreams: u32) -> Broker {
     let mut broker = Broker::new();
     broker.set_places((0..upstreams).map(place));
     broker
 }
 
+/// Returns a broker that has heard from all relays.
+fn broker(upstreams: u32) -> Broker {
+    let mut broker = new_broker(upstreams);
+    let (holder, first) = (Holder(99), NOW - Duration::from_secs(1));
+    let held = Held { ticket: Ticket(1), upstream: 0, class: Class::Batch };
+    broker.sync(first, holder, Sync { held: vec![held], ..Sync::default() });
+    broker.sync(first, holder, Sync::default());
+    broker
+}
+
 fn ask(ticket: u64) -> Ask {
     Ask {
         ticket: Ticket(ticket),
@@ -182,6 +192,37 @@
     expect_that!(granted(&outgoing, Holder(2)).len(), eq(1));
 }
 
+/// Guards against upstreams that stay overfull, so that all online requests are refused: after all
+/// relays have restarted, several brokers grant the same slots to batch items for a moment.
+#[gtest]
+fn overfull_upstream() {
+    let mut broker = broker(1);
+    let held =
+        (0..7).map(|ticket| Held { ticket: Ticket(ticket), upstream: 0, class: Class::Batch });
+    let outgoing = broker.sync(NOW, Holder(1), Sync { held: held.collect(), ..Sync::default() });
+    expect_that!(stopped(&outgoing, Holder(1)), len(eq(3)));
+    let outgoing = broker.ask(NOW, Holder(2), ask(20));
+    expect_that!(granted(&outgoing, Holder(2)), len(eq(1)));
+}
+
+/// Guards against a new broker that grants batch items the slots that other relays still hold: it
+/// waits until all of them have told it, but serves online requests at once.
+#[gtest]
+fn new_broker_learns() {
+    let mut broker = new_broker(1);
+    expect_that!(granted(&broker.ask(NOW, Holder(2), ask(20)), Holder(2)), len(eq(1)));
+    expect_that!(granted(&broker.sync(NOW, Holder(1), wants(0..9)), Holder(1)), is_empty());
+    let held =
+        (0..2).map(|ticket| Held { ticket: Ticket(ticket), upstream: 0, class: Class::Batch });
+    broker.sync(
+        NOW + Duration::from_millis(400),
+        Holder(3),
+        Sync { held: held.collect(), ..Sync::default() },
+    );
+    let outgoing = broker.tick(NOW + Duration::from_millis(700));
+    expect_that!(granted(&outgoing, Holder(1)), len(eq(1)));
+}
+
 /// Guards against new work at an upstream that is leaving, that this request has tried, or that
 /// relays report as failed, and against reports of one disconnected relay that exclude all.
 #[gtest]
