--- a/components/control/src/relay/quota.rs
+++ b/components/control/src/relay/quota.rs
@@ -2,7 +2,7 @@
 //!
 //! Each relay adds up the rows of all open jobs, which it follows anyway. Its view lags behind the
 //! submissions at other relays by the age of the view, so the limit is exceeded by at most the
-//! tokens that the fleet accepts in [`MAX_VIEW_AGE`].
+//! tokens that the fleet accepts in that time.
 
 use std::time::Duration;
 
