Move requests in flight and token reservations out of the shared state

Code is moved only: flight.rs holds requests in flight and how they get their upstreams, job/reservation.rs the tokens of jobs being stored.

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -16,7 +16,8 @@
 
 use crate::{
     exchange::{self, Options, Outgoing, Response},
-    shared::{Flight, Shared},
+    flight::Flight,
+    shared::Shared,
     slots::Placement,
 };
 
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -23,8 +23,9 @@
         owned::{Owned, Run},
     },
     dialect::Item,
+    flight::Flight,
     job::row,
-    shared::{Flight, Job, Phase, Shared, lock},
+    shared::{Job, Phase, Shared, lock},
 };
 
 /// Longest time between two passes of the dispatcher.
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -17,7 +17,8 @@
     batch::owned::Transcript,
     dialect::Item,
     exchange::{self, Options, Outgoing, Response},
-    shared::{Flight, Shared, lock},
+    flight::Flight,
+    shared::{Shared, lock},
 };
 
 /// Timeout of the first event of a run. The item may wait in a queue of the upstream.
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -15,8 +15,8 @@
 use crate::{
     dialect::Headers,
     events::{Event, Splitter},
+    flight::Flight,
     pool::{Connection, Pool},
-    shared::Flight,
 };
 
 /// Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1, and RFC 9112).
--- /dev/null
+++ b/components/relay/src/flight.rs
@@ -0,0 +1,207 @@
+//! Requests in flight to upstreams, and how they get their upstreams.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use cyclamengrade_control::{
+    relay::{
+        broker::{Class, Load, Ticket},
+        failure::Failure,
+        selector::{Choice, Key, Upstream},
+    },
+    time::Time,
+};
+use cyclamengrade_telemetry::{event, metrics::RELAY_ATTEMPTS};
+use metrics::counter;
+
+use crate::{
+    pool::Pool,
+    shared::Shared,
+    slots::{Outcome, Placement},
+};
+
+/// A request in flight to an upstream. It is counted there until this value is dropped.
+pub struct Flight {
+    shared: Arc<Shared>,
+    /// Key of the upstream in the selector.
+    pub key: Key,
+    class: Class,
+    /// Slot that the request holds.
+    pub ticket: Ticket,
+    pub upstream: Upstream,
+    /// When the request was sent.
+    pub started: Time,
+    /// Whether a byte of the response has arrived.
+    responded: bool,
+}
+
+impl Flight {
+    /// Records that bytes of the response arrived.
+    pub fn record_bytes(&mut self) {
+        let now = self.shared.clock.now();
+        let mut selector = self.shared.selector();
+        selector.record_bytes(self.key, now);
+        if !self.responded {
+            self.responded = true;
+            selector.record_response_time(self.key, now.since(self.started));
+        }
+    }
+
+    /// Records that a response said that the upstream is leaving.
+    pub fn record_leaving(&self) {
+        let is_new = self.shared.selector().record_leaving(self.key);
+        if is_new {
+            self.shared.publish_places();
+            self.shared.mark_all_dirty();
+            event!(
+                UpstreamLeaving,
+                upstream:% = self.upstream.id,
+                deployment:% = self.upstream.deployment
+            );
+        }
+    }
+
+    /// Returns the connections to upstreams.
+    pub fn pool(&self) -> &Pool {
+        &self.shared.pool
+    }
+
+    /// Records that the complete response arrived.
+    pub fn record_success(&self) {
+        counter!(RELAY_ATTEMPTS, "outcome" => "ok").increment(1);
+        if self.class == Class::Online {
+            let elapsed = self.shared.clock.now().since(self.started);
+            self.shared.selector().record_service_time(self.key, elapsed);
+        }
+    }
+
+    /// Records a failed attempt. Ejects the upstream for a time if it caused the failure.
+    pub fn record_failure(&self, failure: Failure) {
+        counter!(RELAY_ATTEMPTS, "outcome" => failure.name()).increment(1);
+        let now = self.shared.clock.now();
+        let ejection = self.shared.selector().record_failure(self.key, failure, now);
+        if let Some(ejection) = ejection {
+            self.shared.mark_all_dirty();
+            event!(
+                UpstreamPaused,
+                upstream:% = self.upstream.id,
+                failure:% = failure.name(),
+                pause_ms = ejection.as_millis() as u64
+            );
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.shared.selector().record_end(self.key);
+        self.shared.release_slot(self.ticket);
+        self.shared.batch_changed.notify_one();
+    }
+}
+
+impl Shared {
+    /// Chooses an upstream for an online request and counts the request there. The upstreams in
+    /// `tried` are excluded. The request has to start within `time_left`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may retry if no upstream can start the request in
+    /// time.
+    pub async fn acquire_online(
+        self: &Arc<Self>,
+        deployment: &str,
+        tried: &BTreeSet<Key>,
+        time_left: Duration,
+    ) -> Result<(Flight, Placement), (Duration, Placement)> {
+        let begin = self.clock.now();
+        let (shards, start_within, avoid) = {
+            let selector = self.selector();
+            let mut avoid = selector.avoided(begin);
+            avoid.extend(tried.iter().map(|key| selector.short_id(*key)));
+            let start_within = selector.start_within(deployment, time_left);
+            (selector.shards(deployment), start_within, avoid)
+        };
+        let outcome = self.ask_slot(&shards, start_within, &avoid).await;
+        let now = self.clock.now();
+        let elapsed = now.since(begin);
+        match outcome {
+            Outcome::Granted { ticket, upstream, load } => {
+                let placement = Placement { granted: true, load, elapsed };
+                let key = self.selector().usable_key(upstream, now);
+                let flight = key
+                    .filter(|key| !tried.contains(key))
+                    .and_then(|key| self.flight(key, Class::Online, ticket, now));
+                match flight {
+                    Some(flight) => {
+                        Self::record_placement("granted");
+                        Ok((flight, placement))
+                    }
+                    None => {
+                        self.release_slot(ticket);
+                        self.place_alone(deployment, tried, elapsed)
+                    }
+                }
+            }
+            Outcome::Refused(load) => {
+                Self::record_placement("refused");
+                let wait = self.selector().record_refusal(deployment, load.wait, now);
+                Err((wait, Placement { granted: true, load, elapsed }))
+            }
+            Outcome::Unanswered => self.place_alone(deployment, tried, elapsed),
+        }
+    }
+
+    /// Chooses an upstream without a broker.
+    fn place_alone(
+        self: &Arc<Self>,
+        deployment: &str,
+        tried: &BTreeSet<Key>,
+        elapsed: Duration,
+    ) -> Result<(Flight, Placement), (Duration, Placement)> {
+        let now = self.clock.now();
+        let placement = Placement { granted: false, load: Load::default(), elapsed };
+        let points = [rand::random(), rand::random()];
+        let choice = self.selector().choose(deployment, tried, now, points);
+        let placed = match choice {
+            Choice::Send(key) => self.selector().place(key).map(|place| (key, place)),
+            Choice::Refuse(_) => None,
+        };
+        if let Some((key, (shard, upstream))) = placed {
+            let ticket = self.hold_slot(shard, upstream, Class::Online);
+            if let Some(flight) = self.flight(key, Class::Online, ticket, now) {
+                Self::record_placement("alone");
+                return Ok((flight, placement));
+            }
+            self.release_slot(ticket);
+        }
+        Self::record_placement("refused");
+        let wait = self.selector().record_refusal(deployment, Duration::ZERO, now);
+        Err((wait, placement))
+    }
+
+    /// Begins the run of a batch item with a slot that was granted to it. Returns `None`, and frees
+    /// the slot, if the upstream cannot be used.
+    pub fn acquire_batch(self: &Arc<Self>, ticket: Ticket, upstream: u32) -> Option<Flight> {
+        let now = self.clock.now();
+        let key = self.selector().usable_key(upstream, now);
+        let flight = key.and_then(|key| self.flight(key, Class::Batch, ticket, now));
+        if flight.is_none() {
+            self.release_slot(ticket);
+        }
+        flight
+    }
+
+    fn flight(
+        self: &Arc<Self>,
+        key: Key,
+        class: Class,
+        ticket: Ticket,
+        started: Time,
+    ) -> Option<Flight> {
+        let mut selector = self.selector();
+        let upstream = selector.upstream(key).cloned()?;
+        selector.record_start(key, started);
+        let shared = self.clone();
+        Some(Flight { shared, key, class, ticket, upstream, started, responded: false })
+    }
+}
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -17,9 +17,9 @@
     batch::Dispatcher,
     body::Body,
     dialect::JobCall,
-    job::{row, store, store::Acceptance},
+    job::{reservation::Reservation, row, store, store::Acceptance},
     online,
-    shared::{Phase, Reservation, Shared},
+    shared::{Phase, Shared},
 };
 
 /// Longest wait for the first result in one call, in addition to the time of the calls to the
--- a/components/relay/src/job/mod.rs
+++ b/components/relay/src/job/mod.rs
@@ -7,5 +7,6 @@
 
 pub mod cleanup;
 pub mod key;
+pub mod reservation;
 pub mod row;
 pub mod store;
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod events;
 mod exchange;
+mod flight;
 mod follower;
 mod front;
 pub mod job;
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -32,7 +32,8 @@
     body::{Body, Truncated},
     events::Event,
     exchange::{self, Collected, Events, Outgoing},
-    shared::{Flight, Shared},
+    flight::Flight,
+    shared::Shared,
     slots::Placement,
 };
 
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -1,8 +1,8 @@
 //! State shared by the tasks and threads of a relay: the view of the store and the other relays,
-//! the occupancy of the upstreams, and the phase of the process.
+//! the upstreams, and the phase of the process.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
@@ -14,30 +14,20 @@
 use arc_swap::ArcSwap;
 use cyclamengrade_control::{
     relay::{
-        broker::{Broker, Class, Load, Ticket},
-        failure::Failure,
+        broker::Broker,
         monitor::Health,
         owner::{self, Instance, Peer},
-        quota::{Admission, View},
         registry::OUTAGE_THRESHOLD,
-        route::{self, Route},
-        selector::{Choice, Key, Selector, Upstream},
+        route,
+        selector::Selector,
     },
     time::Time,
 };
 use cyclamengrade_peer::slots::Content;
 use cyclamengrade_platform::{Objects, Table};
-use cyclamengrade_telemetry::{event, metrics::RELAY_ATTEMPTS};
-use metrics::counter;
 use tokio::sync::{Notify, Semaphore, watch};
 
-use crate::{
-    clock::Clock,
-    dialect::Dialect,
-    job::row,
-    pool::Pool,
-    slots::{Outcome, Placement, Slots},
-};
+use crate::{clock::Clock, dialect::Dialect, job::row, pool::Pool, slots::Slots};
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
 /// held twice: once while it is read and once for sending.
@@ -164,7 +154,7 @@
     /// clock.
     last_fleet_answer: AtomicU64,
     /// Tokens of the jobs that this relay is storing, by name of the route.
-    reserved_tokens: Mutex<BTreeMap<String, u64>>,
+    pub(crate) reserved_tokens: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Shared {
@@ -374,40 +364,9 @@
         self.last_fleet_answer.store(self.clock.now().0, Ordering::Relaxed);
     }
 
-    /// Returns the tokens of the open jobs of a batch route that wait for a run.
-    pub fn waiting_tokens(&self, route: &Route) -> u64 {
-        let routes = self.routes.load();
-        let jobs = self.jobs();
-        let open = jobs.values().filter(|job| job.row.state == row::State::Open);
-        let of_route = open.filter(|job| {
-            let found = routes.find(&job.row.host, &job.row.path);
-            found.is_some_and(|found| found.name == route.name)
-        });
-        of_route.map(|job| job.row.tokens).fold(0, u64::saturating_add)
-    }
-
-    /// Decides whether a submitted job of `tokens` fits into the limit of its route, and reserves
-    /// the tokens while the job is being stored.
-    pub fn reserve_tokens(
-        self: &Arc<Self>,
-        route: &Route,
-        tokens: u64,
-    ) -> Result<Reservation, Admission> {
-        let age = self.clock.now().since(Time(self.last_fleet_answer.load(Ordering::Relaxed)));
-        let waiting = if route.quota.is_limited() { self.waiting_tokens(route) } else { 0 };
-        let mut reserved = lock(&self.reserved_tokens);
-        let total = reserved.entry(route.name.clone()).or_default();
-        match route.quota.admit(
-            View { waiting, reserved: *total, age },
-            tokens,
-            route.completion_target,
-        ) {
-            Admission::Admitted => {
-                *total = total.saturating_add(tokens);
-                Ok(Reservation { shared: self.clone(), route: route.name.clone(), tokens })
-            }
-            refused => Err(refused),
-        }
+    /// Returns the time since the feed of the fleet table last answered.
+    pub fn fleet_age(&self) -> Duration {
+        self.clock.now().since(Time(self.last_fleet_answer.load(Ordering::Relaxed)))
     }
 
     /// Records that the store answered.
@@ -443,206 +402,6 @@
         let relays = self.members().len() + 1;
         limit.map_or(usize::MAX, |limit| (limit / relays).max(1))
     }
-
-    /// Chooses an upstream for an online request and counts the request there. The upstreams in
-    /// `tried` are excluded. The request has to start within `time_left`.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which the caller may retry if no upstream can start the request in
-    /// time.
-    pub async fn acquire_online(
-        self: &Arc<Self>,
-        deployment: &str,
-        tried: &BTreeSet<Key>,
-        time_left: Duration,
-    ) -> Result<(Flight, Placement), (Duration, Placement)> {
-        let begin = self.clock.now();
-        let (shards, start_within, avoid) = {
-            let selector = self.selector();
-            let mut avoid = selector.avoided(begin);
-            avoid.extend(tried.iter().map(|key| selector.short_id(*key)));
-            let start_within = selector.start_within(deployment, time_left);
-            (selector.shards(deployment), start_within, avoid)
-        };
-        let outcome = self.ask_slot(&shards, start_within, &avoid).await;
-        let now = self.clock.now();
-        let elapsed = now.since(begin);
-        match outcome {
-            Outcome::Granted { ticket, upstream, load } => {
-                let placement = Placement { granted: true, load, elapsed };
-                let key = self.selector().usable_key(upstream, now);
-                let flight = key
-                    .filter(|key| !tried.contains(key))
-                    .and_then(|key| self.flight(key, Class::Online, ticket, now));
-                match flight {
-                    Some(flight) => {
-                        Self::record_placement("granted");
-                        Ok((flight, placement))
-                    }
-                    None => {
-                        self.release_slot(ticket);
-                        self.place_alone(deployment, tried, elapsed)
-                    }
-                }
-            }
-            Outcome::Refused(load) => {
-                Self::record_placement("refused");
-                let wait = self.selector().record_refusal(deployment, load.wait, now);
-                Err((wait, Placement { granted: true, load, elapsed }))
-            }
-            Outcome::Unanswered => self.place_alone(deployment, tried, elapsed),
-        }
-    }
-
-    /// Chooses an upstream without a broker.
-    fn place_alone(
-        self: &Arc<Self>,
-        deployment: &str,
-        tried: &BTreeSet<Key>,
-        elapsed: Duration,
-    ) -> Result<(Flight, Placement), (Duration, Placement)> {
-        let now = self.clock.now();
-        let placement = Placement { granted: false, load: Load::default(), elapsed };
-        let points = [rand::random(), rand::random()];
-        let choice = self.selector().choose(deployment, tried, now, points);
-        let placed = match choice {
-            Choice::Send(key) => self.selector().place(key).map(|place| (key, place)),
-            Choice::Refuse(_) => None,
-        };
-        if let Some((key, (shard, upstream))) = placed {
-            let ticket = self.hold_slot(shard, upstream, Class::Online);
-            if let Some(flight) = self.flight(key, Class::Online, ticket, now) {
-                Self::record_placement("alone");
-                return Ok((flight, placement));
-            }
-            self.release_slot(ticket);
-        }
-        Self::record_placement("refused");
-        let wait = self.selector().record_refusal(deployment, Duration::ZERO, now);
-        Err((wait, placement))
-    }
-
-    /// Begins the run of a batch item with a slot that was granted to it. Returns `None`, and frees
-    /// the slot, if the upstream cannot be used.
-    pub fn acquire_batch(self: &Arc<Self>, ticket: Ticket, upstream: u32) -> Option<Flight> {
-        let now = self.clock.now();
-        let key = self.selector().usable_key(upstream, now);
-        let flight = key.and_then(|key| self.flight(key, Class::Batch, ticket, now));
-        if flight.is_none() {
-            self.release_slot(ticket);
-        }
-        flight
-    }
-
-    fn flight(
-        self: &Arc<Self>,
-        key: Key,
-        class: Class,
-        ticket: Ticket,
-        started: Time,
-    ) -> Option<Flight> {
-        let mut selector = self.selector();
-        let upstream = selector.upstream(key).cloned()?;
-        selector.record_start(key, started);
-        let shared = self.clone();
-        Some(Flight { shared, key, class, ticket, upstream, started, responded: false })
-    }
-}
-
-/// Tokens of a job that is being stored. They are free again when this value is dropped.
-pub struct Reservation {
-    shared: Arc<Shared>,
-    route: String,
-    tokens: u64,
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        if let Some(total) = lock(&self.shared.reserved_tokens).get_mut(&self.route) {
-            *total = total.saturating_sub(self.tokens);
-        }
-    }
-}
-
-/// A request in flight to an upstream. It is counted there until this value is dropped.
-pub struct Flight {
-    shared: Arc<Shared>,
-    /// Key of the upstream in the selector.
-    pub key: Key,
-    class: Class,
-    /// Slot that the request holds.
-    pub ticket: Ticket,
-    pub upstream: Upstream,
-    /// When the request was sent.
-    pub started: Time,
-    /// Whether a byte of the response has arrived.
-    responded: bool,
-}
-
-impl Flight {
-    /// Records that bytes of the response arrived.
-    pub fn record_bytes(&mut self) {
-        let now = self.shared.clock.now();
-        let mut selector = self.shared.selector();
-        selector.record_bytes(self.key, now);
-        if !self.responded {
-            self.responded = true;
-            selector.record_response_time(self.key, now.since(self.started));
-        }
-    }
-
-    /// Records that a response said that the upstream is leaving.
-    pub fn record_leaving(&self) {
-        let is_new = self.shared.selector().record_leaving(self.key);
-        if is_new {
-            self.shared.publish_places();
-            self.shared.mark_all_dirty();
-            event!(
-                UpstreamLeaving,
-                upstream:% = self.upstream.id,
-                deployment:% = self.upstream.deployment
-            );
-        }
-    }
-
-    /// Returns the connections to upstreams.
-    pub fn pool(&self) -> &Pool {
-        &self.shared.pool
-    }
-
-    /// Records that the complete response arrived.
-    pub fn record_success(&self) {
-        counter!(RELAY_ATTEMPTS, "outcome" => "ok").increment(1);
-        if self.class == Class::Online {
-            let elapsed = self.shared.clock.now().since(self.started);
-            self.shared.selector().record_service_time(self.key, elapsed);
-        }
-    }
-
-    /// Records a failed attempt. Ejects the upstream for a time if it caused the failure.
-    pub fn record_failure(&self, failure: Failure) {
-        counter!(RELAY_ATTEMPTS, "outcome" => failure.name()).increment(1);
-        let now = self.shared.clock.now();
-        let ejection = self.shared.selector().record_failure(self.key, failure, now);
-        if let Some(ejection) = ejection {
-            self.shared.mark_all_dirty();
-            event!(
-                UpstreamPaused,
-                upstream:% = self.upstream.id,
-                failure:% = failure.name(),
-                pause_ms = ejection.as_millis() as u64
-            );
-        }
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.shared.selector().record_end(self.key);
-        self.shared.release_slot(self.ticket);
-        self.shared.batch_changed.notify_one();
-    }
 }
 
 /// Locks a mutex, and ignores its poisoning by a thread that panicked while it held the lock.
