Log the software versions of upstreams and the streams that requests continue

request_sent and item_started name the version of the upstream; request_sent also names the request that began the stream and the caller's last event.

--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -56,6 +56,8 @@
     pub deployment: String,
     pub address: std::net::SocketAddr,
     pub data_centre: String,
+    /// Version of the upstream's software; empty if its entry does not state it.
+    pub version: String,
     /// Number of requests that the upstream runs concurrently.
     pub slots: Option<u32>,
     /// Whether the upstream accepts no new work.
--- a/components/control/tests/relay_registry.rs
+++ b/components/control/tests/relay_registry.rs
@@ -20,6 +20,7 @@
         deployment: "chat".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "a".into(),
+        version: "v1".into(),
         slots: Some(8),
         leaving: false,
         born: None,
--- a/components/control/tests/relay_selector.rs
+++ b/components/control/tests/relay_selector.rs
@@ -28,6 +28,7 @@
             deployment: "chat".into(),
             address: "127.0.0.1:1".parse().unwrap(),
             data_centre: "a".into(),
+            version: "v1".into(),
             slots: Some(SLOTS),
             leaving: false,
             born: None,
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::{
     exchange::{self, Options, Outgoing, Response},
     flight::Flight,
+    online::header_text,
     shared::Shared,
     slots::Placement,
 };
@@ -133,7 +134,7 @@
                 return Err(Error::DeadlineExceeded);
             }
             let (mut flight, placement) = self.choose_upstream().await?;
-            self.log_send(&flight, placement);
+            self.log_send(&flight, resume_after, placement);
             let options = Options {
                 deadline: Some(self.deadline),
                 resume_after,
@@ -184,12 +185,21 @@
         }
     }
 
-    fn log_send(&self, flight: &Flight, placement: Placement) {
+    fn log_send(&self, flight: &Flight, resume_after: Option<u64>, placement: Placement) {
+        let names = self.shared.dialect.headers();
+        let header = |name| header_text(&self.outgoing.headers, name).unwrap_or_default();
+        let resumes = match resume_after {
+            Some(_) => &self.outgoing.id,
+            None => header(&names.resumes),
+        };
         event!(
             RequestSent,
             request:% = self.outgoing.id,
             route:% = self.route.name,
             upstream:% = flight.upstream.id,
+            version:% = flight.upstream.version,
+            resumes:% = resumes,
+            after = resume_after.or_else(|| header(&names.last_event_id).parse().ok()).unwrap_or(0),
             attempt = self.attempts.possibly_run + self.attempts.not_run + 1,
             granted = placement.granted,
             load_permille = placement.load.permille,
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -332,6 +332,7 @@
             job:% = id,
             item:% = outgoing.id,
             upstream:% = flight.upstream.id,
+            version:% = flight.upstream.version,
             after = lock(&transcript).last.unwrap_or(0)
         );
         let (dispatcher, id) = (self.clone(), id.to_owned());
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -19,6 +19,9 @@
     pub deadline_ms: HeaderName,
     /// Id of the event after which a stream is to be resumed.
     pub last_event_id: HeaderName,
+    /// In a caller's request to continue a stream: id of the caller's request that brought the
+    /// first event of the stream.
+    pub resumes: HeaderName,
     /// Id of the only upstream that may run the request. Any other upstream at the same address
     /// must refuse it.
     pub expect_instance: HeaderName,
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -32,6 +32,7 @@
                 deadline_ms: name("x-deadline-ms"),
                 // This header name is standard (WHATWG HTML, "Server-sent events").
                 last_event_id: name("last-event-id"),
+                resumes: name("x-resumes"),
                 expect_instance: name("x-expect-instance"),
                 stamp: name("x-upstream-stamp"),
                 not_run: name("x-not-run"),
@@ -119,6 +120,9 @@
     address: SocketAddr,
     #[serde(default)]
     data_centre: String,
+    /// Version of the upstream's software.
+    #[serde(default)]
+    version: String,
     slots: Option<u32>,
     #[serde(default)]
     leaving: bool,
@@ -213,6 +217,7 @@
             deployment: json.deployment,
             address: json.address,
             data_centre: json.data_centre,
+            version: json.version,
             slots: json.slots,
             leaving: json.leaving,
             born: json.born,
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -151,8 +151,10 @@
     1100 Info SpanEnded "span_ended" "trace span ended",
 
     /// A relay sent a request to an upstream. Fields: `request`, `route`, `upstream`, `attempt`,
-    /// `granted` (whether a broker chose the upstream), `load_permille` of the upstreams according to
-    /// the broker, `wait_ms` for the choice, `configuration`.
+    /// `version` of the upstream's software, `resumes` (the request that began the stream which this
+    /// one continues, if any), `after` (the last event that the caller has of it), `granted` (whether
+    /// a broker chose the upstream), `load_permille` of the upstreams according to the broker,
+    /// `wait_ms` for the choice, `configuration`.
     1200 Info RequestSent "request_sent" "request was sent to an upstream",
     /// An attempt of a relay failed. Fields: `request`, `upstream`, `failure`, `elapsed_ms`,
     /// `events`.
@@ -205,7 +207,8 @@
     1242 Info JobOwned "job_owned" "daemon owns and runs the batch job",
     /// This daemon no longer runs a batch job. Fields: `job`, `reason`.
     1243 Info JobReleased "job_released" "daemon no longer runs the batch job",
-    /// A run of a batch item started. Fields: `job`, `item`, `upstream`, `after`.
+    /// A run of a batch item started. Fields: `job`, `item`, `upstream`, `version` of its software,
+    /// `after`.
     1244 Info ItemStarted "item_started" "run of a batch item started",
     /// A run of a batch item ended before its last event. Fields: `job`, `item`, `cause`, `after`.
     1245 Info ItemStopped "item_stopped" "run of a batch item ended before its last event",
