Reproduce streams and texts that go on at another software version

The stand-in of an upstream gets a version and a data centre, so that the wrong upstream is the preferred one.

--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -169,6 +169,52 @@
         self.start_relay(number)
     }
 
+    /// Starts a runner with a version of the software in a data centre. The relays, which are in the
+    /// data centre `a`, do not know it before it is listed.
+    ///
+    /// # Errors
+    ///
+    /// The runner cannot listen.
+    pub async fn add_runner(
+        &mut self,
+        id: &str,
+        version: &str,
+        data_centre: &str,
+    ) -> Result<Runner, Error> {
+        let mut runner = Runner::start(self.host, id).await?;
+        (runner.version, runner.data_centre) = (version.into(), data_centre.into());
+        self.runners.push(runner.clone());
+        Ok(runner)
+    }
+
+    /// Lists a runner of the service `model` in the store, and waits until a relay knows it.
+    ///
+    /// # Errors
+    ///
+    /// The relay does not learn of the runner in time.
+    pub async fn list(&self, runner: &Runner, relay: usize) -> Result<(), Error> {
+        self.store.put("servers", &runner.id, &runner.entry("model", "ready"));
+        self.await_upstream(relay, "upstream_added", &runner.id).await
+    }
+
+    /// Removes the entry of a runner, and waits until a relay has dropped it.
+    ///
+    /// # Errors
+    ///
+    /// The relay does not learn of it in time.
+    pub async fn unlist(&self, runner: &Runner, relay: usize) -> Result<(), Error> {
+        self.store.remove("servers", &runner.id);
+        self.await_upstream(relay, "upstream_removed", &runner.id).await
+    }
+
+    async fn await_upstream(&self, relay: usize, event: &str, id: &str) -> Result<(), Error> {
+        self.eventually(&format!("{event} {id}"), async || {
+            let lines = self.events(relay, event);
+            lines.iter().any(|line| line["upstream"] == id).then_some(())
+        })
+        .await
+    }
+
     /// Starts the process of a relay that is not running.
     ///
     /// # Errors
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -63,6 +63,10 @@
 pub struct Runner {
     pub id: String,
     pub address: SocketAddr,
+    /// Version of its software.
+    pub version: String,
+    /// Data centre that its entry states.
+    pub data_centre: String,
     state: Arc<Mutex<State>>,
 }
 
@@ -71,7 +75,13 @@
     pub async fn start(host: IpAddr, id: &str) -> io::Result<Self> {
         let listener = TcpListener::bind((host, 0)).await?;
         let address = listener.local_addr()?;
-        let runner = Self { id: id.to_owned(), address, state: Arc::default() };
+        let runner = Self {
+            id: id.to_owned(),
+            address,
+            version: "v1".into(),
+            data_centre: "a".into(),
+            state: Arc::default(),
+        };
         tokio::spawn(runner.clone().accept(listener));
         Ok(runner)
     }
@@ -79,7 +89,7 @@
     /// Returns the value of its row in the store's `servers` table.
     pub fn entry(&self, service: &str, state: &str) -> Value {
         json!({
-            "Service": service, "Address": self.address, "Zone": "a", "Version": "v1", "Slots": 8,
+            "Service": service, "Address": self.address, "Zone": self.data_centre, "Version": self.version, "Slots": 8,
             "State": state, "ColdLeftMs": 0, "CallSeq": 0
         })
     }
--- /dev/null
+++ b/tests/relay_versions.rs
@@ -0,0 +1,175 @@
+//! Streams and batch items while upstreams of several software versions serve side by side.
+
+use std::time::{Duration, Instant};
+
+use cyclamengrade_standins::{
+    bridge::{Fault, Harness, Runner},
+    client::Reply,
+};
+use googletest::prelude::*;
+
+/// Events of a stream that is long enough for the list of upstreams to change while it runs.
+const LONG: u64 = 120;
+
+/// Returns the number of the last event that the caller had, for each run of a runner.
+fn resumed_after(runner: &Runner) -> Vec<Option<u64>> {
+    runner.runs().into_iter().map(|run| run.after).collect()
+}
+
+fn text(events: std::ops::RangeInclusive<u64>) -> String {
+    events.map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect()
+}
+
+/// Sends a request to continue the stream that the request `origin` began, after one event.
+async fn take_up(harness: &Harness, relay: usize, origin: &str, after: u64) -> Result<Reply> {
+    let call = harness
+        .call(relay, "stream", &format!("{origin}-again"))
+        .with_header("token-counts", format!("10,{LONG}"))
+        .with_header("resumes", origin)
+        .with_header("last-event-id", after.to_string());
+    Ok(harness.send(call).await?)
+}
+
+/// Starts relays with one listed runner, of version v1, whose first response breaks off after
+/// `events` events. Returns another runner of that version, in another data centre, and one of
+/// version v2 that the relays prefer; both are not listed yet.
+async fn start(relays: usize, events: u64) -> Result<(Harness, Runner, Runner)> {
+    let mut harness = Harness::start(relays).await?;
+    for relay in 0..relays {
+        harness.unlist(&harness.runners[1], relay).await?;
+    }
+    harness.runners[0].queue_faults(&[Fault::CutAfter(events)]);
+    let same = harness.add_runner("m-3", "v1", "b").await?;
+    let other = harness.add_runner("m-4", "v2", "a").await?;
+    Ok((harness, same, other))
+}
+
+async fn await_run(harness: &Harness, runner: &Runner) -> Result<()> {
+    Ok(harness.eventually("a run", async || runner.runs().first().map(|_| ())).await?)
+}
+
+/// Guards against a relay that resumes a stream at an upstream of another software version, within
+/// one response.
+#[gtest]
+#[tokio::test]
+async fn same_response() -> Result<()> {
+    let (harness, same, other) = start(1, 80).await?;
+    let list = async {
+        await_run(&harness, &harness.runners[0]).await?;
+        harness.list(&other, 0).await?;
+        harness.list(&same, 0).await?;
+        Result::<()>::Ok(())
+    };
+    let (reply, listed) = tokio::join!(harness.stream(0, "stream", "s-1", LONG), list);
+    listed?;
+    expect_that!(reply?.text(), eq(&text(1..=LONG)));
+    expect_that!(resumed_after(&same), elements_are![some(eq(&80))]);
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against a relay that continues a stream, which another relay began, at an upstream of
+/// another software version.
+#[gtest]
+#[tokio::test]
+async fn other_relay() -> Result<()> {
+    let (harness, same, other) = start(3, 5).await?;
+    expect_that!(harness.stream(0, "stream", "s-1", LONG).await.is_err(), eq(true));
+    for relay in 1..3 {
+        harness.list(&other, relay).await?;
+        harness.list(&same, relay).await?;
+        harness.unlist(&harness.runners[0], relay).await?;
+        let reply = take_up(&harness, relay, "s-1", 5).await?;
+        expect_that!(reply.text(), eq(&text(6..=LONG)), "relay {relay}");
+    }
+    expect_that!(resumed_after(&same), each(some(eq(&5))));
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against losing the software version of a stream with the relay that began it.
+#[gtest]
+#[tokio::test]
+async fn killed_relay() -> Result<()> {
+    let (mut harness, same, other) = start(3, LONG).await?;
+    let call = harness.call(0, "stream", "s-1").with_header("token-counts", format!("10,{LONG}"));
+    let client = cyclamengrade_standins::client::Client::new();
+    let stream = tokio::spawn(async move { client.send(call).await });
+    await_run(&harness, &harness.runners[0]).await?;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    harness.kill_relay(0)?;
+    expect_that!(stream.await?.is_err(), eq(true));
+    harness.list(&other, 1).await?;
+    harness.list(&same, 1).await?;
+    harness.unlist(&harness.runners[0], 1).await?;
+    let reply = take_up(&harness, 1, "s-1", 5).await?;
+    expect_that!(reply.text(), eq(&text(6..=LONG)));
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against continuing a stream at another software version because no upstream of its own
+/// is left, and against holding such a request although it cannot be served.
+#[gtest]
+#[tokio::test]
+async fn version_gone() -> Result<()> {
+    let (harness, _, other) = start(2, 5).await?;
+    expect_that!(harness.stream(0, "stream", "s-1", LONG).await.is_err(), eq(true));
+    for relay in 0..2 {
+        harness.list(&other, relay).await?;
+        harness.unlist(&harness.runners[0], relay).await?;
+    }
+    let start = Instant::now();
+    for relay in 0..2 {
+        let reply = take_up(&harness, relay, "s-1", 5).await?;
+        expect_that!(reply.status, eq(503), "relay {relay}");
+        expect_that!(reply.headers.contains_key("retry-after"), eq(true));
+    }
+    expect_that!(start.elapsed(), lt(Duration::from_millis(800)));
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against continuing a stream of which no relay knows the version, while several versions
+/// serve.
+#[gtest]
+#[tokio::test]
+async fn unknown_origin() -> Result<()> {
+    let (harness, same, other) = start(1, LONG).await?;
+    let reply = take_up(&harness, 0, "s-0", 5).await?;
+    expect_that!(reply.status, eq(200), "one version serves");
+    harness.list(&other, 0).await?;
+    let reply = take_up(&harness, 0, "s-0", 5).await?;
+    expect_that!(reply.status, eq(503));
+    expect_that!(resumed_after(&same), is_empty());
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against the text of a batch item that is joined from runs at two software versions.
+#[gtest]
+#[tokio::test]
+async fn batch_item() -> Result<()> {
+    let (harness, same, other) = start(1, 80).await?;
+    let (job, status) = harness.submit(0, "j-1", 1, LONG).await?;
+    expect_that!(status, eq(202));
+    await_run(&harness, &harness.runners[0]).await?;
+    harness.list(&other, 0).await?;
+    harness.list(&same, 0).await?;
+    harness.unlist(&harness.runners[0], 0).await?;
+    let results = harness.await_results(0, &job).await?;
+    expect_that!(Harness::complete_items(&results, LONG).len(), eq(1));
+    expect_that!(resumed_after(&same), elements_are![some(eq(&80))]);
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against a batch item that never ends, or whose text is joined from two versions, after
+/// the version that began its text is gone.
+#[gtest]
+#[tokio::test]
+async fn batch_version_gone() -> Result<()> {
+    let (harness, _, other) = start(1, 80).await?;
+    let (job, status) = harness.submit(0, "j-1", 1, LONG).await?;
+    expect_that!(status, eq(202));
+    await_run(&harness, &harness.runners[0]).await?;
+    harness.list(&other, 0).await?;
+    harness.unlist(&harness.runners[0], 0).await?;
+    let results = harness.await_results(0, &job).await?;
+    expect_that!(Harness::complete_items(&results, LONG).len(), eq(1));
+    verify_that!(resumed_after(&other), elements_are![none()])
+}
