--- a/components/control/src/hash.rs
+++ b/components/control/src/hash.rs
@@ -19,6 +19,12 @@
     hasher.finish()
 }
 
+/// Returns the upper half of a hash, which identifies names in messages between relays. A collision
+/// only makes counts less accurate.
+pub const fn short(hash: u64) -> u32 {
+    (hash >> 32) as u32
+}
+
 /// Returns the name with the highest weight for `key`; `None` if there are no names.
 pub fn owner<'a>(names: impl IntoIterator<Item = &'a str>, key: &str) -> Option<&'a str> {
     names.into_iter().max_by_key(|name| (stable(&[name, key]), *name))
--- a/components/control/src/relay/broker/message.rs
+++ b/components/control/src/relay/broker/message.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
+use crate::relay::origin::Software;
+
 /// Class of a request at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -33,6 +35,15 @@
     pub connected: BTreeSet<u32>,
     /// Upstreams that this request must not be sent to.
     pub avoid: BTreeSet<u32>,
+    /// Software of the upstream, if the request continues a stream.
+    pub software: Option<Software>,
+}
+
+impl Ask {
+    /// Whether the request must not be sent to some upstreams.
+    pub fn is_restricted(&self) -> bool {
+        self.software.is_some() || !self.avoid.is_empty()
+    }
 }
 
 /// A slot that a relay holds.
@@ -50,6 +61,8 @@
     pub shard: u32,
     /// Urgency of the item; the smallest goes first.
     pub urgency: Urgency,
+    /// Software of the upstream, if the run continues a text.
+    pub software: Option<Software>,
 }
 
 /// Order of the batch items of all relays.
--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -10,6 +10,7 @@
 //! overfill its upstreams for a time, and a lost message is repaired by the next [`Sync`].
 
 mod message;
+mod placement;
 mod queue;
 mod suspension;
 
@@ -23,7 +24,7 @@
     queue::{Queue, Waiting},
     suspension::Suspensions,
 };
-use crate::time::Time;
+use crate::{relay::origin::Software, time::Time};
 
 /// Time without a message after which the slots of a relay are free again.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -56,6 +57,7 @@
     pub slots: u32,
     /// Hash of its data centre.
     pub data_centre: u32,
+    pub software: Software,
     /// Whether it accepts no new work.
     pub leaving: bool,
 }
@@ -144,6 +146,9 @@
         if is_waiting {
             return vec![(from, Answer::Queued { ticket, load })];
         }
+        if ask.software.is_some() && self.accepting(&ask).next().is_none() {
+            return vec![(from, Answer::Refused { ticket, load })];
+        }
         let start_by = now + ask.start_within;
         let start_within = ask.start_within;
         let waiting = Waiting { start_by, since: now, ask };
@@ -220,7 +225,7 @@
             }
             self.forget(from, want.ticket);
             self.touch(now, from).waiting.insert(want.ticket, want.shard);
-            self.queues.entry(want.shard).or_default().push_batch(from, want.ticket, want.urgency);
+            self.queues.entry(want.shard).or_default().push_batch(from, *want);
             shards.insert(want.shard);
         }
         outgoing.extend(self.fill_all(now, shards));
@@ -380,69 +385,6 @@
         }
     }
 
-    /// Returns the next waiting online request that gets a free slot.
-    ///
-    /// A request whose relay has a connection to the upstream may overtake earlier ones while the
-    /// first of them has more than half of its time left.
-    fn next_grant(&self, now: Time, shard: u32) -> Option<(Holder, Ticket, u32)> {
-        let queue = self.queues.get(&shard)?;
-        let mut first = None;
-        for (holder, waiting) in queue.online().take(LOOKAHEAD) {
-            let Some(upstream) = self.free_place(now, shard, &waiting.ask) else {
-                if waiting.ask.avoid.is_empty() {
-                    break;
-                }
-                continue;
-            };
-            let grant = (holder, waiting.ask.ticket, upstream);
-            let may_wait = now.since(waiting.since) * 2 < waiting.start_by.since(waiting.since);
-            if waiting.ask.connected.contains(&upstream) || (first.is_none() && !may_wait) {
-                return Some(grant);
-            }
-            first.get_or_insert(grant);
-        }
-        first
-    }
-
-    fn next_online(
-        &self,
-        shard: u32,
-        skipped: &BTreeSet<(Holder, Ticket)>,
-    ) -> Option<(Holder, Waiting)> {
-        let queue = self.queues.get(&shard)?;
-        let next = queue
-            .online()
-            .find(|(holder, waiting)| !skipped.contains(&(*holder, waiting.ask.ticket)));
-        next.map(|(holder, waiting)| (holder, waiting.clone()))
-    }
-
-    /// Returns the upstream with a free slot that suits an online request best: one with an open
-    /// connection, then one in the same data centre, then the least used one.
-    ///
-    /// Suspended upstreams are used only if there is no other, however full the others are: a failed
-    /// upstream has free slots because it fails.
-    fn free_place(&self, now: Time, shard: u32, ask: &Ask) -> Option<u32> {
-        let accepting = || {
-            self.shard(shard).filter(|place| !place.leaving && !ask.avoid.contains(&place.upstream))
-        };
-        let is_suspended = |place: &Place| self.suspensions.is_suspended(place.upstream, now);
-        let has_sound = accepting().any(|place| !is_suspended(place));
-        let usable = accepting().filter(|place| {
-            self.used(place.upstream).total() < place.slots && !(has_sound && is_suspended(place))
-        });
-        let best = usable.min_by_key(|place| {
-            let used = self.used(place.upstream).total();
-            (
-                !ask.connected.contains(&place.upstream),
-                place.data_centre != ask.data_centre,
-                used * 1_000 / place.slots.max(1),
-                // Spreads equal choices over the upstreams.
-                place.upstream.wrapping_add(ask.ticket.0 as u32).wrapping_mul(0x9e37_79b9),
-            )
-        });
-        best.map(|place| place.upstream)
-    }
-
     /// Stops batch streams for online requests that would wait too long.
     fn preempt(&mut self, now: Time, shard: u32, outgoing: &mut Vec<Outgoing>) {
         let mut skipped = BTreeSet::new();
@@ -453,7 +395,7 @@
             if !has_waited && self.wait(shard, length - 1) <= PREEMPTION_WAIT {
                 return;
             }
-            let Some((victim, stopped)) = self.least_urgent(now, shard, &waiting.ask) else {
+            let Some((victim, stopped)) = self.least_urgent(now, &waiting.ask) else {
                 skipped.insert((holder, ticket));
                 continue;
             };
@@ -464,32 +406,7 @@
         }
     }
 
-    /// Returns the least urgent batch stream at an upstream that an online request may use.
-    fn least_urgent(&self, now: Time, shard: u32, ask: &Ask) -> Option<(Holder, Ticket)> {
-        self.least_urgent_at(|upstream| {
-            !ask.avoid.contains(&upstream)
-                && !self.suspensions.is_suspended(upstream, now)
-                && self.places.get(&upstream).is_some_and(|place| {
-                    place.shard == shard
-                        && !place.leaving
-                        // An overfull upstream gives its slots back first.
-                        && self.used(upstream).total() <= place.slots
-                })
-        })
-    }
-
-    /// Returns the least urgent batch stream at the upstreams that `is_usable` accepts.
-    fn least_urgent_at(&self, is_usable: impl Fn(u32) -> bool) -> Option<(Holder, Ticket)> {
-        let streams = self.clients.iter().flat_map(|(holder, client)| {
-            let grants = client.grants.iter();
-            grants.map(move |(ticket, grant)| (*holder, *ticket, grant))
-        });
-        let batch = streams
-            .filter(|(_, _, grant)| grant.class == Class::Batch && is_usable(grant.upstream));
-        let least = batch.max_by_key(|(holder, ticket, grant)| (grant.urgency, *holder, *ticket));
-        least.map(|(holder, ticket, _)| (holder, ticket))
-    }
-
+    /// Grants the free slots beyond the reserve to batch items.
     fn fill_batch(&mut self, now: Time, shard: u32, outgoing: &mut Vec<Outgoing>) {
         if self
             .queues
@@ -505,21 +422,12 @@
             .filter(|place| !place.leaving && !self.suspensions.is_suspended(place.upstream, now))
             .copied()
             .collect();
-        let free = |broker: &Self, place: &Place| {
-            place.slots.saturating_sub(broker.used(place.upstream).total())
-        };
-        let mut spare: u32 = usable.iter().map(|place| free(self, place)).sum();
+        let mut spare: u32 = usable.iter().map(|place| self.free(place)).sum();
         while f64::from(spare) > reserve {
-            let best = usable.iter().filter(|place| free(self, place) > 0);
-            let Some(place) = best.max_by_key(|place| free(self, place) * 1_000 / place.slots)
+            let Some(((urgency, holder, ticket), upstream)) = self.next_batch(shard, &usable)
             else {
                 return;
             };
-            let queue = self.queues.get(&shard);
-            let Some((urgency, holder, ticket)) = queue.and_then(Queue::most_urgent) else {
-                return;
-            };
-            let upstream = place.upstream;
             outgoing.push(self.grant(now, holder, ticket, upstream, Class::Batch, Some(urgency)));
             spare -= 1;
         }
--- /dev/null
+++ b/components/control/src/relay/broker/placement.rs
@@ -0,0 +1,130 @@
+//! Choice of the request that gets a slot next, and of the upstream.
+
+use std::collections::BTreeSet;
+
+use super::{
+    Ask, Broker, Class, Holder, LOOKAHEAD, Place, Ticket,
+    queue::{BatchKey, Waiting},
+};
+use crate::time::Time;
+
+/// Whether an upstream accepts a request.
+fn may_serve(place: &Place, ask: &Ask) -> bool {
+    !place.leaving
+        && !ask.avoid.contains(&place.upstream)
+        && ask.software.is_none_or(|software| software == place.software)
+}
+
+impl Broker {
+    /// Returns the upstreams that accept a request.
+    pub(super) fn accepting(&self, ask: &Ask) -> impl Iterator<Item = &Place> {
+        self.shard(ask.shard).filter(move |place| may_serve(place, ask))
+    }
+
+    /// Returns the number of free slots of an upstream.
+    pub(super) fn free(&self, place: &Place) -> u32 {
+        place.slots.saturating_sub(self.used(place.upstream).total())
+    }
+
+    /// Returns the next waiting online request that gets a free slot.
+    ///
+    /// A request whose relay has a connection to the upstream may overtake earlier ones while the
+    /// first of them has more than half of its time left.
+    pub(super) fn next_grant(&self, now: Time, shard: u32) -> Option<(Holder, Ticket, u32)> {
+        let queue = self.queues.get(&shard)?;
+        let mut first = None;
+        for (holder, waiting) in queue.online().take(LOOKAHEAD) {
+            let Some(upstream) = self.free_place(now, &waiting.ask) else {
+                if !waiting.ask.is_restricted() {
+                    break;
+                }
+                continue;
+            };
+            let grant = (holder, waiting.ask.ticket, upstream);
+            let may_wait = now.since(waiting.since) * 2 < waiting.start_by.since(waiting.since);
+            if waiting.ask.connected.contains(&upstream) || (first.is_none() && !may_wait) {
+                return Some(grant);
+            }
+            first.get_or_insert(grant);
+        }
+        first
+    }
+
+    pub(super) fn next_online(
+        &self,
+        shard: u32,
+        skipped: &BTreeSet<(Holder, Ticket)>,
+    ) -> Option<(Holder, Waiting)> {
+        let queue = self.queues.get(&shard)?;
+        let next = queue
+            .online()
+            .find(|(holder, waiting)| !skipped.contains(&(*holder, waiting.ask.ticket)));
+        next.map(|(holder, waiting)| (holder, waiting.clone()))
+    }
+
+    /// Returns the upstream with a free slot that suits an online request best: one with an open
+    /// connection, then one in the same data centre, then the least used one.
+    ///
+    /// Suspended upstreams are used only if there is no other, however full the others are: a failed
+    /// upstream has free slots because it fails.
+    pub(super) fn free_place(&self, now: Time, ask: &Ask) -> Option<u32> {
+        let is_suspended = |place: &Place| self.suspensions.is_suspended(place.upstream, now);
+        let has_sound = self.accepting(ask).any(|place| !is_suspended(place));
+        let usable = self
+            .accepting(ask)
+            .filter(|place| self.free(place) > 0 && !(has_sound && is_suspended(place)));
+        let best = usable.min_by_key(|place| {
+            let used = self.used(place.upstream).total();
+            (
+                !ask.connected.contains(&place.upstream),
+                place.data_centre != ask.data_centre,
+                used * 1_000 / place.slots.max(1),
+                // Spreads equal choices over the upstreams.
+                place.upstream.wrapping_add(ask.ticket.0 as u32).wrapping_mul(0x9e37_79b9),
+            )
+        });
+        best.map(|place| place.upstream)
+    }
+
+    /// Returns the least urgent batch stream at an upstream that an online request may use.
+    pub(super) fn least_urgent(&self, now: Time, ask: &Ask) -> Option<(Holder, Ticket)> {
+        self.least_urgent_at(|upstream| {
+            !self.suspensions.is_suspended(upstream, now)
+                && self.places.get(&upstream).is_some_and(|place| {
+                    place.shard == ask.shard
+                        && may_serve(place, ask)
+                        // An overfull upstream gives its slots back first.
+                        && self.used(upstream).total() <= place.slots
+                })
+        })
+    }
+
+    /// Returns the least urgent batch stream at the upstreams that `is_usable` accepts.
+    pub(super) fn least_urgent_at(
+        &self,
+        is_usable: impl Fn(u32) -> bool,
+    ) -> Option<(Holder, Ticket)> {
+        let streams = self.clients.iter().flat_map(|(holder, client)| {
+            let grants = client.grants.iter();
+            grants.map(move |(ticket, grant)| (*holder, *ticket, grant))
+        });
+        let batch = streams
+            .filter(|(_, _, grant)| grant.class == Class::Batch && is_usable(grant.upstream));
+        let least = batch.max_by_key(|(holder, ticket, grant)| (grant.urgency, *holder, *ticket));
+        least.map(|(holder, ticket, _)| (holder, ticket))
+    }
+
+    /// Returns the most urgent batch item for which one of the upstreams in `usable` has a free slot,
+    /// and the upstream with the largest share of free slots that suits it.
+    pub(super) fn next_batch(&self, shard: u32, usable: &[Place]) -> Option<(BatchKey, u32)> {
+        let queue = self.queues.get(&shard)?;
+        let free: Vec<&Place> = usable.iter().filter(|place| self.free(place) > 0).collect();
+        queue.batch().find_map(|(key, software)| {
+            let suitable = free
+                .iter()
+                .filter(|place| software.is_none_or(|software| software == place.software));
+            let best = suitable.max_by_key(|place| self.free(place) * 1_000 / place.slots)?;
+            Some((key, best.upstream))
+        })
+    }
+}
--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -8,6 +8,7 @@
 pub mod framing;
 pub mod job;
 pub mod monitor;
+pub mod origin;
 pub mod owner;
 pub mod priority;
 pub mod quota;
--- a/components/control/src/relay/route.rs
+++ b/components/control/src/relay/route.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the deployments that serve the route.
+    pub fn deployments(&self) -> impl Iterator<Item = &str> {
+        self.targets.iter().map(|target| target.deployment.as_str())
+    }
+
     /// Returns the deployment at a point between 0 and 1 of the weighted split. A random point
     /// selects deployments in proportion to their weights.
     pub fn deployment(&self, point: f64) -> Option<&str> {
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -11,8 +11,8 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    hash,
-    relay::{broker::Place, failure::Failure, shard},
+    hash::{self, short},
+    relay::{broker::Place, failure::Failure, origin::Software, shard},
     time::Time,
 };
 
@@ -67,8 +67,16 @@
     pub born: Option<u64>,
 }
 
+impl Upstream {
+    /// Returns the identifier of its software.
+    pub fn software(&self) -> Software {
+        Software::new(&self.deployment, &self.version)
+    }
+}
+
 struct Entry {
     upstream: Upstream,
+    software: Software,
     /// Hash of the upstream's id.
     hash: u64,
     short_id: u32,
@@ -131,8 +139,7 @@
 
 /// Returns the identifier of an upstream in messages between relays.
 pub fn short_id(id: &str) -> u32 {
-    // The upper half of the hash. A collision only makes counts less accurate.
-    (hash::stable(&[id]) >> 32) as u32
+    short(hash::stable(&[id]))
 }
 
 /// The upstreams that this relay may use, with its own requests and the failures there.
@@ -181,10 +188,12 @@
                         entry.announced_leaving = false;
                     }
                     entry.upstream = upstream.clone();
+                    entry.software = upstream.software();
                 }
                 None => {
                     let key = self.entries.insert(Entry {
                         upstream: upstream.clone(),
+                        software: upstream.software(),
                         hash: hash::stable(&[id]),
                         short_id: short_id(id),
                         own: 0,
@@ -261,6 +270,7 @@
                     shard: shard::id(deployment, shard::index(entry.hash, count)),
                     slots: entry.slots(),
                     data_centre: shard::name_id(&entry.upstream.data_centre),
+                    software: entry.software,
                     leaving: entry.is_leaving(),
                 });
             }
@@ -268,10 +278,41 @@
         places
     }
 
-    /// Returns the shards of a deployment.
-    pub fn shards(&self, deployment: &str) -> Vec<u32> {
+    /// Returns the shards of a deployment; with `software`, only those that have an upstream of this
+    /// version which accepts new work.
+    pub fn shards(&self, deployment: &str, software: Option<Software>) -> Vec<u32> {
         let count = self.shard_count(deployment);
-        (0..count).map(|index| shard::id(deployment, index)).collect()
+        let indices: BTreeSet<u32> = match software {
+            None => (0..count).collect(),
+            Some(software) => self
+                .accepting(deployment, Some(software))
+                .map(|key| shard::index(self.entries[key].hash, count))
+                .collect(),
+        };
+        indices.into_iter().map(|index| shard::id(deployment, index)).collect()
+    }
+
+    /// Returns the upstreams of a deployment that accept new work, of one version of the software if
+    /// it is given.
+    fn accepting(&self, deployment: &str, software: Option<Software>) -> impl Iterator<Item = Key> {
+        let keys = self.keys(deployment).iter().copied();
+        keys.filter(move |key| {
+            let entry = &self.entries[*key];
+            !entry.is_leaving() && software.is_none_or(|software| software == entry.software)
+        })
+    }
+
+    /// Whether an upstream of a deployment accepts new work and, if it is given, has this software.
+    pub fn accepts(&self, deployment: &str, software: Option<Software>) -> bool {
+        self.accepting(deployment, software).next().is_some()
+    }
+
+    /// Returns the software of all upstreams of a deployment, or `None` if they have several
+    /// versions or there is no upstream. Upstreams that are leaving count.
+    pub fn sole_software(&self, deployment: &str) -> Option<Software> {
+        let mut versions = self.keys(deployment).iter().map(|key| self.entries[*key].software);
+        let first = versions.next()?;
+        versions.all(|other| other == first).then_some(first)
     }
 
     /// Returns the upstreams that this relay does not use: those that it has ejected or that are
@@ -384,20 +425,18 @@
     /// has fewer requests for its slots of two that the random numbers `points`, between 0 and 1,
     /// pick (Mitzenmacher, 2001).
     ///
-    /// Upstreams that may be down and those in `tried` are used only if there is no other.
+    /// Upstreams that may be down are used only if there is no other. Those in `tried`, and those
+    /// with other software if `software` is given, are not used.
     pub fn choose(
         &self,
         deployment: &str,
+        software: Option<Software>,
         tried: &BTreeSet<Key>,
         now: Time,
         points: [f64; 2],
     ) -> Choice {
-        let accepting: Vec<Key> = self
-            .keys(deployment)
-            .iter()
-            .copied()
-            .filter(|key| !self.entries[*key].is_leaving() && !tried.contains(key))
-            .collect();
+        let accepting: Vec<Key> =
+            self.accepting(deployment, software).filter(|key| !tried.contains(key)).collect();
         let sound = accepting.iter().copied().filter(|key| {
             let entry = &self.entries[*key];
             !Self::is_suspect(entry, now)
--- a/components/control/src/relay/shard.rs
+++ b/components/control/src/relay/shard.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::hash;
+use crate::hash::{self, short};
 
 /// Largest number of upstreams of a shard. More upstreams share their slots better, but load one
 /// broker more.
@@ -47,11 +47,6 @@
     short(hash::stable(&[name]))
 }
 
-/// The upper half of a hash. A collision only makes counts less accurate.
-const fn short(hash: u64) -> u32 {
-    (hash >> 32) as u32
-}
-
 /// A relay that may be a broker or monitor.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate<'a> {
--- a/components/control/tests/placement/mod.rs
+++ b/components/control/tests/placement/mod.rs
@@ -8,8 +8,11 @@
 };
 
 use cyclamengrade_control::{
-    relay::broker::{
-        Answer, Ask, Broker, Class, Held, Holder, Outgoing, Place, Sync, Ticket, Urgency, Want,
+    relay::{
+        broker::{
+            Answer, Ask, Broker, Class, Held, Holder, Outgoing, Place, Sync, Ticket, Urgency, Want,
+        },
+        origin::Software,
     },
     time::Time,
 };
@@ -125,7 +128,8 @@
     for (shard, broker) in brokers.iter_mut().enumerate() {
         let shard = shard as u32;
         broker.set_places((0..fleet.upstreams).filter(|id| id % shards == shard).map(|upstream| {
-            Place { upstream, shard, slots: SLOTS, data_centre: 0, leaving: false }
+            let software = Software(1);
+            Place { upstream, shard, slots: SLOTS, data_centre: 0, software, leaving: false }
         }));
     }
     let mut model = Model {
@@ -272,6 +276,7 @@
             data_centre: 0,
             connected: BTreeSet::new(),
             avoid: BTreeSet::new(),
+            software: None,
         };
         let now = self.now;
         let outgoing = self.brokers[request.shard as usize].ask(now, Holder(relay.into()), ask);
@@ -305,7 +310,8 @@
                 (None, Class::Batch) => {
                     let due_ms = (request.arrived.0 / 1_000) + 18_000;
                     let urgency = Urgency { late: false, due_ms };
-                    sync.wants.push(Want { ticket, shard: request.shard, urgency });
+                    let shard = request.shard;
+                    sync.wants.push(Want { ticket, shard, urgency, software: None });
                 }
             }
         }
--- a/components/control/tests/relay_broker.rs
+++ b/components/control/tests/relay_broker.rs
@@ -1,11 +1,17 @@
 //! Tests of the broker that grants the slots of upstreams to all relays.
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use cyclamengrade_control::{
-    relay::broker::{
-        Answer, Ask, Broker, Class, Held, Holder, Outgoing, Place, Sync, Ticket, Urgency, Want,
+    relay::{
+        broker::{
+            Answer, Ask, Broker, Class, Held, Holder, Outgoing, Place, Sync, Ticket, Urgency, Want,
+        },
+        origin::Software,
     },
     time::Time,
 };
@@ -13,13 +19,15 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const SHARD: u32 = 9;
+const V1: Software = Software(1);
+const V2: Software = Software(2);
 const SLOTS: u32 = 4;
 const SERVICE: Duration = Duration::from_millis(500);
 const START_WITHIN: Duration = Duration::from_millis(180);
 const NOW: Time = Time::from_millis(10_000);
 
 fn place(upstream: u32) -> Place {
-    Place { upstream, shard: SHARD, slots: SLOTS, data_centre: 1, leaving: false }
+    Place { upstream, shard: SHARD, slots: SLOTS, data_centre: 1, software: V1, leaving: false }
 }
 
 fn new_broker(upstreams: u32) -> Broker {
@@ -46,11 +54,13 @@
         data_centre: 1,
         connected: BTreeSet::new(),
         avoid: BTreeSet::new(),
+        software: None,
     }
 }
 
 fn want(ticket: u64, due_ms: u64) -> Want {
-    Want { ticket: Ticket(ticket), shard: SHARD, urgency: Urgency { late: false, due_ms } }
+    let urgency = Urgency { late: false, due_ms };
+    Want { ticket: Ticket(ticket), shard: SHARD, urgency, software: None }
 }
 
 fn wants(tickets: std::ops::Range<u64>) -> Sync {
@@ -236,6 +246,78 @@
     expect_that!(granted(&outgoing, Holder(1)), elements_are![eq(&(Ticket(1), 3))]);
 }
 
+/// Returns a broker of two upstreams of the first software version and two of the second.
+fn mixed_broker() -> Broker {
+    let mut broker = broker(4);
+    let software = |id| if id < 2 { V1 } else { V2 };
+    broker.set_places((0..4).map(|id| Place { software: software(id), ..place(id) }));
+    broker
+}
+
+/// Guards against a stream or a text that is continued at another software version, and against one
+/// that waits for slots of its version holding up the others.
+#[gtest]
+fn software_versions() {
+    let mut broker = mixed_broker();
+    let of_first = |ticket| Ask { software: Some(V1), ..ask(ticket) };
+    for ticket in 0..u64::from(2 * SLOTS) {
+        let granted = granted(&broker.ask(NOW, Holder(1), of_first(ticket)), Holder(1));
+        expect_that!(granted, elements_are![(eq(&Ticket(ticket)), lt(&2))]);
+    }
+    expect_that!(granted(&broker.ask(NOW, Holder(1), of_first(50)), Holder(1)), is_empty());
+    let text = Want { software: Some(V1), ..want(51, 1_000) };
+    let new = want(52, 2_000);
+    let sync = Sync { wants: vec![text, new], ..Sync::default() };
+    expect_that!(granted(&broker.sync(NOW, Holder(2), sync), Holder(2)), is_empty());
+    let outgoing = broker.release(NOW, Holder(1), &[Ticket(50)]);
+    expect_that!(granted(&outgoing, Holder(2)), elements_are![(eq(&Ticket(52)), ge(&2))]);
+    let outgoing = broker.release(NOW, Holder(1), &[Ticket(0), Ticket(1), Ticket(2)]);
+    expect_that!(granted(&outgoing, Holder(2)), elements_are![(eq(&Ticket(51)), lt(&2))]);
+}
+
+/// Guards against stopping a batch stream of another software version for a stream that cannot use
+/// its slot.
+#[gtest]
+fn preemption_by_version() {
+    let mut broker = mixed_broker();
+    let outgoing = broker.sync(NOW, Holder(1), wants(0..u64::from(4 * SLOTS)));
+    let at = granted(&outgoing, Holder(1)).into_iter().collect::<BTreeMap<_, _>>();
+    expect_that!(at.len(), eq(4 * SLOTS as usize));
+    let outgoing = broker.ask(NOW, Holder(2), Ask { software: Some(V2), ..ask(90) });
+    expect_that!(granted(&outgoing, Holder(2)), elements_are![(eq(&Ticket(90)), ge(&2))]);
+    let stopped: Vec<u32> = stopped(&outgoing, Holder(1)).iter().map(|ticket| at[ticket]).collect();
+    expect_that!(stopped, elements_are![ge(&2)]);
+}
+
+/// Guards against new streams that take the slots of the few upstreams at which a broken stream can be
+/// continued, while its caller waits.
+#[gtest]
+fn continued_first() {
+    let mut broker = mixed_broker();
+    let mut at_first = Vec::new();
+    for ticket in 0..u64::from(4 * SLOTS) {
+        let granted = granted(&broker.ask(NOW, Holder(1), ask(ticket)), Holder(1));
+        at_first.extend(granted.iter().filter(|(_, upstream)| *upstream < 2).map(|(id, _)| *id));
+    }
+    let new = Ask { start_within: Duration::from_millis(100), ..ask(50) };
+    broker.ask(NOW, Holder(2), new);
+    let start_within = Duration::from_secs(3);
+    let continued = Ask { software: Some(V1), start_within, ..ask(51) };
+    broker.ask(NOW, Holder(2), continued);
+    let outgoing = broker.release(NOW, Holder(1), &at_first[..1]);
+    expect_that!(granted(&outgoing, Holder(2)), elements_are![(eq(&Ticket(51)), lt(&2))]);
+    let outgoing = broker.release(NOW, Holder(1), &at_first[1..2]);
+    expect_that!(granted(&outgoing, Holder(2)), elements_are![(eq(&Ticket(50)), lt(&2))]);
+}
+
+/// Guards against a request that waits although no upstream has the version that began its stream.
+#[gtest]
+fn unknown_version() {
+    let mut broker = mixed_broker();
+    let outgoing = broker.ask(NOW, Holder(1), Ask { software: Some(Software(3)), ..ask(1) });
+    expect_that!(is_refused(&outgoing, 1), eq(true));
+}
+
 /// Guards against requests that all go to failed upstreams because these have free slots: while the
 /// others are full, requests wait, and after the relay that reported the failure has forgotten it, a
 /// single request tries the upstream.
--- a/components/control/tests/relay_selector.rs
+++ b/components/control/tests/relay_selector.rs
@@ -45,7 +45,7 @@
 }
 
 fn choose(selector: &Selector, now: Time, points: [f64; 2]) -> Option<Key> {
-    match selector.choose("chat", &BTreeSet::new(), now, points) {
+    match selector.choose("chat", None, &BTreeSet::new(), now, points) {
         Choice::Send(key) => Some(key),
         Choice::Refuse(_) => None,
     }
--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -5,6 +5,7 @@
 use cyclamengrade_control::relay::{
     broker::{Answer, Ask, Class, Held, Load, Sync, Ticket, Urgency, Want},
     monitor::{Exception, Status},
+    origin::{Software, Stream},
 };
 use prost::Message as _;
 use tokio::net::UdpSocket;
@@ -25,6 +26,12 @@
     Answer(Answer),
     /// Answer to a [`Content::Sync`].
     Ack(Ack),
+    /// Asks the receiver to keep the origin of a stream.
+    Origin(Origin),
+    /// Asks for the software that began a stream.
+    Lookup(Stream),
+    /// Answer to a [`Content::Lookup`]; `None` if the sender does not know the stream.
+    Found(Stream, Option<Software>),
 }
 
 /// Answer of a broker or monitor to the state of a relay.
@@ -38,6 +45,15 @@
     pub exceptions: Vec<Exception>,
 }
 
+/// Software that began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Origin {
+    pub stream: Stream,
+    pub software: Software,
+    /// Time in which a caller may continue the stream.
+    pub lifetime: Duration,
+}
+
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
@@ -95,6 +111,7 @@
             data_centre: ask.data_centre,
             connected: ask.connected.into_iter().collect(),
             avoid: ask.avoid.into_iter().collect(),
+            software: ask.software.map(|software| software.0),
         }),
         Content::Release(tickets) => Kind::Release(wire::SlotRelease {
             tickets: tickets.into_iter().map(|ticket| ticket.0).collect(),
@@ -119,6 +136,16 @@
             fleet_version: ack.fleet_version,
             exceptions: ack.exceptions.into_iter().map(encode_exception).collect(),
         }),
+        Content::Origin(origin) => Kind::Origin(wire::StreamOrigin {
+            stream: origin.stream.0,
+            software: origin.software.0,
+            lifetime_ms: milliseconds(origin.lifetime),
+        }),
+        Content::Lookup(stream) => Kind::Lookup(wire::StreamLookup { stream: stream.0 }),
+        Content::Found(stream, software) => Kind::Found(wire::StreamFound {
+            stream: stream.0,
+            software: software.map(|software| software.0),
+        }),
     };
     wire::SlotMessage { incarnation: message.incarnation, kind: Some(kind) }
 }
@@ -134,6 +161,7 @@
         shard: want.shard,
         late: want.urgency.late,
         due_ms: want.urgency.due_ms,
+        software: want.software.map(|software| software.0),
     });
     wire::SlotSync {
         from: status.name,
@@ -174,6 +202,7 @@
             data_centre: ask.data_centre,
             connected: ask.connected.into_iter().collect(),
             avoid: ask.avoid.into_iter().collect(),
+            software: ask.software.map(Software),
         }),
         Kind::Release(release) => {
             Content::Release(release.tickets.into_iter().map(Ticket).collect())
@@ -198,6 +227,13 @@
             fleet_version: ack.fleet_version,
             exceptions: ack.exceptions.into_iter().map(decode_exception).collect(),
         }),
+        Kind::Origin(origin) => Content::Origin(Origin {
+            stream: Stream(origin.stream),
+            software: Software(origin.software),
+            lifetime: Duration::from_millis(origin.lifetime_ms.into()),
+        }),
+        Kind::Lookup(lookup) => Content::Lookup(Stream(lookup.stream)),
+        Kind::Found(found) => Content::Found(Stream(found.stream), found.software.map(Software)),
     };
     Some(Message { incarnation: message.incarnation, content })
 }
@@ -212,6 +248,7 @@
         ticket: Ticket(want.ticket),
         shard: want.shard,
         urgency: Urgency { late: want.late, due_ms: want.due_ms },
+        software: want.software.map(Software),
     });
     let status = Status {
         name: sync.from,
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -8,6 +8,7 @@
 
 use cyclamengrade_control::relay::{
     failure::{Attempts, Failure},
+    origin::Software,
     route::Route,
     selector::Key,
 };
@@ -42,6 +43,8 @@
     pub time_to_first_byte: Option<Duration>,
     /// Failed attempts.
     pub attempts: Attempts,
+    /// Software that began the stream; further attempts use only upstreams that have it.
+    pub software: Option<Software>,
     /// Upstreams at which an attempt failed.
     tried: BTreeSet<Key>,
     /// Memory reserved for the body.
@@ -54,6 +57,8 @@
     /// No upstream can start the request in time. The caller may retry after the duration. The
     /// placement is logged.
     Refused(Duration, Placement),
+    /// The request continues a stream, and it is not known which software version began it.
+    UnknownOrigin,
     /// The last attempt failed, and no further one is allowed.
     AttemptsExhausted(Failure),
     /// The deadline of the request has passed.
@@ -78,6 +83,7 @@
             deadline,
             time_to_first_byte: None,
             attempts,
+            software: None,
             tried,
             _memory: None,
         }
@@ -115,14 +121,17 @@
     /// Chooses an upstream and counts the request there.
     pub async fn choose_upstream(&self) -> Result<(Flight, Placement), Error> {
         let elapsed = self.arrived.elapsed();
+        let software = self.software;
         // The first attempt has to start within the latency objective. A request that has missed
-        // its objective, or whose first attempt failed, is still worth serving until its deadline.
+        // its objective, whose first attempt failed or that continues a stream is still worth
+        // serving until its deadline.
+        let is_first = self.attempts == Attempts::default() && software.is_none();
         let remaining = match self.route.latency_objective.checked_sub(elapsed) {
-            Some(remaining) if self.attempts == Attempts::default() => remaining,
+            Some(remaining) if is_first => remaining,
             _ => self.remaining(),
         };
-        let deployment = self.route.deployment(rand::random()).unwrap_or_default();
-        let placed = self.shared.acquire_online(deployment, &self.tried, remaining).await;
+        let deployment = self.shared.deployment(&self.route, software).unwrap_or_default();
+        let placed = self.shared.acquire_online(deployment, software, &self.tried, remaining).await;
         placed.map_err(|(wait, placement)| Error::Refused(wait, placement))
     }
 
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -7,11 +7,15 @@
     time::Duration,
 };
 
-use cyclamengrade_control::relay::{
-    broker::{Ticket, Urgency},
-    job::RunFailure,
-    priority::{Estimate, Priority},
-    route::Route,
+use cyclamengrade_control::{
+    relay::{
+        broker::{Ticket, Urgency},
+        job::RunFailure,
+        origin::Software,
+        priority::{Estimate, Priority},
+        route::Route,
+    },
+    time::Time,
 };
 use cyclamengrade_telemetry::{event, metrics::RELAY_ITEMS};
 use metrics::counter;
@@ -44,6 +48,16 @@
 /// Delay before the retry of an item that failed at its upstream.
 const FAILED_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// A request for the slot of an item that waits.
+#[derive(Clone, Copy)]
+struct Pending {
+    ticket: Ticket,
+    /// Software that the item's text needs.
+    software: Option<Software>,
+    /// When the item began to wait.
+    since: Time,
+}
+
 /// Runs the items of the jobs that this relay owns.
 pub struct Dispatcher {
     pub(super) shared: Arc<Shared>,
@@ -54,7 +68,7 @@
     /// Estimate of the time that items take.
     estimate: Mutex<Estimate>,
     /// Requests for the slots of waiting items, by job and item.
-    wants: Mutex<BTreeMap<(String, usize), Ticket>>,
+    wants: Mutex<BTreeMap<(String, usize), Pending>>,
 }
 
 /// Exclusive permission to load a job. No other task of this process loads the job until this value
@@ -233,44 +247,79 @@
 
     /// Requests slots for the waiting items, and starts those whose slots were granted.
     fn start_items(self: &Arc<Self>) {
+        let now = self.shared.clock.now();
         let waiting = self.waiting_items();
         let mut former = std::mem::take(&mut *lock(&self.wants));
         for (priority, id, item) in waiting {
             let urgency = priority.into();
             let key = (id, item);
-            let ticket = former.remove(&key);
+            let pending = former.remove(&key);
+            let ticket = pending.map(|pending| pending.ticket);
+            let since = pending.map_or(now, |pending| pending.since);
+            let software = self.check_text(&key.0, item, now.since(since));
             if let Some(upstream) = ticket.and_then(|ticket| self.shared.take_granted(ticket)) {
                 let flight = ticket.and_then(|ticket| self.shared.acquire_batch(ticket, upstream));
-                if let Some(flight) = flight {
+                if let Some(flight) = flight.filter(|flight| flight.suits(software)) {
                     self.start_item(&key.0, item, flight);
                     continue;
                 }
             }
-            let waited = ticket.and_then(|ticket| self.shared.update_want(ticket, urgency));
+            let current = pending.filter(|pending| pending.software == software);
+            let waited =
+                current.and_then(|pending| self.shared.update_want(pending.ticket, urgency));
             let ticket = match (ticket, waited) {
                 (Some(ticket), Some(waited)) if waited < SHARD_PATIENCE => Some(ticket),
                 (ticket, _) => {
                     if let Some(ticket) = ticket {
                         self.shared.release_slot(ticket);
                     }
-                    self.want(&key.0, urgency)
+                    self.want(&key.0, urgency, software)
                 }
             };
             if let Some(ticket) = ticket {
-                lock(&self.wants).insert(key, ticket);
+                lock(&self.wants).insert(key, Pending { ticket, software, since });
             }
         }
-        for ticket in former.into_values() {
-            self.shared.release_slot(ticket);
+        for pending in former.into_values() {
+            self.shared.release_slot(pending.ticket);
+        }
+    }
+
+    /// Returns the software that is needed to continue the text of an item, if it has one. Discards
+    /// the text if no upstream can continue it and others could begin it again, or if the item has
+    /// waited for as long as it takes to produce the text again.
+    fn check_text(&self, id: &str, item: usize, waited: Duration) -> Option<Software> {
+        let mut jobs = self.jobs();
+        let owned = jobs.get_mut(id)?;
+        let software = owned.software(item)?;
+        let Some(route) = self.route(&owned.job.row) else { return Some(software) };
+        let events = owned.events(item);
+        let can_continue = self.shared.deployment(&route, Some(software)).is_some();
+        let can_restart = {
+            let selector = self.shared.selector();
+            route.deployments().any(|deployment| selector.accepts(deployment, None))
+        };
+        let is_patient = waited < lock(&self.estimate).repetition(events);
+        if !can_restart || (can_continue && is_patient) {
+            return Some(software);
         }
+        owned.transcripts.remove(&item);
+        event!(
+            ItemRestarted,
+            job:% = id,
+            item:% = owned.items[item].id,
+            events = events,
+            waited_ms = waited.as_millis() as u64
+        );
+        None
     }
 
-    /// Requests a slot for an item of a job.
-    fn want(&self, id: &str, urgency: Urgency) -> Option<Ticket> {
+    /// Requests a slot for an item of a job. With `software`, the upstream must have this software.
+    fn want(&self, id: &str, urgency: Urgency, software: Option<Software>) -> Option<Ticket> {
         let route = self.route(&self.jobs().get(id)?.job.row)?;
-        let deployment = route.deployment(rand::random())?;
-        let shards = self.shared.selector().shards(deployment);
-        self.shared.want_slot(&shards, urgency)
+        let deployment = self.shared.deployment(&route, software)?;
+        let shards = self.shared.selector().shards(deployment, software);
+        self.shared.want_slot(&shards, urgency, software)
     }
 
     /// Returns the items that wait for a slot, the most urgent first.
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -138,7 +138,7 @@
                 match transcript.last {
                     Some(last) if id != last + 1 => return End::Interrupted(Failure::Broken),
                     Some(_) => transcript.text.push('\n'),
-                    None => {}
+                    None => transcript.software = Some(flight.upstream.software()),
                 }
                 transcript.last = Some(id);
                 transcript.events += 1;
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -6,7 +6,7 @@
 };
 
 use cyclamengrade_control::{
-    relay::{broker::Ticket, job::Progress, results::Results},
+    relay::{broker::Ticket, job::Progress, origin::Software, results::Results},
     time::Time,
 };
 use tokio::task::AbortHandle;
@@ -27,6 +27,8 @@
     pub text: String,
     /// Number of events in the text.
     pub events: u64,
+    /// Software of the upstreams that wrote the text; `None` before its first event.
+    pub software: Option<Software>,
     /// Id of the last event that is in the store.
     pub saved: Option<u64>,
 }
@@ -125,12 +127,18 @@
         unfinished.map(|item| self.items[item].tokens).sum()
     }
 
-    /// Restores the texts that earlier owners stored.
+    /// Restores the texts that earlier owners stored, if their software is known.
     pub fn restore(&mut self, partials: BTreeMap<usize, row::Partial>) {
         for (item, partial) in partials {
+            let Some(software) = partial.software.map(Software) else { continue };
             let last = Some(partial.last);
-            let transcript =
-                Transcript { last, text: partial.text, events: partial.events, saved: last };
+            let transcript = Transcript {
+                last,
+                text: partial.text,
+                events: partial.events,
+                software: Some(software),
+                saved: last,
+            };
             self.transcripts.insert(item, Arc::new(Mutex::new(transcript)));
         }
     }
@@ -145,7 +153,8 @@
                 && transcript.text.len() <= max_bytes;
             needs_save.then(|| {
                 let (text, events) = (transcript.text.clone(), transcript.events);
-                (*item, row::Partial { last, text, events })
+                let software = transcript.software.map(|software| software.0);
+                (*item, row::Partial { last, text, events, software })
             })
         });
         texts.collect()
@@ -156,6 +165,11 @@
         self.transcripts.get(&item).map_or(0, |transcript| lock(transcript).events)
     }
 
+    /// Returns the software that wrote the text of an item, or `None` if the item has no text.
+    pub fn software(&self, item: usize) -> Option<Software> {
+        self.transcripts.get(&item).and_then(|transcript| lock(transcript).software)
+    }
+
     /// Aborts all runs.
     pub fn stop(&mut self) {
         for run in self.runs.values() {
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -6,6 +6,7 @@
     relay::{
         broker::{Class, Load, Ticket},
         failure::Failure,
+        origin::Software,
         selector::{Choice, Key, Upstream},
     },
     time::Time,
@@ -16,7 +17,7 @@
 use crate::{
     pool::Pool,
     shared::Shared,
-    slots::{Outcome, Placement},
+    slots::{Need, Outcome, Placement},
 };
 
 /// A request in flight to an upstream. It is counted there until this value is dropped.
@@ -60,6 +61,11 @@
         }
     }
 
+    /// Whether the upstream has the given software, if one is given.
+    pub fn suits(&self, software: Option<Software>) -> bool {
+        software.is_none_or(|software| software == self.upstream.software())
+    }
+
     /// Returns the connections to upstreams.
     pub fn pool(&self) -> &Pool {
         &self.shared.pool
@@ -101,7 +107,8 @@
 
 impl Shared {
     /// Chooses an upstream for an online request and counts the request there. The upstreams in
-    /// `tried` are excluded. The request has to start within `time_left`.
+    /// `tried` are excluded, and those with other software if `software` is given. The request has to
+    /// start within `time_left`.
     ///
     /// # Errors
     ///
@@ -110,18 +117,20 @@
     pub async fn acquire_online(
         self: &Arc<Self>,
         deployment: &str,
+        software: Option<Software>,
         tried: &BTreeSet<Key>,
         time_left: Duration,
     ) -> Result<(Flight, Placement), (Duration, Placement)> {
         let begin = self.clock.now();
-        let (shards, start_within, avoid) = {
+        let need = {
             let selector = self.selector();
             let mut avoid = selector.avoided(begin);
             avoid.extend(tried.iter().map(|key| selector.short_id(*key)));
             let start_within = selector.start_within(deployment, time_left);
-            (selector.shards(deployment), start_within, avoid)
+            let shards = selector.shards(deployment, software);
+            Need { shards, start_within, avoid, software }
         };
-        let outcome = self.ask_slot(&shards, start_within, &avoid).await;
+        let outcome = self.ask_slot(&need).await;
         let now = self.clock.now();
         let elapsed = now.since(begin);
         match outcome {
@@ -130,7 +139,8 @@
                 let key = self.selector().usable_key(upstream, now);
                 let flight = key
                     .filter(|key| !tried.contains(key))
-                    .and_then(|key| self.flight(key, Class::Online, ticket, now));
+                    .and_then(|key| self.flight(key, Class::Online, ticket, now))
+                    .filter(|flight| flight.suits(software));
                 match flight {
                     Some(flight) => {
                         Self::record_placement("granted");
@@ -138,7 +148,7 @@
                     }
                     None => {
                         self.release_slot(ticket);
-                        self.place_alone(deployment, tried, elapsed)
+                        self.place_alone(deployment, software, tried, elapsed)
                     }
                 }
             }
@@ -147,7 +157,7 @@
                 let wait = self.selector().record_refusal(deployment, load.wait, now);
                 Err((wait, Placement { granted: true, load, elapsed }))
             }
-            Outcome::Unanswered => self.place_alone(deployment, tried, elapsed),
+            Outcome::Unanswered => self.place_alone(deployment, software, tried, elapsed),
         }
     }
 
@@ -155,13 +165,14 @@
     fn place_alone(
         self: &Arc<Self>,
         deployment: &str,
+        software: Option<Software>,
         tried: &BTreeSet<Key>,
         elapsed: Duration,
     ) -> Result<(Flight, Placement), (Duration, Placement)> {
         let now = self.clock.now();
         let placement = Placement { granted: false, load: Load::default(), elapsed };
         let points = [rand::random(), rand::random()];
-        let choice = self.selector().choose(deployment, tried, now, points);
+        let choice = self.selector().choose(deployment, software, tried, now, points);
         let placed = match choice {
             Choice::Send(key) => self.selector().place(key).map(|place| (key, place)),
             Choice::Refuse(_) => None,
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -162,4 +162,7 @@
     pub text: String,
     /// Number of events in the text.
     pub events: u64,
+    /// Hash of the software that wrote the text. A text without it is not continued.
+    #[serde(default)]
+    pub software: Option<u32>,
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod job;
 mod native;
 mod online;
+mod origin;
 mod peers;
 mod pool;
 mod run;
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use cyclamengrade_control::relay::{
     failure::Failure,
+    origin::Stream,
     route::{Kind, Limits, Route},
 };
 use cyclamengrade_telemetry::{
@@ -30,6 +31,7 @@
 use crate::{
     attempt::{self, Request},
     body::{Body, Truncated},
+    dialect::Headers,
     events::Event,
     exchange::{self, Collected, Events, Outgoing},
     flight::Flight,
@@ -43,6 +45,10 @@
 /// Longest time that `Retry-After` states.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Time beyond the deadline of a stream for which its origin is kept, since the caller's clock starts
+/// earlier or later than this relay's.
+const ORIGIN_MARGIN: Duration = Duration::from_secs(2);
+
 /// Bytes of body memory that one permit stands for.
 const BYTES_PER_PERMIT: usize = 1 << 10;
 
@@ -190,6 +196,16 @@
     let names = shared.dialect.headers();
     let last_event_id = header_text(&request.outgoing.headers, &names.last_event_id)
         .and_then(|value| value.parse::<u64>().ok());
+    let stream = match last_event_id {
+        Some(_) => header_text(&request.outgoing.headers, &names.resumes).map(Stream::new),
+        None => Some(Stream::new(&request.outgoing.id)),
+    };
+    if last_event_id.is_some()
+        && request.route.resumable
+        && let Err(error) = find_origin(&shared, &mut request, stream).await
+    {
+        return error_response(&request, error);
+    }
     loop {
         // The caller's own header with the last event id is forwarded like its other headers.
         let (mut flight, response) = match request.send(None).await {
@@ -218,6 +234,11 @@
             Ok(first) => {
                 flight.record_bytes();
                 record_first_byte(&mut request);
+                let software = flight.upstream.software();
+                request.software = Some(software);
+                if let Some(stream) = stream.filter(|_| request.route.resumable) {
+                    shared.record_origin(stream, software, origin_lifetime(&request, names));
+                }
                 let (sender, body) = Body::stream();
                 let mut forwarder = Forwarder { request, sender, last_event_id, events_sent: 0 };
                 tokio::spawn(async move { forwarder.run(flight, events, first).await });
@@ -238,6 +259,34 @@
     }
 }
 
+/// Restricts the attempts of a request that continues a stream to the software that began it.
+async fn find_origin(
+    shared: &Arc<Shared>,
+    request: &mut Request,
+    stream: Option<Stream>,
+) -> Result<(), attempt::Error> {
+    let found = shared.find_origin(stream, &request.route).await;
+    let names = shared.dialect.headers();
+    event!(
+        StreamContinued,
+        request:% = request.outgoing.id,
+        resumes:% = header_text(&request.outgoing.headers, &names.resumes).unwrap_or_default(),
+        source:% = found.map_or("unknown", |(_, source)| source.name()),
+        wait_ms = request.arrived.elapsed().as_millis() as u64
+    );
+    let (software, _) = found.ok_or(attempt::Error::UnknownOrigin)?;
+    request.software = Some(software);
+    Ok(())
+}
+
+/// Returns the time in which the caller of a stream may continue it.
+fn origin_lifetime(request: &Request, names: &Headers) -> Duration {
+    let stated = header_text(&request.outgoing.headers, &names.deadline_ms)
+        .and_then(|value| value.parse().ok())
+        .map_or(Duration::ZERO, Duration::from_millis);
+    stated.max(request.route.timeout) + ORIGIN_MARGIN
+}
+
 /// Forwards the events of a stream to the caller, once the response head was sent.
 struct Forwarder {
     request: Request,
@@ -358,6 +407,7 @@
     async fn abort(&self, error: attempt::Error) {
         let cause = match error {
             attempt::Error::Refused(..) => "no upstream can resume the stream in time",
+            attempt::Error::UnknownOrigin => "its software version is not known",
             attempt::Error::AttemptsExhausted(failure) => failure.name(),
             attempt::Error::DeadlineExceeded => "deadline exceeded",
         };
@@ -382,8 +432,17 @@
     let is_not_run = request.attempts.is_not_run();
     let (wait, placement, reason) = match error {
         attempt::Error::Refused(wait, placement) => {
-            (wait, placement, "no upstream can start the request in time")
+            let reason = match request.software {
+                Some(_) => "no upstream of the stream's software version can continue it in time",
+                None => "no upstream can start the request in time",
+            };
+            (wait, placement, reason)
         }
+        attempt::Error::UnknownOrigin => (
+            MIN_RETRY_AFTER,
+            Placement::default(),
+            "it is not known which software version began the stream",
+        ),
         attempt::Error::AttemptsExhausted(failure) => {
             (MIN_RETRY_AFTER, Placement::default(), failure.name())
         }
@@ -394,9 +453,9 @@
     if !is_not_run {
         let status = match error {
             attempt::Error::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            attempt::Error::Refused(..) | attempt::Error::AttemptsExhausted(_) => {
-                StatusCode::BAD_GATEWAY
-            }
+            attempt::Error::Refused(..)
+            | attempt::Error::UnknownOrigin
+            | attempt::Error::AttemptsExhausted(_) => StatusCode::BAD_GATEWAY,
         };
         record_end(request, status, "failed");
         return empty(status);
--- /dev/null
+++ b/components/relay/src/origin.rs
@@ -0,0 +1,228 @@
+//! Which software version began a stream, also of streams that other relays began.
+//!
+//! The relay that forwards the first event of a stream tells a few others, chosen by the id of the
+//! stream. A relay that gets a request to continue the stream asks them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use cyclamengrade_control::relay::{
+    origin::{Origins, Software, Stream},
+    registry::OUTAGE_THRESHOLD,
+    route::Route,
+};
+use cyclamengrade_peer::slots::{Content, Origin};
+use tokio::{
+    sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    time::{Instant, timeout_at},
+};
+
+use crate::shared::{Shared, lock};
+
+/// Number of other relays that keep the origin of a stream.
+const KEEPERS: usize = 3;
+/// Number of relays that are asked for an origin. It exceeds [`KEEPERS`], since relays may have
+/// joined or stopped in between.
+const ASKED: usize = 5;
+/// Time within which the asked relays answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
+/// Number of times that relays are asked, because datagrams are lost.
+const MAX_QUERIES: u32 = 3;
+
+/// How the origin of a stream became known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This relay keeps it.
+    Own,
+    /// Another relay keeps it.
+    Peer,
+    /// Only one version serves.
+    SoleVersion,
+}
+
+impl Source {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Peer => "peer",
+            Self::SoleVersion => "sole_version",
+        }
+    }
+}
+
+/// Answer of another relay.
+struct Answer {
+    from: SocketAddr,
+    /// `None` if the relay does not know the stream.
+    software: Option<Software>,
+}
+
+/// Origins that this relay keeps, and its queries for those of others.
+#[derive(Default)]
+pub struct Lineage {
+    origins: Mutex<Origins>,
+    queries: Mutex<BTreeMap<Stream, Vec<UnboundedSender<Answer>>>>,
+}
+
+impl Lineage {
+    fn queries(&self) -> MutexGuard<'_, BTreeMap<Stream, Vec<UnboundedSender<Answer>>>> {
+        lock(&self.queries)
+    }
+
+    fn open_query(&self, stream: Stream) -> UnboundedReceiver<Answer> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.queries().entry(stream).or_default().push(sender);
+        receiver
+    }
+
+    /// Forgets the queries for a stream whose receivers were dropped.
+    fn close_queries(&self, stream: Stream) {
+        let mut queries = self.queries();
+        if let Some(senders) = queries.get_mut(&stream) {
+            senders.retain(|sender| !sender.is_closed());
+            if senders.is_empty() {
+                queries.remove(&stream);
+            }
+        }
+    }
+}
+
+/// A query for the origin of a stream, which is withdrawn on drop.
+struct Query<'a> {
+    shared: &'a Shared,
+    stream: Stream,
+    answers: UnboundedReceiver<Answer>,
+}
+
+impl<'a> Query<'a> {
+    fn new(shared: &'a Shared, stream: Stream) -> Self {
+        Self { shared, stream, answers: shared.lineage.open_query(stream) }
+    }
+
+    /// Asks other relays, and asks those again that do not answer in time. Returns the first origin
+    /// that one of them knows.
+    async fn run(mut self, mut relays: BTreeSet<SocketAddr>) -> Option<Software> {
+        for _ in 0..MAX_QUERIES {
+            for relay in &relays {
+                self.shared.send(*relay, Content::Lookup(self.stream));
+            }
+            let until = Instant::now() + ANSWER_TIMEOUT;
+            while !relays.is_empty()
+                && let Ok(Some(answer)) = timeout_at(until, self.answers.recv()).await
+            {
+                if answer.software.is_some() {
+                    return answer.software;
+                }
+                relays.remove(&answer.from);
+            }
+        }
+        None
+    }
+}
+
+impl Drop for Query<'_> {
+    fn drop(&mut self) {
+        self.answers.close();
+        self.shared.lineage.close_queries(self.stream);
+    }
+}
+
+impl Shared {
+    /// Records the software that began a stream, and tells other relays. A caller may continue the
+    /// stream during `lifetime`.
+    pub fn record_origin(&self, stream: Stream, software: Software, lifetime: Duration) {
+        self.keep_origin(stream, software, lifetime);
+        for keeper in self.keepers(stream) {
+            self.send(keeper, Content::Origin(Origin { stream, software, lifetime }));
+        }
+    }
+
+    /// Returns the relays that are to keep the origin of a stream. Those that are silent, or have not
+    /// been heard from yet, are used only if there are too few others.
+    fn keepers(&self, stream: Stream) -> Vec<SocketAddr> {
+        let (now, seen) = (self.clock.now(), self.last_news());
+        let members = self.members();
+        let (responsive, others): (Vec<&str>, Vec<&str>) = members
+            .keys()
+            .map(String::as_str)
+            .partition(|name| members[*name].health.is_responsive(now, seen));
+        let mut names = stream.keepers(responsive, KEEPERS);
+        names.extend(stream.keepers(others, KEEPERS - names.len()));
+        names.into_iter().map(|name| members[name].address).collect()
+    }
+
+    /// Keeps the origin of a stream for the other relays.
+    pub fn keep_origin(&self, stream: Stream, software: Software, lifetime: Duration) {
+        lock(&self.lineage.origins).record(self.clock.now(), stream, software, lifetime);
+    }
+
+    /// Returns the origin of a stream that this relay keeps.
+    pub fn kept_origin(&self, stream: Stream) -> Option<Software> {
+        lock(&self.lineage.origins).find(self.clock.now(), stream)
+    }
+
+    /// Handles the answer of another relay to a query.
+    pub fn handle_found(&self, from: SocketAddr, stream: Stream, software: Option<Software>) {
+        let queries = self.lineage.queries();
+        for sender in queries.get(&stream).into_iter().flatten() {
+            // Fails only if the query has ended.
+            let _ = sender.send(Answer { from, software });
+        }
+    }
+
+    /// Returns the software that began a stream of a route, if it is known. `stream` is `None` if the
+    /// caller does not say which stream it continues.
+    pub async fn find_origin(
+        &self,
+        stream: Option<Stream>,
+        route: &Route,
+    ) -> Option<(Software, Source)> {
+        let known = match stream {
+            Some(stream) => self.recorded_origin(stream).await,
+            None => None,
+        };
+        let sole = || self.sole_software(route).map(|software| (software, Source::SoleVersion));
+        known.or_else(sole)
+    }
+
+    /// Returns the software that began a stream, if this relay or another one keeps it.
+    async fn recorded_origin(&self, stream: Stream) -> Option<(Software, Source)> {
+        if let Some(software) = self.kept_origin(stream) {
+            return Some((software, Source::Own));
+        }
+        let relays: BTreeSet<SocketAddr> = {
+            let members = self.members();
+            let names = stream.keepers(members.keys().map(String::as_str), ASKED);
+            names.iter().map(|name| members[*name].address).collect()
+        };
+        let software = Query::new(self, stream).run(relays).await?;
+        Some((software, Source::Peer))
+    }
+
+    /// Returns the deployment for a request on a route: one that has the given software and accepts
+    /// work, or a random one if no software is given.
+    pub fn deployment<'a>(&self, route: &'a Route, software: Option<Software>) -> Option<&'a str> {
+        if software.is_none() {
+            return route.deployment(rand::random());
+        }
+        let selector = self.selector();
+        route.deployments().find(|deployment| selector.accepts(deployment, software))
+    }
+
+    /// Returns the software of all upstreams that may serve a route, if all have the same and the list
+    /// of upstreams is current.
+    fn sole_software(&self, route: &Route) -> Option<Software> {
+        if self.store_age() > OUTAGE_THRESHOLD {
+            return None;
+        }
+        let selector = self.selector();
+        let mut versions = route.deployments().map(|name| selector.sole_software(name));
+        let first = versions.next()??;
+        versions.all(|other| other == Some(first)).then_some(first)
+    }
+}
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -15,7 +15,7 @@
     },
     time::Time,
 };
-use cyclamengrade_peer::slots::{Ack, Content, Message, Socket};
+use cyclamengrade_peer::slots::{Ack, Content, Message, Origin, Socket};
 use cyclamengrade_telemetry::event;
 use tokio::time::{sleep, timeout};
 
@@ -131,6 +131,14 @@
                 self.shared.record_answer(message.incarnation, now);
                 self.shared.handle_answer(from, answer);
             }
+            Content::Origin(Origin { stream, software, lifetime }) => {
+                self.shared.keep_origin(stream, software, lifetime);
+            }
+            Content::Lookup(stream) => {
+                let software = self.shared.kept_origin(stream);
+                self.shared.send(from, Content::Found(stream, software));
+            }
+            Content::Found(stream, software) => self.shared.handle_found(from, stream, software),
             // This relay's own view is used by `Shared::peers`.
             Content::Ack(_) if message.incarnation == self.shared.incarnation => {}
             Content::Ack(ack) => {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -27,7 +27,7 @@
 use cyclamengrade_platform::{Objects, Table};
 use tokio::sync::{Notify, Semaphore, watch};
 
-use crate::{clock::Clock, dialect::Dialect, job::row, pool::Pool, slots::Slots};
+use crate::{clock::Clock, dialect::Dialect, job::row, origin::Lineage, pool::Pool, slots::Slots};
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
 /// held twice: once while it is read and once for sending.
@@ -141,6 +141,8 @@
     last_store_contact: AtomicU64,
     /// Time of the first answer of the store after its last outage, on the same clock.
     store_connected_since: AtomicU64,
+    /// Software versions that began recent streams.
+    pub lineage: Lineage,
     selector: Mutex<Selector>,
     /// Other relays, by name.
     members: Mutex<BTreeMap<String, Member>>,
@@ -190,6 +192,7 @@
             readiness: watch::Sender::new(Readiness::default()),
             last_store_contact: AtomicU64::new(0),
             store_connected_since: AtomicU64::new(0),
+            lineage: Lineage::default(),
             selector: Mutex::new(Selector::new(data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -10,6 +10,7 @@
 use cyclamengrade_control::{
     relay::{
         broker::{Answer, Ask, Class, Held, Load, Sync, Ticket, Urgency, Want},
+        origin::Software,
         shard::{self, Candidate},
     },
     time::Time,
@@ -50,6 +51,7 @@
 struct Wanted {
     shard: u32,
     urgency: Urgency,
+    software: Option<Software>,
     since: Time,
 }
 
@@ -109,6 +111,19 @@
     Unanswered,
 }
 
+/// What an online request needs of its slot.
+#[derive(Clone, Debug)]
+pub struct Need {
+    /// Shards of upstreams that the slot may come from.
+    pub shards: Vec<u32>,
+    /// Time within which the request has to be sent to its upstream.
+    pub start_within: Duration,
+    /// Upstreams that the request must not be sent to.
+    pub avoid: BTreeSet<u32>,
+    /// Software of the upstream, if the request continues a stream.
+    pub software: Option<Software>,
+}
+
 /// Slots that this relay holds and requests for slots.
 #[derive(Default)]
 pub struct Slots {
@@ -153,22 +168,18 @@
 }
 
 impl Shared {
-    /// Asks for a slot of a deployment's upstreams for an online request that has to be sent within
-    /// `start_within`. If the broker of one shard refuses, another shard is asked.
-    pub async fn ask_slot(
-        self: &Arc<Self>,
-        shards: &[u32],
-        start_within: Duration,
-        avoid: &BTreeSet<u32>,
-    ) -> Outcome {
+    /// Asks for a slot for an online request. If the broker of one shard refuses, another shard is
+    /// asked.
+    pub async fn ask_slot(self: &Arc<Self>, need: &Need) -> Outcome {
         let begin = self.clock.now();
-        let Some(first) = self.pick_shard(shards) else { return Outcome::Unanswered };
-        let outcome = self.ask_shard(first, start_within, avoid).await;
+        let Some(first) = self.pick_shard(&need.shards) else { return Outcome::Unanswered };
+        let outcome = self.ask_shard(first, need.start_within, need).await;
         let Outcome::Refused(load) = outcome else { return outcome };
-        let others: Vec<u32> = shards.iter().copied().filter(|shard| *shard != first).collect();
-        let left = start_within.saturating_sub(self.clock.now().since(begin));
+        let others: Vec<u32> =
+            need.shards.iter().copied().filter(|shard| *shard != first).collect();
+        let left = need.start_within.saturating_sub(self.clock.now().since(begin));
         let Some(second) = self.pick_shard(&others) else { return outcome };
-        match self.ask_shard(second, left, avoid).await {
+        match self.ask_shard(second, left, need).await {
             Outcome::Unanswered => Outcome::Refused(load),
             answered => answered,
         }
@@ -178,7 +189,7 @@
         self: &Arc<Self>,
         shard: u32,
         start_within: Duration,
-        avoid: &BTreeSet<u32>,
+        need: &Need,
     ) -> Outcome {
         let (ticket, mut answers) = self.open_ticket(shard);
         let mut guard = Guard { shared: self.clone(), ticket, is_done: false };
@@ -188,7 +199,8 @@
             start_within,
             data_centre: shard::name_id(&self.data_centre),
             connected: self.connected(),
-            avoid: avoid.clone(),
+            avoid: need.avoid.clone(),
+            software: need.software,
         };
         let begin = self.clock.now();
         let mut is_queued = false;
@@ -270,13 +282,18 @@
         }
     }
 
-    /// Requests a slot for a batch item.
-    pub fn want_slot(&self, shards: &[u32], urgency: Urgency) -> Option<Ticket> {
+    /// Requests a slot for a batch item. With `software`, the upstream must have this software.
+    pub fn want_slot(
+        &self,
+        shards: &[u32],
+        urgency: Urgency,
+        software: Option<Software>,
+    ) -> Option<Ticket> {
         let shard = self.pick_shard(shards)?;
         let since = self.clock.now();
         let mut state = self.slots.state();
         let ticket = next_ticket(&mut state);
-        state.wanted.insert(ticket, Wanted { shard, urgency, since });
+        state.wanted.insert(ticket, Wanted { shard, urgency, software, since });
         state.dirty.insert(shard);
         drop(state);
         self.slots.dirty.notify_one();
@@ -463,8 +480,8 @@
             if let Some((_, sync)) = address(wanted.shard).and_then(|to| syncs.get_mut(&to))
                 && sync.wants.len() < MAX_WANTS
             {
-                let Wanted { shard, urgency, .. } = *wanted;
-                sync.wants.push(Want { ticket: *ticket, shard, urgency });
+                let Wanted { shard, urgency, software, .. } = *wanted;
+                sync.wants.push(Want { ticket: *ticket, shard, urgency, software });
             }
         }
         syncs
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -179,6 +179,11 @@
     /// `reason`, `status`.
     1207 Info ConnectionRefused "connection_refused" "connection of a caller was closed",
 
+    /// A caller continues a stream that broke off. Fields: `request`, `resumes` (the request that began
+    /// the stream), `source` of the software version that began it (`own`, `peer`, `sole_version` or
+    /// `unknown`), `wait_ms` since the request arrived.
+    1208 Info StreamContinued "stream_continued" "caller continues a stream",
+
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "change feed of a table cannot be read",
     /// The change feed of a table in the store can be read again. Fields: `table`, `version`,
@@ -230,6 +235,9 @@
     /// A submitted job was refused because of the limit on the waiting tokens of its route. Fields:
     /// `job`, `route`, `tokens` of the job, `waiting` tokens of the route, `decision`.
     1253 Info JobOverLimit "job_over_limit" "batch job exceeds the limit on waiting tokens",
+    /// The text of a batch item was discarded, because no upstream of the software version that began
+    /// it can continue it. Fields: `job`, `item`, `events` of the text, `waited_ms`.
+    1254 Info ItemRestarted "item_restarted" "batch item starts again",
 
     /// The settings were reloaded on a signal. Fields: `restart_needed` (whether any setting other
     /// than the log level and the shutdown times changed and takes effect only after a restart).
--- a/tests/relay_versions.rs
+++ b/tests/relay_versions.rs
@@ -90,6 +90,12 @@
 #[tokio::test]
 async fn killed_relay() -> Result<()> {
     let (mut harness, same, other) = start(3, LONG).await?;
+    // A relay learns of relays that start after it with a delay.
+    harness
+        .eventually("the relays know each other", async || {
+            (harness.events(0, "member_joined").len() >= 2).then_some(())
+        })
+        .await?;
     let call = harness.call(0, "stream", "s-1").with_header("token-counts", format!("10,{LONG}"));
     let client = cyclamengrade_standins::client::Client::new();
     let stream = tokio::spawn(async move { client.send(call).await });
@@ -101,7 +107,8 @@
     harness.list(&same, 1).await?;
     harness.unlist(&harness.runners[0], 1).await?;
     let reply = take_up(&harness, 1, "s-1", 5).await?;
-    expect_that!(reply.text(), eq(&text(6..=LONG)));
+    let log = ["stream_continued", "request_declined"].map(|name| harness.events(1, name));
+    expect_that!(reply.text(), eq(&text(6..=LONG)), "{log:?}");
     verify_that!(resumed_after(&other), is_empty())
 }
 
@@ -127,16 +134,20 @@
 }
 
 /// Guards against continuing a stream of which no relay knows the version, while several versions
-/// serve.
+/// serve, also for callers that do not say which stream they continue.
 #[gtest]
 #[tokio::test]
 async fn unknown_origin() -> Result<()> {
     let (harness, same, other) = start(1, LONG).await?;
-    let reply = take_up(&harness, 0, "s-0", 5).await?;
-    expect_that!(reply.status, eq(200), "one version serves");
+    let unnamed = || {
+        let call = harness.call(0, "stream", "s-2").with_header("last-event-id", "5");
+        harness.send(call.with_header("token-counts", format!("10,{LONG}")))
+    };
+    expect_that!(take_up(&harness, 0, "s-0", 5).await?.status, eq(200), "one version serves");
+    expect_that!(unnamed().await?.status, eq(200), "one version serves");
     harness.list(&other, 0).await?;
-    let reply = take_up(&harness, 0, "s-0", 5).await?;
-    expect_that!(reply.status, eq(503));
+    expect_that!(take_up(&harness, 0, "s-1", 5).await?.status, eq(503));
+    expect_that!(unnamed().await?.status, eq(503));
     expect_that!(resumed_after(&same), is_empty());
     verify_that!(resumed_after(&other), is_empty())
 }
