--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -178,7 +178,8 @@
             upstream:% = flight.upstream.id,
             failure:% = failure.name(),
             elapsed_ms = self.shared.clock.now().since(flight.started).as_millis() as u64,
-            events = events
+            events = events,
+            prompt:% = self.shared.dialect.shared_parts(&self.outgoing.headers).join(",")
         );
         let is_past_deadline = self.remaining().is_zero();
         // Silence until the deadline is not a failure of the upstream.
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -91,7 +91,8 @@
                 upstream:% = flight.upstream.id,
                 failure:% = failure.name(),
                 elapsed_ms = shared.clock.now().since(flight.started).as_millis() as u64,
-                events = lock(&transcript).last.unwrap_or(0)
+                events = lock(&transcript).last.unwrap_or(0),
+                prompt:% = shared.dialect.shared_parts(&outgoing.headers).join(",")
             );
         }
         End::Failed(_) => {}
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -107,6 +107,9 @@
     /// Parses the value of the configuration row.
     fn configuration(&self, value: &Value) -> Result<route::Table, String>;
 
+    /// Returns the ids of the parts of a request's prompt that other requests may share, in order.
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<String>;
+
     /// Parses the row value of the upstream `id`.
     fn upstream(&self, id: &str, value: &Value) -> Result<Upstream, String>;
 
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -20,6 +20,8 @@
 
 pub struct Native {
     headers: Headers,
+    /// Header with the ids of the shared parts of a prompt, separated by commas.
+    prompt_parts: HeaderName,
     sources: Sources,
 }
 
@@ -38,6 +40,7 @@
                 not_run: name("x-not-run"),
                 leaving: name("x-upstream-leaving"),
             },
+            prompt_parts: name("x-prompt-parts"),
             sources: Sources {
                 configuration_table: "relay".into(),
                 configuration_key: "relay//configuration".into(),
@@ -210,6 +213,12 @@
         Ok(Table::new(json.version, routes, deployments.collect(), Limits::default()))
     }
 
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<String> {
+        let value = headers.get(&self.prompt_parts).and_then(|value| value.to_str().ok());
+        let parts = value.unwrap_or_default().split(',').map(str::trim);
+        parts.filter(|part| !part.is_empty()).map(str::to_owned).collect()
+    }
+
     fn upstream(&self, id: &str, value: &Value) -> Result<Upstream, String> {
         let json = UpstreamJson::deserialize(value).map_err(|error| error.to_string())?;
         Ok(Upstream {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -157,7 +157,7 @@
     /// `wait_ms` for the choice, `configuration`.
     1200 Info RequestSent "request_sent" "request was sent to an upstream",
     /// An attempt of a relay failed. Fields: `request`, `upstream`, `failure`, `elapsed_ms`,
-    /// `events`.
+    /// `events`, `prompt` (ids of the parts of its prompt that other requests may share).
     1201 Info AttemptFailed "attempt_failed" "attempt at an upstream failed",
     /// A relay refused a request, which did not run. Fields: `request`, `route`, `reason`,
     /// `granted` (whether a broker refused it), `load_permille` of the upstreams according to the
