--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -145,7 +145,12 @@
         }]));
     }
 
-    fn add_relay(&mut self, number: usize) -> Result<(), Error> {
+    /// Starts a further relay; `number` is the number of relays so far.
+    ///
+    /// # Errors
+    ///
+    /// The process does not start.
+    pub fn add_relay(&mut self, number: usize) -> Result<(), Error> {
         // No other process uses the address of this harness, and the system does not assign ports
         // below its ephemeral range.
         let first = FIRST_RELAY_PORT + PORTS_PER_RELAY * number as u16;
@@ -417,6 +422,33 @@
         Ok((Job { id: id.to_owned(), items }, reply))
     }
 
+    /// Submits a job on the route `batch` whose items have the given ids and shared parts of their
+    /// prompts. Returns the status of the response.
+    pub async fn submit_prompts(
+        &self,
+        relay: usize,
+        id: &str,
+        items: &[(&str, &str)],
+        events: u64,
+    ) -> Result<u16, crate::client::Error> {
+        let entries = items.iter().map(|(item, part)| {
+            json!({
+                "Id": item, "Path": "/batch/item", "Tokens": 10 + events,
+                "Headers": {
+                    "Token-Counts": format!("10,{events}"),
+                    "Prompt-Prefix": format!("{part},{item}:3")
+                },
+                "Body": STANDARD.encode(item)
+            })
+        });
+        let body = json!({"Items": entries.collect::<Vec<_>>()});
+        let call = Call::post(self.relays[relay].listen, format!("/batch/{id}"))
+            .with_header("host", HOST)
+            .with_header("request-id", id)
+            .with_json(&body);
+        Ok(self.client.send(call).await?.status)
+    }
+
     /// Requests the results of a job after a position; the relay waits up to 500 ms for new ones.
     pub async fn results(
         &self,
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -7,16 +7,22 @@
     io,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    select,
+    sync::watch,
     time::sleep,
 };
 
+/// Time from the start of a request that crashes the runner to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// Time from a crash until the runner has started again.
+const RESTART_TIME: Duration = Duration::from_millis(1_000);
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -49,6 +55,8 @@
     pub after: Option<u64>,
     /// Time limit of the request in milliseconds (`Deadline-Ms`).
     pub deadline_ms: Option<u64>,
+    /// When the run started.
+    pub started: Instant,
 }
 
 #[derive(Default)]
@@ -57,6 +65,9 @@
     runs: Vec<Run>,
     connections: usize,
     is_leaving: bool,
+    /// Part of a prompt under which the runner crashes.
+    fatal_part: Option<String>,
+    crashes: Vec<Instant>,
 }
 
 #[derive(Clone)]
@@ -68,6 +79,8 @@
     /// Data centre that its entry states.
     pub data_centre: String,
     state: Arc<Mutex<State>>,
+    /// Number of crashes so far. A crash closes all connections.
+    crashed: watch::Sender<usize>,
 }
 
 impl Runner {
@@ -81,6 +94,7 @@
             version: "v1".into(),
             data_centre: "a".into(),
             state: Arc::default(),
+            crashed: watch::Sender::new(0),
         };
         tokio::spawn(runner.clone().accept(listener));
         Ok(runner)
@@ -99,6 +113,17 @@
         self.state().faults.extend_from_slice(faults);
     }
 
+    /// Crashes under each further request with this part in its prompt, before its first event. The
+    /// runner closes all its connections, refuses new ones for a second, and serves again.
+    pub fn crash_under(&self, part: &str) {
+        self.state().fatal_part = Some(part.to_owned());
+    }
+
+    /// Returns the times of the crashes.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state().crashes.clone()
+    }
+
     /// Says in all further responses that this runner is leaving. Its entry stays as it is.
     pub fn announce_leaving(&self) {
         self.state().is_leaving = true;
@@ -118,14 +143,29 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn accept(self, listener: TcpListener) {
+    async fn accept(self, mut listener: TcpListener) {
+        let mut crashed = self.crashed.subscribe();
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let accepted = select! {
+                accepted = listener.accept() => accepted,
+                _ = crashed.changed() => {
+                    drop(listener);
+                    sleep(RESTART_TIME).await;
+                    let Ok(bound) = TcpListener::bind(self.address).await else { return };
+                    listener = bound;
+                    continue;
+                }
+            };
+            let Ok((stream, _)) = accepted else { continue };
             self.state().connections += 1;
             let runner = self.clone();
+            let mut crashed = self.crashed.subscribe();
             tokio::spawn(async move {
-                // An I/O error only ends this connection, which the peer notices by itself.
-                let _ = runner.serve(stream).await;
+                select! {
+                    // An I/O error only ends this connection, which the peer notices by itself.
+                    _ = runner.serve(stream) => {}
+                    _ = crashed.changed() => {}
+                }
             });
         }
     }
@@ -161,7 +201,14 @@
             id: id.to_owned(),
             after: request.header("last-event-id").parse().ok(),
             deadline_ms: request.header("deadline-ms").parse().ok(),
+            started: Instant::now(),
         });
+        if self.is_fatal(request) {
+            sleep(CRASH_DELAY).await;
+            self.state().crashes.push(Instant::now());
+            self.crashed.send_modify(|count| *count += 1);
+            return Ok(false);
+        }
         let id = if fault == Some(Fault::WrongId) { "another" } else { id };
         let mut headers = vec![("Request-Id", id), ("Server-Stamp", "stamp")];
         if self.state().is_leaving {
@@ -200,6 +247,13 @@
         self.write_stream(stream, &headers, first, events, fault).await
     }
 
+    fn is_fatal(&self, request: &Request) -> bool {
+        let state = self.state();
+        let is_part =
+            |part: &String| request.header("prompt-prefix").split(',').any(|entry| entry == part);
+        state.fatal_part.as_ref().is_some_and(is_part)
+    }
+
     /// Writes the events from `first` to `events`. Returns whether the connection stays open.
     async fn write_stream(
         &self,
--- /dev/null
+++ b/tests/relay_quarantine.rs
@@ -0,0 +1,183 @@
+//! Requests that end the upstreams that run them, by a part of their prompt.
+
+use std::time::{Duration, Instant};
+
+use cyclamengrade_standins::{
+    bridge::{Fault, Harness},
+    client::Call,
+};
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+/// Part that all requests share.
+const COMMON: &str = "c0ffee:10";
+/// Part under which upstreams crash.
+const FATAL: &str = "dead01:5";
+/// Time after the fifth crash from which requests with the part may no longer be sent.
+const CONTAINMENT: Duration = Duration::from_secs(3);
+
+/// Builds a request for a short stream whose prompt has the given parts and one of its own.
+fn request(harness: &Harness, relay: usize, id: &str, parts: &[&str]) -> Call {
+    harness
+        .call(relay, "stream", id)
+        .with_header("token-counts", "10,3")
+        .with_header("prompt-prefix", format!("{},{id}:3", parts.join(",")))
+}
+
+/// Starts relays with five runners that crash under the fatal part.
+async fn start(relays: usize) -> Result<Harness> {
+    let mut harness = Harness::start(relays).await?;
+    for number in 3..=5 {
+        let runner = harness.add_runner(&format!("m-{number}"), "v1", "a").await?;
+        for relay in 0..relays {
+            harness.list(&runner, relay).await?;
+        }
+    }
+    for runner in &harness.runners {
+        runner.crash_under(FATAL);
+    }
+    // Requests with the common part were served before.
+    for relay in 0..relays {
+        let call = request(&harness, relay, &format!("first-{relay}"), &[COMMON]);
+        expect_that!(harness.send(call).await?.status, eq(200));
+    }
+    Ok(harness)
+}
+
+/// Sends requests with the fatal part until they are refused as not run.
+async fn provoke(harness: &Harness) -> Result<()> {
+    for number in 0..40 {
+        let call = request(harness, 0, &format!("bad-{number}"), &[COMMON, FATAL]);
+        let reply = harness.send(call).await;
+        if reply.is_ok_and(|reply| reply.status == 503) && all_upstreams_serve(harness).await {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    fail!("requests with the fatal part are still sent")
+}
+
+/// Returns the number of runs that started later than allowed after the fifth crash, of requests whose
+/// ids begin with `prefix`.
+fn late_runs(harness: &Harness, prefix: &str) -> usize {
+    let mut crashes: Vec<Instant> =
+        harness.runners.iter().flat_map(|runner| runner.crashes()).collect();
+    crashes.sort_unstable();
+    let Some(fifth) = crashes.get(4) else { return 0 };
+    let runs = harness.runners.iter().flat_map(|runner| runner.runs());
+    let late = runs.filter(|run| run.id.starts_with(prefix) && run.started > *fifth + CONTAINMENT);
+    late.count()
+}
+
+/// Waits until a runner that was down has started again. Returns whether none has crashed meanwhile.
+async fn all_upstreams_serve(harness: &Harness) -> bool {
+    let crashes = || harness.runners.iter().flat_map(|runner| runner.crashes()).collect::<Vec<_>>();
+    let before = crashes().len();
+    sleep(Duration::from_millis(1_500)).await;
+    crashes().len() == before
+}
+
+/// Guards against requests that end one upstream after the other, at all relays, because each crash
+/// is taken for a fault of the upstream; and against refusing sound requests instead.
+#[gtest]
+#[tokio::test]
+async fn fatal_requests() -> Result<()> {
+    let harness = start(3).await?;
+    let begin = Instant::now();
+    let (mut sound, mut served) = (0, 0);
+    for number in 0..90 {
+        let call = request(&harness, number % 3, &format!("bad-{number}"), &[COMMON, FATAL]);
+        let client = cyclamengrade_standins::client::Client::new();
+        tokio::spawn(async move { client.send(call).await });
+        sleep(Duration::from_millis(50)).await;
+        let call = request(&harness, number % 3, &format!("good-{number}"), &[COMMON]);
+        let reply = harness.send(call).await;
+        if begin.elapsed() > CONTAINMENT * 2 {
+            sound += 1;
+            served += usize::from(reply.is_ok_and(|reply| reply.status == 200));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    expect_that!(late_runs(&harness, "bad"), le(3));
+    expect_that!(sound, ge(20));
+    verify_that!(served, ge(sound / 2))
+}
+
+/// Guards against holding a request that will not be sent, and against an answer without the time to
+/// come back.
+#[gtest]
+#[tokio::test]
+async fn refusal() -> Result<()> {
+    let harness = start(1).await?;
+    provoke(&harness).await?;
+    let runs = || harness.runners.iter().map(|runner| runner.runs().len()).sum::<usize>();
+    let before = runs();
+    let start = Instant::now();
+    let reply = harness.send(request(&harness, 0, "bad", &[FATAL])).await?;
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.headers.contains_key("retry-after"), eq(true));
+    expect_that!(start.elapsed(), lt(Duration::from_millis(200)));
+    expect_that!(runs(), eq(before));
+    let reply = harness.send(request(&harness, 0, "good", &[COMMON])).await?;
+    verify_that!(reply.status, eq(200))
+}
+
+/// Guards against relays that forget the part when all of them restart, and against relays that start
+/// later and do not know it.
+#[gtest]
+#[tokio::test]
+async fn restarted_relays() -> Result<()> {
+    let mut harness = start(2).await?;
+    provoke(&harness).await?;
+    for relay in 0..2 {
+        harness.kill_relay(relay)?;
+    }
+    for relay in 0..2 {
+        harness.start_relay(relay)?;
+        harness.await_ready(relay).await?;
+    }
+    harness.add_relay(2)?;
+    harness.await_ready(2).await?;
+    let crashes = || harness.runners.iter().map(|runner| runner.crashes().len()).sum::<usize>();
+    let before = crashes();
+    for relay in 0..3 {
+        let id = format!("after-{relay}");
+        let reply = harness.send(request(&harness, relay, &id, &[COMMON, FATAL])).await?;
+        expect_that!(reply.status, eq(503), "relay {relay}");
+        let reply =
+            harness.send(request(&harness, relay, &format!("good-{relay}"), &[COMMON])).await?;
+        expect_that!(reply.status, eq(200), "relay {relay}");
+    }
+    verify_that!(crashes(), eq(before))
+}
+
+/// Guards against batch items that end one upstream after the other, and against items with sound
+/// prompts of the same job that are held with them.
+#[gtest]
+#[tokio::test]
+async fn fatal_items() -> Result<()> {
+    let harness = start(1).await?;
+    let items = [("sound", COMMON), ("fatal", FATAL)];
+    let status = harness.submit_prompts(0, "j-1", &items, 3).await?;
+    expect_that!(status, eq(202));
+    sleep(CONTAINMENT * 4).await;
+    expect_that!(late_runs(&harness, "fatal"), le(3));
+    let page: serde_json::Value = harness.results(0, "j-1", 0).await?.json()?;
+    verify_that!(page["Results"][0]["Id"], eq(&serde_json::json!("sound")))
+}
+
+/// Guards against taking connections that break off under upstreams that go on serving for crashes.
+#[gtest]
+#[tokio::test]
+async fn broken_connections() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for number in 0..6 {
+        for runner in &harness.runners {
+            runner.queue_faults(&[Fault::CutAfter(0)]);
+        }
+        let call = request(&harness, 0, &format!("cut-{number}"), &["abcd:5"]);
+        expect_that!(harness.send(call).await?.status, eq(502));
+    }
+    let reply = harness.send(request(&harness, 0, "next", &["abcd:5"])).await?;
+    verify_that!(reply.status, eq(200))
+}
