Quarantine the parts of prompts under which upstreams crash

Cause: a relay took the broken connection of a request for a fault of its upstream alone. It sent the request to the next upstream, up to its attempts, and nothing linked it to other requests that had ended upstreams at this or another relay. Batch items were run again without a bound.

Change: when a connection breaks off before the first event and the upstream refuses a new connection, the relay blames the shared parts of the prompt, but for those with which a request was answered in the last ten seconds. One relay, chosen like a broker, collects the blames. At three crashes of a part it asks all relays whether the part is sound, and has it quarantined for ten minutes if none says so within a quarter of a second: at all relays by a message, and in a row of the fleet table for those that start later. The refused probe also ejects the crashed upstream at once.

Ruled out: upstreams that fail by themselves from load.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod origin;
 pub mod owner;
 pub mod priority;
+pub mod quarantine;
 pub mod quota;
 pub mod registry;
 pub mod results;
--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -6,6 +6,7 @@
     broker::{Answer, Ask, Class, Held, Load, Sync, Ticket, Urgency, Want},
     monitor::{Exception, Status},
     origin::{Software, Stream},
+    quarantine::{Part, Query},
 };
 use prost::Message as _;
 use tokio::net::UdpSocket;
@@ -30,6 +31,14 @@
     Origin(Origin),
     /// Asks for the software that began a stream.
     Lookup(Stream),
+    /// Blames parts of a prompt for the crash of an upstream, given by its short id.
+    Blamed(u32, Vec<Part>),
+    /// Asks whether parts are sound.
+    PartsQuery(Query),
+    /// Answer to a [`Content::PartsQuery`]: the parts that are sound.
+    Sound(Vec<Part>),
+    /// Parts with which requests are to be refused for a time.
+    Held(Vec<Part>, Duration),
     /// Answer to a [`Content::Lookup`]; `None` if the sender does not know the stream.
     Found(Stream, Option<Software>),
 }
@@ -142,6 +151,17 @@
             lifetime_ms: milliseconds(origin.lifetime),
         }),
         Content::Lookup(stream) => Kind::Lookup(wire::StreamLookup { stream: stream.0 }),
+        Content::Blamed(upstream, parts) => {
+            Kind::Blamed(wire::PartsBlamed { upstream, parts: encode_parts(&parts) })
+        }
+        Content::PartsQuery(query) => Kind::PartsQuery(wire::PartsQuery {
+            parts: encode_parts(&query.parts),
+            within_ms: milliseconds(query.within),
+        }),
+        Content::Sound(parts) => Kind::Sound(wire::PartsSound { parts: encode_parts(&parts) }),
+        Content::Held(parts, left) => {
+            Kind::Held(wire::PartsHeld { parts: encode_parts(&parts), left_ms: milliseconds(left) })
+        }
         Content::Found(stream, software) => Kind::Found(wire::StreamFound {
             stream: stream.0,
             software: software.map(|software| software.0),
@@ -185,6 +205,14 @@
     }
 }
 
+fn encode_parts(parts: &[Part]) -> Vec<u64> {
+    parts.iter().map(|part| part.0).collect()
+}
+
+fn decode_parts(parts: Vec<u64>) -> Vec<Part> {
+    parts.into_iter().map(Part).collect()
+}
+
 fn encode_load(load: Load) -> wire::SlotLoad {
     wire::SlotLoad { permille: load.permille, wait_ms: milliseconds(load.wait) }
 }
@@ -233,6 +261,15 @@
             lifetime: Duration::from_millis(origin.lifetime_ms.into()),
         }),
         Kind::Lookup(lookup) => Content::Lookup(Stream(lookup.stream)),
+        Kind::Blamed(blamed) => Content::Blamed(blamed.upstream, decode_parts(blamed.parts)),
+        Kind::PartsQuery(query) => Content::PartsQuery(Query {
+            parts: decode_parts(query.parts),
+            within: Duration::from_millis(query.within_ms.into()),
+        }),
+        Kind::Sound(sound) => Content::Sound(decode_parts(sound.parts)),
+        Kind::Held(held) => {
+            Content::Held(decode_parts(held.parts), Duration::from_millis(held.left_ms.into()))
+        }
         Kind::Found(found) => Content::Found(Stream(found.stream), found.software.map(Software)),
     };
     Some(Message { incarnation: message.incarnation, content })
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -9,6 +9,7 @@
 use cyclamengrade_control::relay::{
     failure::{Attempts, Failure},
     origin::Software,
+    quarantine::Part,
     route::Route,
     selector::Key,
 };
@@ -45,6 +46,8 @@
     pub attempts: Attempts,
     /// Software that began the stream; further attempts use only upstreams that have it.
     pub software: Option<Software>,
+    /// Parts of the prompt that other requests may share.
+    parts: Arc<[Part]>,
     /// Upstreams at which an attempt failed.
     tried: BTreeSet<Key>,
     /// Memory reserved for the body.
@@ -57,6 +60,8 @@
     /// No upstream can start the request in time. The caller may retry after the duration. The
     /// placement is logged.
     Refused(Duration, Placement),
+    /// A part of the prompt ended upstreams. Requests with it are refused for the duration.
+    Quarantined(Duration),
     /// The request continues a stream, and it is not known which software version began it.
     UnknownOrigin,
     /// The last attempt failed, and no further one is allowed.
@@ -75,6 +80,7 @@
         deadline: Instant,
     ) -> Self {
         let (attempts, tried) = (Attempts::default(), BTreeSet::new());
+        let parts = shared.parts(&outgoing.headers);
         Self {
             shared,
             route,
@@ -84,6 +90,7 @@
             time_to_first_byte: None,
             attempts,
             software: None,
+            parts,
             tried,
             _memory: None,
         }
@@ -142,7 +149,11 @@
             if self.remaining().is_zero() {
                 return Err(Error::DeadlineExceeded);
             }
-            let (mut flight, placement) = self.choose_upstream().await?;
+            self.check_quarantine()?;
+            let (flight, placement) = self.choose_upstream().await?;
+            // The part may have been quarantined while the request waited.
+            self.check_quarantine()?;
+            let mut flight = flight.with_parts(self.parts.clone());
             self.log_send(&flight, resume_after, placement);
             let options = Options {
                 deadline: Some(self.deadline),
@@ -161,6 +172,13 @@
         }
     }
 
+    fn check_quarantine(&self) -> Result<(), Error> {
+        match self.shared.quarantine_left(&self.parts) {
+            Some(left) => Err(Error::Quarantined(left)),
+            None => Ok(()),
+        }
+    }
+
     /// Records an attempt that failed after `events` events of a stream were sent to the caller.
     ///
     /// # Errors
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -130,7 +130,7 @@
                 return End::Completed;
             }
             Ok(Some(event)) => {
-                flight.record_bytes();
+                flight.record_answer();
                 timeout = EVENT_TIMEOUT;
                 let mut transcript = lock(transcript);
                 let (Some(id), Some(data)) = (event.id, event.data()) else {
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -199,6 +199,11 @@
                 }
                 Some(Subject::Member(name)) => self.apply_member(now, name, change),
                 Some(Subject::Job(id)) => self.apply_job(id, change),
+                Some(Subject::Quarantine) => {
+                    if let Some(row) = decode::<row::Quarantine>(change) {
+                        self.shared.apply_quarantine(&row);
+                    }
+                }
                 None => {}
             }
         }
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -7,6 +7,7 @@
         broker::{Class, Load, Ticket},
         failure::Failure,
         origin::Software,
+        quarantine::Part,
         selector::{Choice, Key, Upstream},
     },
     time::Time,
@@ -33,9 +34,27 @@
     pub started: Time,
     /// Whether a byte of the response has arrived.
     responded: bool,
+    /// Parts of the prompt that other requests may share.
+    parts: Arc<[Part]>,
+    /// Whether the upstream has begun to answer.
+    has_answered: bool,
 }
 
 impl Flight {
+    /// Sets the parts of the request's prompt that other requests may share.
+    pub fn with_parts(mut self, parts: Arc<[Part]>) -> Self {
+        self.parts = parts;
+        self
+    }
+
+    /// Records that an event of the response, or all of it, arrived.
+    pub fn record_answer(&mut self) {
+        self.record_bytes();
+        if !std::mem::replace(&mut self.has_answered, true) {
+            self.shared.record_answered_parts(&self.parts);
+        }
+    }
+
     /// Records that bytes of the response arrived.
     pub fn record_bytes(&mut self) {
         let now = self.shared.clock.now();
@@ -83,16 +102,9 @@
     /// Records a failed attempt. Ejects the upstream for a time if it caused the failure.
     pub fn record_failure(&self, failure: Failure) {
         counter!(RELAY_ATTEMPTS, "outcome" => failure.name()).increment(1);
-        let now = self.shared.clock.now();
-        let ejection = self.shared.selector().record_failure(self.key, failure, now);
-        if let Some(ejection) = ejection {
-            self.shared.mark_all_dirty();
-            event!(
-                UpstreamPaused,
-                upstream:% = self.upstream.id,
-                failure:% = failure.name(),
-                pause_ms = ejection.as_millis() as u64
-            );
+        self.shared.record_upstream_failure(self.key, &self.upstream.id, failure);
+        if failure == Failure::Broken && !self.has_answered {
+            self.shared.report_crash(self.key, &self.upstream, &self.parts);
         }
     }
 }
@@ -106,6 +118,20 @@
 }
 
 impl Shared {
+    /// Records a failure of an upstream, and ejects it for a time if it caused the failure.
+    pub fn record_upstream_failure(&self, key: Key, id: &str, failure: Failure) {
+        let ejection = self.selector().record_failure(key, failure, self.clock.now());
+        if let Some(ejection) = ejection {
+            self.mark_all_dirty();
+            event!(
+                UpstreamPaused,
+                upstream:% = id,
+                failure:% = failure.name(),
+                pause_ms = ejection.as_millis() as u64
+            );
+        }
+    }
+
     /// Chooses an upstream for an online request and counts the request there. The upstreams in
     /// `tried` are excluded, and those with other software if `software` is given. The request has to
     /// start within `time_left`.
@@ -213,6 +239,16 @@
         let upstream = selector.upstream(key).cloned()?;
         selector.record_start(key, started);
         let shared = self.clone();
-        Some(Flight { shared, key, class, ticket, upstream, started, responded: false })
+        Some(Flight {
+            shared,
+            key,
+            class,
+            ticket,
+            upstream,
+            started,
+            responded: false,
+            parts: [].into(),
+            has_answered: false,
+        })
     }
 }
--- a/components/relay/src/job/key.rs
+++ b/components/relay/src/job/key.rs
@@ -13,11 +13,19 @@
 /// Part of the fleet table with the rows of the relays.
 const MEMBERS: &str = "members";
 
+/// Part of the fleet table with the row of the quarantine.
+const QUARANTINE: &str = "quarantine";
+
 /// Returns the key of the row of a relay.
 pub fn member(name: &str) -> String {
     format!("{FLEET}/{MEMBERS}/{name}")
 }
 
+/// Returns the key of the row with the parts of prompts that are quarantined.
+pub fn quarantine() -> String {
+    format!("{FLEET}/{QUARANTINE}/parts")
+}
+
 /// Returns the key of the row of a job.
 pub fn job(id: &str) -> String {
     format!("{FLEET}/{}/{id}", part(id))
@@ -69,6 +77,8 @@
     Member(&'a str),
     /// The job with this id.
     Job(&'a str),
+    /// The parts of prompts that are quarantined.
+    Quarantine,
 }
 
 /// Returns the subject of a row of the fleet table, or `None` if relays do not write such a key.
@@ -76,6 +86,7 @@
     let (part, name) = key.strip_prefix(FLEET)?.strip_prefix('/')?.split_once('/')?;
     match part {
         MEMBERS => Some(Subject::Member(name)),
+        QUARANTINE => Some(Subject::Quarantine),
         part if part.starts_with("jobs-") => Some(Subject::Job(name)),
         _ => None,
     }
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -1,6 +1,6 @@
 //! Values of the rows that relays write to the store.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use cyclamengrade_control::relay::job;
 use serde::{Deserialize, Serialize};
@@ -153,6 +153,35 @@
     pub counts: BTreeMap<usize, u32>,
 }
 
+/// Row with the parts of prompts that are quarantined.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantine {
+    /// End of the quarantine by part, in milliseconds on the store's clock.
+    pub ends_ms: BTreeMap<u64, u64>,
+}
+
+impl Quarantine {
+    /// Adds parts for `duration` from `now_ms`, and removes those whose quarantine is over. Of more
+    /// than `limit` parts, those whose quarantine ends first are dropped.
+    pub fn extend(
+        &mut self,
+        parts: impl IntoIterator<Item = u64>,
+        now_ms: u64,
+        duration: Duration,
+        limit: usize,
+    ) {
+        let end_ms = now_ms + duration.as_millis() as u64;
+        self.ends_ms.retain(|_, end_ms| *end_ms > now_ms);
+        self.ends_ms.extend(parts.into_iter().map(|part| (part, end_ms)));
+        let mut by_end: Vec<(u64, u64)> =
+            self.ends_ms.iter().map(|(part, end_ms)| (*end_ms, *part)).collect();
+        by_end.sort_unstable();
+        for (_, part) in by_end.iter().take(by_end.len().saturating_sub(limit)) {
+            self.ends_ms.remove(part);
+        }
+    }
+}
+
 /// Row with the text of an unfinished item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Partial {
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod origin;
 mod peers;
 mod pool;
+mod quarantine;
 mod run;
 mod shared;
 mod slots;
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -145,12 +145,13 @@
 /// the request can still be retried at another upstream.
 async fn serve_single(shared: Arc<Shared>, mut request: Request) -> Response<Body> {
     loop {
-        let (flight, response) = match request.send(None).await {
+        let (mut flight, response) = match request.send(None).await {
             Ok(sent) => sent,
             Err(error) => return error_response(&request, error),
         };
         match response.collect(&shared.pool, request.read_timeout()).await {
             Ok(response) => {
+                flight.record_answer();
                 flight.record_success();
                 let will_retry =
                     is_upstream_error(response.status) && prepare_retry(&mut request, &flight);
@@ -232,7 +233,7 @@
         let mut events = exchange::Response::events(response);
         match events.next(request.read_timeout()).await {
             Ok(first) => {
-                flight.record_bytes();
+                flight.record_answer();
                 record_first_byte(&mut request);
                 let software = flight.upstream.software();
                 request.software = Some(software);
@@ -359,7 +360,7 @@
                 Ok(None) => return Forwarded::Complete,
                 Err(failure) => return Forwarded::Failed(failure),
             };
-            flight.record_bytes();
+            flight.record_answer();
             match (event.id, self.last_event_id) {
                 // An event was lost or repeated, or belongs to another run.
                 (Some(id), Some(last)) if id != last + 1 => {
@@ -408,6 +409,7 @@
         let cause = match error {
             attempt::Error::Refused(..) => "no upstream can resume the stream in time",
             attempt::Error::UnknownOrigin => "its software version is not known",
+            attempt::Error::Quarantined(_) => "a part of its prompt ended upstreams",
             attempt::Error::AttemptsExhausted(failure) => failure.name(),
             attempt::Error::DeadlineExceeded => "deadline exceeded",
         };
@@ -438,6 +440,9 @@
             };
             (wait, placement, reason)
         }
+        attempt::Error::Quarantined(left) => {
+            (left, Placement::default(), "a part of the prompt ended upstreams")
+        }
         attempt::Error::UnknownOrigin => (
             MIN_RETRY_AFTER,
             Placement::default(),
@@ -455,12 +460,17 @@
             attempt::Error::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             attempt::Error::Refused(..)
             | attempt::Error::UnknownOrigin
+            | attempt::Error::Quarantined(_)
             | attempt::Error::AttemptsExhausted(_) => StatusCode::BAD_GATEWAY,
         };
         record_end(request, status, "failed");
         return empty(status);
     }
-    let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+    let longest = match error {
+        attempt::Error::Quarantined(left) => left.max(MIN_RETRY_AFTER),
+        _ => MAX_RETRY_AFTER,
+    };
+    let retry_after = wait.clamp(MIN_RETRY_AFTER, longest);
     event!(
         RequestDeclined,
         request:% = request.outgoing.id,
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -100,6 +100,7 @@
             ticked_at = now;
             let outgoing = shared.broker_state().tick(now);
             server.dispatch(outgoing);
+            shared.confirm_suspects();
         }
     }
 }
@@ -138,6 +139,15 @@
                 let software = self.shared.kept_origin(stream);
                 self.shared.send(from, Content::Found(stream, software));
             }
+            Content::Blamed(upstream, parts) => self.shared.handle_blame(upstream, &parts),
+            Content::PartsQuery(query) => {
+                let sound = self.shared.answer_query(&query);
+                if !sound.is_empty() {
+                    self.shared.send(from, Content::Sound(sound));
+                }
+            }
+            Content::Sound(parts) => self.shared.handle_sound(&parts),
+            Content::Held(parts, left) => self.shared.hold_parts(&parts, left),
             Content::Found(stream, software) => self.shared.handle_found(from, stream, software),
             // This relay's own view is used by `Shared::peers`.
             Content::Ack(_) if message.incarnation == self.shared.incarnation => {}
--- /dev/null
+++ b/components/relay/src/quarantine.rs
@@ -0,0 +1,198 @@
+//! Parts of prompts that end upstreams: blames for crashes, and the quarantine of parts.
+//!
+//! The relay that collects the blames is chosen like a broker. It tells the others of a quarantine at
+//! once, and stores it for relays that start later.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use cyclamengrade_control::relay::{
+    failure::Failure,
+    quarantine::{Part, QUARANTINE_TIME, Quarantine, Query, Suspicions},
+    selector::{Key, Upstream, short_id},
+};
+use cyclamengrade_peer::slots::Content;
+use cyclamengrade_platform::{
+    Error,
+    table::{Commit, Transaction},
+};
+use cyclamengrade_telemetry::event;
+use hyper::HeaderMap;
+use tokio::{net::TcpStream, sync::Notify, time::timeout};
+
+use crate::{
+    job::{key, row, store},
+    shared::{Shared, lock},
+};
+
+/// Key under which the relay that collects blames is chosen.
+const COLLECTOR_KEY: &str = "quarantine";
+/// Timeout of the connection that shows whether an upstream still accepts any.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Attempts to store a quarantine while others change the row.
+const MAX_STORE_ATTEMPTS: u32 = 5;
+/// Time after which a quarantine that could not be stored is stored again.
+const STORE_RETRY_PERIOD: Duration = Duration::from_secs(1);
+/// Limit on the parts in the row; those whose quarantine ends first are dropped.
+const MAX_STORED_PARTS: usize = 256;
+
+/// What this relay knows of parts that end upstreams.
+#[derive(Default)]
+pub struct Ledger {
+    quarantine: Mutex<Quarantine>,
+    /// Blames that this relay collects.
+    suspicions: Mutex<Suspicions>,
+    /// Quarantined parts that are to be stored.
+    unstored: Mutex<BTreeSet<Part>>,
+    changed: Notify,
+}
+
+impl Shared {
+    /// Returns the parts of a request's prompt that other requests may share.
+    pub fn parts(&self, headers: &HeaderMap) -> Arc<[Part]> {
+        self.dialect.shared_parts(headers).iter().map(|id| Part::new(id)).collect()
+    }
+
+    /// Returns the time for which requests with one of these parts are refused.
+    pub fn quarantine_left(&self, parts: &[Part]) -> Option<Duration> {
+        lock(&self.ledger.quarantine).left(self.clock.now(), parts)
+    }
+
+    /// Records that an upstream began to answer a request with these parts.
+    pub fn record_answered_parts(&self, parts: &[Part]) {
+        if !parts.is_empty() {
+            lock(&self.ledger.quarantine).record_answer(self.clock.now(), parts);
+        }
+    }
+
+    /// Blames the parts of a request for a crash of its upstream, if the connection of the request
+    /// broke off without an event, the upstream refuses new connections, and no request with the
+    /// parts was answered recently.
+    pub fn report_crash(self: &Arc<Self>, key: Key, upstream: &Upstream, parts: &[Part]) {
+        let suspects = lock(&self.ledger.quarantine).suspects(self.clock.now(), parts);
+        if suspects.is_empty() {
+            return;
+        }
+        let (shared, upstream) = (self.clone(), upstream.clone());
+        tokio::spawn(async move {
+            let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(upstream.address)).await;
+            if matches!(probe, Ok(Ok(_))) {
+                return;
+            }
+            shared.record_upstream_failure(key, &upstream.id, Failure::NotSent);
+            event!(PartBlamed, upstream:% = upstream.id, parts:% = format_parts(&suspects));
+            let now = shared.clock.now();
+            for (_, address) in shared.servers(COLLECTOR_KEY, 1, now) {
+                shared.send(address, Content::Blamed(short_id(&upstream.id), suspects.clone()));
+            }
+        });
+    }
+
+    /// Handles a blame that another relay, or this one, reports.
+    pub fn handle_blame(&self, upstream: u32, parts: &[Part]) {
+        let query = lock(&self.ledger.suspicions).blame(self.clock.now(), upstream, parts);
+        if let Some(query) = query {
+            event!(PartSuspect, parts:% = format_parts(&query.parts));
+            self.handle_sound(&self.answer_query(&query));
+            self.send_to_all(&Content::PartsQuery(query));
+        }
+    }
+
+    /// Returns the queried parts with which this relay has had requests answered.
+    pub fn answer_query(&self, query: &Query) -> Vec<Part> {
+        lock(&self.ledger.quarantine).sound_parts(self.clock.now(), query)
+    }
+
+    /// Records that parts are sound.
+    pub fn handle_sound(&self, parts: &[Part]) {
+        lock(&self.ledger.suspicions).clear(parts);
+    }
+
+    /// Quarantines the parts that are still suspect after all relays could say that they are sound.
+    pub fn confirm_suspects(&self) {
+        let confirmed = lock(&self.ledger.suspicions).take_confirmed(self.clock.now());
+        if confirmed.is_empty() {
+            return;
+        }
+        self.hold_parts(&confirmed, QUARANTINE_TIME);
+        self.send_to_all(&Content::Held(confirmed.clone(), QUARANTINE_TIME));
+        lock(&self.ledger.unstored).extend(confirmed);
+        self.ledger.changed.notify_one();
+    }
+
+    /// Quarantines parts for a time.
+    pub fn hold_parts(&self, parts: &[Part], left: Duration) {
+        let now = self.clock.now();
+        for part in parts {
+            if lock(&self.ledger.quarantine).hold(now, *part, left) {
+                event!(
+                    PartQuarantined,
+                    part:% = format_parts(&[*part]),
+                    left_ms = left.as_millis() as u64
+                );
+            }
+        }
+    }
+
+    /// Quarantines the parts of the stored row.
+    pub fn apply_quarantine(&self, row: &row::Quarantine) {
+        let Some(now_ms) = self.clock.store_ms() else { return };
+        for (part, end_ms) in &row.ends_ms {
+            let left = Duration::from_millis(end_ms.saturating_sub(now_ms));
+            self.hold_parts(&[Part(*part)], left);
+        }
+    }
+
+    fn send_to_all(&self, content: &Content) {
+        let addresses: Vec<SocketAddr> =
+            self.members().values().map(|member| member.address).collect();
+        for address in addresses {
+            self.send(address, content.clone());
+        }
+    }
+}
+
+/// Stores quarantines until the process ends, so that relays that start later know them.
+pub async fn store_changes(shared: Arc<Shared>) {
+    loop {
+        // Quarantines that could not be stored are tried again after the period.
+        let _ = timeout(STORE_RETRY_PERIOD, shared.ledger.changed.notified()).await;
+        let parts = lock(&shared.ledger.unstored).clone();
+        if parts.is_empty() {
+            continue;
+        }
+        match store_parts(&shared, &parts).await {
+            Ok(()) => lock(&shared.ledger.unstored).retain(|part| !parts.contains(part)),
+            Err(error) => event!(PlatformUnreachable, service = "table", error:% = error),
+        }
+    }
+}
+
+async fn store_parts(shared: &Shared, parts: &BTreeSet<Part>) -> Result<(), Error> {
+    let key = key::quarantine();
+    let mut known = shared.table.read(vec![key.clone()]).await?.into_iter().next().flatten();
+    for _ in 0..MAX_STORE_ATTEMPTS {
+        // A row that cannot be decoded is replaced.
+        let mut row: row::Quarantine =
+            known.as_ref().and_then(|row| store::decode(row).ok()).unwrap_or_default();
+        let now_ms = shared.clock.store_ms().unwrap_or_default();
+        row.extend(parts.iter().map(|part| part.0), now_ms, QUARANTINE_TIME, MAX_STORED_PARTS);
+        let version = known.as_ref().map_or(0, |row| row.version);
+        let transaction = Transaction::new()
+            .with_condition(key.clone(), version)
+            .with_write(key.clone(), store::encode(&row)?);
+        match shared.table.commit(transaction).await? {
+            Commit::Done { .. } => return Ok(()),
+            Commit::Conflict { rows } => known = rows.into_iter().next().flatten(),
+        }
+    }
+    Err(Error::Unreachable("the row of the quarantine keeps changing".into()))
+}
+
+fn format_parts(parts: &[Part]) -> String {
+    parts.iter().map(|part| format!("{:016x}", part.0)).collect::<Vec<_>>().join(",")
+}
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -27,7 +27,10 @@
 use cyclamengrade_platform::{Objects, Table};
 use tokio::sync::{Notify, Semaphore, watch};
 
-use crate::{clock::Clock, dialect::Dialect, job::row, origin::Lineage, pool::Pool, slots::Slots};
+use crate::{
+    clock::Clock, dialect::Dialect, job::row, origin::Lineage, pool::Pool, quarantine::Ledger,
+    slots::Slots,
+};
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
 /// held twice: once while it is read and once for sending.
@@ -143,6 +146,8 @@
     store_connected_since: AtomicU64,
     /// Software versions that began recent streams.
     pub lineage: Lineage,
+    /// Parts of prompts that end upstreams.
+    pub ledger: Ledger,
     selector: Mutex<Selector>,
     /// Other relays, by name.
     members: Mutex<BTreeMap<String, Member>>,
@@ -193,6 +198,7 @@
             last_store_contact: AtomicU64::new(0),
             store_connected_since: AtomicU64::new(0),
             lineage: Lineage::default(),
+            ledger: Ledger::default(),
             selector: Mutex::new(Selector::new(data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -204,6 +204,16 @@
     /// `member`, `shard` of upstreams.
     1226 Warn BrokerSilent "broker_silent" "broker did not answer in time",
 
+    /// A request had no event when its upstream crashed, and no request with these parts of its prompt
+    /// was answered recently. Fields: `upstream`, `parts` (hashes of their ids).
+    1227 Warn PartBlamed "part_blamed" "parts of a prompt may have ended an upstream",
+    /// Parts of prompts are blamed for several crashes, and all relays are asked whether they are
+    /// sound. Fields: `parts` (hashes of their ids).
+    1228 Warn PartSuspect "part_suspect" "parts of prompts are suspected of ending upstreams",
+    /// Requests with a part of a prompt are refused for a time. Fields: `part` (hash of its id),
+    /// `left_ms`.
+    1229 Error PartQuarantined "part_quarantined" "part of prompts is quarantined",
+
     /// A batch job was stored. Fields: `job`, `items`, `elapsed_ms`.
     1240 Info JobStored "job_stored" "batch job was stored",
     /// A batch job could not be stored. Fields: `job`, `status`, `error`.
@@ -238,6 +248,9 @@
     /// The text of a batch item was discarded, because no upstream of the software version that began
     /// it can continue it. Fields: `job`, `item`, `events` of the text, `waited_ms`.
     1254 Info ItemRestarted "item_restarted" "batch item starts again",
+    /// A batch item is not run for a time, because a part of its prompt is quarantined. Fields: `job`,
+    /// `item`, `left_ms`.
+    1255 Warn ItemHeld "item_held" "batch item is held",
 
     /// The settings were reloaded on a signal. Fields: `restart_needed` (whether any setting other
     /// than the log level and the shutdown times changed and takes effect only after a restart).
