--- a/components/daemon/tests/batch_run.rs
+++ b/components/daemon/tests/batch_run.rs
@@ -111,6 +111,29 @@
     expect_that!(job.failed, eq(0));
 }
 
+/// Guards against the text of an item that is joined from runs at two versions of the model.
+#[gtest]
+#[tokio::test]
+async fn version_of_text() {
+    let platform = Platform::new();
+    let runner = Scripted::new(|call| match call.version.as_deref() {
+        Some("1") => vec![Step::Tokens(3), Step::Hang],
+        _ => vec![Step::Tokens(5 - call.resume_from), Step::End(Outcome::Done)],
+    });
+    let daemon = platform.daemon("entry-0", runner.clone(), 2).await;
+    let job = platform.submit("k", 2).await;
+    eventually(async || (runner.open() == 2).then_some(())).await;
+    daemon.set_limit(0).await;
+    eventually(async || (runner.open() == 0).then_some(())).await;
+    platform.set_model_version("2");
+    daemon.set_limit(2).await;
+    platform.wait_for_state(&job.id, JobState::Completed).await;
+    let calls = runner.calls.lock().unwrap();
+    let second = calls.iter().filter(|call| call.version.as_deref() == Some("2"));
+    let resumed: Vec<u32> = second.map(|call| call.resume_from).collect();
+    expect_that!(resumed, elements_are![eq(&0), eq(&0)]);
+}
+
 /// A straggler must not delay the results of the other items of its chunk: it is split off without
 /// a restart.
 #[gtest]
--- a/components/daemon/tests/durable/mod.rs
+++ b/components/daemon/tests/durable/mod.rs
@@ -212,6 +212,16 @@
         Self { table: Table::new(), objects: Arc::default(), configuration }
     }
 
+    /// Puts a configuration with another version of the model in force.
+    pub fn set_model_version(&self, version: &str) {
+        let current = self.configuration.borrow().clone();
+        let mut document = Document::clone(&current.document);
+        document.deployments.insert(DEPLOYMENT.into(), Deployment::model("m", version));
+        let revision = current.revision + 1;
+        let next = Configuration { revision, document: Arc::new(document) };
+        self.configuration.send_replace(Arc::new(next));
+    }
+
     pub fn jobs(&self) -> Jobs {
         let (table, objects) = (self.table.clone(), self.objects.clone());
         let configuration = self.configuration.subscribe();
--- a/components/daemon/tests/faults.rs
+++ b/components/daemon/tests/faults.rs
@@ -15,10 +15,13 @@
 use googletest::prelude::*;
 use support::{
     caller::{HANG_TIMEOUT, completion, text, tokens},
-    engine::{Engine, Step, unused_address},
+    engine::{Engine, Request, Step, unused_address},
     node::{Daemon, vms},
 };
-use tokio::time::{sleep, timeout};
+use tokio::{
+    runtime::Handle,
+    time::{sleep, timeout},
+};
 
 const POST: &str = "POST";
 const PATH: &str = "/v1/completions";
@@ -59,6 +62,68 @@
     expect_that!(resumed, contains(eq(&3)));
 }
 
+/// Starts an engine that has loaded one version of the model and answers requests for another one with
+/// 404. It closes the connection after `breaks_after` tokens, if that is given.
+async fn versioned_engine(version: &'static str, breaks_after: Option<u32>) -> Engine {
+    let script = move |request: &Request| {
+        let from = request.resume_from();
+        match (request.json()["version"].as_str(), breaks_after) {
+            (Some(wanted), _) if wanted != version => {
+                vec![Step::Response(404, r#"{"error":"not loaded"}"#)]
+            }
+            (_, Some(count)) => vec![Step::Tokens(from..from + count), Step::Disconnect],
+            (_, None) => vec![Step::Tokens(from..10), Step::Finish(10)],
+        }
+    };
+    let sequence = AtomicUsize::new(1);
+    Engine::start_with(script, move |request| {
+        if request.path != "/v1/load" {
+            return Vec::new();
+        }
+        let number = sequence.fetch_add(1, Ordering::SeqCst);
+        let load = format!(
+            r#"{{"sequence":{number},"age_ms":0,"running":0,"queued":0,"slots":8,
+                "models":["m@{version}"],"leaving":false}}"#
+        );
+        vec![Step::Response(200, load.leak())]
+    })
+    .await
+}
+
+/// Guards against an answer that is joined from two versions of the model: during a rollout, a stream
+/// that breaks off was resumed at any upstream of the deployment.
+#[gtest]
+#[tokio::test]
+async fn resumed_version() {
+    let failing = versioned_engine("1", Some(3)).await;
+    let new = versioned_engine("2", None).await;
+    let old = versioned_engine("1", None).await;
+    let mut settings = support::node::settings();
+    settings.timers.load_poll_ms = 10;
+    let vms = vms("wording-llm", &[failing.address, new.address, old.address]);
+    let daemon = Daemon::start_on(Handle::current(), vms, None, settings).await;
+    daemon.set_model_version("2");
+    for engine in [&failing, &new, &old] {
+        engine.wait_for("GET", "/v1/load").await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    for number in 0..30 {
+        // Different prompts, so that the caches of prefixes do not keep all of them at one engine.
+        let events = daemon.online.complete(completion(&format!("hello {number}"))).await.unwrap();
+        // A stream that cannot be resumed at its version fails; it is not joined.
+        let _ = text(events).await;
+    }
+    let resumed = |engine: &Engine| {
+        let requests = engine.requests(POST, PATH).into_iter();
+        requests.filter(|it| it.resume_from() > 0).collect::<Vec<_>>()
+    };
+    expect_that!(failing.requests(POST, PATH), not(is_empty()));
+    expect_that!(resumed(&old), not(is_empty()));
+    for request in resumed(&new).iter().chain(&resumed(&old)) {
+        expect_that!(request.json()["version"].as_str(), some(eq("1")));
+    }
+}
+
 /// Guards against a truncated completion that is reported as complete. The engine never sends the
 /// final event, however its stream ends.
 #[gtest]
--- a/components/daemon/tests/support/node.rs
+++ b/components/daemon/tests/support/node.rs
@@ -165,6 +165,14 @@
         daemon
     }
 
+    /// Puts a configuration with another version of the model of `wording-llm` in force.
+    pub fn set_model_version(&self, version: &str) {
+        let mut document = document();
+        document.deployments.insert("wording-llm".into(), Deployment::model("m", version));
+        let next = Configuration { revision: 2, document: Arc::new(document) };
+        self._senders.0.send_replace(Arc::new(next));
+    }
+
     /// Waits until the actor knows the upstreams, and reports each of them as ready.
     async fn make_upstreams_ready(&self) {
         let vms = self.fleet.borrow().clone();
