Resume the daemon's answers only at the version of the model that began them

During a rollout a caller could get an answer whose tokens two versions of the model had written, and so could the result of a batch item.

An attempt now always names a version, the specified one or the one that its upstream reported; the attempts after the first token name the version of that token, and a reopened stream its own. The text of an item is discarded when a run asks for another version than the one that began it.

--- a/components/daemon/src/batch/dispatcher.rs
+++ b/components/daemon/src/batch/dispatcher.rs
@@ -284,14 +284,16 @@
         let vm = fleet.iter().find(|vm| vm.name == run.upstream)?;
         let document = self.dependencies.configuration.borrow().document.clone();
         let deployment = document.deployments.get(&run.deployment)?;
-        let (item, (tokens, text)) = self.items.start_run(&run.job, run.item, run.discard_text)?;
+        let version = deployment.version.clone();
+        let (item, (tokens, text)) =
+            self.items.start_run(&run.job, run.item, version.as_deref(), run.discard_text)?;
         let epoch = self.dependencies.lease.borrow().epoch.unwrap_or_default();
         let call = Call {
             upstream: run.upstream.clone(),
             address: vm.address,
             deployment: run.deployment.clone(),
             model: deployment.model.clone().unwrap_or_default(),
-            version: deployment.version.clone(),
+            version,
             prompt: item.prompt,
             max_tokens: item.max_tokens,
             resume_from: tokens,
--- a/components/daemon/src/batch/items.rs
+++ b/components/daemon/src/batch/items.rs
@@ -9,6 +9,8 @@
     item: Item,
     /// Number of tokens and text that earlier runs received.
     received: (u32, String),
+    /// Version of the model that was requested from the run that began the text.
+    version: Option<String>,
     /// Present once the item has succeeded or failed.
     result: Option<ItemResult>,
 }
@@ -24,22 +26,26 @@
     /// Adds an item unless it is already present.
     pub fn insert(&mut self, job: &str, index: u32, item: Item) {
         let entries = self.jobs.entry(job.to_owned()).or_default();
-        entries.entry(index).or_insert(Entry { item, received: (0, String::new()), result: None });
+        let entry = Entry { item, received: (0, String::new()), version: None, result: None };
+        entries.entry(index).or_insert(entry);
     }
 
     /// Returns an item for its next run, with the number of tokens and the text that earlier runs
     /// received.
     ///
-    /// With `discard_text`, that text is discarded first, so that the run starts from the prompt.
+    /// With `discard_text`, or if the run requests another version of the model than the one that began
+    /// the text, the text is discarded first, so that the run starts from the prompt.
     pub fn start_run(
         &mut self,
         job: &str,
         index: u32,
+        version: Option<&str>,
         discard_text: bool,
     ) -> Option<(Item, (u32, String))> {
         let entry = self.entry(job, index)?;
-        if discard_text {
+        if discard_text || entry.version.as_deref() != version {
             entry.received = (0, String::new());
+            entry.version = version.map(str::to_owned);
         }
         Some((entry.item.clone(), entry.received.clone()))
     }
@@ -74,6 +80,7 @@
         let entry = entries.entry(index).or_insert_with(|| Entry {
             item: placeholder(),
             received: (0, String::new()),
+            version: None,
             result: None,
         });
         let id = entry.item.id.clone();
--- a/components/daemon/src/online/attempt.rs
+++ b/components/daemon/src/online/attempt.rs
@@ -25,6 +25,8 @@
 /// Attempt that runs at one upstream.
 pub(super) struct Attempt {
     pub(super) dispatch: Dispatch,
+    /// Version of the model that was requested; `None` if any may answer.
+    pub(super) version: Option<String>,
     stream_id: String,
     state: State,
     span: Span,
@@ -97,16 +99,17 @@
 
     /// Starts an attempt whose first token is the one with the index `resume_from`.
     pub(super) fn start(&mut self, dispatch: Dispatch, version: Option<String>, resume_from: u32) {
-        self.request.version = version;
         let stream_id = format!("{:016x}-{:x}", self.process_nonce, dispatch.id.0);
         let mut span = self.span.child("attempt");
         if span.is_sampled() {
             span.set("upstream", dispatch.upstream.clone());
         }
-        let state =
-            self.open_stream(&dispatch, &stream_id, &span, resume_from, self.new_connections);
+        let body =
+            wire::Completion { version: version.clone(), resume_from, ..self.request.clone() };
+        let state = self.open_stream(&dispatch, &stream_id, &span, body, self.new_connections);
         self.in_flight.push(Attempt {
             dispatch,
+            version,
             stream_id,
             state,
             span,
@@ -121,13 +124,10 @@
     pub(super) fn reopen(&mut self, index: usize, resume_from: u32) {
         let attempt = &self.in_flight[index];
         self.client.close_idle(attempt.dispatch.address);
-        let state = self.open_stream(
-            &attempt.dispatch,
-            &attempt.stream_id,
-            &attempt.span,
-            resume_from,
-            true,
-        );
+        let version = attempt.version.clone();
+        let body = wire::Completion { version, resume_from, ..self.request.clone() };
+        let state =
+            self.open_stream(&attempt.dispatch, &attempt.stream_id, &attempt.span, body, true);
         self.in_flight[index].state = state;
     }
 
@@ -136,12 +136,11 @@
         dispatch: &Dispatch,
         stream_id: &str,
         span: &Span,
-        resume_from: u32,
+        body: wire::Completion,
         new_connection: bool,
     ) -> State {
         let client = self.client.clone();
         let address = dispatch.address;
-        let body = wire::Completion { resume_from, ..self.request.clone() };
         let stream_id = stream_id.to_owned();
         let traceparent = span.traceparent();
         State::Opening(Box::pin(async move {
--- a/components/daemon/src/online/completion.rs
+++ b/components/daemon/src/online/completion.rs
@@ -66,6 +66,8 @@
 pub(super) struct State {
     /// Number of tokens delivered to the caller; also the index of the next one.
     delivered_tokens: u32,
+    /// Version of the model that was requested from the attempt with the first token.
+    version: Option<String>,
     /// Whether an attempt ran or may have run.
     may_have_run: bool,
     /// Text of the delivered tokens; only kept for requests with a claim.
@@ -238,7 +240,11 @@
             }
         }
         self.meter.record_attempt(self.attempts.in_flight().len(), self.state.delivered_tokens);
-        let version = self.shared.required_version(&self.deployment, &dispatch.upstream);
+        // What two versions of a model write does not fit together.
+        let version = match self.state.delivered_tokens {
+            0 => self.shared.required_version(&self.deployment, &dispatch.upstream),
+            _ => self.state.version.clone(),
+        };
         self.attempts.start(dispatch, version, self.state.delivered_tokens);
         Continue(())
     }
@@ -285,6 +291,9 @@
         let count = u32::try_from(count).unwrap_or(u32::MAX);
         let period = self.shared.token_report_period();
         let attempt = self.attempts.get_mut(index);
+        if self.state.delivered_tokens == 0 {
+            self.state.version.clone_from(&attempt.version);
+        }
         attempt.silences = 0;
         attempt.last_progress = now;
         let report = match &mut attempt.samples {
--- a/components/daemon/src/online/mod.rs
+++ b/components/daemon/src/online/mod.rs
@@ -336,15 +336,11 @@
         })
     }
 
-    /// Returns the model version to request from an upstream: the one that the deployment
-    /// specifies, or `None` while the upstream has only another one.
+    /// Returns the model version to request from an upstream; `None` while the versions that it has are
+    /// not known.
     fn required_version(&self, deployment: &str, upstream: &str) -> Option<String> {
         let document = Arc::clone(&self.node.configuration.borrow().document);
-        let deployment = document.deployments.get(deployment)?;
-        deployment
-            .version
-            .clone()
-            .filter(|_| self.models.has_specified_version(upstream, deployment))
+        self.models.version(upstream, document.deployments.get(deployment)?)
     }
 
     /// Returns the time between two token reports of one attempt, which grows with the number of
--- a/components/daemon/src/online/poller.rs
+++ b/components/daemon/src/online/poller.rs
@@ -45,11 +45,21 @@
         self.by_vm.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Returns whether an upstream reported the version and the adapters that the deployment
-    /// specifies.
-    pub(super) fn has_specified_version(&self, upstream: &str, deployment: &Deployment) -> bool {
+    /// Returns the version of the deployment's model that an upstream is to answer with: the
+    /// specified one if the upstream reported it and the adapters, else the first that it reported.
+    /// Returns `None` if it has reported none.
+    pub(super) fn version(&self, upstream: &str, deployment: &Deployment) -> Option<String> {
         let by_vm = self.by_vm.read().unwrap_or_else(PoisonError::into_inner);
-        by_vm.get(upstream).is_some_and(|models| has_specified_version(models, deployment))
+        let models = by_vm.get(upstream)?;
+        if has_specified_version(models, deployment) {
+            return deployment.version.clone();
+        }
+        let model = deployment.model.as_deref()?;
+        let versions = models.iter().filter_map(|entry| {
+            let (name, version) = entry.split('+').next()?.split_once('@')?;
+            (name == model).then(|| version.to_owned())
+        });
+        versions.into_iter().next()
     }
 
     /// Records the models of an upstream and returns whether it may serve its deployment.
