Keep the text of a waiting item while upstreams of its version accept work

A text is now discarded only when no upstream of its version accepts work and others do.

Measured: relay_versions::waiting_text failed before (the second run began from the start) and passes.

--- a/components/control/src/relay/priority.rs
+++ b/components/control/src/relay/priority.rs
@@ -46,11 +46,6 @@
         }
     }
 
-    /// Returns the expected time in which an item produces `events` again.
-    pub fn repetition(&self, events: u64) -> Duration {
-        self.event_interval.mul_f64(events as f64)
-    }
-
     /// Returns the expected time until an item that has produced `events` is complete.
     pub fn remaining(&self, events: u64) -> Duration {
         self.event_interval.mul_f64((self.events - events as f64).max(0.0))
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -7,15 +7,12 @@
     time::Duration,
 };
 
-use cyclamengrade_control::{
-    relay::{
-        broker::{Ticket, Urgency},
-        job::RunFailure,
-        origin::Software,
-        priority::{Estimate, Priority},
-        route::Route,
-    },
-    time::Time,
+use cyclamengrade_control::relay::{
+    broker::{Ticket, Urgency},
+    job::RunFailure,
+    origin::Software,
+    priority::{Estimate, Priority},
+    route::Route,
 };
 use cyclamengrade_telemetry::{event, metrics::RELAY_ITEMS};
 use metrics::counter;
@@ -54,8 +51,6 @@
     ticket: Ticket,
     /// Software that the item's text needs.
     software: Option<Software>,
-    /// When the item began to wait.
-    since: Time,
 }
 
 /// Runs the items of the jobs that this relay owns.
@@ -247,7 +242,6 @@
 
     /// Requests slots for the waiting items, and starts those whose slots were granted.
     fn start_items(self: &Arc<Self>) {
-        let now = self.shared.clock.now();
         let waiting = self.waiting_items();
         let mut former = std::mem::take(&mut *lock(&self.wants));
         for (priority, id, item) in waiting {
@@ -255,8 +249,7 @@
             let key = (id, item);
             let pending = former.remove(&key);
             let ticket = pending.map(|pending| pending.ticket);
-            let since = pending.map_or(now, |pending| pending.since);
-            let software = self.check_text(&key.0, item, now.since(since));
+            let software = self.check_text(&key.0, item);
             if let Some(upstream) = ticket.and_then(|ticket| self.shared.take_granted(ticket)) {
                 let flight = ticket.and_then(|ticket| self.shared.acquire_batch(ticket, upstream));
                 if let Some(flight) = flight.filter(|flight| flight.suits(software)) {
@@ -277,7 +270,7 @@
                 }
             };
             if let Some(ticket) = ticket {
-                lock(&self.wants).insert(key, Pending { ticket, software, since });
+                lock(&self.wants).insert(key, Pending { ticket, software });
             }
         }
         for pending in former.into_values() {
@@ -286,30 +279,26 @@
     }
 
     /// Returns the software that is needed to continue the text of an item, if it has one. Discards
-    /// the text if no upstream can continue it and others could begin it again, or if the item has
-    /// waited for as long as it takes to produce the text again.
-    fn check_text(&self, id: &str, item: usize, waited: Duration) -> Option<Software> {
+    /// the text if no upstream can continue it and others could begin it again.
+    fn check_text(&self, id: &str, item: usize) -> Option<Software> {
         let mut jobs = self.jobs();
         let owned = jobs.get_mut(id)?;
         let software = owned.software(item)?;
         let Some(route) = self.route(&owned.job.row) else { return Some(software) };
-        let events = owned.events(item);
-        let can_continue = self.shared.deployment(&route, Some(software)).is_some();
-        let can_restart = {
+        let can_run = |software| {
             let selector = self.shared.selector();
-            route.deployments().any(|deployment| selector.accepts(deployment, None))
+            route.deployments().any(|deployment| selector.accepts(deployment, software))
         };
-        let is_patient = waited < lock(&self.estimate).repetition(events);
-        if !can_restart || (can_continue && is_patient) {
+        if can_run(Some(software)) || !can_run(None) {
             return Some(software);
         }
+        let events = owned.events(item);
         owned.transcripts.remove(&item);
         event!(
             ItemRestarted,
             job:% = id,
             item:% = owned.items[item].id,
-            events = events,
-            waited_ms = waited.as_millis() as u64
+            events = events
         );
         None
     }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -246,7 +246,7 @@
     /// `job`, `route`, `tokens` of the job, `waiting` tokens of the route, `decision`.
     1253 Info JobOverLimit "job_over_limit" "batch job exceeds the limit on waiting tokens",
     /// The text of a batch item was discarded, because no upstream of the software version that began
-    /// it can continue it. Fields: `job`, `item`, `events` of the text, `waited_ms`.
+    /// it can continue it. Fields: `job`, `item`, `events` of the text.
     1254 Info ItemRestarted "item_restarted" "batch item starts again",
     /// A batch item is not run for a time, because a part of its prompt is quarantined. Fields: `job`,
     /// `item`, `left_ms`.
--- a/tests/relay_versions.rs
+++ b/tests/relay_versions.rs
@@ -187,3 +187,29 @@
     expect_that!(Harness::complete_items(&results, LONG).len(), eq(1));
     verify_that!(resumed_after(&other), elements_are![none()])
 }
+
+/// Guards against discarding the text of an item that waits for a slot while only one version serves.
+#[gtest]
+#[tokio::test]
+async fn waiting_text() -> Result<()> {
+    let (harness, ..) = start(1, 400).await?;
+    let (job, status) = harness.submit(0, "j-1", 1, 390).await?;
+    expect_that!(status, eq(202));
+    await_run(&harness, &harness.runners[0]).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // These streams take all slots for longer than the item has run.
+    let streams = (0..9).map(|number| {
+        let call = harness.call(0, "stream", &format!("s-{number}"));
+        let call = call.with_header("token-counts", "10,250");
+        tokio::spawn(async move { cyclamengrade_standins::client::Client::new().send(call).await })
+    });
+    for stream in streams.collect::<Vec<_>>() {
+        // The ninth may be refused.
+        let _ = stream.await?;
+    }
+    let results = harness.await_results(0, &job).await?;
+    expect_that!(Harness::complete_items(&results, 390).len(), eq(1));
+    let runs = harness.runners[0].runs().into_iter().filter(|run| run.id == job.items[0]);
+    let after: Vec<Option<u64>> = runs.map(|run| run.after).collect();
+    verify_that!(after, elements_are![none(), some(gt(&10))])
+}
