--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -30,11 +30,8 @@
 /// Longest time between two checks of the broker otherwise.
 const IDLE_TICK: Duration = Duration::from_millis(250);
 
-/// Tells the brokers and monitors the state of this relay regularly, until the process ends. Tells
-/// all relays at once when this relay begins to leave, so that they choose other brokers.
+/// Tells the brokers and monitors the state of this relay regularly, until the process ends.
 pub async fn report(shared: Arc<Shared>) {
-    let mut phase = shared.phase.subscribe();
-    let mut has_announced = false;
     loop {
         let mut syncs = shared.syncs(None);
         let now = shared.clock.now();
@@ -47,19 +44,10 @@
             // A former broker learns that this relay holds nothing there any more.
             syncs.entry(former).or_default();
         }
-        if !has_announced && *shared.phase.borrow() >= Phase::Leaving {
-            has_announced = true;
-            shared.forget_broker(&shared.name);
-            for (name, member) in shared.members().iter() {
-                syncs.entry(member.address).or_insert((name.clone(), Sync::default()));
-            }
-        }
         let monitors: BTreeSet<SocketAddr> =
             monitors.into_iter().map(|(_, address)| address).collect();
         send(&shared, syncs, &monitors);
-        let leaving = phase.wait_for(|phase| *phase >= Phase::Leaving && !has_announced);
-        // Ends early when this relay begins to leave.
-        let _ = timeout(REPORT_PERIOD, leaving).await;
+        sleep(REPORT_PERIOD).await;
     }
 }
 
@@ -202,11 +190,8 @@
         }
         let was_leaving = member.health.is_leaving();
         let is_new = member.health.record_status(status, now);
-        let has_left = member.health.is_leaving() && !was_leaving;
-        drop(members);
-        if has_left {
+        if member.health.is_leaving() && !was_leaving {
             event!(MemberLeaving, member:% = status.name);
-            self.shared.forget_broker(&status.name);
         }
         is_new
     }
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -24,7 +24,7 @@
     time::timeout,
 };
 
-use crate::shared::{Phase, Shared, lock};
+use crate::shared::{Shared, lock};
 
 /// Time within which a broker answers. Several times a round trip between data centres, and a
 /// fraction of the latency objectives.
@@ -410,23 +410,6 @@
         broker
     }
 
-    /// Forgets that a relay was chosen as a broker, so that the next request chooses again.
-    pub fn forget_broker(&self, name: &str) {
-        let mut state = self.slots.state();
-        let shards: Vec<u32> = state
-            .brokers
-            .iter()
-            .filter(|(_, broker)| broker.name == name)
-            .map(|(shard, _)| *shard)
-            .collect();
-        for shard in &shards {
-            state.brokers.remove(shard);
-        }
-        state.dirty.extend(shards);
-        drop(state);
-        self.slots.dirty.notify_one();
-    }
-
     /// Returns the relays, with their addresses, that serve a key for all others.
     pub fn servers(&self, key: &str, count: usize, now: Time) -> Vec<(String, SocketAddr)> {
         let seen = self.last_news();
@@ -435,15 +418,13 @@
             members.iter().filter(|(_, member)| member.health.is_responsive(now, seen));
         let own =
             Candidate { name: &self.name, capacity: self.capacity(), joined_ms: self.joined_ms() };
-        // The others no longer choose a relay that is leaving.
-        let own = (*self.phase.borrow() < Phase::Leaving).then_some(own);
         let candidates: Vec<Candidate<'_>> = responsive
             .map(|(name, member)| Candidate {
                 name,
                 capacity: member.capacity,
                 joined_ms: member.joined_ms,
             })
-            .chain(own)
+            .chain([own])
             .collect();
         let now_ms = self.clock.store_ms().unwrap_or(0);
         let address =
