Name the caches of origins and the records of the quarantine by what they hold

Names only: origin::Cache and Shared::origins for Lineage, Shared::quarantine for the ledger. The tests of relay_versions and relay_quarantine pass.

--- a/components/relay/src/origin.rs
+++ b/components/relay/src/origin.rs
@@ -66,7 +66,7 @@
 
 /// Origins that this relay keeps, and its queries for those of others.
 #[derive(Default)]
-pub struct Lineage {
+pub struct Cache {
     /// Origins of the streams that this relay began or continued.
     own: Mutex<Origins>,
     /// Origins that other relays asked it to keep.
@@ -74,7 +74,7 @@
     queries: Mutex<BTreeMap<Stream, Vec<UnboundedSender<Answer>>>>,
 }
 
-impl Lineage {
+impl Cache {
     fn queries(&self) -> MutexGuard<'_, BTreeMap<Stream, Vec<UnboundedSender<Answer>>>> {
         lock(&self.queries)
     }
@@ -106,7 +106,7 @@
 
 impl<'a> Query<'a> {
     fn new(shared: &'a Shared, stream: Stream) -> Self {
-        Self { shared, stream, answers: shared.lineage.open_query(stream) }
+        Self { shared, stream, answers: shared.origins.open_query(stream) }
     }
 
     /// Asks other relays, and asks those again that do not answer in time. Returns the first origin
@@ -133,7 +133,7 @@
 impl Drop for Query<'_> {
     fn drop(&mut self) {
         self.answers.close();
-        self.shared.lineage.close_queries(self.stream);
+        self.shared.origins.close_queries(self.stream);
     }
 }
 
@@ -142,7 +142,7 @@
     /// upstreams have several versions. A caller may continue the stream during `lifetime`.
     pub fn record_origin(&self, stream: Stream, upstream: &Upstream, lifetime: Duration) {
         let software = upstream.software();
-        lock(&self.lineage.own).record(self.clock.now(), stream, software, lifetime);
+        lock(&self.origins.own).record(self.clock.now(), stream, software, lifetime);
         let is_sole = self.selector().sole_software(&upstream.deployment).is_some();
         if !is_sole {
             self.send_origin(Origin { stream, software, lifetime });
@@ -152,7 +152,7 @@
     /// Tells other relays the origins of this relay's recent streams, after a version has appeared.
     pub fn publish_origins(&self) {
         let now = self.clock.now();
-        let alive: Vec<_> = lock(&self.lineage.own).alive(now).collect();
+        let alive: Vec<_> = lock(&self.origins.own).alive(now).collect();
         for (stream, software, lifetime) in alive {
             self.send_origin(Origin { stream, software, lifetime });
         }
@@ -181,19 +181,19 @@
     /// Keeps the origin of a stream for the other relays.
     pub fn keep_origin(&self, origin: Origin) {
         let Origin { stream, software, lifetime } = origin;
-        lock(&self.lineage.kept).record(self.clock.now(), stream, software, lifetime);
+        lock(&self.origins.kept).record(self.clock.now(), stream, software, lifetime);
     }
 
     /// Returns the origin of a stream that this relay knows.
     pub fn known_origin(&self, stream: Stream) -> Option<Software> {
         let now = self.clock.now();
-        let own = lock(&self.lineage.own).find(now, stream);
-        own.or_else(|| lock(&self.lineage.kept).find(now, stream))
+        let own = lock(&self.origins.own).find(now, stream);
+        own.or_else(|| lock(&self.origins.kept).find(now, stream))
     }
 
     /// Handles the answer of another relay to a query.
     pub fn handle_found(&self, from: SocketAddr, stream: Stream, software: Option<Software>) {
-        let queries = self.lineage.queries();
+        let queries = self.origins.queries();
         for sender in queries.get(&stream).into_iter().flatten() {
             // Fails only if the query has ended.
             let _ = sender.send(Answer { from, software });
--- a/components/relay/src/quarantine.rs
+++ b/components/relay/src/quarantine.rs
@@ -43,7 +43,7 @@
 /// What this relay knows of parts that end upstreams.
 #[derive(Default)]
 pub struct Ledger {
-    quarantine: Mutex<Quarantine>,
+    parts: Mutex<Quarantine>,
     /// Blames that this relay collects.
     suspicions: Mutex<Suspicions>,
     /// Quarantined parts that are to be stored.
@@ -59,13 +59,13 @@
 
     /// Returns the time for which requests with one of these parts are refused.
     pub fn quarantine_left(&self, parts: &[Part]) -> Option<Duration> {
-        lock(&self.ledger.quarantine).left(self.clock.now(), parts)
+        lock(&self.quarantine.parts).left(self.clock.now(), parts)
     }
 
     /// Records that an upstream began to answer a request with these parts.
     pub fn record_answered_parts(&self, parts: &[Part]) {
         if !parts.is_empty() {
-            lock(&self.ledger.quarantine).record_answer(self.clock.now(), parts);
+            lock(&self.quarantine.parts).record_answer(self.clock.now(), parts);
         }
     }
 
@@ -73,7 +73,7 @@
     /// broke off without an event, the upstream refuses new connections, and no request with the
     /// parts was answered recently.
     pub fn report_crash(self: &Arc<Self>, key: Key, upstream: &Upstream, parts: &[Part]) {
-        let suspects = lock(&self.ledger.quarantine).suspects(self.clock.now(), parts);
+        let suspects = lock(&self.quarantine.parts).suspects(self.clock.now(), parts);
         if suspects.is_empty() {
             return;
         }
@@ -94,7 +94,7 @@
 
     /// Handles a blame that another relay, or this one, reports.
     pub fn handle_blame(&self, upstream: u32, parts: &[Part]) {
-        let query = lock(&self.ledger.suspicions).blame(self.clock.now(), upstream, parts);
+        let query = lock(&self.quarantine.suspicions).blame(self.clock.now(), upstream, parts);
         if let Some(query) = query {
             event!(PartSuspect, parts:% = format_parts(&query.parts));
             self.handle_sound(&self.answer_query(&query));
@@ -104,31 +104,31 @@
 
     /// Returns the queried parts with which this relay has had requests answered.
     pub fn answer_query(&self, query: &Query) -> Vec<Part> {
-        lock(&self.ledger.quarantine).sound_parts(self.clock.now(), query)
+        lock(&self.quarantine.parts).sound_parts(self.clock.now(), query)
     }
 
     /// Records that parts are sound.
     pub fn handle_sound(&self, parts: &[Part]) {
-        lock(&self.ledger.suspicions).clear(parts);
+        lock(&self.quarantine.suspicions).clear(parts);
     }
 
     /// Quarantines the parts that are still suspect after all relays could say that they are sound.
     pub fn confirm_suspects(&self) {
-        let confirmed = lock(&self.ledger.suspicions).take_confirmed(self.clock.now());
+        let confirmed = lock(&self.quarantine.suspicions).take_confirmed(self.clock.now());
         if confirmed.is_empty() {
             return;
         }
         self.hold_parts(&confirmed, QUARANTINE_TIME);
         self.send_to_all(&Content::Held(confirmed.clone(), QUARANTINE_TIME));
-        lock(&self.ledger.unstored).extend(confirmed);
-        self.ledger.changed.notify_one();
+        lock(&self.quarantine.unstored).extend(confirmed);
+        self.quarantine.changed.notify_one();
     }
 
     /// Quarantines parts for a time.
     pub fn hold_parts(&self, parts: &[Part], left: Duration) {
         let now = self.clock.now();
         for part in parts {
-            if lock(&self.ledger.quarantine).hold(now, *part, left) {
+            if lock(&self.quarantine.parts).hold(now, *part, left) {
                 event!(
                     PartQuarantined,
                     part:% = format_parts(&[*part]),
@@ -160,13 +160,13 @@
 pub async fn store_changes(shared: Arc<Shared>) {
     loop {
         // Quarantines that could not be stored are tried again after the period.
-        let _ = timeout(STORE_RETRY_PERIOD, shared.ledger.changed.notified()).await;
-        let parts = lock(&shared.ledger.unstored).clone();
+        let _ = timeout(STORE_RETRY_PERIOD, shared.quarantine.changed.notified()).await;
+        let parts = lock(&shared.quarantine.unstored).clone();
         if parts.is_empty() {
             continue;
         }
         match store_parts(&shared, &parts).await {
-            Ok(()) => lock(&shared.ledger.unstored).retain(|part| !parts.contains(part)),
+            Ok(()) => lock(&shared.quarantine.unstored).retain(|part| !parts.contains(part)),
             Err(error) => event!(PlatformUnreachable, service = "table", error:% = error),
         }
     }
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -28,7 +28,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::{
-    clock::Clock, dialect::Dialect, job::row, origin::Lineage, pool::Pool, quarantine::Ledger,
+    clock::Clock, dialect::Dialect, job::row, origin::Cache, pool::Pool, quarantine::Ledger,
     slots::Slots,
 };
 
@@ -145,9 +145,9 @@
     /// Time of the first answer of the store after its last outage, on the same clock.
     store_connected_since: AtomicU64,
     /// Software versions that began recent streams.
-    pub lineage: Lineage,
+    pub origins: Cache,
     /// Parts of prompts that end upstreams.
-    pub ledger: Ledger,
+    pub quarantine: Ledger,
     selector: Mutex<Selector>,
     /// Other relays, by name.
     members: Mutex<BTreeMap<String, Member>>,
@@ -197,8 +197,8 @@
             readiness: watch::Sender::new(Readiness::default()),
             last_store_contact: AtomicU64::new(0),
             store_connected_since: AtomicU64::new(0),
-            lineage: Lineage::default(),
-            ledger: Ledger::default(),
+            origins: Cache::default(),
+            quarantine: Ledger::default(),
             selector: Mutex::new(Selector::new(data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
