--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -186,8 +186,7 @@
         version: &str,
         data_centre: &str,
     ) -> Result<Runner, Error> {
-        let mut runner = Runner::start(self.host, id).await?;
-        (runner.version, runner.data_centre) = (version.into(), data_centre.into());
+        let runner = Runner::start_version(self.host, id, version, data_centre).await?;
         self.runners.push(runner.clone());
         Ok(runner)
     }
@@ -245,6 +244,40 @@
         Ok(())
     }
 
+    /// Stops a relay with SIGSTOP, as if its vm were suspended.
+    ///
+    /// # Errors
+    ///
+    /// The signal cannot be sent.
+    pub fn pause_relay(&self, number: usize) -> Result<(), Error> {
+        if let Some(process) = &self.relays[number].process {
+            process.pause()?;
+        }
+        Ok(())
+    }
+
+    /// Lets a relay that was stopped with SIGSTOP go on.
+    ///
+    /// # Errors
+    ///
+    /// The signal cannot be sent.
+    pub fn resume_relay(&self, number: usize) -> Result<(), Error> {
+        if let Some(process) = &self.relays[number].process {
+            process.resume()?;
+        }
+        Ok(())
+    }
+
+    /// Whether the process of a relay runs.
+    ///
+    /// # Errors
+    ///
+    /// The state of the process cannot be read.
+    pub fn is_running(&mut self, number: usize) -> Result<bool, Error> {
+        let Some(process) = &mut self.relays[number].process else { return Ok(false) };
+        Ok(process.status()?.is_none())
+    }
+
     /// Sends SIGTERM to a relay, which starts its graceful shutdown.
     ///
     /// # Errors
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -75,9 +75,9 @@
     pub id: String,
     pub address: SocketAddr,
     /// Version of its software.
-    pub version: String,
+    version: String,
     /// Data centre that its entry states.
-    pub data_centre: String,
+    data_centre: String,
     state: Arc<Mutex<State>>,
     /// Number of crashes so far. A crash closes all connections.
     crashed: watch::Sender<usize>,
@@ -86,13 +86,24 @@
 impl Runner {
     /// Starts a runner that listens on a free port of `host`.
     pub async fn start(host: IpAddr, id: &str) -> io::Result<Self> {
+        Self::start_version(host, id, "v1", "a").await
+    }
+
+    /// Starts a runner with a version of the software, whose entry states a data centre. Events of
+    /// other versions than v1 have the version as their type.
+    pub async fn start_version(
+        host: IpAddr,
+        id: &str,
+        version: &str,
+        data_centre: &str,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((host, 0)).await?;
         let address = listener.local_addr()?;
         let runner = Self {
             id: id.to_owned(),
             address,
-            version: "v1".into(),
-            data_centre: "a".into(),
+            version: version.into(),
+            data_centre: data_centre.into(),
             state: Arc::default(),
             crashed: watch::Sender::new(0),
         };
@@ -119,6 +130,12 @@
         self.state().fatal_part = Some(part.to_owned());
     }
 
+    /// Crashes at once: closes all connections, refuses new ones for a second, and serves again.
+    pub fn crash(&self) {
+        self.state().crashes.push(Instant::now());
+        self.crashed.send_modify(|count| *count += 1);
+    }
+
     /// Returns the times of the crashes.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state().crashes.clone()
@@ -205,8 +222,7 @@
         });
         if self.is_fatal(request) {
             sleep(CRASH_DELAY).await;
-            self.state().crashes.push(Instant::now());
-            self.crashed.send_modify(|count| *count += 1);
+            self.crash();
             return Ok(false);
         }
         let id = if fault == Some(Fault::WrongId) { "another" } else { id };
@@ -271,7 +287,11 @@
         stream.write_all(head.as_bytes()).await?;
         for event in first..=events {
             sleep(EVENT_INTERVAL).await;
-            let text = format!("id: {event}\ndata: piece {event}\n\n");
+            let kind = match self.version.as_str() {
+                "v1" => String::new(),
+                version => format!("event: {version}\n"),
+            };
+            let text = format!("{kind}id: {event}\ndata: piece {event}\n\n");
             if let Some(Fault::CutAfter(count)) = fault
                 && event >= first + count
             {
--- a/components/standins/src/client.rs
+++ b/components/standins/src/client.rs
@@ -138,16 +138,22 @@
 impl Events {
     /// Returns the data of the next event, or `None` at the end of the response.
     pub async fn next(&mut self) -> Result<Option<String>, Error> {
+        while let Some(event) = self.next_event().await? {
+            let data = event.lines().filter_map(|line| line.strip_prefix("data:"));
+            let data: Vec<_> = data.map(str::trim_start).collect();
+            if !data.is_empty() {
+                return Ok(Some(data.join("\n")));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the text of the next event, or `None` at the end of the response.
+    pub async fn next_event(&mut self) -> Result<Option<String>, Error> {
         loop {
             if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
                 let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
-                let event = String::from_utf8_lossy(&event);
-                let data = event.lines().filter_map(|line| line.strip_prefix("data:"));
-                let data: Vec<_> = data.map(str::trim_start).collect();
-                if data.is_empty() {
-                    continue;
-                }
-                return Ok(Some(data.join("\n")));
+                return Ok(Some(String::from_utf8_lossy(&event).into_owned()));
             }
             match timeout_at(self.deadline, self.body.frame()).await {
                 Err(_) => return Err(Error::TimedOut(self.timeout)),
