Let no new stream overtake one that is continued

A request that continues a stream goes first among the waiting ones, but a new stream whose relay had a connection to the free upstream could overtake it while it had more than half of its time left: up to two seconds for a request with four, longer than its caller waits in the middle of a stream.

relay_broker::continued_first, with a connected new stream, failed before and passes; the other tests of the broker and its model pass.

--- a/components/control/src/relay/broker/placement.rs
+++ b/components/control/src/relay/broker/placement.rs
@@ -29,7 +29,7 @@
     /// Returns the next waiting online request that gets a free slot.
     ///
     /// A request whose relay has a connection to the upstream may overtake earlier ones while the
-    /// first of them has more than half of its time left.
+    /// first of them has more than half of its time left, but none that continues a stream.
     pub(super) fn next_grant(&self, now: Time, shard: u32) -> Option<(Holder, Ticket, u32)> {
         let queue = self.queues.get(&shard)?;
         let mut first = None;
@@ -41,7 +41,8 @@
                 continue;
             };
             let grant = (holder, waiting.ask.ticket, upstream);
-            let may_wait = now.since(waiting.since) * 2 < waiting.start_by.since(waiting.since);
+            let may_wait = waiting.ask.software.is_none()
+                && now.since(waiting.since) * 2 < waiting.start_by.since(waiting.since);
             if waiting.ask.connected.contains(&upstream) || (first.is_none() && !may_wait) {
                 return Some(grant);
             }
--- a/components/control/tests/relay_broker.rs
+++ b/components/control/tests/relay_broker.rs
@@ -304,8 +304,13 @@
     let start_within = Duration::from_secs(3);
     let continued = Ask { software: Some(V1), start_within, ..ask(51) };
     broker.ask(NOW, Holder(2), continued);
+    // A connection to the upstream does not let a new stream overtake.
+    let connected = Ask { connected: [0, 1].into(), ..ask(52) };
+    broker.ask(NOW, Holder(3), connected);
     let outgoing = broker.release(NOW, Holder(1), &at_first[..1]);
     expect_that!(granted(&outgoing, Holder(2)), elements_are![(eq(&Ticket(51)), lt(&2))]);
+    expect_that!(granted(&outgoing, Holder(3)), is_empty());
+    broker.release(NOW, Holder(3), &[Ticket(52)]);
     let outgoing = broker.release(NOW, Holder(1), &at_first[1..2]);
     expect_that!(granted(&outgoing, Holder(2)), elements_are![(eq(&Ticket(50)), lt(&2))]);
 }
