Wait for the log line in the test of the limit on waiting tokens

Relays write log lines from a thread of their own, so that requests never wait for the log; a line may follow the response it tells of. The test now waits for the line and checks the same of it.

--- a/tests/relay_limits.rs
+++ b/tests/relay_limits.rs
@@ -42,7 +42,13 @@
     let retry_after = reply.headers.get("retry-after").and_then(|value| value.to_str().ok());
     let seconds = retry_after.and_then(|value| value.parse::<f64>().ok());
     expect_that!(seconds, some(all![ge(0.5), le(4.0)]));
-    let over = harness.events(1, "job_over_limit");
+    // The relay writes its log lines after the response.
+    let over = harness
+        .eventually("the log line of the refusal", async || {
+            let lines = harness.events(1, "job_over_limit");
+            (!lines.is_empty()).then_some(lines)
+        })
+        .await?;
     expect_that!(over[0]["waiting"], eq(&json!(4_000)));
     expect_that!(over[0]["tokens"], eq(&json!(4_000)));
     // The same job again, at both relays.
