Log the limits that upstreams name

Nothing read the header, so the logs could not tell whether a limit was unknown to a relay, known and not kept, or kept by some relays only. The relay now records the limit of each upstream and logs its changes; no decision uses it yet.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod failure;
 pub mod framing;
 pub mod job;
+pub mod limit;
 pub mod monitor;
 pub mod origin;
 pub mod owner;
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     hash::{self, short},
-    relay::{broker::Place, failure::Failure, origin::Software, shard},
+    relay::{broker::Place, failure::Failure, limit::Limit, origin::Software, shard},
     time::Time,
 };
 
@@ -87,6 +87,8 @@
     ejected_until: Time,
     /// Whether a response of this start of the upstream said that it is leaving.
     announced_leaving: bool,
+    /// Limit on the requests that this start of the upstream takes from all relays.
+    limit: Limit,
     last_byte: Time,
     /// Start of the first request since this relay last had none at the upstream.
     busy_since: Option<Time>,
@@ -186,6 +188,7 @@
                         entry.failures = 0;
                         entry.ejected_until = Time::default();
                         entry.announced_leaving = false;
+                        entry.limit = Limit::default();
                     }
                     entry.upstream = upstream.clone();
                     entry.software = upstream.software();
@@ -200,6 +203,7 @@
                         failures: 0,
                         ejected_until: Time::default(),
                         announced_leaving: false,
+                        limit: Limit::default(),
                         last_byte: Time::default(),
                         busy_since: None,
                     });
@@ -359,6 +363,11 @@
         entry.is_some_and(|entry| !std::mem::replace(&mut entry.announced_leaving, true))
     }
 
+    /// Records news of the limit of an upstream. Returns whether its rate changed.
+    pub fn record_limit(&mut self, key: Key, news: Limit) -> bool {
+        self.entries.get_mut(key).is_some_and(|entry| entry.limit.update(news))
+    }
+
     /// Records the time from sending a request to the first byte of its response.
     pub fn record_response_time(&mut self, key: Key, elapsed: Duration) {
         self.add_sample(key, |latencies| &mut latencies.response, elapsed);
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -31,6 +31,9 @@
     pub not_run: HeaderName,
     /// Present in every response of an upstream that is leaving.
     pub leaving: HeaderName,
+    /// In the responses of an upstream in need: the requests a second, a decimal number, that it
+    /// takes from all relays together.
+    pub limit: HeaderName,
 }
 
 /// Tables and keys of the rows that the relay reads and the platform or its operators write.
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use cyclamengrade_control::relay::{failure::Failure, selector::Upstream};
+use cyclamengrade_control::relay::{failure::Failure, limit::Rate, selector::Upstream};
+use cyclamengrade_telemetry::event;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, StatusCode, Uri,
@@ -213,7 +214,25 @@
         flight.record_leaving();
     }
     let response = Response { status: head.status, headers: head.headers, body, connection };
-    validate(pool, names, outgoing, response, options.timeout).await
+    let limit = response.headers.get(&names.limit).map(|value| parse_limit(flight, value));
+    let validated = validate(pool, names, outgoing, response, options.timeout).await;
+    match limit {
+        Some(Some(rate)) if !matches!(validated, Err(Failure::Misdirected)) => {
+            flight.record_limit(Some(rate));
+        }
+        // Only a response of this upstream to this request can say that there is no limit.
+        None if validated.is_ok() => flight.record_limit(None),
+        Some(_) | None => {}
+    }
+    validated
+}
+
+fn parse_limit(flight: &Flight, value: &HeaderValue) -> Option<Rate> {
+    let rate = value.to_str().ok().and_then(Rate::parse);
+    if rate.is_none() {
+        event!(LimitUnreadable, upstream:% = flight.upstream.id, value:? = value);
+    }
+    rate
 }
 
 fn request(
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -6,6 +6,7 @@
     relay::{
         broker::{Class, Load, Ticket},
         failure::Failure,
+        limit::{Limit, Rate},
         origin::Software,
         quarantine::Part,
         selector::{Choice, Key, Upstream},
@@ -80,6 +81,30 @@
         }
     }
 
+    /// Records the limit that a response named, or that it named none.
+    pub fn record_limit(&self, rate: Option<Rate>) {
+        let known_at = match rate {
+            Some(_) => self.shared.clock.now(),
+            None => self.started,
+        };
+        let is_changed = self.shared.selector().record_limit(self.key, Limit { rate, known_at });
+        if is_changed {
+            match rate {
+                Some(rate) => event!(
+                    UpstreamLimited,
+                    upstream:% = self.upstream.id,
+                    deployment:% = self.upstream.deployment,
+                    requests_per_s = rate.per_second()
+                ),
+                None => event!(
+                    UpstreamUnlimited,
+                    upstream:% = self.upstream.id,
+                    deployment:% = self.upstream.deployment
+                ),
+            }
+        }
+    }
+
     /// Whether the upstream has the given software, if one is given.
     pub fn suits(&self, software: Option<Software>) -> bool {
         software.is_none_or(|software| software == self.upstream.software())
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -39,6 +39,7 @@
                 stamp: name("x-upstream-stamp"),
                 not_run: name("x-not-run"),
                 leaving: name("x-upstream-leaving"),
+                limit: name("x-upstream-limit"),
             },
             prompt_parts: name("x-prompt-parts"),
             sources: Sources {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -100,6 +100,14 @@
     504 Warn UpstreamUnreachable "upstream_unreachable" "upstream is unreachable",
     /// An upstream is no longer in the list of vms. Fields: `upstream`, `deployment`.
     505 Info UpstreamRemoved "upstream_removed" "upstream was removed",
+    /// An upstream named a limit on the requests that it takes from all relays, or changed it. Fields:
+    /// `upstream`, `deployment`, `requests_per_s`.
+    506 Info UpstreamLimited "upstream_limited" "upstream named a limit on its requests",
+    /// An upstream no longer names a limit on its requests. Fields: `upstream`, `deployment`.
+    507 Info UpstreamUnlimited "upstream_unlimited" "upstream no longer names a limit on its requests",
+    /// A response named a limit that is not a number; the limit known before stays in force. Fields:
+    /// `upstream`, `value`.
+    508 Warn LimitUnreadable "limit_unreadable" "limit that an upstream named cannot be read",
 
     /// A request was refused before it ran. Fields: `client`, `deployment`, `kind`,
     /// `retry_after_ms`.
