--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -65,6 +65,8 @@
     runs: Vec<Run>,
     connections: usize,
     is_leaving: bool,
+    /// Requests a second that the responses name (`Server-Limit`).
+    limit: Option<f64>,
     /// Part of a prompt under which the runner crashes.
     fatal_part: Option<String>,
     crashes: Vec<Instant>,
@@ -146,6 +148,11 @@
         self.state().is_leaving = true;
     }
 
+    /// Names a limit in all further responses, or none. The runner goes on serving what exceeds it.
+    pub fn set_limit(&self, requests_per_s: Option<f64>) {
+        self.state().limit = requests_per_s;
+    }
+
     /// Returns the requests that ran here, in order of arrival.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -230,6 +237,10 @@
         if self.state().is_leaving {
             headers.push(("Server-Leaving", "1"));
         }
+        let limit = self.state().limit.map(|limit| limit.to_string());
+        if let Some(limit) = &limit {
+            headers.push(("Server-Limit", limit));
+        }
         match fault {
             Some(Fault::Silent) => {
                 sleep(Duration::from_secs(30)).await;
--- /dev/null
+++ b/tests/relay_limited.rs
@@ -0,0 +1,89 @@
+//! Upstreams that name a limit on the requests that they take from all relays together.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use cyclamengrade_standins::{
+    bridge::{Harness, Runner},
+    client::Client,
+};
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+/// Limit that the upstreams of these tests name, in requests a second.
+const LIMIT: f64 = 2.0;
+/// Time from the first naming of a limit until it binds.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Span of time in which the requests at an upstream are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Returns the most requests that an upstream may get in a window: one and a half times its limit, and
+/// five.
+fn allowed() -> usize {
+    (1.5 * LIMIT * WINDOW.as_secs_f64()) as usize + 5
+}
+
+/// Returns the largest number of requests that reached a runner within one window after `from`.
+fn most_in_window(runner: &Runner, from: Instant) -> usize {
+    let runs = runner.runs();
+    let starts: Vec<Instant> =
+        runs.iter().map(|run| run.started).filter(|start| *start >= from).collect();
+    let in_window = |first: &Instant| {
+        starts.iter().filter(|start| **start >= *first && **start < *first + WINDOW).count()
+    };
+    starts.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// Outcomes of the requests of a test.
+#[derive(Clone, Default)]
+struct Outcomes {
+    served: Arc<AtomicUsize>,
+    refused: Arc<AtomicUsize>,
+}
+
+/// Sends requests for short streams to the given relays in turn for a time, without waiting for their
+/// responses.
+async fn load(harness: &Harness, relays: &[usize], rate: u32, time: Duration) -> Outcomes {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let outcomes = Outcomes::default();
+    let begin = Instant::now();
+    while begin.elapsed() < time {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let relay = relays[number % relays.len()];
+        let call = harness
+            .call(relay, "stream", &format!("r-{number}"))
+            .with_header("token-counts", "10,2");
+        let outcomes = outcomes.clone();
+        tokio::spawn(async move {
+            match Client::new().send(call).await {
+                Ok(reply) if reply.status == 200 => outcomes.served.fetch_add(1, Ordering::Relaxed),
+                _ => outcomes.refused.fetch_add(1, Ordering::Relaxed),
+            }
+        });
+        sleep(Duration::from_secs(1) / rate).await;
+    }
+    outcomes
+}
+
+/// Guards against upstreams that get more requests than they take from all relays together, because
+/// each relay counts only its own or none does.
+#[gtest]
+#[tokio::test]
+async fn all_limited() -> Result<()> {
+    let harness = Harness::start(3).await?;
+    for runner in &harness.runners {
+        runner.set_limit(Some(LIMIT));
+    }
+    let begin = Instant::now();
+    let outcomes = load(&harness, &[0, 1, 2], 20, CONTACT + WINDOW * 2).await;
+    for runner in &harness.runners {
+        expect_that!(most_in_window(runner, begin + CONTACT), le(allowed()));
+    }
+    // A limit is not a reason to stop sending.
+    verify_that!(outcomes.served.load(Ordering::Relaxed), ge(20))
+}
