--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -69,6 +69,8 @@
     limit: Option<f64>,
     /// Part of a prompt under which the runner crashes.
     fatal_part: Option<String>,
+    /// Body of a request under which the runner crashes.
+    fatal_body: Option<String>,
     crashes: Vec<Instant>,
 }
 
@@ -132,6 +134,18 @@
         self.state().fatal_part = Some(part.to_owned());
     }
 
+    /// Crashes under each further request with this body, before its first event, like
+    /// [`Self::crash_under`].
+    pub fn crash_under_body(&self, body: &str) {
+        self.state().fatal_body = Some(body.to_owned());
+    }
+
+    /// Ceases to crash under requests.
+    pub fn mend(&self) {
+        let mut state = self.state();
+        (state.fatal_part, state.fatal_body) = (None, None);
+    }
+
     /// Crashes at once: closes all connections, refuses new ones for a second, and serves again.
     pub fn crash(&self) {
         self.state().crashes.push(Instant::now());
@@ -278,7 +292,9 @@
         let state = self.state();
         let is_part =
             |part: &String| request.header("prompt-prefix").split(',').any(|entry| entry == part);
+        let is_body = |body: &String| request.body == body.as_bytes();
         state.fatal_part.as_ref().is_some_and(is_part)
+            || state.fatal_body.as_ref().is_some_and(is_body)
     }
 
     /// Writes the events from `first` to `events`. Returns whether the connection stays open.
--- a/tests/relay_quarantine.rs
+++ b/tests/relay_quarantine.rs
@@ -4,16 +4,17 @@
 
 use cyclamengrade_standins::{
     bridge::{Fault, Harness},
-    client::Call,
+    client::{Call, Client},
 };
 use googletest::prelude::*;
+use serde_json::json;
 use tokio::time::sleep;
 
 /// Part that all requests share.
 const COMMON: &str = "c0ffee:10";
 /// Part under which upstreams crash.
 const FATAL: &str = "dead01:5";
-/// Time after the fifth crash from which requests with the part may no longer be sent.
+/// Time after the last crash that may happen from which such requests may no longer be sent.
 const CONTAINMENT: Duration = Duration::from_secs(3);
 
 /// Builds a request for a short stream whose prompt has the given parts and one of its own.
@@ -57,15 +58,15 @@
     fail!("requests with the fatal part are still sent")
 }
 
-/// Returns the number of runs that started later than allowed after the fifth crash, of requests whose
-/// ids begin with `prefix`.
-fn late_runs(harness: &Harness, prefix: &str) -> usize {
+/// Returns the number of runs that started later than allowed after crash number `last`, of requests
+/// whose ids begin with `prefix`.
+fn late_runs(harness: &Harness, prefix: &str, last: usize) -> usize {
     let mut crashes: Vec<Instant> =
         harness.runners.iter().flat_map(|runner| runner.crashes()).collect();
     crashes.sort_unstable();
-    let Some(fifth) = crashes.get(4) else { return 0 };
+    let Some(last) = crashes.get(last - 1) else { return 0 };
     let runs = harness.runners.iter().flat_map(|runner| runner.runs());
-    let late = runs.filter(|run| run.id.starts_with(prefix) && run.started > *fifth + CONTAINMENT);
+    let late = runs.filter(|run| run.id.starts_with(prefix) && run.started > *last + CONTAINMENT);
     late.count()
 }
 
@@ -87,8 +88,7 @@
     let (mut sound, mut served) = (0, 0);
     for number in 0..90 {
         let call = request(&harness, number % 3, &format!("bad-{number}"), &[COMMON, FATAL]);
-        let client = cyclamengrade_standins::client::Client::new();
-        tokio::spawn(async move { client.send(call).await });
+        tokio::spawn(async move { Client::new().send(call).await });
         sleep(Duration::from_millis(50)).await;
         let call = request(&harness, number % 3, &format!("good-{number}"), &[COMMON]);
         let reply = harness.send(call).await;
@@ -98,7 +98,7 @@
         }
         sleep(Duration::from_millis(50)).await;
     }
-    expect_that!(late_runs(&harness, "bad"), le(3));
+    expect_that!(late_runs(&harness, "bad", 5), le(3));
     expect_that!(sound, ge(20));
     verify_that!(served, ge(sound / 2))
 }
@@ -161,9 +161,9 @@
     let status = harness.submit_prompts(0, "j-1", &items, 3).await?;
     expect_that!(status, eq(202));
     sleep(CONTAINMENT * 4).await;
-    expect_that!(late_runs(&harness, "fatal"), le(3));
+    expect_that!(late_runs(&harness, "fatal", 5), le(3));
     let page: serde_json::Value = harness.results(0, "j-1", 0).await?.json()?;
-    verify_that!(page["Results"][0]["Id"], eq(&serde_json::json!("sound")))
+    verify_that!(page["Results"][0]["Id"], eq(&json!("sound")))
 }
 
 /// Guards against taking connections that break off under upstreams that go on serving for crashes.
@@ -181,3 +181,38 @@
     let reply = harness.send(request(&harness, 0, "next", &["abcd:5"])).await?;
     verify_that!(reply.status, eq(200))
 }
+
+/// Guards against a request without a prompt that is sent again and again, at all relays, and ends one
+/// upstream after the other; and against refusing other requests of its route instead.
+#[gtest]
+#[tokio::test]
+async fn repeated_request() -> Result<()> {
+    let mut harness = start(3).await?;
+    harness.configure(json!([{
+        "Name": "print", "Host": "calls.example", "PathPrefix": "/print/", "Kind": "safe",
+        "TimeoutMs": 2_000, "TargetLatencyMs": 400, "MaxAttempts": 3, "Service": "model"
+    }]));
+    for runner in &harness.runners {
+        runner.crash_under_body("fatal");
+    }
+    sleep(Duration::from_secs(2)).await;
+    let begin = Instant::now();
+    let (mut sound, mut served) = (0, 0);
+    for number in 0..90 {
+        let call = harness.call(number % 3, "print", &format!("bad-{number}")).with_body("fatal");
+        tokio::spawn(async move { Client::new().send(call).await });
+        sleep(Duration::from_millis(50)).await;
+        let call = harness.call(number % 3, "print", &format!("good-{number}"));
+        let reply = harness.send(call).await;
+        if begin.elapsed() > CONTAINMENT * 2 {
+            sound += 1;
+            served += usize::from(reply.is_ok_and(|reply| reply.status == 200));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    let crashes: usize = harness.runners.iter().map(|runner| runner.crashes().len()).sum();
+    expect_that!(crashes, ge(3));
+    expect_that!(late_runs(&harness, "bad", 3), le(3));
+    expect_that!(sound, ge(20));
+    verify_that!(served, ge(sound / 2))
+}
