Quarantine repeated requests without a prompt that end upstreams

Callers of print-job got no answers for seconds at a time, since one request that came again ended all four upstreams of the service, again after each of their starts. The quarantine knew only the shared parts of prompts, and a request without a prompt has none, so that its crashes were blamed on nothing. The class of the fault is a query of death that is known by one of its traits only.

A request is now a part of its own: the hash of its method, host, target, credentials and body. Its repeats share it, at every relay, so the blames, the question to all relays and the stored quarantine of parts hold for it. Two relays collect the blames instead of one, so that none is forgotten when one stops.

Ruled out: blames that are lost or come too seldom (no part_blamed line in 13 logs), and upstreams that fail by themselves (upstreams ended within 20 to 80 ms of a request without an answer).

--- a/components/control/src/hash.rs
+++ b/components/control/src/hash.rs
@@ -11,12 +11,23 @@
 /// Each part is followed by the byte 0xff, which UTF-8 never contains, so that the bounds of the
 /// parts enter the hash.
 pub fn stable(parts: &[&str]) -> u64 {
+    hasher(parts).finish()
+}
+
+/// Hashes the given parts, followed by bytes that need not be text.
+pub fn stable_with_bytes(parts: &[&str], bytes: &[u8]) -> u64 {
+    let mut hasher = hasher(parts);
+    hasher.write(bytes);
+    hasher.finish()
+}
+
+fn hasher(parts: &[&str]) -> SipHasher13 {
     let mut hasher = SipHasher13::new();
     for part in parts {
         hasher.write(part.as_bytes());
         hasher.write_u8(0xff);
     }
-    hasher.finish()
+    hasher
 }
 
 /// Returns the upper half of a hash, which identifies names in messages between relays. A collision
--- a/components/control/src/relay/quarantine.rs
+++ b/components/control/src/relay/quarantine.rs
@@ -1,8 +1,8 @@
-//! Parts of prompts that end the upstreams that run them.
+//! Requests that end the upstreams that run them.
 //!
 //! A request may crash every upstream that begins to answer it. Sent to the next upstream after each
-//! crash, a few such requests end a whole deployment. They have a part of their prompt in common.
-//! Relays blame the parts of requests that had no event when their upstream crashed. One relay
+//! crash, a few such requests end a whole deployment. They have a part in common: a part of their
+//! prompt, or all that makes repeats of one request alike, its target, its caller and its body. Relays blame the parts of requests that had no event when their upstream crashed. One relay
 //! collects the blames, asks all whether a request with the part has been answered, and has the part
 //! quarantined if none has.
 
@@ -28,7 +28,7 @@
 /// Shortest time between two searches of a full table for parts that can be forgotten.
 const PRUNE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Identifies a part of prompts that requests share, by a hash of its id.
+/// Identifies what requests have in common: a part of their prompts, or all of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Part(pub u64);
 
@@ -37,6 +37,17 @@
     pub fn new(id: &str) -> Self {
         Self(hash::stable(&["part", id]))
     }
+
+    /// Returns the identifier of a request, which its repeats share. `credentials` tell callers apart.
+    pub fn of_request(
+        method: &str,
+        host: &str,
+        target: &str,
+        credentials: &str,
+        body: &[u8],
+    ) -> Self {
+        Self(hash::stable_with_bytes(&["request", method, host, target, credentials], body))
+    }
 }
 
 /// A question to all relays whether parts are sound.
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -20,6 +20,7 @@
     exchange::{self, Options, Outgoing, Response},
     flight::Flight,
     online::header_text,
+    quarantine::format_parts,
     shared::Shared,
     slots::Placement,
 };
@@ -46,7 +47,7 @@
     pub attempts: Attempts,
     /// Software that began the stream; further attempts use only upstreams that have it.
     pub software: Option<Software>,
-    /// Parts of the prompt that other requests may share.
+    /// What the request has in common with others, see [`Part`].
     parts: Arc<[Part]>,
     /// Upstreams at which an attempt failed.
     tried: BTreeSet<Key>,
@@ -60,7 +61,7 @@
     /// No upstream can start the request in time. The caller may retry after the duration. The
     /// placement is logged.
     Refused(Duration, Placement),
-    /// A part of the prompt ended upstreams. Requests with it are refused for the duration.
+    /// The request or a part of its prompt ended upstreams. Requests like it are refused for the duration.
     Quarantined(Duration),
     /// The request continues a stream, and it is not known which software version began it.
     UnknownOrigin,
@@ -80,7 +81,7 @@
         deadline: Instant,
     ) -> Self {
         let (attempts, tried) = (Attempts::default(), BTreeSet::new());
-        let parts = shared.parts(&outgoing.headers);
+        let parts = shared.request_parts(&outgoing);
         Self {
             shared,
             route,
@@ -197,7 +198,8 @@
             failure:% = failure.name(),
             elapsed_ms = self.shared.clock.now().since(flight.started).as_millis() as u64,
             events = events,
-            prompt:% = self.shared.dialect.shared_parts(&self.outgoing.headers).join(",")
+            prompt:% = self.shared.dialect.shared_parts(&self.outgoing.headers).join(","),
+            parts:% = format_parts(&self.parts)
         );
         let is_past_deadline = self.remaining().is_zero();
         // Silence until the deadline is not a failure of the upstream.
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -18,6 +18,7 @@
     dialect::Item,
     exchange::{self, Options, Outgoing, Response},
     flight::Flight,
+    quarantine::format_parts,
     shared::{Shared, lock},
 };
 
@@ -92,7 +93,8 @@
                 failure:% = failure.name(),
                 elapsed_ms = shared.clock.now().since(flight.started).as_millis() as u64,
                 events = lock(&transcript).last.unwrap_or(0),
-                prompt:% = shared.dialect.shared_parts(&outgoing.headers).join(",")
+                prompt:% = shared.dialect.shared_parts(&outgoing.headers).join(","),
+                parts:% = format_parts(&shared.parts(&outgoing.headers))
             );
         }
         End::Failed(_) => {}
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -35,7 +35,7 @@
     pub started: Time,
     /// Whether a byte of the response has arrived.
     responded: bool,
-    /// Parts of the prompt that other requests may share.
+    /// What the request has in common with others, see [`Part`].
     parts: Arc<[Part]>,
     /// Whether the upstream has begun to answer.
     has_answered: bool,
@@ -44,7 +44,7 @@
 }
 
 impl Flight {
-    /// Sets the parts of the request's prompt that other requests may share.
+    /// Sets what the request has in common with others.
     pub fn with_parts(mut self, parts: Arc<[Part]>) -> Self {
         self.parts = parts;
         self
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -409,7 +409,7 @@
         let cause = match error {
             attempt::Error::Refused(..) => "no upstream can resume the stream in time",
             attempt::Error::UnknownOrigin => "its software version is not known",
-            attempt::Error::Quarantined(_) => "a part of its prompt ended upstreams",
+            attempt::Error::Quarantined(_) => "it or a part of its prompt ended upstreams",
             attempt::Error::AttemptsExhausted(failure) => failure.name(),
             attempt::Error::DeadlineExceeded => "deadline exceeded",
         };
@@ -441,7 +441,7 @@
             (wait, placement, reason)
         }
         attempt::Error::Quarantined(left) => {
-            (left, Placement::default(), "a part of the prompt ended upstreams")
+            (left, Placement::default(), "the request or a part of its prompt ended upstreams")
         }
         attempt::Error::UnknownOrigin => (
             MIN_RETRY_AFTER,
--- a/components/relay/src/quarantine.rs
+++ b/components/relay/src/quarantine.rs
@@ -1,7 +1,7 @@
-//! Parts of prompts that end upstreams: blames for crashes, and the quarantine of parts.
+//! Requests that end upstreams: blames for crashes, and the quarantine of what they have in common.
 //!
-//! The relay that collects the blames is chosen like a broker. It tells the others of a quarantine at
-//! once, and stores it for relays that start later.
+//! The relays that collect the blames are chosen like brokers. They tell the others of a quarantine at
+//! once, and store it for relays that start later.
 
 use std::{
     collections::BTreeSet,
@@ -21,16 +21,23 @@
     table::{Commit, Transaction},
 };
 use cyclamengrade_telemetry::event;
-use hyper::HeaderMap;
+use hyper::{
+    HeaderMap,
+    header::{AUTHORIZATION, HOST},
+};
 use tokio::{net::TcpStream, sync::Notify, time::timeout};
 
 use crate::{
+    exchange::Outgoing,
     job::{key, row, store},
+    online::header_text,
     shared::{Shared, lock},
 };
 
-/// Key under which the relay that collects blames is chosen.
+/// Key under which the relays that collect blames are chosen.
 const COLLECTOR_KEY: &str = "quarantine";
+/// Number of relays that collect the same blames, so that the loss of one forgets none.
+const COLLECTORS: usize = 2;
 /// Timeout of the connection that shows whether an upstream still accepts any.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Attempts to store a quarantine while others change the row.
@@ -57,6 +64,22 @@
         self.dialect.shared_parts(headers).iter().map(|id| Part::new(id)).collect()
     }
 
+    /// Returns what a caller's request has in common with others: the shared parts of its prompt, and
+    /// what makes it a repeat of another one.
+    pub fn request_parts(&self, outgoing: &Outgoing) -> Arc<[Part]> {
+        let header = |name| header_text(&outgoing.headers, &name).unwrap_or_default();
+        let target = outgoing.uri.path_and_query().map_or("", |target| target.as_str());
+        let request = Part::of_request(
+            outgoing.method.as_str(),
+            header(HOST),
+            target,
+            header(AUTHORIZATION),
+            &outgoing.body,
+        );
+        let prompt = self.parts(&outgoing.headers);
+        prompt.iter().copied().chain([request]).collect()
+    }
+
     /// Returns the time for which requests with one of these parts are refused.
     pub fn quarantine_left(&self, parts: &[Part]) -> Option<Duration> {
         lock(&self.quarantine.parts).left(self.clock.now(), parts)
@@ -86,7 +109,7 @@
             shared.record_upstream_failure(key, &upstream.id, Failure::NotSent);
             event!(PartBlamed, upstream:% = upstream.id, parts:% = format_parts(&suspects));
             let now = shared.clock.now();
-            for (_, address) in shared.servers(COLLECTOR_KEY, 1, now) {
+            for (_, address) in shared.servers(COLLECTOR_KEY, COLLECTORS, now) {
                 shared.send(address, Content::Blamed(short_id(&upstream.id), suspects.clone()));
             }
         });
@@ -193,6 +216,7 @@
     Err(Error::Unreachable("the row of the quarantine keeps changing".into()))
 }
 
-fn format_parts(parts: &[Part]) -> String {
+/// Returns the hashes of parts as logs show them.
+pub fn format_parts(parts: &[Part]) -> String {
     parts.iter().map(|part| format!("{:016x}", part.0)).collect::<Vec<_>>().join(",")
 }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -166,7 +166,8 @@
     /// `wait_ms` for the choice, `configuration`.
     1200 Info RequestSent "request_sent" "request was sent to an upstream",
     /// An attempt of a relay failed. Fields: `request`, `upstream`, `failure`, `elapsed_ms`,
-    /// `events`, `prompt` (ids of the parts of its prompt that other requests may share).
+    /// `events`, `prompt` (ids of the parts of its prompt that other requests may share), `parts`
+    /// (hashes of these and of the request, as in event 1227).
     1201 Info AttemptFailed "attempt_failed" "attempt at an upstream failed",
     /// A relay refused a request, which did not run. Fields: `request`, `route`, `reason`,
     /// `granted` (whether a broker refused it), `load_permille` of the upstreams according to the
@@ -213,15 +214,16 @@
     /// `member`, `shard` of upstreams.
     1226 Warn BrokerSilent "broker_silent" "broker did not answer in time",
 
-    /// A request had no event when its upstream crashed, and no request with these parts of its prompt
-    /// was answered recently. Fields: `upstream`, `parts` (hashes of their ids).
-    1227 Warn PartBlamed "part_blamed" "parts of a prompt may have ended an upstream",
-    /// Parts of prompts are blamed for several crashes, and all relays are asked whether they are
-    /// sound. Fields: `parts` (hashes of their ids).
-    1228 Warn PartSuspect "part_suspect" "parts of prompts are suspected of ending upstreams",
-    /// Requests with a part of a prompt are refused for a time. Fields: `part` (hash of its id),
-    /// `left_ms`.
-    1229 Error PartQuarantined "part_quarantined" "part of prompts is quarantined",
+    /// A request had no event when its upstream crashed, and no request with these parts was answered
+    /// recently. Fields: `upstream`, `parts` (hashes of parts of its prompt, and of the request, which
+    /// its repeats share).
+    1227 Warn PartBlamed "part_blamed" "request may have ended an upstream",
+    /// Parts of prompts, or requests, are blamed for several crashes, and all relays are asked whether
+    /// they are sound. Fields: `parts` (hashes as in event 1227).
+    1228 Warn PartSuspect "part_suspect" "requests are suspected of ending upstreams",
+    /// Requests with a part of a prompt, or repeats of a request, are refused for a time. Fields:
+    /// `part` (hash as in event 1227), `left_ms`.
+    1229 Error PartQuarantined "part_quarantined" "requests are quarantined",
 
     /// A batch job was stored. Fields: `job`, `items`, `elapsed_ms`.
     1240 Info JobStored "job_stored" "batch job was stored",
