Run batch items whose prompt has a quarantined part, and blame none for crashes

An item under which upstreams had crashed by chance blamed the parts of its prompt, and an item with a quarantined part was held for ten minutes, longer than its job may take.

The event 1255 is gone with its only use.

--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -363,16 +363,6 @@
             return;
         };
         let parts = self.shared.parts(&outgoing.headers);
-        if let Some(left) = self.shared.quarantine_left(&parts) {
-            owned.not_before.insert(item, self.shared.clock.now() + left);
-            event!(
-                ItemHeld,
-                job:% = id,
-                item:% = outgoing.id,
-                left_ms = left.as_millis() as u64
-            );
-            return;
-        }
         let flight = flight.with_parts(parts);
         owned.results.start(item);
         let transcript = owned.transcripts.entry(item).or_default().clone();
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -130,7 +130,9 @@
     pub fn record_failure(&self, failure: Failure) {
         counter!(RELAY_ATTEMPTS, "outcome" => failure.name()).increment(1);
         self.shared.record_upstream_failure(self.key, &self.upstream.id, failure);
-        if failure == Failure::Broken && !self.has_answered {
+        // Batch items never crash upstreams by themselves.
+        let is_suspect = self.class == Class::Online && !self.has_answered;
+        if failure == Failure::Broken && is_suspect {
             self.shared.report_crash(self.key, &self.upstream, &self.parts);
         }
     }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -259,9 +259,6 @@
     /// The text of a batch item was discarded, because no upstream of the software version that began
     /// it can continue it. Fields: `job`, `item`, `events` of the text.
     1254 Info ItemRestarted "item_restarted" "batch item starts again",
-    /// A batch item is not run for a time, because a part of its prompt is quarantined. Fields: `job`,
-    /// `item`, `left_ms`.
-    1255 Warn ItemHeld "item_held" "batch item is held",
 
     /// The settings were reloaded on a signal. Fields: `restart_needed` (whether any setting other
     /// than the log level and the shutdown times changed and takes effect only after a restart).
