Reproduce streams that are lost or joined from two versions after all relays were killed

all_killed: a stream whose version still serves is refused; all_killed_version_gone: a stream goes on at the only version that is left.

--- a/tests/relay_versions.rs
+++ b/tests/relay_versions.rs
@@ -115,6 +115,67 @@
     verify_that!(resumed_after(&other), is_empty())
 }
 
+/// Starts three relays and a stream of version v1 at the first one, lists an upstream of version v2,
+/// kills all relays while the stream runs, and starts them again after `change`.
+async fn kill_all(
+    change: impl AsyncFn(&Harness, &Runner) -> Result<()>,
+) -> Result<(Harness, Runner, Runner)> {
+    let (mut harness, same, other) = start(3, LONG).await?;
+    let call = harness.call(0, "stream", "s-1").with_header("token-counts", format!("10,{LONG}"));
+    let client = cyclamengrade_standins::client::Client::new();
+    let stream = tokio::spawn(async move { client.send(call).await });
+    await_run(&harness, &harness.runners[0]).await?;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    harness.list(&other, 0).await?;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for relay in 0..3 {
+        harness.kill_relay(relay)?;
+    }
+    expect_that!(stream.await?.is_err(), eq(true));
+    change(&harness, &same).await?;
+    harness.store.remove("servers", &harness.runners[0].id);
+    for relay in 0..3 {
+        harness.start_relay(relay)?;
+    }
+    for relay in 0..3 {
+        harness.await_ready(relay).await?;
+    }
+    Ok((harness, same, other))
+}
+
+/// Guards against losing the software versions of streams when all relays are killed at once while
+/// several versions serve.
+#[gtest]
+#[tokio::test]
+async fn all_killed() -> Result<()> {
+    let list_same = async |harness: &Harness, same: &Runner| {
+        harness.store.put("servers", &same.id, &same.entry("model", "ready"));
+        Ok(())
+    };
+    let (harness, same, other) = kill_all(list_same).await?;
+    for relay in 0..3 {
+        let reply = take_up(&harness, relay, "s-1", 5).await?;
+        let log = ["stream_continued", "request_declined"].map(|name| harness.events(relay, name));
+        expect_that!(reply.text(), eq(&text(6..=LONG)), "{log:?}");
+    }
+    expect_that!(resumed_after(&same), each(some(eq(&5))));
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against taking the only version that is left for that of a stream that began before all
+/// relays were killed.
+#[gtest]
+#[tokio::test]
+async fn all_killed_version_gone() -> Result<()> {
+    let (harness, _, other) = kill_all(async |_, _| Ok(())).await?;
+    for relay in 0..3 {
+        expect_that!(take_up(&harness, relay, "s-1", 5).await?.status, eq(503));
+        // No relay has heard of this stream.
+        expect_that!(take_up(&harness, relay, "s-0", 5).await?.status, eq(503));
+    }
+    verify_that!(resumed_after(&other), is_empty())
+}
+
 /// Guards against continuing a stream at another software version because no upstream of its own
 /// is left, and against holding such a request although it cannot be served.
 #[gtest]
