Keep the origins of streams in the store while software versions change

Callers who took up their streams after all relays had lost power got the rest from another version, with nothing to show it, or were refused although their version still served. Origins lived in the memory of relays only, and a fleet that had just started took the lack of a record for the proof that there had been no other version. The class of the fault is soft state that decides correctness.

While versions change, each relay writes the origins of its recent streams to a row of its own; a relay that finds none with the others reads these rows. A further row says since when each deployment has its versions, and the only version counts as a stream's own after it has been alone for longer than a stream lasts. In steady state nothing is written.

Weighed: the row of versions alone refuses every stream that a change overtakes; versions computed from ids and stored shares do not know them either when the shares change within a second.

--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -330,6 +330,16 @@
         versions.all(|other| other == first).then_some(first)
     }
 
+    /// Returns the software of all listed upstreams of a deployment.
+    pub fn deployment_software(&self, deployment: &str) -> BTreeSet<Software> {
+        self.keys(deployment).iter().map(|key| self.entries[*key].software).collect()
+    }
+
+    /// Returns the deployments that have upstreams.
+    pub fn deployments(&self) -> impl Iterator<Item = &str> {
+        self.by_deployment.keys().map(String::as_str)
+    }
+
     /// Returns the upstreams that this relay does not use: those that it has ejected or that are
     /// stalled, and those that said that they are leaving.
     pub fn avoided(&self, now: Time) -> BTreeSet<u32> {
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -171,6 +171,7 @@
         if has_new_software {
             self.shared.publish_origins();
         }
+        self.shared.origins.upstreams_changed.notify_one();
         self.shared.publish_places();
         self.shared.pool.close_idle(&removed);
         self.shared.batch_changed.notify_one();
@@ -212,6 +213,11 @@
                         self.shared.apply_quarantine(&row);
                     }
                 }
+                Some(Subject::Versions) => {
+                    if let Some(row) = decode::<row::Versions>(change) {
+                        self.shared.origins.set_versions(row);
+                    }
+                }
                 None => {}
             }
         }
--- a/components/relay/src/job/key.rs
+++ b/components/relay/src/job/key.rs
@@ -21,6 +21,28 @@
     format!("{FLEET}/{MEMBERS}/{name}")
 }
 
+/// Part of the fleet table with the row of the software versions.
+const VERSIONS: &str = "versions";
+/// Table of the versions that began streams, which is read on demand.
+const ORIGINS: &str = "origins";
+/// Number of parts of the table of origins.
+const ORIGIN_PARTS: u64 = 4;
+
+/// Returns the key of the row that says since when each deployment has its software versions.
+pub fn versions() -> String {
+    format!("{FLEET}/{VERSIONS}/deployments")
+}
+
+/// Returns the key of the row with the origins of the streams that a relay began.
+pub fn origins(relay: &str) -> String {
+    format!("{ORIGINS}/{}/{relay}", hash::stable(&[relay]) % ORIGIN_PARTS)
+}
+
+/// Returns the key prefixes of all rows with origins.
+pub fn all_origins() -> impl Iterator<Item = String> {
+    (0..ORIGIN_PARTS).map(|part| format!("{ORIGINS}/{part}/"))
+}
+
 /// Returns the key of the row with the parts of prompts that are quarantined.
 pub fn quarantine() -> String {
     format!("{FLEET}/{QUARANTINE}/parts")
@@ -79,6 +101,8 @@
     Job(&'a str),
     /// The parts of prompts that are quarantined.
     Quarantine,
+    /// The software versions of the deployments.
+    Versions,
 }
 
 /// Returns the subject of a row of the fleet table, or `None` if relays do not write such a key.
@@ -87,6 +111,7 @@
     match part {
         MEMBERS => Some(Subject::Member(name)),
         QUARANTINE => Some(Subject::Quarantine),
+        VERSIONS => Some(Subject::Versions),
         part if part.starts_with("jobs-") => Some(Subject::Job(name)),
         _ => None,
     }
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -1,6 +1,10 @@
 //! Values of the rows that relays write to the store.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use cyclamengrade_control::relay::job;
 use serde::{Deserialize, Serialize};
@@ -195,3 +199,27 @@
     #[serde(default)]
     pub software: Option<u32>,
 }
+
+/// Row with the software versions of all deployments.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    pub deployments: BTreeMap<String, VersionSet>,
+}
+
+/// The software versions that the upstreams of a deployment have.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionSet {
+    /// Identifiers of the software, see `origin::Software`.
+    pub software: BTreeSet<u32>,
+    /// Since when they are these, in milliseconds on the store's clock. Zero if no relay has ever seen
+    /// others.
+    pub since_ms: u64,
+}
+
+/// Row with the origins of the recent streams of one relay.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origins {
+    /// Stream, software that began it, and time on the store's clock, in milliseconds, until which it may
+    /// be continued.
+    pub streams: Vec<(u64, u32, u64)>,
+}
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -266,8 +266,9 @@
     request: &mut Request,
     stream: Option<Stream>,
 ) -> Result<(), attempt::Error> {
-    let found = shared.find_origin(stream, &request.route).await;
     let names = shared.dialect.headers();
+    let lifetime = origin_lifetime(request, names);
+    let found = shared.find_origin(stream, &request.route, lifetime).await;
     event!(
         StreamContinued,
         request:% = request.outgoing.id,
--- a/components/relay/src/origin.rs
+++ b/components/relay/src/origin.rs
@@ -2,7 +2,10 @@
 //!
 //! While several versions serve, the relay that forwards the first event of a stream tells a few
 //! others, chosen by the id of the stream; when a further version appears, it tells them of its recent
-//! streams. A relay that gets a request to continue the stream asks them.
+//! streams. A relay that gets a request to continue the stream asks them, and then the store, where
+//! [`archive`] keeps the origins in case all relays that know them stop at once.
+
+pub mod archive;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,11 +22,18 @@
 };
 use cyclamengrade_peer::slots::{Content, Origin};
 use tokio::{
-    sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    sync::{
+        Notify,
+        mpsc::{self, UnboundedReceiver, UnboundedSender},
+    },
     time::{Instant, timeout_at},
 };
 
-use crate::shared::{Shared, lock};
+use self::archive::Archive;
+use crate::{
+    job::row,
+    shared::{Shared, lock},
+};
 
 /// Number of other relays that keep the origin of a stream.
 const KEEPERS: usize = 3;
@@ -42,7 +52,9 @@
     Own,
     /// Another relay keeps it.
     Peer,
-    /// Only one version serves.
+    /// The store keeps it.
+    Store,
+    /// Only one version has served for longer than a stream lasts.
     SoleVersion,
 }
 
@@ -52,6 +64,7 @@
         match self {
             Self::Own => "own",
             Self::Peer => "peer",
+            Self::Store => "store",
             Self::SoleVersion => "sole_version",
         }
     }
@@ -72,6 +85,11 @@
     /// Origins that other relays asked it to keep.
     kept: Mutex<Origins>,
     queries: Mutex<BTreeMap<Stream, Vec<UnboundedSender<Answer>>>>,
+    /// Versions of the deployments as the store has them.
+    versions: Mutex<row::Versions>,
+    /// Wakes the task that compares the versions in the store with the listed upstreams.
+    pub upstreams_changed: Notify,
+    archive: Archive,
 }
 
 impl Cache {
@@ -79,6 +97,11 @@
         lock(&self.queries)
     }
 
+    /// Sets the versions of the deployments that the store has.
+    pub fn set_versions(&self, versions: row::Versions) {
+        *lock(&self.versions) = versions;
+    }
+
     fn open_query(&self, stream: Stream) -> UnboundedReceiver<Answer> {
         let (sender, receiver) = mpsc::unbounded_channel();
         self.queries().entry(stream).or_default().push(sender);
@@ -138,19 +161,22 @@
 }
 
 impl Shared {
-    /// Records the software that began a stream of a deployment, and tells other relays if its
-    /// upstreams have several versions. A caller may continue the stream during `lifetime`.
+    /// Records the software that began a stream of a deployment. Tells other relays and the store unless
+    /// its upstreams have had one version for longer than `lifetime`, in which a caller may continue the
+    /// stream.
     pub fn record_origin(&self, stream: Stream, upstream: &Upstream, lifetime: Duration) {
         let software = upstream.software();
         lock(&self.origins.own).record(self.clock.now(), stream, software, lifetime);
-        let is_sole = self.selector().sole_software(&upstream.deployment).is_some();
-        if !is_sole {
+        if self.settled_software(&upstream.deployment, lifetime).is_none() {
             self.send_origin(Origin { stream, software, lifetime });
+            self.origins.archive.mark_changed();
         }
     }
 
-    /// Tells other relays the origins of this relay's recent streams, after a version has appeared.
+    /// Tells other relays and the store the origins of this relay's recent streams, after a version has
+    /// appeared.
     pub fn publish_origins(&self) {
+        self.origins.archive.mark_changed();
         let now = self.clock.now();
         let alive: Vec<_> = lock(&self.origins.own).alive(now).collect();
         for (stream, software, lifetime) in alive {
@@ -201,22 +227,24 @@
     }
 
     /// Returns the software that began a stream of a route, if it is known. `stream` is `None` if the
-    /// caller does not say which stream it continues.
+    /// caller does not say which stream it continues. A stream lasts for `lifetime` at most.
     pub async fn find_origin(
         &self,
         stream: Option<Stream>,
         route: &Route,
+        lifetime: Duration,
     ) -> Option<(Software, Source)> {
+        let sole = self.sole_software(route, lifetime);
         let known = match stream {
-            Some(stream) => self.recorded_origin(stream).await,
+            Some(stream) => self.recorded_origin(stream, sole.is_some()).await,
             None => None,
         };
-        let sole = || self.sole_software(route).map(|software| (software, Source::SoleVersion));
-        known.or_else(sole)
+        known.or_else(|| sole.map(|software| (software, Source::SoleVersion)))
     }
 
-    /// Returns the software that began a stream, if this relay or another one keeps it.
-    async fn recorded_origin(&self, stream: Stream) -> Option<(Software, Source)> {
+    /// Returns the software that began a stream, if this relay, another one or the store keeps it. With
+    /// one version, which `is_sole` states, the store need not be asked.
+    async fn recorded_origin(&self, stream: Stream, is_sole: bool) -> Option<(Software, Source)> {
         if let Some(software) = self.known_origin(stream) {
             return Some((software, Source::Own));
         }
@@ -225,8 +253,14 @@
             let names = stream.keepers(members.keys().map(String::as_str), ASKED);
             names.iter().map(|name| members[*name].address).collect()
         };
-        let software = Query::new(self, stream).run(relays).await?;
-        Some((software, Source::Peer))
+        if let Some(software) = Query::new(self, stream).run(relays).await {
+            return Some((software, Source::Peer));
+        }
+        if is_sole {
+            return None;
+        }
+        self.load_origins().await;
+        self.known_origin(stream).map(|software| (software, Source::Store))
     }
 
     /// Returns the deployment for a request on a route: one that has the given software and accepts
@@ -239,15 +273,28 @@
         route.deployments().find(|deployment| selector.accepts(deployment, software))
     }
 
-    /// Returns the software of all upstreams that may serve a route, if all have the same and the list
-    /// of upstreams is current.
-    fn sole_software(&self, route: &Route) -> Option<Software> {
+    /// Returns the software of all upstreams that may serve a route, if all have had the same for
+    /// `lifetime` and the list of upstreams is current.
+    fn sole_software(&self, route: &Route, lifetime: Duration) -> Option<Software> {
         if self.store_age() > OUTAGE_THRESHOLD {
             return None;
         }
-        let selector = self.selector();
-        let mut versions = route.deployments().map(|name| selector.sole_software(name));
+        let mut versions = route.deployments().map(|name| self.settled_software(name, lifetime));
         let first = versions.next()??;
         versions.all(|other| other == Some(first)).then_some(first)
     }
+
+    /// Returns the software of all upstreams of a deployment, if it has been the only one for `lifetime`.
+    fn settled_software(&self, deployment: &str, lifetime: Duration) -> Option<Software> {
+        let software = self.selector().sole_software(deployment)?;
+        let now_ms = self.clock.store_ms()?;
+        let versions = lock(&self.origins.versions);
+        let Some(known) = versions.deployments.get(deployment) else {
+            // No relay has seen another version, unless this one has not read the row yet.
+            return self.readiness.borrow().fleet.then_some(software);
+        };
+        let is_same = known.software.len() == 1 && known.software.contains(&software.0);
+        let settled_ms = known.since_ms.saturating_add(lifetime.as_millis() as u64);
+        (is_same && settled_ms <= now_ms).then_some(software)
+    }
 }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -20,6 +20,7 @@
     follower::Follower,
     front,
     job::{cleanup, key, row, store},
+    origin::archive,
     peers, quarantine,
     shared::{Phase, Readiness, Shared},
     stop,
@@ -144,6 +145,8 @@
     tokio::spawn(cleanup::run(shared.clone(), settings.store.keep()));
     tokio::spawn(close_expired_connections(shared.clone()));
     tokio::spawn(quarantine::store_changes(shared.clone()));
+    tokio::spawn(archive::write_changes(shared.clone()));
+    tokio::spawn(archive::watch_versions(shared.clone()));
     tokio::spawn(log_ready(shared.clone()));
     let server: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(front.run(listener));
     stop::run(shared, dispatcher, settings, path, server).await
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -190,9 +190,12 @@
     1207 Info ConnectionRefused "connection_refused" "connection of a caller was closed",
 
     /// A caller continues a stream that broke off. Fields: `request`, `resumes` (the request that began
-    /// the stream), `source` of the software version that began it (`own`, `peer`, `sole_version` or
-    /// `unknown`), `wait_ms` since the request arrived.
+    /// the stream), `source` of the software version that began it (`own`, `peer`, `store`,
+    /// `sole_version` or `unknown`), `wait_ms` since the request arrived.
     1208 Info StreamContinued "stream_continued" "caller continues a stream",
+    /// This relay stored since when the deployments have their software versions. Fields: `versions`
+    /// (hashes of the versions of each deployment).
+    1209 Info VersionsChanged "versions_changed" "software versions of a deployment changed",
 
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "change feed of a table cannot be read",
