Let the first event of a stream wait for the write of its origin

The first event of such a stream now waits for the write, for 50 ms at most, and writes follow each other in 10 ms or the relay's share of 400 a second.

--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -238,7 +238,7 @@
                 request.software = Some(flight.upstream.software());
                 if let Some(stream) = stream.filter(|_| request.route.resumable) {
                     let lifetime = origin_lifetime(&request, names);
-                    shared.record_origin(stream, &flight.upstream, lifetime);
+                    shared.record_origin(stream, &flight.upstream, lifetime).await;
                 }
                 let (sender, body) = Body::stream();
                 let mut forwarder = Forwarder { request, sender, last_event_id, events_sent: 0 };
--- a/components/relay/src/origin.rs
+++ b/components/relay/src/origin.rs
@@ -163,13 +163,14 @@
 impl Shared {
     /// Records the software that began a stream of a deployment. Tells other relays and the store unless
     /// its upstreams have had one version for longer than `lifetime`, in which a caller may continue the
-    /// stream.
-    pub fn record_origin(&self, stream: Stream, upstream: &Upstream, lifetime: Duration) {
+    /// stream, and waits for the store, but not for long.
+    pub async fn record_origin(&self, stream: Stream, upstream: &Upstream, lifetime: Duration) {
         let software = upstream.software();
         lock(&self.origins.own).record(self.clock.now(), stream, software, lifetime);
         if self.settled_software(&upstream.deployment, lifetime).is_none() {
             self.send_origin(Origin { stream, software, lifetime });
-            self.origins.archive.mark_changed();
+            let change = self.origins.archive.mark_changed();
+            self.origins.archive.await_written(change).await;
         }
     }
 
--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -5,7 +5,10 @@
 
 use std::{
     collections::BTreeSet,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -16,7 +19,7 @@
 };
 use cyclamengrade_telemetry::event;
 use tokio::{
-    sync::{Mutex, Notify},
+    sync::{Mutex, Notify, watch},
     time::{sleep, timeout},
 };
 
@@ -26,7 +29,7 @@
 };
 
 /// Shortest time between two writes of the origins of one relay.
-const MIN_WRITE_PERIOD: Duration = Duration::from_millis(100);
+const MIN_WRITE_PERIOD: Duration = Duration::from_millis(10);
 /// Writes of origins a second of all relays together: a tenth of what the store takes in large fleets.
 const FLEET_WRITES_PER_S: u32 = 400;
 /// Limit on the streams in a row; those that may be continued for the longest time are kept.
@@ -41,19 +44,36 @@
 /// tries to write after an error.
 const CHECK_PERIOD: Duration = Duration::from_millis(500);
 
+/// Longest time for which the first event of a stream waits until its origin is written. Most writes
+/// take a fraction of it; while the store is slow, callers do not wait for it.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// State of the reads and writes of origins.
 #[derive(Default)]
 pub struct Archive {
     /// Wakes the task that writes the origins.
     changed: Notify,
+    /// Number of changes so far.
+    changes: AtomicU64,
+    /// Number of changes that are written.
+    written: watch::Sender<u64>,
     /// Time of the last read of all origins; `None` before the first one.
     loaded_at: Mutex<Option<Instant>>,
 }
 
 impl Archive {
-    /// Has the origins written soon.
-    pub fn mark_changed(&self) {
+    /// Has the origins written soon. Returns the number of the change.
+    pub fn mark_changed(&self) -> u64 {
+        let change = self.changes.fetch_add(1, Ordering::Relaxed) + 1;
         self.changed.notify_one();
+        change
+    }
+
+    /// Waits until a change is written, or until that takes too long.
+    pub async fn await_written(&self, change: u64) {
+        let mut written = self.written.subscribe();
+        // After the timeout, the stream goes on without a record in the store.
+        let _ = timeout(WRITE_TIMEOUT, written.wait_for(|written| *written >= change)).await;
     }
 }
 
@@ -190,7 +210,9 @@
 pub async fn write_changes(shared: Arc<Shared>) {
     let mut is_recovered = false;
     loop {
-        shared.origins.archive.changed.notified().await;
+        let archive = &shared.origins.archive;
+        archive.changed.notified().await;
+        let change = archive.changes.load(Ordering::Relaxed);
         let written = async {
             if !is_recovered {
                 shared.recover_own_origins().await?;
@@ -200,13 +222,14 @@
         match written.await {
             Ok(()) => {
                 is_recovered = true;
+                archive.written.send_replace(change);
                 let relays = shared.members().len() as u32 + 1;
                 let share = Duration::from_secs(1) * relays / FLEET_WRITES_PER_S;
                 sleep(share.max(MIN_WRITE_PERIOD)).await;
             }
             Err(error) => {
                 event!(PlatformUnreachable, service = "table", error:% = error);
-                shared.origins.archive.mark_changed();
+                archive.changed.notify_one();
                 sleep(CHECK_PERIOD).await;
             }
         }
