Bound answers that do not end, in memory and time

Upstreams in trouble may send bytes that are no answer until their caller closes.

A response is read within the deadline of its request, whatever arrives; an event has to be whole within the timeout for it. Heads are limited to 64 KiB, events to 128 KiB, texts of items to 1 MiB, answers of the store to 9 MiB, and all responses that are collected together to an eighth of the memory of the process. The memory for request and response bodies is reserved by one type, memory::Budget.

The daemon, the other role, was not looked at. The probe of a crashed upstream opens a connection and reads nothing.

--- a/components/platform/src/transport.rs
+++ b/components/platform/src/transport.rs
@@ -4,7 +4,7 @@
 use std::{error::Error as _, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, StatusCode,
     header::{CONTENT_TYPE, IF_NONE_MATCH},
@@ -17,6 +17,8 @@
 
 use crate::Error;
 
+/// Limit on the body of an answer: an object of 8 MiB, the largest that the platform keeps, with a margin.
+const MAX_ANSWER_BYTES: usize = 9 << 20;
 /// Maximum number of idle connections that are kept for each service.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -159,7 +161,8 @@
             }
             _ => {}
         }
-        match timeout_at(self.body_deadline(&head.headers, deadline), body.collect()).await {
+        let limited = Limited::new(body, MAX_ANSWER_BYTES);
+        match timeout_at(self.body_deadline(&head.headers, deadline), limited.collect()).await {
             Ok(Ok(body)) => {
                 Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
             }
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -14,11 +14,11 @@
     selector::Key,
 };
 use cyclamengrade_telemetry::event;
-use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
     exchange::{self, Options, Outgoing, Response},
     flight::Flight,
+    memory::Reservation,
     online::header_text,
     quarantine::format_parts,
     shared::Shared,
@@ -52,7 +52,7 @@
     /// Upstreams at which an attempt failed.
     tried: BTreeSet<Key>,
     /// Memory reserved for the body.
-    _memory: Option<OwnedSemaphorePermit>,
+    _memory: Option<Reservation>,
 }
 
 /// Why a request ends without a response of an upstream.
@@ -98,7 +98,7 @@
     }
 
     /// Holds the memory reserved for the body until the request is dropped.
-    pub fn with_memory(self, memory: OwnedSemaphorePermit) -> Self {
+    pub fn with_memory(self, memory: Reservation) -> Self {
         Self { _memory: Some(memory), ..self }
     }
 
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -3,7 +3,7 @@
 use std::{
     str::FromStr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cyclamengrade_control::relay::{failure::Failure, job::RunFailure};
@@ -28,6 +28,9 @@
 /// between two events.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest text of an item: the size of a page of results.
+const MAX_TEXT_BYTES: usize = 1 << 20;
+
 /// End of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -112,7 +115,8 @@
     match response.status {
         StatusCode::OK if response.is_event_stream() => {}
         status => {
-            return match response.collect(&shared.pool, EVENT_TIMEOUT).await {
+            let deadline = Instant::now() + FIRST_EVENT_TIMEOUT;
+            return match response.collect(flight, EVENT_TIMEOUT, deadline).await {
                 Err(failure) => End::Interrupted(failure),
                 Ok(_) => match status {
                     StatusCode::UNPROCESSABLE_ENTITY => End::Failed(RunFailure::Impossible),
@@ -146,6 +150,11 @@
                 transcript.last = Some(id);
                 transcript.events += 1;
                 transcript.text.push_str(&data);
+                if transcript.text.len() > MAX_TEXT_BYTES {
+                    // No item has such a text; none of it can be trusted.
+                    *transcript = Transcript::default();
+                    return End::Interrupted(Failure::Broken);
+                }
             }
         }
     }
--- a/components/relay/src/events.rs
+++ b/components/relay/src/events.rs
@@ -2,8 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Limit on the bytes that are buffered until an event is complete.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Limit on the bytes that are buffered until an event is complete. A relay reads from hundreds of
+/// upstreams at once.
+const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -17,6 +17,7 @@
     dialect::Headers,
     events::{Event, Splitter},
     flight::Flight,
+    memory::Reservation,
     pool::{Connection, Pool},
 };
 
@@ -97,32 +98,44 @@
     }
 
     /// Reads the rest of the body and returns the connection to the pool. `timeout` limits the wait
-    /// for each part of the body.
+    /// for each part of the body, and `deadline` the whole.
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Silent`] after a timeout, and [`Failure::Broken`] if the connection
-    /// fails or the body is longer than [`MAX_RESPONSE_BYTES`].
-    pub async fn collect(self, pool: &Pool, timeout: Duration) -> Result<Collected, Failure> {
+    /// Returns [`Failure::Silent`] after a timeout or the deadline, and [`Failure::Broken`] if the
+    /// connection fails, the body is longer than [`MAX_RESPONSE_BYTES`], or the responses that are
+    /// being read need more memory together than there is for them.
+    pub async fn collect(
+        self,
+        flight: &Flight,
+        timeout: Duration,
+        deadline: Instant,
+    ) -> Result<Collected, Failure> {
         let Self { status, headers, mut body, connection } = self;
+        let mut memory = flight.response_memory().reserve().ok_or(Failure::Broken)?;
         let mut bytes = BytesMut::new();
         loop {
-            match time::timeout(timeout, body.frame()).await {
+            let until = deadline.min(Instant::now() + timeout);
+            match time::timeout_at(until.into(), body.frame()).await {
                 Err(_) => return Err(Failure::Silent),
                 Ok(Some(Err(_))) => return Err(Failure::Broken),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         bytes.extend_from_slice(&data);
                     }
-                    if bytes.len() > MAX_RESPONSE_BYTES {
+                    if bytes.len() > MAX_RESPONSE_BYTES || !memory.grow_to(bytes.len()) {
                         return Err(Failure::Broken);
                     }
+                    // Parts that are always there do not let a timer run out.
+                    if Instant::now() >= deadline {
+                        return Err(Failure::Silent);
+                    }
                 }
                 Ok(None) => break,
             }
         }
-        pool.release(connection, &headers);
-        Ok(Collected { status, headers, body: bytes.freeze() })
+        flight.pool().release(connection, &headers);
+        Ok(Collected { status, headers, body: bytes.freeze(), _memory: memory })
     }
 
     /// Reads the body as an event stream.
@@ -132,11 +145,13 @@
 }
 
 /// A response whose body was read to the end.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Collected {
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Memory reserved for the body.
+    _memory: Reservation,
 }
 
 /// Events of a response that is still arriving. Dropping this closes the connection, which makes
@@ -147,19 +162,23 @@
 }
 
 impl Events {
-    /// Returns the next event, or `None` after the last one. `timeout` limits the wait for each
-    /// part of the body.
+    /// Returns the next event, or `None` after the last one. `timeout` limits the wait for the whole
+    /// event; with zero, not even an event that has arrived is returned.
     ///
     /// # Errors
     ///
     /// Returns [`Failure::Silent`] after a timeout, and [`Failure::Broken`] if the connection
     /// fails, an event is too large, or the stream ends within an event.
     pub async fn next(&mut self, timeout: Duration) -> Result<Option<Event>, Failure> {
+        if timeout.is_zero() {
+            return Err(Failure::Silent);
+        }
+        let until = time::Instant::now() + timeout;
         loop {
             if let Some(event) = self.splitter.next() {
                 return Ok(Some(event));
             }
-            match time::timeout(timeout, self.response.body.frame()).await {
+            match time::timeout_at(until, self.response.body.frame()).await {
                 Err(_) => return Err(Failure::Silent),
                 Ok(Some(Err(_))) => return Err(Failure::Broken),
                 Ok(Some(Ok(frame))) => {
@@ -220,7 +239,7 @@
     }
     let response = Response { status: head.status, headers: head.headers, body, connection };
     let limit = response.headers.get(&names.limit).map(|value| parse_limit(flight, value));
-    let validated = validate(flight.pool(), names, outgoing, response, options.timeout).await;
+    let validated = validate(flight, names, outgoing, response, options.timeout).await;
     match limit {
         Some(Some(rate)) if !matches!(validated, Err(Failure::Misdirected)) => {
             flight.record_limit(Some(rate));
@@ -264,7 +283,7 @@
 
 /// Returns the response if this upstream produced it for this request, and the failure otherwise.
 async fn validate(
-    pool: &Pool,
+    flight: &Flight,
     names: &Headers,
     outgoing: &Outgoing,
     response: Response,
@@ -278,7 +297,7 @@
     if misdirected || response.headers.contains_key(&names.not_run) {
         // The head says that the request did not run. The body is read only so that the connection
         // can be reused.
-        let _ = response.collect(pool, timeout).await;
+        let _ = response.collect(flight, timeout, Instant::now() + timeout).await;
         return Err(if misdirected { Failure::Misdirected } else { Failure::NotRun });
     }
     let is_valid = id.is_some()
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -17,6 +17,7 @@
 use metrics::counter;
 
 use crate::{
+    memory::Budget,
     pool::Pool,
     shared::Shared,
     slots::{Need, Outcome, Placement},
@@ -112,6 +113,11 @@
         software.is_none_or(|software| software == self.upstream.software())
     }
 
+    /// Returns the memory for responses that are collected.
+    pub fn response_memory(&self) -> &Budget {
+        &self.shared.response_memory
+    }
+
     /// Returns the connections to upstreams.
     pub fn pool(&self) -> &Pool {
         &self.shared.pool
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod follower;
 mod front;
 pub mod job;
+mod memory;
 mod native;
 mod online;
 mod origin;
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -23,10 +23,7 @@
     http::request::Parts,
 };
 use metrics::{counter, histogram};
-use tokio::{
-    sync::{OwnedSemaphorePermit, Semaphore, mpsc::Sender},
-    time::timeout,
-};
+use tokio::{sync::mpsc::Sender, time::timeout};
 
 use crate::{
     attempt::{self, Request},
@@ -35,6 +32,7 @@
     events::Event,
     exchange::{self, Collected, Events, Outgoing},
     flight::Flight,
+    memory::{Budget, Reservation},
     shared::Shared,
     slots::Placement,
 };
@@ -49,37 +47,29 @@
 /// earlier or later than this relay's.
 const ORIGIN_MARGIN: Duration = Duration::from_secs(2);
 
-/// Bytes of body memory that one permit stands for.
-const BYTES_PER_PERMIT: usize = 1 << 10;
-
 /// A request body in memory.
 pub struct Buffered {
     pub bytes: Bytes,
     /// Memory reserved for the body, freed on drop.
-    pub memory: OwnedSemaphorePermit,
+    pub memory: Reservation,
 }
 
-/// Reads the body of a request. `memory` limits the memory of all request bodies together, with one
-/// permit for each [`BYTES_PER_PERMIT`].
+/// Reads the body of a request. `budget` limits the memory of all request bodies together.
 ///
 /// # Errors
 ///
 /// Returns the status of the response if the body is too large, is incomplete, does not arrive
 /// within `within`, or would exceed the memory of all bodies.
 pub async fn read_body(
-    memory: &Arc<Semaphore>,
+    budget: &Budget,
     body: Incoming,
     limits: &Limits,
     within: Duration,
 ) -> Result<Buffered, StatusCode> {
-    let reserve = |permits: u32| {
-        let reserved = memory.clone().try_acquire_many_owned(permits);
-        reserved.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
-    };
     let read = async {
         let mut body = body;
         let mut bytes = BytesMut::new();
-        let mut memory = reserve(1)?;
+        let mut memory = budget.reserve().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
             if let Ok(data) = frame.into_data() {
@@ -87,8 +77,9 @@
                     return Err(StatusCode::PAYLOAD_TOO_LARGE);
                 }
                 bytes.extend_from_slice(&data);
-                let permits = 1 + bytes.len() / BYTES_PER_PERMIT;
-                memory.merge(reserve((permits - memory.num_permits()) as u32)?);
+                if !memory.grow_to(bytes.len()) {
+                    return Err(StatusCode::SERVICE_UNAVAILABLE);
+                }
             }
         }
         Ok(Buffered { bytes: bytes.freeze(), memory })
@@ -132,7 +123,7 @@
         .with_memory(memory);
     match route.kind {
         Kind::Stream => serve_stream(shared, request).await,
-        Kind::Safe | Kind::Unsafe | Kind::Batch => serve_single(shared, request).await,
+        Kind::Safe | Kind::Unsafe | Kind::Batch => serve_single(request).await,
     }
 }
 
@@ -143,13 +134,13 @@
 
 /// Serves a request with a single response. The response is buffered until it is complete, so that
 /// the request can still be retried at another upstream.
-async fn serve_single(shared: Arc<Shared>, mut request: Request) -> Response<Body> {
+async fn serve_single(mut request: Request) -> Response<Body> {
     loop {
         let (mut flight, response) = match request.send(None).await {
             Ok(sent) => sent,
             Err(error) => return error_response(&request, error),
         };
-        match response.collect(&shared.pool, request.read_timeout()).await {
+        match response.collect(&flight, request.read_timeout(), request.deadline).await {
             Ok(response) => {
                 flight.record_answer();
                 flight.record_success();
@@ -214,7 +205,7 @@
             Err(error) => return error_response(&request, error),
         };
         if !(response.status.is_success() && response.is_event_stream()) {
-            match response.collect(&shared.pool, request.read_timeout()).await {
+            match response.collect(&flight, request.read_timeout(), request.deadline).await {
                 Ok(response) => {
                     let will_retry =
                         is_upstream_error(response.status) && prepare_retry(&mut request, &flight);
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -29,6 +29,8 @@
 /// Timeout for opening a connection. A lost SYN is retransmitted only after one second, so trying
 /// another upstream is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Limit on the bytes of a response that are buffered, and so on its head.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// A connection to an upstream. Dropping it closes the connection and cancels the request on it.
@@ -87,7 +89,11 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         counter!(RELAY_CONNECTIONS_OPENED).increment(1);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
         let task = tokio::spawn(async move {
             // The request on the connection returns the error.
             let _ = connection.await;
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -25,16 +25,18 @@
 };
 use cyclamengrade_peer::slots::Content;
 use cyclamengrade_platform::{Objects, Table};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, dialect::Dialect, job::row, origin::Cache, pool::Pool, quarantine::Ledger,
-    slots::Slots,
+    clock::Clock, dialect::Dialect, job::row, memory::Budget, origin::Cache, pool::Pool,
+    quarantine::Ledger, slots::Slots,
 };
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
 /// held twice: once while it is read and once for sending.
 const BODY_MEMORY_DIVISOR: u64 = 4;
+/// The memory for responses that are collected is the memory of the process divided by this number.
+const RESPONSE_MEMORY_DIVISOR: u64 = 8;
 
 /// Number of relays that observe the liveness of all.
 pub const MONITORS: usize = 3;
@@ -120,8 +122,10 @@
     pub routes: ArcSwap<route::Table>,
     /// Connections to upstreams.
     pub pool: Pool,
-    /// Memory for request bodies, in KiB.
-    pub body_memory: Arc<Semaphore>,
+    /// Memory for request bodies.
+    pub body_memory: Budget,
+    /// Memory for response bodies that are collected before they are forwarded.
+    pub response_memory: Budget,
     /// Data centre of the vm.
     pub data_centre: String,
     /// Slots that this relay holds and requests for slots.
@@ -185,7 +189,8 @@
             clock: Clock::new(),
             routes: ArcSwap::from_pointee(route::Table::default()),
             pool: Pool::default(),
-            body_memory: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
+            body_memory: Budget::new(u64::MAX),
+            response_memory: Budget::new(u64::MAX),
             data_centre: data_centre.to_owned(),
             slots: Slots::default(),
             broker: Mutex::default(),
@@ -209,11 +214,13 @@
         }
     }
 
-    /// Limits the memory for request bodies to a share of `bytes`, the memory of the process.
+    /// Limits the memory for request and response bodies to shares of `bytes`, the memory of the process.
     pub fn with_memory(self, bytes: u64) -> Self {
-        let kib = usize::try_from(bytes / BODY_MEMORY_DIVISOR / 1_024).unwrap_or(usize::MAX);
-        let body_memory = Arc::new(Semaphore::new(kib.min(Semaphore::MAX_PERMITS)));
-        Self { body_memory, ..self }
+        Self {
+            body_memory: Budget::new(bytes / BODY_MEMORY_DIVISOR),
+            response_memory: Budget::new(bytes / RESPONSE_MEMORY_DIVISOR),
+            ..self
+        }
     }
 
     /// Locks the selector, which holds the upstreams and their occupancy.
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -278,6 +278,16 @@
         Ok(process.status()?.is_none())
     }
 
+    /// Returns the largest resident memory that the process of a relay has had, in bytes; `None` if it
+    /// does not run.
+    pub fn peak_memory(&self, number: usize) -> Option<u64> {
+        let id = self.relays[number].process.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+        Some(kib << 10)
+    }
+
     /// Sends SIGTERM to a relay, which starts its graceful shutdown.
     ///
     /// # Errors
--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -7,6 +7,6 @@
 
 pub use self::{
     harness::{Harness, Job},
-    runner::{Fault, Run, Runner},
+    runner::{Endless, Fault, Run, Runner},
     store::{Faults, Store},
 };
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -26,6 +26,11 @@
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 
+/// Bytes that an endless response sends at once.
+const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
+/// Time between two writes of an endless response that is slow.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A fault injected into one response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -44,6 +49,25 @@
     Failed,
     /// Responds with 422.
     Impossible,
+    /// Sends bytes that are no answer until the caller closes the connection.
+    Endless(Endless),
+}
+
+/// Where the bytes of an endless response are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// In a header line.
+    Head,
+    /// In a plain body.
+    Body,
+    /// In a plain body, a few bytes at a time.
+    SlowBody,
+    /// In one event of a stream.
+    Event,
+    /// In one event of a stream, a few bytes at a time.
+    SlowEvent,
+    /// In complete events of a stream.
+    Events,
 }
 
 /// Record of a request that ran.
@@ -260,6 +284,10 @@
                 sleep(Duration::from_secs(30)).await;
                 return Ok(false);
             }
+            Some(Fault::Endless(place)) => {
+                self.write_endless(stream, &headers, place).await?;
+                return Ok(false);
+            }
             Some(Fault::Failed) => {
                 write_plain(stream, "500 Internal Server Error", &headers, "failed").await?;
                 return Ok(true);
@@ -288,6 +316,46 @@
         self.write_stream(stream, &headers, first, events, fault).await
     }
 
+    /// Writes a response that never ends, until the caller closes the connection.
+    async fn write_endless(
+        &self,
+        stream: &mut TcpStream,
+        headers: &[(&str, &str)],
+        place: Endless,
+    ) -> io::Result<()> {
+        let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
+        for (name, value) in headers {
+            head += &format!("{name}: {value}\r\n");
+        }
+        head += match place {
+            Endless::Head => "X-Filler: ",
+            Endless::Body | Endless::SlowBody => "\r\n",
+            Endless::Event | Endless::SlowEvent => {
+                "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: "
+            }
+            Endless::Events => "Content-Type: text/event-stream\r\n\r\n",
+        };
+        stream.write_all(head.as_bytes()).await?;
+        let mut event = 0;
+        loop {
+            match place {
+                Endless::Head | Endless::Body | Endless::Event => {
+                    stream.write_all(&[b'x'; ENDLESS_CHUNK_BYTES]).await?;
+                }
+                Endless::SlowBody | Endless::SlowEvent => {
+                    stream.write_all(b"xx").await?;
+                    sleep(ENDLESS_INTERVAL).await;
+                }
+                Endless::Events => {
+                    event += 1;
+                    let data = "x".repeat(ENDLESS_CHUNK_BYTES);
+                    let text = format!("id: {event}\ndata: {data}\n\n");
+                    stream.write_all(text.as_bytes()).await?;
+                }
+            }
+        }
+    }
+
     fn is_fatal(&self, request: &Request) -> bool {
         let state = self.state();
         let is_part =
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -19,7 +19,12 @@
 };
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::{net::TcpListener, sync::Notify, time::timeout};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    time::timeout,
+};
 
 /// Identifies a row by table, part and key.
 type Name = (String, String, String);
@@ -31,12 +36,16 @@
     pub refuse: bool,
     /// Leaves every call without a response and without any effect.
     pub silent: bool,
+    /// Answers every call with bytes that are no answer, until the caller closes the connection.
+    pub endless: bool,
     /// Number of writes that take effect but get no response.
     pub lost_replies: u32,
     /// Number of transactions that get no response and take effect only after a delay.
     pub late_transactions: u32,
 }
 
+/// Bytes that an endless answer sends at once.
+const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
 /// Delay after which a late transaction takes effect.
 const LATE_TRANSACTION_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -213,9 +222,14 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((mut stream, _)) = listener.accept().await else { continue };
         let shared = shared.clone();
         tokio::spawn(async move {
+            if shared.state().faults.endless {
+                // Ends with an error when the caller closes the connection.
+                let _ = write_endless(&mut stream).await;
+                return;
+            }
             let service = service_fn(move |request| handle(shared.clone(), request));
             // A dropped response ends the connection with an error, which is intended.
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -223,6 +237,13 @@
     }
 }
 
+async fn write_endless(stream: &mut TcpStream) -> io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n").await?;
+    loop {
+        stream.write_all(&[b' '; ENDLESS_CHUNK_BYTES]).await?;
+    }
+}
+
 async fn handle(
     shared: Arc<Shared>,
     request: Request<Incoming>,
@@ -234,6 +255,10 @@
         state.calls += 1;
         state.faults
     };
+    if faults.endless {
+        // The next call comes on a new connection.
+        return Err(ReplyLost);
+    }
     if faults.silent {
         return pending::<Result<_, Infallible>>().await.map_err(|_| ReplyLost);
     }
