Let an upstream with a limit owe no more requests than its bucket holds

A broker that takes over counts what relays hold at an upstream with a limit. Eight held slots kept it without requests for three seconds at 2.5 a second; now for at most two of the time in which the bucket fills. relay_limit::many_held_slots fails without the bound and passes with it. The shard of an upstream is computed only when its limit changes, not for each response.

--- a/components/control/src/relay/limit.rs
+++ b/components/control/src/relay/limit.rs
@@ -100,17 +100,22 @@
         self.limit.rate.map(|rate| rate.max(MIN_RATE))
     }
 
+    /// Returns the most tokens that the bucket holds; `None` without a limit.
+    fn capacity(&self) -> Option<f64> {
+        Some((self.rate()?.per_second() * BURST_TIME.as_secs_f64()).max(1.0))
+    }
+
     /// Returns the tokens at a time; `None` without a limit.
     fn tokens(&self, now: Time) -> Option<f64> {
-        let per_second = self.rate()?.per_second();
-        let capacity = (per_second * BURST_TIME.as_secs_f64()).max(1.0);
-        let gained = now.since(self.filled_at).as_secs_f64() * per_second;
-        Some((self.tokens + gained).min(capacity))
+        let gained = now.since(self.filled_at).as_secs_f64() * self.rate()?.per_second();
+        Some((self.tokens + gained).min(self.capacity()?))
     }
 
+    /// Adds tokens, or takes some if `change` is negative. The bucket owes at most what it can hold, so
+    /// that requests which nobody granted do not block the upstream for long.
     fn add(&mut self, now: Time, change: f64) {
-        if let Some(tokens) = self.tokens(now) {
-            self.tokens = tokens + change;
+        if let Some((tokens, capacity)) = self.tokens(now).zip(self.capacity()) {
+            self.tokens = (tokens + change).max(-capacity);
             self.filled_at = now;
         }
     }
--- a/components/control/tests/relay_limit.rs
+++ b/components/control/tests/relay_limit.rs
@@ -180,6 +180,28 @@
     expect_that!(grant(&mut broker, now, Holder(3), 3), none());
 }
 
+/// Guards against an upstream that gets no requests for long, because the broker counts all that relays
+/// hold there after a change of the broker.
+#[gtest]
+fn many_held_slots() {
+    let mut broker = broker(1);
+    broker.sync(NOW, Holder(0), limited(&[0], Duration::ZERO));
+    expect_that!(grant(&mut broker, NOW, Holder(3), 0), none());
+    let now = NOW + Duration::from_secs(1);
+    let held = (1..=u64::from(SLOTS)).map(|ticket| Held {
+        ticket: Ticket(ticket),
+        upstream: 0,
+        class: Class::Online,
+    });
+    broker.sync(now, Holder(1), Sync { held: held.collect(), ..Sync::default() });
+    let ended = now + Duration::from_millis(100);
+    let tickets: Vec<Ticket> = (1..=u64::from(SLOTS)).map(Ticket).collect();
+    broker.release(ended, Holder(1), &tickets);
+    expect_that!(grant(&mut broker, ended, Holder(3), 100), none());
+    let later = now + Duration::from_secs(2);
+    expect_that!(grant(&mut broker, later, Holder(3), 101), some(eq(0)));
+}
+
 /// Guards against a limit that a delayed response ends, and against one that never ends.
 #[gtest]
 fn end_of_limit() {
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -95,12 +95,9 @@
             Some(_) => self.shared.clock.now(),
             None => self.started,
         };
-        let (is_changed, place) = {
-            let mut selector = self.shared.selector();
-            let is_changed = selector.record_limit(self.key, Limit { rate, known_at });
-            (is_changed, selector.place(self.key))
-        };
+        let is_changed = self.shared.selector().record_limit(self.key, Limit { rate, known_at });
         if is_changed {
+            let place = self.shared.selector().place(self.key);
             if let Some((shard, _)) = place {
                 self.shared.mark_dirty(shard);
             }
