Skip rows of origins and versions that cannot be read

One damaged row would have kept a relay from reading the others, and its own damaged row from ever writing origins again.

--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -15,9 +15,10 @@
 use cyclamengrade_control::relay::origin::{Software, Stream};
 use cyclamengrade_platform::{
     Error,
-    table::{Commit, Transaction},
+    table::{Commit, Row, Transaction},
 };
 use cyclamengrade_telemetry::event;
+use serde::de::DeserializeOwned;
 use tokio::{
     sync::{Mutex, Notify, watch},
     time::{sleep, timeout},
@@ -105,7 +106,9 @@
             let is_last = rows.len() < PAGE_ROWS;
             after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
             for row in rows {
-                self.keep_stored(&store::decode(&row)?);
+                if let Some(origins) = decode(&row) {
+                    self.keep_stored(&origins);
+                }
             }
             if is_last {
                 return Ok(());
@@ -127,8 +130,8 @@
     /// Takes over the origins that an earlier start of this relay wrote, before they are replaced.
     async fn recover_own_origins(&self) -> Result<(), Error> {
         let rows = self.table.read(vec![key::origins(&self.name)]).await?;
-        let Some(row) = rows.into_iter().flatten().next() else { return Ok(()) };
-        let row: row::Origins = store::decode(&row)?;
+        let row = rows.into_iter().flatten().next();
+        let Some(row) = row.as_ref().and_then(decode::<row::Origins>) else { return Ok(()) };
         let (Some(now_ms), now) = (self.clock.store_ms(), self.clock.now()) else { return Ok(()) };
         let mut own = lock(&self.origins.own);
         for (stream, software, expires_ms) in row.streams {
@@ -178,11 +181,9 @@
     async fn write_versions(&self) -> Result<(), Error> {
         let key = key::versions();
         let stored = self.table.read(vec![key.clone()]).await?.into_iter().next().flatten();
-        let known: row::Versions = match &stored {
-            Some(row) => store::decode(row)?,
-            None => row::Versions::default(),
-        };
-        self.origins.set_versions(known);
+        if let Some(known) = stored.as_ref().and_then(decode) {
+            self.origins.set_versions(known);
+        }
         let Some(versions) = self.changed_versions() else { return Ok(()) };
         let version = stored.map_or(0, |row| row.version);
         let write = Transaction::new()
@@ -197,6 +198,18 @@
     }
 }
 
+/// Returns the value of a row, or `None` after logging that it cannot be used. Such a row is replaced by
+/// the next write.
+fn decode<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    match store::decode(row) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            event!(RowUnusable, key:% = row.key, version = row.version, error:% = error);
+            None
+        }
+    }
+}
+
 fn format_versions(versions: &row::Versions) -> String {
     let sets = versions.deployments.iter().map(|(name, set)| {
         let software: Vec<String> =
