--- a/tests/relay_quarantine.rs
+++ b/tests/relay_quarantine.rs
@@ -114,7 +114,9 @@
     let before = runs();
     let start = Instant::now();
     let reply = harness.send(request(&harness, 0, "bad", &[FATAL])).await?;
-    expect_that!(reply.status, eq(503));
+    let names = ["attempt_failed", "part_blamed", "part_suspect", "part_quarantined"];
+    let log = names.map(|name| harness.events(0, name));
+    expect_that!(reply.status, eq(503), "{log:#?}");
     expect_that!(reply.headers.contains_key("retry-after"), eq(true));
     expect_that!(start.elapsed(), lt(Duration::from_millis(200)));
     expect_that!(runs(), eq(before));
