Log responses whose end is marked by nothing but the close of their connection

Events 1210 and 1211 say so. The stand-in of an upstream can leave out length and chunks, and close or crash then. Nothing changes in what callers get.

--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -16,7 +16,7 @@
 use crate::{
     batch::owned::Transcript,
     dialect::Item,
-    exchange::{self, Options, Outgoing, Response},
+    exchange::{self, Next, Options, Outgoing, Response},
     flight::Flight,
     quarantine::format_parts,
     shared::{Shared, lock},
@@ -81,7 +81,7 @@
     let end = match sent {
         Ok(response) => {
             flight.record_bytes();
-            read(&shared, response, &mut flight, &transcript).await
+            read(&shared, &outgoing.id, response, &mut flight, &transcript).await
         }
         Err(failure) => End::Interrupted(failure),
     };
@@ -108,6 +108,7 @@
 /// Reads the response to a run and appends its events to the transcript.
 async fn read(
     shared: &Shared,
+    id: &str,
     response: Response,
     flight: &mut Flight,
     transcript: &Mutex<Transcript>,
@@ -131,11 +132,16 @@
     loop {
         match events.next(timeout).await {
             Err(failure) => return End::Interrupted(failure),
-            Ok(None) => {
+            Ok(Next::End) => {
                 events.finish(&shared.pool);
                 return End::Completed;
             }
-            Ok(Some(event)) => {
+            Ok(Next::Closed) => {
+                let events = lock(transcript).events;
+                event!(ResponseUnmarked, request:% = id, upstream:% = flight.upstream.id, events = events);
+                return End::Completed;
+            }
+            Ok(Next::Event(event)) => {
                 flight.record_answer();
                 timeout = EVENT_TIMEOUT;
                 let mut transcript = lock(transcript);
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -8,8 +8,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, StatusCode, Uri,
-    body::Incoming,
-    header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderValue},
+    body::{Body, Incoming},
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING},
 };
 use tokio::time;
 
@@ -89,6 +89,14 @@
 }
 
 impl Response {
+    /// Whether the end of the body is marked by its length or its chunks (RFC 9112, section 6.3).
+    /// Otherwise it ends with its connection, which an upstream that is killed closes as well.
+    pub fn has_marked_end(&self) -> bool {
+        self.headers.contains_key(CONTENT_LENGTH)
+            || self.headers.contains_key(TRANSFER_ENCODING)
+            || self.body.is_end_stream()
+    }
+
     /// Whether the body is an event stream.
     pub fn is_event_stream(&self) -> bool {
         self.headers
@@ -111,6 +119,7 @@
         timeout: Duration,
         deadline: Instant,
     ) -> Result<Collected, Failure> {
+        let has_marked_end = self.has_marked_end();
         let Self { status, headers, mut body, connection } = self;
         let mut memory = flight.response_memory().reserve().ok_or(Failure::Broken)?;
         let mut bytes = BytesMut::new();
@@ -135,12 +144,13 @@
             }
         }
         flight.pool().release(connection, &headers);
-        Ok(Collected { status, headers, body: bytes.freeze(), _memory: memory })
+        Ok(Collected { status, headers, body: bytes.freeze(), has_marked_end, _memory: memory })
     }
 
     /// Reads the body as an event stream.
     pub fn events(self) -> Events {
-        Events { response: self, splitter: Splitter::default() }
+        let has_marked_end = self.has_marked_end();
+        Events { response: self, splitter: Splitter::default(), has_marked_end }
     }
 }
 
@@ -150,6 +160,8 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// See [`Response::has_marked_end`].
+    pub has_marked_end: bool,
     /// Memory reserved for the body.
     _memory: Reservation,
 }
@@ -159,24 +171,35 @@
 pub struct Events {
     response: Response,
     splitter: Splitter,
+    has_marked_end: bool,
+}
+
+/// What follows in an event stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    Event(Event),
+    /// The stream is complete.
+    End,
+    /// The upstream closed the connection, and nothing else marks the end of the stream.
+    Closed,
 }
 
 impl Events {
-    /// Returns the next event, or `None` after the last one. `timeout` limits the wait for the whole
-    /// event; with zero, not even an event that has arrived is returned.
+    /// Returns what follows in the stream. `timeout` limits the wait for a whole event; with zero, not
+    /// even an event that has arrived is returned.
     ///
     /// # Errors
     ///
     /// Returns [`Failure::Silent`] after a timeout, and [`Failure::Broken`] if the connection
     /// fails, an event is too large, or the stream ends within an event.
-    pub async fn next(&mut self, timeout: Duration) -> Result<Option<Event>, Failure> {
+    pub async fn next(&mut self, timeout: Duration) -> Result<Next, Failure> {
         if timeout.is_zero() {
             return Err(Failure::Silent);
         }
         let until = time::Instant::now() + timeout;
         loop {
             if let Some(event) = self.splitter.next() {
-                return Ok(Some(event));
+                return Ok(Next::Event(event));
             }
             match time::timeout_at(until, self.response.body.frame()).await {
                 Err(_) => return Err(Failure::Silent),
@@ -189,7 +212,8 @@
                     }
                 }
                 Ok(None) if self.splitter.is_partial() => return Err(Failure::Broken),
-                Ok(None) => return Ok(None),
+                Ok(None) if self.has_marked_end => return Ok(Next::End),
+                Ok(None) => return Ok(Next::Closed),
             }
         }
     }
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -29,8 +29,7 @@
     attempt::{self, Request},
     body::{Body, Truncated},
     dialect::Headers,
-    events::Event,
-    exchange::{self, Collected, Events, Outgoing},
+    exchange::{self, Collected, Events, Next, Outgoing},
     flight::Flight,
     memory::{Budget, Reservation},
     shared::Shared,
@@ -43,6 +42,8 @@
 /// Longest time that `Retry-After` states.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Id of the first event of a stream.
+const FIRST_EVENT: u64 = 1;
 /// Time beyond the deadline of a stream for which its origin is kept, since the caller's clock starts
 /// earlier or later than this relay's.
 const ORIGIN_MARGIN: Duration = Duration::from_secs(2);
@@ -144,6 +145,9 @@
             Ok(response) => {
                 flight.record_answer();
                 flight.record_success();
+                if !response.has_marked_end {
+                    log_unmarked_end(&request, &flight, 0);
+                }
                 let will_retry =
                     is_upstream_error(response.status) && prepare_retry(&mut request, &flight);
                 if !will_retry {
@@ -299,7 +303,7 @@
 }
 
 impl Forwarder {
-    async fn run(&mut self, mut flight: Flight, mut events: Events, first: Option<Event>) {
+    async fn run(&mut self, mut flight: Flight, mut events: Events, first: Next) {
         let mut next = Ok(first);
         loop {
             match self.forward(&mut flight, &mut events, next).await {
@@ -344,15 +348,29 @@
         &mut self,
         flight: &mut Flight,
         events: &mut Events,
-        mut next: Result<Option<Event>, Failure>,
+        mut next: Result<Next, Failure>,
     ) -> Forwarded {
         loop {
             let event = match next {
-                Ok(Some(event)) => event,
-                Ok(None) => return Forwarded::Complete,
+                Ok(Next::Event(event)) => event,
+                Ok(Next::End) => return Forwarded::Complete,
+                Ok(Next::Closed) => {
+                    log_unmarked_end(&self.request, flight, self.events_sent);
+                    return Forwarded::Complete;
+                }
                 Err(failure) => return Forwarded::Failed(failure),
             };
             flight.record_answer();
+            if event.id.is_none() || (self.last_event_id.is_none() && event.id > Some(FIRST_EVENT))
+            {
+                event!(
+                    EventUnnumbered,
+                    request:% = self.request.outgoing.id,
+                    upstream:% = flight.upstream.id,
+                    event = event.id.unwrap_or(0),
+                    events = self.events_sent
+                );
+            }
             match (event.id, self.last_event_id) {
                 // An event was lost or repeated, or belongs to another run.
                 (Some(id), Some(last)) if id != last + 1 => {
@@ -420,6 +438,15 @@
     }
 }
 
+fn log_unmarked_end(request: &Request, flight: &Flight, events: u64) {
+    event!(
+        ResponseUnmarked,
+        request:% = request.outgoing.id,
+        upstream:% = flight.upstream.id,
+        events = events
+    );
+}
+
 /// Returns the response to a request that got none from an upstream. The status is 503 only if the
 /// request certainly did not run.
 fn error_response(request: &Request, error: attempt::Error) -> Response<Body> {
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -39,6 +39,11 @@
     /// Closes the connection after this many events and half of another one, or in the middle of a
     /// plain body.
     CutAfter(u64),
+    /// Sends neither length nor chunks and closes the connection after this many events, or in the
+    /// middle of a plain body, in the same way as after a complete response.
+    CloseAfter(u64),
+    /// The same, and crashes at that moment.
+    KilledAfter(u64),
     /// Sends the id of another request in the response.
     WrongId,
     /// Sends a second response after a complete plain one.
@@ -89,6 +94,8 @@
     runs: Vec<Run>,
     connections: usize,
     is_leaving: bool,
+    /// Whether responses have neither length nor chunks and end with their connections.
+    is_unframed: bool,
     /// Requests a second that the responses name (`Server-Limit`).
     limit: Option<f64>,
     /// Part of a prompt under which the runner crashes.
@@ -186,6 +193,12 @@
         self.state().is_leaving = true;
     }
 
+    /// Sends all further successful responses without length or chunks, so that they end with their
+    /// connections.
+    pub fn omit_framing(&self) {
+        self.state().is_unframed = true;
+    }
+
     /// Names a limit in all further responses, or none. The runner goes on serving what exceeds it.
     pub fn set_limit(&self, requests_per_s: Option<f64>) {
         self.state().limit = requests_per_s;
@@ -300,6 +313,15 @@
         }
         let Some(events) = request.events() else {
             let body = format!("answer to {}", String::from_utf8_lossy(&request.body));
+            if self.is_unframed(fault) {
+                let end = if fault.is_some() { body.len() / 2 } else { body.len() };
+                let head = unframed_head("200 OK", &headers);
+                stream.write_all(format!("{head}\r\n{}", &body[..end]).as_bytes()).await?;
+                if matches!(fault, Some(Fault::KilledAfter(_))) {
+                    self.crash();
+                }
+                return Ok(false);
+            }
             let cut = matches!(fault, Some(Fault::CutAfter(_)));
             if cut {
                 let head = response_head("200 OK", &headers, body.len());
@@ -374,11 +396,12 @@
         events: u64,
         fault: Option<Fault>,
     ) -> io::Result<bool> {
-        let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n".to_owned();
-        for (name, value) in headers {
-            head += &format!("{name}: {value}\r\n");
+        let is_unframed = self.is_unframed(fault);
+        let mut head = unframed_head("200 OK", headers) + "Content-Type: text/event-stream\r\n";
+        if !is_unframed {
+            head += "Transfer-Encoding: chunked\r\n";
         }
-        head += "Transfer-Encoding: chunked\r\n\r\n";
+        head += "\r\n";
         stream.write_all(head.as_bytes()).await?;
         for event in first..=events {
             sleep(EVENT_INTERVAL).await;
@@ -387,6 +410,18 @@
                 version => format!("event: {version}\n"),
             };
             let text = format!("{kind}id: {event}\ndata: piece {event}\n\n");
+            if let Some(Fault::CloseAfter(count) | Fault::KilledAfter(count)) = fault
+                && event >= first + count
+            {
+                if matches!(fault, Some(Fault::KilledAfter(_))) {
+                    self.crash();
+                }
+                return Ok(false);
+            }
+            if is_unframed {
+                stream.write_all(text.as_bytes()).await?;
+                continue;
+            }
             if let Some(Fault::CutAfter(count)) = fault
                 && event >= first + count
             {
@@ -396,9 +431,21 @@
             }
             stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await?;
         }
+        if is_unframed {
+            return Ok(false);
+        }
         stream.write_all(b"0\r\n\r\n").await?;
         Ok(true)
     }
+
+    /// Whether a successful response has neither length nor chunks.
+    fn is_unframed(&self, fault: Option<Fault>) -> bool {
+        match fault {
+            Some(Fault::CloseAfter(_) | Fault::KilledAfter(_)) => true,
+            Some(_) => false,
+            None => self.state().is_unframed,
+        }
+    }
 }
 
 struct Request {
@@ -446,11 +493,16 @@
 }
 
 fn response_head(status: &str, headers: &[(&str, &str)], length: usize) -> String {
-    let mut head = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n");
+    unframed_head(status, headers) + &format!("Content-Length: {length}\r\n\r\n")
+}
+
+/// Returns the head of a response up to the headers that tell where its body ends.
+fn unframed_head(status: &str, headers: &[(&str, &str)]) -> String {
+    let mut head = format!("HTTP/1.1 {status}\r\n");
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
-    head + "\r\n"
+    head
 }
 
 async fn write_plain(
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -197,6 +197,14 @@
     /// (hashes of the versions of each deployment).
     1209 Info VersionsChanged "versions_changed" "software versions of a deployment changed",
 
+    /// A response with neither length nor chunks ended with its connection, which an upstream that is
+    /// killed closes as well. Fields: `request`, `upstream`, `events` of the stream so far (0 for a
+    /// plain response).
+    1210 Info ResponseUnmarked "response_unmarked" "end of a response is marked by nothing but the close of its connection",
+    /// A new stream began with an event other than the first one, or an event of a stream has no id.
+    /// Fields: `request`, `upstream`, `event` (its id, 0 without one), `events` before it.
+    1211 Warn EventUnnumbered "event_unnumbered" "position of an event in its stream is not known",
+
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "change feed of a table cannot be read",
     /// The change feed of a table in the store can be read again. Fields: `table`, `version`,
