Reproduce responses that count as complete because their connection was closed early

A stream without length or chunks ends with its connection. When the upstream is killed between two events, or closes early, callers get a complete stream with missing events, batch items are stored as completed with half of their text, and plain bodies are passed on in half.

--- /dev/null
+++ b/tests/relay_closed.rs
@@ -0,0 +1,168 @@
+//! Responses of upstreams whose end is marked by nothing but the close of their connection.
+
+use cyclamengrade_standins::{
+    bridge::{Fault, Harness},
+    client::{Client, Reply},
+};
+use googletest::prelude::*;
+
+/// Returns the text of the first events of a stream.
+fn events(count: u64) -> String {
+    (1..=count).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect()
+}
+
+/// Starts relays before two upstreams whose responses have neither length nor chunks.
+async fn start_unframed() -> Result<Harness> {
+    let harness = Harness::start(1).await?;
+    for runner in harness.runners.iter().chain([&harness.plain]) {
+        runner.omit_framing();
+    }
+    Ok(harness)
+}
+
+fn is_complete(reply: &Reply, count: u64) -> bool {
+    reply.status == 200 && reply.text() == events(count)
+}
+
+/// Guards against a stream that ends as complete before its last event, because the upstream closed
+/// its connection early.
+#[gtest]
+#[tokio::test]
+async fn cut_stream() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for runner in &harness.runners {
+        runner.queue_faults(&[Fault::CloseAfter(4)]);
+    }
+    let reply = harness.stream(0, "stream", "s-1", 12).await?;
+    verify_that!(reply.text(), eq(&events(12)))
+}
+
+/// Guards against a stream that ends as complete when its upstream is killed between two events.
+#[gtest]
+#[tokio::test]
+async fn killed_stream() -> Result<()> {
+    let harness = start_unframed().await?;
+    let call = harness.call(0, "stream", "s-1").with_header("token-counts", "10,40");
+    let mut response = Client::new().open(call).await?;
+    let mut text = String::new();
+    while let Some(event) = response.next_event().await? {
+        text += &event;
+        if text == events(4) {
+            let serving = harness.runners.iter().find(|runner| !runner.runs().is_empty());
+            serving.or_fail()?.crash();
+        }
+    }
+    verify_that!(text, eq(&events(40)))
+}
+
+/// Guards against a stream that ends as complete when all of its upstreams are killed under it.
+#[gtest]
+#[tokio::test]
+async fn killed_twice() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for runner in &harness.runners {
+        runner.queue_faults(&[Fault::KilledAfter(4)]);
+    }
+    let reply = harness.stream(0, "stream", "s-1", 12).await;
+    verify_that!(reply, err(anything()))
+}
+
+/// Guards against a stream without any event that counts as complete.
+#[gtest]
+#[tokio::test]
+async fn empty_stream() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.runners[0].queue_faults(&[Fault::CloseAfter(0)]);
+    harness.runners[1].queue_faults(&[Fault::CloseAfter(0)]);
+    for number in 0..4 {
+        let reply = harness.stream(0, "stream", &format!("s-{number}"), 3).await?;
+        // Both attempts may meet the fault.
+        expect_that!(reply.status == 502 || is_complete(&reply, 3), eq(true), "{reply:?}");
+    }
+    Ok(())
+}
+
+/// Guards against complete streams that are refused or repeated because nothing marks their ends.
+#[gtest]
+#[tokio::test]
+async fn whole_streams() -> Result<()> {
+    let harness = start_unframed().await?;
+    for (number, route) in ["stream", "once", "stream", "once"].into_iter().enumerate() {
+        let reply = harness.stream(0, route, &format!("s-{number}"), 6).await?;
+        expect_that!(reply.status, eq(200));
+        expect_that!(reply.text(), eq(&events(6)), "route {route}");
+    }
+    let runs: Vec<_> = harness.runners.iter().flat_map(|runner| runner.runs()).collect();
+    let new = runs.iter().filter(|run| run.after.is_none());
+    expect_that!(new.count(), eq(4));
+    // Only the end of a resumable stream is confirmed by another run.
+    verify_that!(runs.len(), eq(6))
+}
+
+/// Guards against a stream that may not be sent again and ends as complete although its upstream was
+/// killed.
+#[gtest]
+#[tokio::test]
+async fn killed_once() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for runner in &harness.runners {
+        runner.queue_faults(&[Fault::KilledAfter(4)]);
+    }
+    let reply = harness.stream(0, "once", "s-1", 12).await;
+    expect_that!(reply, err(anything()));
+    let runs: usize = harness.runners.iter().map(|runner| runner.runs().len()).sum();
+    verify_that!(runs, eq(1))
+}
+
+/// Guards against half of a plain body that is passed on as all of it, because its upstream was
+/// killed.
+#[gtest]
+#[tokio::test]
+async fn killed_body() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.plain.queue_faults(&[Fault::KilledAfter(0)]);
+    let reply = harness.send(harness.call(0, "unsafe", "r-1")).await?;
+    expect_that!(reply.status, eq(502));
+    expect_that!(harness.plain.runs().len(), eq(1));
+    Ok(())
+}
+
+/// Guards against plain bodies that are refused because nothing marks their ends.
+#[gtest]
+#[tokio::test]
+async fn whole_bodies() -> Result<()> {
+    let harness = start_unframed().await?;
+    for (number, route) in ["safe", "unsafe", "safe"].into_iter().enumerate() {
+        let id = format!("r-{number}");
+        let reply = harness.send(harness.call(0, route, &id)).await?;
+        expect_that!(reply.status, eq(200));
+        expect_that!(reply.text(), eq(&format!("answer to {id}")));
+    }
+    verify_that!(harness.plain.runs().len(), eq(3))
+}
+
+/// Guards against the text of a batch item that is stored as complete before its last event.
+#[gtest]
+#[tokio::test]
+async fn cut_item() -> Result<()> {
+    for fault in [Fault::CloseAfter(4), Fault::CloseAfter(0), Fault::KilledAfter(4)] {
+        let harness = Harness::start(1).await?;
+        harness.runners[0].queue_faults(&[fault]);
+        let (job, status) = harness.submit(0, "j-1", 3, 9).await?;
+        expect_that!(status, eq(202));
+        let results = harness.await_results(0, &job).await?;
+        expect_that!(Harness::complete_items(&results, 9).len(), eq(3), "{fault:?}: {results:?}");
+    }
+    Ok(())
+}
+
+/// Guards against batch items that never end at upstreams which mark the ends of no responses.
+#[gtest]
+#[tokio::test]
+async fn whole_items() -> Result<()> {
+    let harness = start_unframed().await?;
+    let (job, status) = harness.submit(0, "j-1", 6, 9).await?;
+    expect_that!(status, eq(202));
+    let results = harness.await_results(0, &job).await?;
+    verify_that!(Harness::complete_items(&results, 9).len(), eq(6))
+}
