Confirm the end of a response that only the close of its connection marks

Callers got streams that looked complete and lacked their last events, and batch items were stored as completed with half of their text, for good. A response with neither length nor chunks ends with its connection, and the vm of a process that is killed closes its connections in order: the close of a connection was taken for the last event. The class of the fault is the absence of a message that is taken for a message.

A resumable stream and a batch item are now requested once more after their last event, at the same upstream with the slot that it still holds. If nothing follows there, the stream is complete; if the upstream cannot be reached or sends an error, the close is explained, and the stream goes on elsewhere. A stream that may not be sent again, and a plain body, count as complete only if the upstream accepts another connection. A new stream that closes without any event counts as broken.

Ruled out: a check of the connection alone for all streams, since an upstream that lives may close early too; the number of tokens that the request allows, which a stream need not reach.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! serve a request, and the kind of the route says what may run more than once.
 
 pub mod broker;
+pub mod ending;
 pub mod failure;
 pub mod framing;
 pub mod job;
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -156,23 +156,31 @@
             self.check_quarantine()?;
             let mut flight = flight.with_parts(self.parts.clone());
             self.log_send(&flight, resume_after, placement);
-            let options = Options {
-                deadline: Some(self.deadline),
-                resume_after,
-                timeout: self.read_timeout(),
-                max_connections: self.shared.max_connections(&flight.upstream.deployment),
-            };
-            let names = self.shared.dialect.headers();
-            match exchange::send(&mut flight, names, &self.outgoing, options).await {
-                Ok(response) => {
-                    flight.record_bytes();
-                    return Ok((flight, response));
-                }
+            match self.send_to(&mut flight, resume_after).await {
+                Ok(response) => return Ok((flight, response)),
                 Err(failure) => self.record_failure(&flight, failure, 0)?,
             }
         }
     }
 
+    /// Sends the request to the upstream of a flight.
+    pub async fn send_to(
+        &self,
+        flight: &mut Flight,
+        resume_after: Option<u64>,
+    ) -> Result<Response, Failure> {
+        let options = Options {
+            deadline: Some(self.deadline),
+            resume_after,
+            timeout: self.read_timeout(),
+            max_connections: self.shared.max_connections(&flight.upstream.deployment),
+        };
+        let names = self.shared.dialect.headers();
+        let response = exchange::send(flight, names, &self.outgoing, options).await?;
+        flight.record_bytes();
+        Ok(response)
+    }
+
     fn check_quarantine(&self) -> Result<(), Error> {
         match self.shared.quarantine_left(&self.parts) {
             Some(left) => Err(Error::Quarantined(left)),
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -69,21 +69,17 @@
     mut flight: Flight,
     transcript: Arc<Mutex<Transcript>>,
 ) -> End {
-    let resume_after = lock(&transcript).last;
-    let options = Options {
-        deadline: None,
-        resume_after,
-        timeout: FIRST_EVENT_TIMEOUT,
-        max_connections: shared.max_connections(&flight.upstream.deployment),
-    };
-    let names = shared.dialect.headers();
-    let sent = exchange::send(&mut flight, names, &outgoing, options).await;
-    let end = match sent {
-        Ok(response) => {
-            flight.record_bytes();
-            read(&shared, &outgoing.id, response, &mut flight, &transcript).await
+    let mut end = run_once(&shared, &outgoing, &mut flight, &transcript).await;
+    if end == Read::Closed && flight.may_repeat() {
+        // The upstream tells by a run after the last event whether the text is complete.
+        end = run_once(&shared, &outgoing, &mut flight, &transcript).await;
+        if matches!(end, Read::Ended(End::Interrupted(_))) {
+            lock(&transcript).ending.record_failure();
         }
-        Err(failure) => End::Interrupted(failure),
+    }
+    let end = match end {
+        Read::Closed => End::Interrupted(Failure::Broken),
+        Read::Ended(end) => end,
     };
     match end {
         End::Completed => flight.record_success(),
@@ -105,6 +101,43 @@
     end
 }
 
+/// What one response to the request of an item brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Read {
+    Ended(End),
+    /// The upstream closed the connection, which does not say whether the transcript is complete.
+    Closed,
+}
+
+impl From<End> for Read {
+    fn from(end: End) -> Self {
+        Self::Ended(end)
+    }
+}
+
+/// Sends the request of an item, to be resumed after the last event of its transcript, and reads the
+/// response.
+async fn run_once(
+    shared: &Shared,
+    outgoing: &Outgoing,
+    flight: &mut Flight,
+    transcript: &Mutex<Transcript>,
+) -> Read {
+    let options = Options {
+        deadline: None,
+        resume_after: lock(transcript).last,
+        timeout: FIRST_EVENT_TIMEOUT,
+        max_connections: shared.max_connections(&flight.upstream.deployment),
+    };
+    match exchange::send(flight, shared.dialect.headers(), outgoing, options).await {
+        Ok(response) => {
+            flight.record_bytes();
+            read(shared, &outgoing.id, response, flight, transcript).await
+        }
+        Err(failure) => End::Interrupted(failure).into(),
+    }
+}
+
 /// Reads the response to a run and appends its events to the transcript.
 async fn read(
     shared: &Shared,
@@ -112,12 +145,12 @@
     response: Response,
     flight: &mut Flight,
     transcript: &Mutex<Transcript>,
-) -> End {
+) -> Read {
     match response.status {
         StatusCode::OK if response.is_event_stream() => {}
         status => {
             let deadline = Instant::now() + FIRST_EVENT_TIMEOUT;
-            return match response.collect(flight, EVENT_TIMEOUT, deadline).await {
+            let end = match response.collect(flight, EVENT_TIMEOUT, deadline).await {
                 Err(failure) => End::Interrupted(failure),
                 Ok(_) => match status {
                     StatusCode::UNPROCESSABLE_ENTITY => End::Failed(RunFailure::Impossible),
@@ -125,41 +158,51 @@
                     _ => End::Interrupted(Failure::NotRun),
                 },
             };
+            return end.into();
         }
     }
     let mut events = response.events();
     let mut timeout = FIRST_EVENT_TIMEOUT;
     loop {
         match events.next(timeout).await {
-            Err(failure) => return End::Interrupted(failure),
+            Err(failure) => return End::Interrupted(failure).into(),
             Ok(Next::End) => {
                 events.finish(&shared.pool);
-                return End::Completed;
+                return End::Completed.into();
             }
             Ok(Next::Closed) => {
-                let events = lock(transcript).events;
-                event!(ResponseUnmarked, request:% = id, upstream:% = flight.upstream.id, events = events);
-                return End::Completed;
+                let mut transcript = lock(transcript);
+                event!(
+                    ResponseUnmarked,
+                    request:% = id,
+                    upstream:% = flight.upstream.id,
+                    events = transcript.events
+                );
+                let is_complete = transcript.ending.record_close() && transcript.last.is_some();
+                return if is_complete { End::Completed.into() } else { Read::Closed };
             }
             Ok(Next::Event(event)) => {
                 flight.record_answer();
                 timeout = EVENT_TIMEOUT;
                 let mut transcript = lock(transcript);
                 let (Some(id), Some(data)) = (event.id, event.data()) else {
-                    return End::Interrupted(Failure::Broken);
+                    return End::Interrupted(Failure::Broken).into();
                 };
                 match transcript.last {
-                    Some(last) if id != last + 1 => return End::Interrupted(Failure::Broken),
+                    Some(last) if id != last + 1 => {
+                        return End::Interrupted(Failure::Broken).into();
+                    }
                     Some(_) => transcript.text.push('\n'),
                     None => transcript.software = Some(flight.upstream.software()),
                 }
                 transcript.last = Some(id);
                 transcript.events += 1;
+                transcript.ending.record_event();
                 transcript.text.push_str(&data);
                 if transcript.text.len() > MAX_TEXT_BYTES {
                     // No item has such a text; none of it can be trusted.
                     *transcript = Transcript::default();
-                    return End::Interrupted(Failure::Broken);
+                    return End::Interrupted(Failure::Broken).into();
                 }
             }
         }
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -111,8 +111,9 @@
     /// # Errors
     ///
     /// Returns [`Failure::Silent`] after a timeout or the deadline, and [`Failure::Broken`] if the
-    /// connection fails, the body is longer than [`MAX_RESPONSE_BYTES`], or the responses that are
-    /// being read need more memory together than there is for them.
+    /// connection fails, the body is longer than [`MAX_RESPONSE_BYTES`], the responses that are being
+    /// read need more memory together than there is for them, or nothing but the close of the
+    /// connection marks the end of the body and the upstream accepts no other one.
     pub async fn collect(
         self,
         flight: &Flight,
@@ -143,7 +144,15 @@
                 Ok(None) => break,
             }
         }
-        flight.pool().release(connection, &headers);
+        match has_marked_end {
+            true => flight.pool().release(connection, &headers),
+            false => {
+                drop(connection);
+                if !flight.is_reachable().await {
+                    return Err(Failure::Broken);
+                }
+            }
+        }
         Ok(Collected { status, headers, body: bytes.freeze(), has_marked_end, _memory: memory })
     }
 
@@ -321,7 +330,9 @@
     if misdirected || response.headers.contains_key(&names.not_run) {
         // The head says that the request did not run. The body is read only so that the connection
         // can be reused.
-        let _ = response.collect(flight, timeout, Instant::now() + timeout).await;
+        if response.has_marked_end() {
+            let _ = response.collect(flight, timeout, Instant::now() + timeout).await;
+        }
         return Err(if misdirected { Failure::Misdirected } else { Failure::NotRun });
     }
     let is_valid = id.is_some()
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -110,6 +110,21 @@
         software.is_none_or(|software| software == self.upstream.software())
     }
 
+    /// Whether the request may be sent once more to the same upstream with the slot that it holds: the
+    /// upstream is still in use and names no limit, of which only a broker may take.
+    pub fn may_repeat(&self) -> bool {
+        let selector = self.shared.selector();
+        let usable = selector.usable_key(selector.short_id(self.key), self.shared.clock.now());
+        let is_limited = selector.limit(self.key).is_some_and(|limit| limit.rate.is_some());
+        usable == Some(self.key) && !is_limited
+    }
+
+    /// Whether the upstream accepts connections.
+    pub async fn is_reachable(&self) -> bool {
+        let Upstream { id, address, deployment, .. } = &self.upstream;
+        self.pool().is_reachable(id, *address, self.shared.max_connections(deployment)).await
+    }
+
     /// Returns the memory for responses that are collected.
     pub fn response_memory(&self) -> &Budget {
         &self.shared.response_memory
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cyclamengrade_control::relay::{
+    ending::Ending,
     failure::Failure,
     origin::Stream,
     route::{Kind, Limits, Route},
@@ -226,7 +227,15 @@
         }
         let (status, headers) = (response.status, response.headers.clone());
         let mut events = exchange::Response::events(response);
-        match events.next(request.read_timeout()).await {
+        let first = match events.next(request.read_timeout()).await {
+            // A new stream has an event, so this one was cut off.
+            Ok(Next::Closed) if last_event_id.is_none() => {
+                log_unmarked_end(&request, &flight, 0);
+                Err(Failure::Broken)
+            }
+            first => first,
+        };
+        match first {
             Ok(first) => {
                 flight.record_answer();
                 record_first_byte(&mut request);
@@ -236,8 +245,15 @@
                     shared.record_origin(stream, &flight.upstream, lifetime).await;
                 }
                 let (sender, body) = Body::stream();
-                let mut forwarder = Forwarder { request, sender, last_event_id, events_sent: 0 };
-                tokio::spawn(async move { forwarder.run(flight, events, first).await });
+                let mut forwarder = Forwarder {
+                    request,
+                    sender,
+                    last_event_id,
+                    events_sent: 0,
+                    ending: Ending::default(),
+                };
+                let run = Run { flight, events, next: Ok(first) };
+                tokio::spawn(async move { forwarder.run(run).await });
                 let mut response = Response::new(body);
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
@@ -291,82 +307,87 @@
     /// Id of the last event that the caller has.
     last_event_id: Option<u64>,
     events_sent: u64,
+    ending: Ending,
+}
+
+/// A run of the stream at one upstream.
+struct Run {
+    flight: Flight,
+    events: Events,
+    /// What the run brought last.
+    next: Result<Next, Failure>,
 }
 
-/// How the forwarding of the events of one upstream ended.
+/// How the forwarding of the events of one run ended.
 enum Forwarded {
     Complete,
+    /// The upstream closed the connection, which does not say whether the stream is complete.
+    Closed,
     /// The caller closed the connection.
     CallerLeft,
     /// The attempt at the upstream failed.
     Failed(Failure),
 }
 
+/// How the response to the caller ended.
+enum End {
+    Complete,
+    /// The caller closed the connection.
+    CallerLeft,
+    /// The stream cannot be resumed.
+    Failed(attempt::Error),
+}
+
 impl Forwarder {
-    async fn run(&mut self, mut flight: Flight, mut events: Events, first: Next) {
-        let mut next = Ok(first);
-        loop {
-            match self.forward(&mut flight, &mut events, next).await {
+    async fn run(&mut self, mut run: Run) {
+        let end = loop {
+            let resumed = match self.forward(&mut run).await {
                 Forwarded::Complete => {
-                    flight.record_success();
-                    record_end(&self.request, StatusCode::OK, "served");
-                    events.finish(flight.pool());
-                    return;
+                    run.flight.record_success();
+                    run.events.finish(run.flight.pool());
+                    break End::Complete;
                 }
-                Forwarded::CallerLeft => {
-                    event!(
-                        CallerLeft,
-                        request:% = self.request.outgoing.id,
-                        events = self.events_sent
-                    );
-                    counter!(RELAY_REQUESTS, "kind" => self.request.route.kind.name(), "outcome" => "left")
-                        .increment(1);
-                    return;
+                Forwarded::CallerLeft => break End::CallerLeft,
+                Forwarded::Closed => {
+                    drop(run.events);
+                    self.confirm_end(run.flight).await
                 }
                 Forwarded::Failed(failure) => {
-                    drop(events);
-                    let resumed =
-                        match self.request.record_failure(&flight, failure, self.events_sent) {
-                            Ok(()) => self.resume().await,
-                            Err(error) => Err(error),
-                        };
-                    match resumed {
-                        Ok(Some((new_flight, new_events))) => {
-                            (flight, events) = (new_flight, new_events)
-                        }
-                        Ok(None) => return,
-                        Err(error) => return self.abort(error).await,
-                    }
-                    next = events.next(self.request.read_timeout()).await;
+                    drop(run.events);
+                    self.resume(run.flight, failure).await
                 }
+            };
+            match resumed {
+                Ok(resumed) => run = resumed,
+                Err(end) => break end,
             }
+        };
+        match end {
+            End::Complete => record_end(&self.request, StatusCode::OK, "served"),
+            End::CallerLeft => self.record_caller_left(),
+            End::Failed(error) => self.abort(error).await,
         }
     }
 
-    /// Forwards the events of one upstream, beginning with `next`.
-    async fn forward(
-        &mut self,
-        flight: &mut Flight,
-        events: &mut Events,
-        mut next: Result<Next, Failure>,
-    ) -> Forwarded {
+    /// Forwards the events of one run.
+    async fn forward(&mut self, run: &mut Run) -> Forwarded {
         loop {
-            let event = match next {
-                Ok(Next::Event(event)) => event,
+            let event = match &run.next {
+                Ok(Next::Event(event)) => event.clone(),
                 Ok(Next::End) => return Forwarded::Complete,
                 Ok(Next::Closed) => {
-                    log_unmarked_end(&self.request, flight, self.events_sent);
-                    return Forwarded::Complete;
+                    log_unmarked_end(&self.request, &run.flight, self.events_sent);
+                    return Forwarded::Closed;
                 }
-                Err(failure) => return Forwarded::Failed(failure),
+                Err(failure) => return Forwarded::Failed(*failure),
             };
-            flight.record_answer();
+            run.flight.record_answer();
             if event.id.is_none() || (self.last_event_id.is_none() && event.id > Some(FIRST_EVENT))
             {
                 event!(
                     EventUnnumbered,
                     request:% = self.request.outgoing.id,
-                    upstream:% = flight.upstream.id,
+                    upstream:% = run.flight.upstream.id,
                     event = event.id.unwrap_or(0),
                     events = self.events_sent
                 );
@@ -383,35 +404,108 @@
                 return Forwarded::CallerLeft;
             }
             self.events_sent += 1;
-            let timeout = self.request.read_timeout();
-            next = tokio::select! {
-                biased;
-                () = self.sender.closed() => return Forwarded::CallerLeft,
-                next = events.next(timeout) => next,
-            };
+            self.ending.record_event();
+            match self.next(&mut run.events).await {
+                Some(next) => run.next = next,
+                None => return Forwarded::CallerLeft,
+            }
+        }
+    }
+
+    /// Returns what follows in a stream, or `None` if the caller closed the connection.
+    async fn next(&self, events: &mut Events) -> Option<Result<Next, Failure>> {
+        tokio::select! {
+            biased;
+            () = self.sender.closed() => None,
+            next = events.next(self.request.read_timeout()) => Some(next),
+        }
+    }
+
+    /// Finds out whether a stream is complete whose upstream closed the connection without marking an
+    /// end. Returns the run that resumes it otherwise.
+    async fn confirm_end(&mut self, mut flight: Flight) -> Result<Run, End> {
+        if self.ending.record_close() {
+            flight.record_success();
+            return Err(End::Complete);
+        }
+        if !self.request.route.is_retryable() {
+            // The request may not be sent again. All that can be known is whether the upstream lives.
+            if flight.is_reachable().await {
+                flight.record_success();
+                return Err(End::Complete);
+            }
+        } else if flight.may_repeat() {
+            match self.request_rest(&mut flight).await? {
+                Some((events, next)) => return Ok(Run { flight, events, next }),
+                None => self.ending.record_failure(),
+            }
+        }
+        self.resume(flight, Failure::Broken).await
+    }
+
+    /// Requests the rest of the stream from the upstream that closed the connection. Returns `None` if
+    /// it does not send an event stream.
+    async fn request_rest(
+        &mut self,
+        flight: &mut Flight,
+    ) -> Result<Option<(Events, Result<Next, Failure>)>, End> {
+        let sent = tokio::select! {
+            biased;
+            () = self.sender.closed() => return Err(End::CallerLeft),
+            sent = self.request.send_to(flight, self.last_event_id) => sent,
+        };
+        let Ok(response) = sent else { return Ok(None) };
+        if !(response.status.is_success() && response.is_event_stream()) {
+            return Ok(None);
+        }
+        let mut events = response.events();
+        let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
+        if matches!(next, Ok(Next::Event(_))) {
+            // The upstream had closed the connection early.
+            self.record_failure(flight, Failure::Broken)?;
+            self.log_resumed(flight);
         }
+        Ok(Some((events, next)))
     }
 
-    /// Resumes the stream after the last event at another upstream. Returns `None` if the caller
-    /// closed the connection.
-    async fn resume(&mut self) -> Result<Option<(Flight, Events)>, attempt::Error> {
+    /// Resumes the stream after the last event at another upstream, since the run of `flight` failed.
+    async fn resume(&mut self, flight: Flight, failure: Failure) -> Result<Run, End> {
+        self.record_failure(&flight, failure)?;
+        drop(flight);
         let caller = self.sender.clone();
         let sent = tokio::select! {
             biased;
-            () = caller.closed() => return Ok(None),
+            () = caller.closed() => return Err(End::CallerLeft),
             sent = self.request.send(self.last_event_id) => sent,
         };
-        let (flight, response) = sent?;
-        if response.status.is_success() && response.is_event_stream() {
-            event!(
-                StreamResumed,
-                upstream:% = flight.upstream.id,
-                received = self.last_event_id.unwrap_or(0),
-                request:% = self.request.outgoing.id
-            );
-            return Ok(Some((flight, response.events())));
+        let (flight, response) = sent.map_err(End::Failed)?;
+        if !(response.status.is_success() && response.is_event_stream()) {
+            return Err(End::Failed(attempt::Error::AttemptsExhausted(Failure::Broken)));
         }
-        Err(attempt::Error::AttemptsExhausted(Failure::Broken))
+        self.log_resumed(&flight);
+        let mut events = response.events();
+        let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
+        Ok(Run { flight, events, next })
+    }
+
+    /// Records that a run of the stream failed.
+    fn record_failure(&mut self, flight: &Flight, failure: Failure) -> Result<(), End> {
+        self.request.record_failure(flight, failure, self.events_sent).map_err(End::Failed)
+    }
+
+    fn log_resumed(&self, flight: &Flight) {
+        event!(
+            StreamResumed,
+            upstream:% = flight.upstream.id,
+            received = self.last_event_id.unwrap_or(0),
+            request:% = self.request.outgoing.id
+        );
+    }
+
+    fn record_caller_left(&self) {
+        event!(CallerLeft, request:% = self.request.outgoing.id, events = self.events_sent);
+        counter!(RELAY_REQUESTS, "kind" => self.request.route.kind.name(), "outcome" => "left")
+            .increment(1);
     }
 
     /// Ends the response with an error, since the stream cannot be resumed.
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -17,7 +17,11 @@
 };
 use hyper_util::rt::TokioIo;
 use metrics::counter;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use tokio::{
+    net::TcpStream,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 use crate::shared::lock;
 
@@ -29,6 +33,9 @@
 /// Timeout for opening a connection. A lost SYN is retransmitted only after one second, so trying
 /// another upstream is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which a connection has to stay open before its upstream counts as reachable. A process that
+/// is being killed closes the connections in its queue within this time.
+const REACHABLE_TIME: Duration = Duration::from_millis(10);
 /// Limit on the bytes of a response that are buffered, and so on its head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -86,6 +93,24 @@
             return Some(connection);
         }
         let permit = self.acquire_permit(id, max)?;
+        Self::open(permit, address).await
+    }
+
+    /// Whether an upstream accepts a connection and keeps it open, which is then kept for reuse. An
+    /// upstream that was killed refuses it.
+    pub async fn is_reachable(&self, id: &str, address: SocketAddr, max: usize) -> bool {
+        // At the limit, the other connections to the upstream are open.
+        let Some(permit) = self.acquire_permit(id, max) else { return true };
+        let Some(connection) = Self::open(permit, address).await else { return false };
+        sleep(REACHABLE_TIME).await;
+        if connection.sender.is_closed() {
+            return false;
+        }
+        self.keep(connection, DEFAULT_IDLE_TIMEOUT);
+        true
+    }
+
+    async fn open(permit: Permit, address: SocketAddr) -> Option<Connection> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         counter!(RELAY_CONNECTIONS_OPENED).increment(1);
@@ -144,7 +169,10 @@
         if is_closing || connection.sender.is_closed() {
             return;
         }
-        let timeout = idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        self.keep(connection, idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT));
+    }
+
+    fn keep(&self, connection: Connection, timeout: Duration) {
         let expires = Instant::now() + timeout.saturating_sub(IDLE_MARGIN);
         let id = connection.permit.id.clone();
         lock(&self.idle).entry(id).or_default().push(Idle { connection, expires });
