Reproduce streams without their first events, and ones that are resumed at an unknown position

A stream whose first events are missing is passed on, and an item without them is stored as completed. A stream that breaks off after events without ids is begun again behind them.

--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -44,6 +44,10 @@
     CloseAfter(u64),
     /// The same, and crashes at that moment.
     KilledAfter(u64),
+    /// Leaves out the ids of the events, and breaks off after this many of them.
+    OmitIds(u64),
+    /// Leaves out the events of a new stream before this one.
+    StartAt(u64),
     /// Sends the id of another request in the response.
     WrongId,
     /// Sends a second response after a complete plain one.
@@ -334,7 +338,11 @@
             }
             return Ok(true);
         };
-        let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
+        let first = match (request.header("last-event-id").parse::<u64>(), fault) {
+            (Ok(last), _) => last + 1,
+            (Err(_), Some(Fault::StartAt(event))) => event,
+            (Err(_), _) => 1,
+        };
         self.write_stream(stream, &headers, first, events, fault).await
     }
 
@@ -409,7 +417,11 @@
                 "v1" => String::new(),
                 version => format!("event: {version}\n"),
             };
-            let text = format!("{kind}id: {event}\ndata: piece {event}\n\n");
+            let id = match fault {
+                Some(Fault::OmitIds(_)) => String::new(),
+                _ => format!("id: {event}\n"),
+            };
+            let text = format!("{kind}{id}data: piece {event}\n\n");
             if let Some(Fault::CloseAfter(count) | Fault::KilledAfter(count)) = fault
                 && event >= first + count
             {
@@ -422,7 +434,7 @@
                 stream.write_all(text.as_bytes()).await?;
                 continue;
             }
-            if let Some(Fault::CutAfter(count)) = fault
+            if let Some(Fault::CutAfter(count) | Fault::OmitIds(count)) = fault
                 && event >= first + count
             {
                 let half = &text[..text.len() / 2];
