Ask further upstreams to resume a stream when one answers with an error

A stream that had begun broke off although a further attempt was allowed: an upstream that answered 500 to the request for the rest ended it. Its answer counts as a failed attempt now, like a refusal, and the next upstream is asked while the route allows it.

--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -469,23 +469,26 @@
     }
 
     /// Resumes the stream after the last event at another upstream, since the run of `flight` failed.
-    async fn resume(&mut self, flight: Flight, failure: Failure) -> Result<Run, End> {
-        self.record_failure(&flight, failure)?;
-        drop(flight);
-        let caller = self.sender.clone();
-        let sent = tokio::select! {
-            biased;
-            () = caller.closed() => return Err(End::CallerLeft),
-            sent = self.request.send(self.last_event_id) => sent,
-        };
-        let (flight, response) = sent.map_err(End::Failed)?;
-        if !(response.status.is_success() && response.is_event_stream()) {
-            return Err(End::Failed(attempt::Error::AttemptsExhausted(Failure::Broken)));
+    async fn resume(&mut self, mut flight: Flight, mut failure: Failure) -> Result<Run, End> {
+        loop {
+            self.record_failure(&flight, failure)?;
+            drop(flight);
+            let caller = self.sender.clone();
+            let sent = tokio::select! {
+                biased;
+                () = caller.closed() => return Err(End::CallerLeft),
+                sent = self.request.send(self.last_event_id) => sent,
+            };
+            let (next_flight, response) = sent.map_err(End::Failed)?;
+            if response.status.is_success() && response.is_event_stream() {
+                self.log_resumed(&next_flight);
+                let mut events = response.events();
+                let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
+                return Ok(Run { flight: next_flight, events, next });
+            }
+            // The response is an error of this upstream and no part of the stream.
+            (flight, failure) = (next_flight, Failure::Broken);
         }
-        self.log_resumed(&flight);
-        let mut events = response.events();
-        let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
-        Ok(Run { flight, events, next })
     }
 
     /// Records that a run of the stream failed.
