Refuse a stream or a text whose first events are missing

The first event of a new stream was taken with any id. A stream whose first pieces were lost reached the caller as whole, and an item without them was stored as completed. Such a response counts as broken now, and the request is sent to another upstream, since nothing of it has reached the caller. Streams that count from zero pass.

--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -188,10 +188,10 @@
                 let (Some(id), Some(data)) = (event.id, event.data()) else {
                     return End::Interrupted(Failure::Broken).into();
                 };
+                if exchange::breaks_order(transcript.last, id) {
+                    return End::Interrupted(Failure::Broken).into();
+                }
                 match transcript.last {
-                    Some(last) if id != last + 1 => {
-                        return End::Interrupted(Failure::Broken).into();
-                    }
                     Some(_) => transcript.text.push('\n'),
                     None => transcript.software = Some(flight.upstream.software()),
                 }
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -183,6 +183,19 @@
     has_marked_end: bool,
 }
 
+/// Id of the first event of a stream.
+const FIRST_EVENT: u64 = 1;
+
+/// Whether events are missing between the last event of a stream, if there was one, and the event `id`,
+/// or that event was there before.
+pub fn breaks_order(last: Option<u64>, id: u64) -> bool {
+    match last {
+        Some(last) => last.checked_add(1) != Some(id),
+        // Some upstreams count from zero.
+        None => id > FIRST_EVENT,
+    }
+}
+
 /// What follows in an event stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -30,6 +30,7 @@
     attempt::{self, Request},
     body::{Body, Truncated},
     dialect::Headers,
+    events::Event,
     exchange::{self, Collected, Events, Next, Outgoing},
     flight::Flight,
     memory::{Budget, Reservation},
@@ -43,8 +44,6 @@
 /// Longest time that `Retry-After` states.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// Id of the first event of a stream.
-const FIRST_EVENT: u64 = 1;
 /// Time beyond the deadline of a stream for which its origin is kept, since the caller's clock starts
 /// earlier or later than this relay's.
 const ORIGIN_MARGIN: Duration = Duration::from_secs(2);
@@ -233,6 +232,12 @@
                 log_unmarked_end(&request, &flight, 0);
                 Err(Failure::Broken)
             }
+            Ok(Next::Event(Event { id: Some(id), .. }))
+                if exchange::breaks_order(last_event_id, id) =>
+            {
+                log_unnumbered(&request, &flight, Some(id), 0);
+                Err(Failure::Broken)
+            }
             first => first,
         };
         match first {
@@ -382,23 +387,12 @@
                 Err(failure) => return Forwarded::Failed(*failure),
             };
             run.flight.record_answer();
-            if event.id.is_none() || (self.last_event_id.is_none() && event.id > Some(FIRST_EVENT))
-            {
-                event!(
-                    EventUnnumbered,
-                    request:% = self.request.outgoing.id,
-                    upstream:% = run.flight.upstream.id,
-                    event = event.id.unwrap_or(0),
-                    events = self.events_sent
-                );
-            }
-            match (event.id, self.last_event_id) {
-                // An event was lost or repeated, or belongs to another run.
-                (Some(id), Some(last)) if id != last + 1 => {
+            match event.id {
+                Some(id) if exchange::breaks_order(self.last_event_id, id) => {
                     return Forwarded::Failed(Failure::Broken);
                 }
-                (Some(id), _) => self.last_event_id = Some(id),
-                (None, _) => {}
+                Some(id) => self.last_event_id = Some(id),
+                None => log_unnumbered(&self.request, &run.flight, None, self.events_sent),
             }
             if self.sender.send(Ok(event.raw)).await.is_err() {
                 return Forwarded::CallerLeft;
@@ -535,6 +529,16 @@
     }
 }
 
+fn log_unnumbered(request: &Request, flight: &Flight, id: Option<u64>, events: u64) {
+    event!(
+        EventUnnumbered,
+        request:% = request.outgoing.id,
+        upstream:% = flight.upstream.id,
+        event = id.unwrap_or(0),
+        events = events
+    );
+}
+
 fn log_unmarked_end(request: &Request, flight: &Flight, events: u64) {
     event!(
         ResponseUnmarked,
