Cut off a stream whose position is not known, instead of resuming it

Upstreams may send events without ids. When such a stream broke off, it was begun again, or resumed after the last id, and callers got events twice or not at all. The relay cuts the stream off now. A comment without data does not count. Event 1211 is logged once for a stream. relay_resumed::unknown_position failed before and passes; relay_closed, relay_path, relay_faults and relay_versions pass.

--- a/components/relay/src/events.rs
+++ b/components/relay/src/events.rs
@@ -16,6 +16,11 @@
 }
 
 impl Event {
+    /// Whether the event has a `data` field. Without one it is a comment or only sets fields.
+    pub fn has_data(&self) -> bool {
+        lines(&self.raw).any(|line| field(line, b"data").is_some())
+    }
+
     /// Returns the values of the `data` fields, joined by line feeds, or `None` if they are not
     /// UTF-8.
     pub fn data(&self) -> Option<String> {
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -254,6 +254,7 @@
                     request,
                     sender,
                     last_event_id,
+                    is_numbered: true,
                     events_sent: 0,
                     ending: Ending::default(),
                 };
@@ -311,6 +312,8 @@
     sender: Sender<Result<Bytes, Truncated>>,
     /// Id of the last event that the caller has.
     last_event_id: Option<u64>,
+    /// Whether `last_event_id` is the position in the stream; it is not after an event without an id.
+    is_numbered: bool,
     events_sent: u64,
     ending: Ending,
 }
@@ -392,7 +395,12 @@
                     return Forwarded::Failed(Failure::Broken);
                 }
                 Some(id) => self.last_event_id = Some(id),
-                None => log_unnumbered(&self.request, &run.flight, None, self.events_sent),
+                // A comment is no part of the stream's sequence.
+                None if self.is_numbered && event.has_data() => {
+                    self.is_numbered = false;
+                    log_unnumbered(&self.request, &run.flight, None, self.events_sent);
+                }
+                None => {}
             }
             if self.sender.send(Ok(event.raw)).await.is_err() {
                 return Forwarded::CallerLeft;
@@ -422,8 +430,8 @@
             flight.record_success();
             return Err(End::Complete);
         }
-        if !self.request.route.is_retryable() {
-            // The request may not be sent again. All that can be known is whether the upstream lives.
+        if !self.request.route.is_retryable() || !self.is_numbered {
+            // The stream cannot be resumed. All that can be known is whether the upstream lives.
             if flight.is_reachable().await {
                 flight.record_success();
                 return Err(End::Complete);
@@ -485,9 +493,13 @@
         }
     }
 
-    /// Records that a run of the stream failed.
+    /// Records that a run of the stream failed, and fails if the stream cannot be resumed.
     fn record_failure(&mut self, flight: &Flight, failure: Failure) -> Result<(), End> {
-        self.request.record_failure(flight, failure, self.events_sent).map_err(End::Failed)
+        self.request.record_failure(flight, failure, self.events_sent).map_err(End::Failed)?;
+        match self.is_numbered {
+            true => Ok(()),
+            false => Err(End::Failed(attempt::Error::AttemptsExhausted(failure))),
+        }
     }
 
     fn log_resumed(&self, flight: &Flight) {
