Reproduce refusals on kept connections that are no answers to the request on them

An upstream writes an earlier refusal once more: before the answer to the next request on the connection, to the one after it, or while the connection is idle; with the id of the refused request, or without any. A request that ran gets 503 or runs at a second upstream, a batch item is broken off or abandoned while it runs, and a limit or the mark for leaving counts although it belongs to an earlier request.

--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -7,6 +7,6 @@
 
 pub use self::{
     harness::{Harness, Job},
-    runner::{Endless, Fault, Run, Runner},
+    runner::{Answer, Endless, Fault, Mark, Moment, Naming, Repeated, Run, Runner},
     store::{Faults, Store},
 };
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -28,6 +28,8 @@
 
 /// Bytes that an endless response sends at once.
 const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
+/// Time from a response to its repetition on an idle connection.
+const IDLE_REPEAT_DELAY: Duration = Duration::from_millis(30);
 /// Time between two writes of an endless response that is slow.
 const ENDLESS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -56,6 +58,94 @@
     Impossible,
     /// Sends bytes that are no answer until the caller closes the connection.
     Endless(Endless),
+    /// Sends a response and writes it once more on the same connection.
+    Repeated(Repeated),
+}
+
+/// A response that is written twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Repeated {
+    pub answer: Answer,
+    pub naming: Naming,
+    pub moment: Moment,
+    /// Mark that only the repetition bears.
+    pub mark: Option<Mark>,
+}
+
+impl Repeated {
+    /// Creates a response that is repeated with the id of its request before the answer to the next
+    /// one.
+    pub const fn new(answer: Answer) -> Self {
+        Self { answer, naming: Naming::Both, moment: Moment::Next, mark: None }
+    }
+
+    pub const fn with_naming(self, naming: Naming) -> Self {
+        Self { naming, ..self }
+    }
+
+    pub const fn with_moment(self, moment: Moment) -> Self {
+        Self { moment, ..self }
+    }
+
+    pub const fn with_mark(self, mark: Mark) -> Self {
+        Self { mark: Some(mark), ..self }
+    }
+}
+
+/// A response without a body of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// 503 with `Not-Run`, without running the request.
+    NotRun,
+    /// 421, without running the request.
+    Misdirected,
+    /// 500 after the request has run.
+    Failed,
+}
+
+/// Which of the two copies bear the id of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Naming {
+    Both,
+    /// The first one, which answers the request.
+    First,
+    Neither,
+}
+
+/// When a response is repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moment {
+    /// While the connection is idle, unless the next request comes within [`IDLE_REPEAT_DELAY`].
+    Idle,
+    /// Before the answer to the next request on the connection.
+    Next,
+    /// Before the answer to the request after that.
+    Later,
+}
+
+/// What the headers of a response say of the runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    /// It is leaving.
+    Leaving,
+    /// It takes one request in ten seconds.
+    Limit,
+}
+
+impl Mark {
+    const fn header(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Leaving => ("Server-Leaving", "1"),
+            Self::Limit => ("Server-Limit", "0.1"),
+        }
+    }
+}
+
+/// A response that is still to be repeated on a connection.
+struct Stray {
+    head: String,
+    /// Requests to come before the one at which it is written.
+    requests_before: u32,
 }
 
 /// Where the bytes of an endless response are.
@@ -247,16 +337,66 @@
 
     async fn serve(self, mut stream: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
+        let mut stray: Option<Stray> = None;
         while let Some(request) = Request::read(&mut stream, &mut buffer).await? {
-            if !self.handle(&mut stream, &request).await? {
+            match stray.take() {
+                Some(Stray { head, requests_before: 0 }) => {
+                    stream.write_all(head.as_bytes()).await?;
+                }
+                Some(Stray { head, requests_before }) => {
+                    stray = Some(Stray { head, requests_before: requests_before - 1 });
+                }
+                None => {}
+            }
+            if !self.handle(&mut stream, &request, &mut stray).await? {
                 return Ok(());
             }
         }
         Ok(())
     }
 
+    /// Writes a response and repeats it at once or keeps it for later.
+    async fn write_repeated(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        repeated: Repeated,
+        stray: &mut Option<Stray>,
+    ) -> io::Result<()> {
+        let (status, header) = match repeated.answer {
+            Answer::NotRun => ("503 Service Unavailable", ("Not-Run", "1")),
+            Answer::Misdirected => ("421 Misdirected Request", ("Instance-Id", "another")),
+            Answer::Failed => ("500 Internal Server Error", ("Server-Stamp", "stamp")),
+        };
+        let name = ("Request-Id", id);
+        let (first, second) = match repeated.naming {
+            Naming::Both => (Some(name), Some(name)),
+            Naming::First => (Some(name), None),
+            Naming::Neither => (None, None),
+        };
+        let headers: Vec<_> = [header].into_iter().chain(first).collect();
+        write_plain(stream, status, &headers, "").await?;
+        let mark = repeated.mark.map(Mark::header);
+        let headers: Vec<_> = [header].into_iter().chain(second).chain(mark).collect();
+        let head = response_head(status, &headers, 0);
+        match repeated.moment {
+            Moment::Idle => {
+                sleep(IDLE_REPEAT_DELAY).await;
+                stream.write_all(head.as_bytes()).await?;
+            }
+            Moment::Next => *stray = Some(Stray { head, requests_before: 0 }),
+            Moment::Later => *stray = Some(Stray { head, requests_before: 1 }),
+        }
+        Ok(())
+    }
+
     /// Handles one request. Returns whether the connection stays open.
-    async fn handle(&self, stream: &mut TcpStream, request: &Request) -> io::Result<bool> {
+    async fn handle(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        stray: &mut Option<Stray>,
+    ) -> io::Result<bool> {
         let id = request.header("request-id");
         if request.header("expect-instance") != self.id {
             write_plain(stream, "421 Misdirected Request", &[("Instance-Id", &self.id)], "")
@@ -272,6 +412,12 @@
             write_plain(stream, "503 Service Unavailable", &headers, "").await?;
             return Ok(true);
         }
+        if let Some(Fault::Repeated(repeated)) = fault
+            && repeated.answer != Answer::Failed
+        {
+            self.write_repeated(stream, id, repeated, stray).await?;
+            return Ok(true);
+        }
         self.state().runs.push(Run {
             id: id.to_owned(),
             after: request.header("last-event-id").parse().ok(),
@@ -305,6 +451,10 @@
                 write_plain(stream, "500 Internal Server Error", &headers, "failed").await?;
                 return Ok(true);
             }
+            Some(Fault::Repeated(repeated)) => {
+                self.write_repeated(stream, id, repeated, stray).await?;
+                return Ok(true);
+            }
             Some(Fault::Impossible) => {
                 write_plain(stream, "422 Unprocessable Entity", &headers, "impossible").await?;
                 return Ok(true);
