Count a refusal or a mark only if it certainly belongs to its request

Callers got 503 with "try again" for requests that had run or were running, and such requests ran at a second upstream: an upstream wrote an earlier refusal once more on a kept connection. Batch items were broken off or abandoned while they ran, and limits and marks for leaving came into force that belonged to earlier requests.

The class of the fault is a response that counts for a request because it comes next on its connection. A refusal without an id was accepted on every connection, one with the id of an earlier run of the same batch item as well, and the marks were read before the id was compared.

A response now counts if it bears the id of the request and no earlier request on the connection had this id, or if it has no id and is the first one on its connection; after the latter the connection is closed. A repetition, however late, fulfils neither. Any other refusal means that the request may have run (event 1214). A connection is kept after a refusal with the id, as kept_connection checks.

Ruled out: remembering only refused ids, since an error that is repeated for the next run of an item abandons it (failed_item); accepting a refusal without an id on a connection without an earlier refusal, since bytes after a complete response need not repeat one; reading on for the answer after a response with another id, which hyper takes for an error of the connection.

A repetition on an idle connection already closed it before.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod registry;
+pub mod response;
 pub mod results;
 pub mod route;
 pub mod selector;
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -3,7 +3,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use cyclamengrade_control::relay::{failure::Failure, limit::Rate, selector::Upstream};
+use cyclamengrade_control::relay::{
+    failure::Failure,
+    limit::Rate,
+    response::{Claim, Tie},
+    selector::Upstream,
+};
 use cyclamengrade_telemetry::event;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -246,11 +251,13 @@
     options: Options,
 ) -> Result<Response, Failure> {
     let upstream = &flight.upstream;
-    let connection =
-        flight.pool().acquire(&upstream.id, upstream.address, options.max_connections).await;
+    let Upstream { id, address, .. } = upstream;
+    let max = options.max_connections;
+    let connection = flight.pool().acquire(id, *address, max, &outgoing.id).await;
     let Some(mut connection) = connection else { return Err(Failure::NotSent) };
     let request = request(names, upstream, outgoing, options).ok_or(Failure::NotSent)?;
     flight.set_sent(true);
+    connection.history.record(&outgoing.id);
     let response =
         match time::timeout(options.timeout, connection.sender.try_send_request(request)).await {
             Err(_) => return Err(Failure::Silent),
@@ -266,22 +273,29 @@
             }
         };
     let (head, body) = response.into_parts();
-    // A misdirected request was answered by another upstream.
-    if head.status != StatusCode::MISDIRECTED_REQUEST && head.headers.contains_key(&names.leaving) {
+    let response = Response { status: head.status, headers: head.headers, body, connection };
+    validate(flight, names, outgoing, response, options.timeout).await
+}
+
+/// Records what a response of an upstream says of it.
+fn record_marks(
+    flight: &Flight,
+    names: &Headers,
+    headers: &HeaderMap,
+    verdict: Result<(), Failure>,
+) {
+    if headers.contains_key(&names.leaving) {
         flight.record_leaving();
     }
-    let response = Response { status: head.status, headers: head.headers, body, connection };
-    let limit = response.headers.get(&names.limit).map(|value| parse_limit(flight, value));
-    let validated = validate(flight, names, outgoing, response, options.timeout).await;
-    match limit {
-        Some(Some(rate)) if !matches!(validated, Err(Failure::Misdirected)) => {
-            flight.record_limit(Some(rate));
+    match headers.get(&names.limit) {
+        Some(value) => {
+            if let Some(rate) = parse_limit(flight, value) {
+                flight.record_limit(Some(rate));
+            }
         }
-        // Only a response of this upstream to this request can say that there is no limit.
-        None if validated.is_ok() => flight.record_limit(None),
-        Some(_) | None => {}
+        None if verdict.is_ok() => flight.record_limit(None),
+        None => {}
     }
-    validated
 }
 
 fn parse_limit(flight: &Flight, value: &HeaderValue) -> Option<Rate> {
@@ -322,21 +336,44 @@
     response: Response,
     timeout: Duration,
 ) -> Result<Response, Failure> {
-    let id = response.headers.get(&names.request_id);
-    if id.is_some_and(|id| id.as_bytes() != outgoing.id.as_bytes()) {
-        return Err(Failure::Broken);
+    let Response { status, headers, connection, .. } = &response;
+    let ids = headers.get_all(&names.request_id);
+    let tie = connection.history.tie(ids.iter().map(HeaderValue::as_bytes));
+    let claim = claim(names, *status, headers);
+    let verdict = tie.judge(claim);
+    match tie {
+        Tie::Uncertain => event!(
+            ResponseUntied,
+            request:% = outgoing.id,
+            upstream:% = flight.upstream.id,
+            status = status.as_u16(),
+            requests = connection.history.requests()
+        ),
+        // Another upstream answers a misdirected request.
+        Tie::Named | Tie::First if claim == Claim::Misdirected => {}
+        Tie::Named | Tie::First => record_marks(flight, names, headers, verdict),
+    }
+    match verdict {
+        Ok(()) => Ok(response),
+        Err(failure) => {
+            let is_refusal = !failure.may_have_run();
+            // The body is read only so that the connection can be reused.
+            if is_refusal && tie.allows_reuse() && response.has_marked_end() {
+                let _ = response.collect(flight, timeout, Instant::now() + timeout).await;
+            }
+            Err(failure)
+        }
     }
-    let misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
-    if misdirected || response.headers.contains_key(&names.not_run) {
-        // The head says that the request did not run. The body is read only so that the connection
-        // can be reused.
-        if response.has_marked_end() {
-            let _ = response.collect(flight, timeout, Instant::now() + timeout).await;
+}
+
+/// Returns what the head of a response says of the request.
+fn claim(names: &Headers, status: StatusCode, headers: &HeaderMap) -> Claim {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => Claim::Misdirected,
+        _ if headers.contains_key(&names.not_run) => Claim::NotRun,
+        _ if headers.contains_key(&names.stamp) && !headers.contains_key(CONTENT_ENCODING) => {
+            Claim::Answer
         }
-        return Err(if misdirected { Failure::Misdirected } else { Failure::NotRun });
+        _ => Claim::Invalid,
     }
-    let is_valid = id.is_some()
-        && response.headers.contains_key(&names.stamp)
-        && !response.headers.contains_key(CONTENT_ENCODING);
-    if is_valid { Ok(response) } else { Err(Failure::Broken) }
 }
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use cyclamengrade_control::relay::response::History;
 use cyclamengrade_telemetry::metrics::RELAY_CONNECTIONS_OPENED;
 use http_body_util::Full;
 use hyper::{
@@ -43,6 +44,7 @@
 /// A connection to an upstream. Dropping it closes the connection and cancels the request on it.
 pub struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) history: History,
     task: JoinHandle<()>,
     permit: Permit,
 }
@@ -86,13 +88,24 @@
 }
 
 impl Pool {
-    /// Returns an idle connection or opens a new one. Returns `None` if `max` connections to the
-    /// upstream are open already or if the connection cannot be opened.
-    pub async fn acquire(&self, id: &str, address: SocketAddr, max: usize) -> Option<Connection> {
-        if let Some(connection) = self.reuse(id) {
+    /// Returns an idle connection that can carry a request with this id, or opens a new one. Returns `None`
+    /// if `max` connections to the upstream are in use already or if the connection cannot be opened.
+    pub async fn acquire(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        max: usize,
+        request_id: &str,
+    ) -> Option<Connection> {
+        if let Some(connection) = self.reuse(id, request_id) {
             return Some(connection);
         }
-        let permit = self.acquire_permit(id, max)?;
+        let permit = match self.acquire_permit(id, max) {
+            Some(permit) => permit,
+            // An idle connection that cannot carry the request gives way to a new one.
+            None if self.close_one(id) => self.acquire_permit(id, max)?,
+            None => return None,
+        };
         Self::open(permit, address).await
     }
 
@@ -123,7 +136,7 @@
             // The request on the connection returns the error.
             let _ = connection.await;
         });
-        Some(Connection { sender, task, permit })
+        Some(Connection { sender, history: History::default(), task, permit })
     }
 
     /// Returns up to `max` ids of upstreams to which a connection is idle.
@@ -136,19 +149,29 @@
         usable.take(max).map(|(id, _)| id.clone()).collect()
     }
 
-    fn reuse(&self, id: &str) -> Option<Connection> {
+    fn reuse(&self, id: &str, request_id: &str) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = lock(&self.idle);
         let list = idle.get_mut(id)?;
-        while let Some(Idle { connection, expires }) = list.pop() {
-            if expires > now && connection.sender.is_ready() {
-                return Some(connection);
-            }
+        list.retain(|idle| idle.expires > now && !idle.connection.sender.is_closed());
+        let is_usable = |Idle { connection, .. }: &Idle| {
+            connection.sender.is_ready() && connection.history.admits(request_id)
+        };
+        if let Some(index) = list.iter().rposition(is_usable) {
+            return Some(list.remove(index).connection);
+        }
+        if list.is_empty() {
+            idle.remove(id);
         }
-        idle.remove(id);
         None
     }
 
+    /// Closes the oldest idle connection to an upstream. Returns whether there was one.
+    fn close_one(&self, id: &str) -> bool {
+        let mut idle = lock(&self.idle);
+        idle.get_mut(id).filter(|list| !list.is_empty()).map(|list| list.remove(0)).is_some()
+    }
+
     fn acquire_permit(&self, id: &str, max: usize) -> Option<Permit> {
         let mut open = lock(&self.open);
         let count = open.entry(id.to_owned()).or_default();
@@ -160,13 +183,13 @@
     }
 
     /// Keeps a connection for reuse after its response was read to the end. Drops it if the
-    /// response headers announce that the upstream closes it.
+    /// response headers announce that the upstream closes it, or if it has carried its last request.
     pub fn release(&self, connection: Connection, headers: &HeaderMap) {
         let is_closing = headers
             .get(CONNECTION)
             .and_then(|value| value.to_str().ok())
             .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-        if is_closing || connection.sender.is_closed() {
+        if is_closing || connection.sender.is_closed() || connection.history.is_full() {
             return;
         }
         self.keep(connection, idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT));
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -204,6 +204,10 @@
     /// A new stream began with an event other than the first one, or an event of a stream has no id.
     /// Fields: `request`, `upstream`, `event` (its id, 0 without one), `events` before it.
     1211 Warn EventUnnumbered "event_unnumbered" "position of an event in its stream is not known",
+    /// A response names another request, or names none on a connection that has carried others. The
+    /// request may have run. Fields: `request`, `upstream`, `status` of the response, `requests` on the
+    /// connection so far.
+    1214 Warn ResponseUntied "response_untied" "response may belong to another request",
 
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "change feed of a table cannot be read",
