Serve callers' connections of any transport

The connection of a caller moves out of the server, so that tests can serve one in memory, whose size they choose. They show without chance what relay_slow shows with the kernel's buffers: the head of a refusal in the middle of a response. Nothing changes in what callers get.

--- a/components/relay/src/front/watch.rs
+++ b/components/relay/src/connection/watch.rs
@@ -12,7 +12,6 @@
 use cyclamengrade_control::relay::framing::Framing;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     sync::Notify,
     time::{Instant, sleep_until},
 };
@@ -129,19 +128,19 @@
     }
 }
 
-/// A TCP stream that reports the bytes it reads to a [`Watch`].
-pub struct Stream {
-    inner: TcpStream,
+/// A stream that reports the bytes it reads to a [`Watch`].
+pub struct Stream<T> {
+    inner: T,
     watch: Arc<Watch>,
 }
 
-impl Stream {
-    pub const fn new(inner: TcpStream, watch: Arc<Watch>) -> Self {
+impl<T> Stream<T> {
+    pub const fn new(inner: T, watch: Arc<Watch>) -> Self {
         Self { inner, watch }
     }
 }
 
-impl AsyncRead for Stream {
+impl<T: AsyncRead + Unpin> AsyncRead for Stream<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -161,7 +160,7 @@
     }
 }
 
-impl AsyncWrite for Stream {
+impl<T: AsyncWrite + Unpin> AsyncWrite for Stream<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -4,7 +4,6 @@
 
 use cyclamengrade_control::relay::route::{Kind, Route};
 use cyclamengrade_telemetry::{event, metrics::Handle};
-use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -12,9 +11,8 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::{
-    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     task::JoinSet,
 };
@@ -22,16 +20,12 @@
 use crate::{
     batch::Dispatcher,
     body::Body,
-    front::watch::{Fault, Stream, Watch},
-    online,
+    connection, online,
     shared::{Phase, Shared},
 };
 
 mod jobs;
-mod watch;
 
-/// Smallest read buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// `Retry-After` while this relay has not read a configuration.
 const NO_CONFIGURATION_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
 
@@ -74,45 +68,8 @@
         let limits = self.shared.routes.load().limits;
         // If the option cannot be set, small responses are delayed, but not lost.
         let _ = stream.set_nodelay(true);
-        let shared = self.shared.clone();
-        let watch = Watch::new();
-        let request_watch = watch.clone();
-        let service = service_fn(move |request| {
-            let (server, in_flight) = (self.clone(), request_watch.begin_request());
-            async move {
-                let response = server.serve(request).await;
-                // The request is in flight until the response body was sent or dropped.
-                let response = response.map(|body| {
-                    body.map_frame(move |frame| {
-                        let _ = &in_flight;
-                        frame
-                    })
-                });
-                Ok::<_, Infallible>(response)
-            }
-        });
-        let mut connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            // This timeout also covers the time between two requests, so it is the longer of the
-            // two limits. The watch enforces the timeout of a request head.
-            .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(Stream::new(stream, watch.clone())), service);
-        let mut is_draining = false;
-        let fault = loop {
-            tokio::select! {
-                biased;
-                // An error of the connection is reported by the requests on it.
-                _ = &mut connection => return,
-                fault = watch.wait_for_fault(limits.head_timeout) => break fault,
-                () = shared.wait_for_phase(Phase::Draining), if !is_draining => {
-                    is_draining = true;
-                    // The full path is needed because `select!` brings another `Pin` into scope.
-                    std::pin::Pin::new(&mut connection).graceful_shutdown();
-                }
-            }
-        };
-        refuse(connection.into_parts().io.into_inner(), fault).await;
+        let draining = self.shared.wait_for_phase(Phase::Draining);
+        connection::serve(stream, limits, |request| self.serve(request), draining).await;
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
@@ -168,19 +125,6 @@
     }
 }
 
-/// Sends an error response on a refused connection and closes it.
-async fn refuse(mut stream: Stream, fault: Fault) {
-    let status = match fault {
-        Fault::Stalled => StatusCode::REQUEST_TIMEOUT,
-        Fault::Ambiguous => StatusCode::BAD_REQUEST,
-    };
-    event!(ConnectionRefused, reason:? = fault, status = status.as_u16());
-    let response = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
-    // The caller may have closed the connection.
-    let _ = stream.write_all(response.as_bytes()).await;
-    let _ = stream.shutdown().await;
-}
-
 /// Serves the readiness check of the load balancer: 200 if this relay accepts new connections, and
 /// 503 otherwise.
 pub async fn ready(shared: Arc<Shared>, listener: TcpListener) {
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -6,8 +6,9 @@
 
 mod attempt;
 mod batch;
-mod body;
+pub mod body;
 mod clock;
+pub mod connection;
 pub mod dialect;
 mod directory;
 mod error;
