Refuse a request only when the responses before it were written

Callers that read slowly found the head of a 400 or 408 in the middle of their response. A refusal was written as soon as hyper had taken the body of the last response, and hyper's write buffer, which held the rest of it, was dropped with the connection.

The watch now also waits until hyper has flushed the connection, which it does only when its own buffer is empty; the timeout of the next head starts then. A caller that reads nothing of what waits for it within the idle timeout is closed without a refusal, whether its request is in flight or not, and so is one that does not read the refusal. hyper's own timeout of the next head does not bound this: after it, hyper still waits until the rest was written.

Ruled out: the kernel's buffers, since what they hold goes out before the refusal.

--- a/components/relay/src/connection.rs
+++ b/components/relay/src/connection.rs
@@ -9,7 +9,10 @@
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt},
+    time::timeout,
+};
 
 use crate::{
     body::Body,
@@ -63,7 +66,7 @@
             biased;
             // An error of the connection is reported by the requests on it.
             _ = &mut connection => return,
-            fault = watch.wait_for_fault(limits.head_timeout) => break fault,
+            fault = watch.wait_for_fault(&limits) => break fault,
             () = &mut draining, if !is_draining => {
                 is_draining = true;
                 // The full path is needed because `select!` brings another `Pin` into scope.
@@ -71,14 +74,20 @@
             }
         }
     };
-    refuse(connection.into_parts().io.into_inner(), fault).await;
+    let refusal = refuse(connection.into_parts().io.into_inner(), fault);
+    // The caller may read neither its responses nor the refusal.
+    let _ = timeout(limits.idle_timeout, refusal).await;
 }
 
-/// Sends an error response on a refused connection and closes it.
+/// Closes a refused connection, with an error response if the caller reads responses.
 async fn refuse<T: AsyncRead + AsyncWrite + Unpin>(mut stream: Stream<T>, fault: Fault) {
     let status = match fault {
         Fault::Stalled => StatusCode::REQUEST_TIMEOUT,
         Fault::Ambiguous => StatusCode::BAD_REQUEST,
+        Fault::Absent => {
+            event!(ConnectionRefused, reason:? = fault);
+            return;
+        }
     };
     event!(ConnectionRefused, reason:? = fault, status = status.as_u16());
     let response = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
--- a/components/relay/src/connection/watch.rs
+++ b/components/relay/src/connection/watch.rs
@@ -6,10 +6,9 @@
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll, ready},
-    time::Duration,
 };
 
-use cyclamengrade_control::relay::framing::Framing;
+use cyclamengrade_control::relay::{framing::Framing, route::Limits};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     sync::Notify,
@@ -25,6 +24,8 @@
     Stalled,
     /// A request head has both a `Content-Length` and a `Transfer-Encoding`.
     Ambiguous,
+    /// The caller read nothing of its response within the idle timeout.
+    Absent,
 }
 
 struct State {
@@ -33,9 +34,35 @@
     head_started: Option<Instant>,
     /// Number of requests in flight.
     in_flight: usize,
+    /// Whether all bytes of the responses so far were written.
+    is_flushed: bool,
+    /// Since when the caller has read nothing of what waits for it.
+    blocked_since: Option<Instant>,
     is_ambiguous: bool,
 }
 
+impl State {
+    /// Returns the fault of the connection, with the time from which on it is one.
+    fn fault(&self, limits: &Limits) -> Option<(Fault, Instant)> {
+        if let Some(since) = self.blocked_since {
+            return Some((Fault::Absent, since + limits.idle_timeout));
+        }
+        // An error response may only follow complete responses.
+        if self.in_flight > 0 || !self.is_flushed {
+            return None;
+        }
+        match self.is_ambiguous {
+            true => Some((Fault::Ambiguous, Instant::now())),
+            false => Some((Fault::Stalled, self.head_started? + limits.head_timeout)),
+        }
+    }
+
+    /// Starts the timeout of the next head, which was not read while the previous request was served.
+    fn restart_head_timeout(&mut self) {
+        self.head_started = self.head_started.map(|_| Instant::now());
+    }
+}
+
 /// State of a connection, shared by its [`Stream`] and the requests on it.
 pub struct Watch {
     state: Mutex<State>,
@@ -49,9 +76,7 @@
     fn drop(&mut self) {
         let mut state = lock(&self.0.state);
         state.in_flight -= 1;
-        // The head of a pipelined request was not read while the previous request was in flight, so
-        // its timeout begins only now.
-        state.head_started = state.head_started.map(|_| Instant::now());
+        state.restart_head_timeout();
         drop(state);
         self.0.changed.notify_one();
     }
@@ -64,6 +89,8 @@
             framing: Framing::new(),
             head_started: None,
             in_flight: 0,
+            is_flushed: true,
+            blocked_since: None,
             is_ambiguous: false,
         };
         Arc::new(Self { state: Mutex::new(state), changed: Notify::new() })
@@ -71,7 +98,10 @@
 
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> InFlight {
-        lock(&self.state).in_flight += 1;
+        let mut state = lock(&self.state);
+        state.in_flight += 1;
+        state.is_flushed = false;
+        drop(state);
         InFlight(self.clone())
     }
 
@@ -100,28 +130,44 @@
         usable
     }
 
-    /// Waits until the connection has to be refused and no request on it is in flight, and returns
-    /// the reason.
-    pub async fn wait_for_fault(&self, head_timeout: Duration) -> Fault {
+    /// Records that hyper has no unwritten bytes. They belong to complete responses only if no request
+    /// is in flight.
+    fn record_flush(&self) {
+        let mut state = lock(&self.state);
+        if state.in_flight > 0 || state.is_flushed {
+            return;
+        }
+        state.is_flushed = true;
+        state.restart_head_timeout();
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Records whether the caller takes bytes that are written to it.
+    fn record_write(&self, is_blocked: bool) {
+        let mut state = lock(&self.state);
+        state.blocked_since = is_blocked.then(|| state.blocked_since.unwrap_or_else(Instant::now));
+        drop(state);
+        if is_blocked {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Waits until the connection has to be closed, and returns the reason. A fault of a request waits
+    /// until all responses before it were written; a caller that does not read them is closed as
+    /// [`Fault::Absent`].
+    pub async fn wait_for_fault(&self, limits: &Limits) -> Fault {
         loop {
-            let (head_started, is_ambiguous) = {
-                let state = lock(&self.state);
-                let is_idle = state.in_flight == 0;
-                (state.head_started.filter(|_| is_idle), state.is_ambiguous && is_idle)
-            };
-            if is_ambiguous {
-                return Fault::Ambiguous;
-            }
-            let Some(started) = head_started else {
+            let fault = lock(&self.state).fault(limits);
+            let Some((fault, since)) = fault else {
                 self.changed.notified().await;
                 continue;
             };
-            let deadline = started + head_timeout;
-            if deadline <= Instant::now() {
-                return Fault::Stalled;
+            if since <= Instant::now() {
+                return fault;
             }
             tokio::select! {
-                () = sleep_until(deadline) => {}
+                () = sleep_until(since) => {}
                 () = self.changed.notified() => {}
             }
         }
@@ -166,11 +212,16 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.watch.record_write(written.is_pending());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        ready!(Pin::new(&mut self.inner).poll_flush(context))?;
+        // hyper flushes its transport only when its own buffer is empty.
+        self.watch.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -182,7 +233,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.watch.record_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/components/relay/tests/slow_caller.rs
+++ b/components/relay/tests/slow_caller.rs
@@ -1,13 +1,18 @@
 //! Callers that read their responses slowly, with a head behind their request that is refused.
 
-use std::{future::pending, time::Duration};
+use std::{
+    future::{pending, ready},
+    time::Duration,
+};
 
+use bytes::Bytes;
 use cyclamengrade_control::relay::route::Limits;
 use cyclamengrade_relay::{body::Body, connection};
 use googletest::prelude::*;
 use hyper::{Request, Response, body::Incoming, header::CONTENT_LENGTH};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex},
+    sync::mpsc::unbounded_channel,
     time::{sleep, timeout},
 };
 
@@ -31,13 +36,20 @@
     response
 }
 
-/// Sends a request with `last` behind it, and reads nothing for a while. Returns the response up to
-/// its end, and what follows it.
+const fn limits() -> Limits {
+    Limits {
+        head_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        head_timeout: HEAD_TIMEOUT,
+        idle_timeout: IDLE_TIMEOUT,
+    }
+}
+
+/// Sends a request with `last` behind it, and reads nothing for a while. Returns the size of the body
+/// of the response that arrives, and what follows it.
 async fn exchange(last: &str, pause: Duration) -> Result<(usize, String)> {
     let (mut caller, relay) = duplex(PIPE_BYTES);
-    let limits =
-        Limits { head_timeout: HEAD_TIMEOUT, idle_timeout: IDLE_TIMEOUT, ..Limits::default() };
-    tokio::spawn(connection::serve(relay, limits, answer, pending()));
+    tokio::spawn(connection::serve(relay, limits(), answer, pending()));
     caller.write_all(format!("{REQUEST}{last}").as_bytes()).await?;
     sleep(pause).await;
     let text = timeout(TEST_TIMEOUT, read_all(caller)).await??;
@@ -83,3 +95,36 @@
     }
     Ok(())
 }
+
+/// Guards against a connection that stays open because its caller reads the response but not the
+/// refusal behind it.
+#[gtest]
+#[tokio::test]
+async fn unread_refusal() -> Result<()> {
+    // The response fits, and less than the refusal behind it.
+    let (mut caller, relay) = duplex(BODY_BYTES + 100);
+    let served = tokio::spawn(connection::serve(relay, limits(), answer, pending()));
+    caller.write_all(format!("{REQUEST}{AMBIGUOUS}").as_bytes()).await?;
+    timeout(IDLE_TIMEOUT * 3, served).await??;
+    let text = read_all(caller).await?;
+    verify_that!(text, contains_substring("xHTTP/1.1 400"))
+}
+
+/// Guards against an upstream that is occupied for as long as the caller of its stream reads nothing.
+#[gtest]
+#[tokio::test]
+async fn absent_stream() -> Result<()> {
+    let (mut caller, relay) = duplex(PIPE_BYTES);
+    let (sent, mut senders) = unbounded_channel();
+    let answer = move |_: Request<Incoming>| {
+        let (sender, body) = Body::stream();
+        let _ = sent.send(sender);
+        ready(Response::new(body))
+    };
+    tokio::spawn(connection::serve(relay, limits(), answer, pending()));
+    caller.write_all(REQUEST.as_bytes()).await?;
+    let sender = senders.recv().await.or_fail()?;
+    let events = async { while sender.send(Ok(Bytes::from(vec![b'x'; 500]))).await.is_ok() {} };
+    timeout(IDLE_TIMEOUT * 3, events).await?;
+    Ok(())
+}
