Count a streamed response as complete only after an explicit end

A body whose sender was dropped ended as complete, and only an explicit `Truncated` said otherwise. A forwarder that panics, is aborted or returns on a forgotten path would have left a stream that looks whole to its caller.

The sender now passes on `Chunk::End`, and a channel that closes without it truncates the response: hyper closes the connection without the last chunk, also on one that the caller wants closed.

--- a/components/relay/src/body.rs
+++ b/components/relay/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
@@ -19,12 +19,20 @@
 
 impl std::error::Error for Truncated {}
 
+/// What the sender of a streamed body passes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Chunk {
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
+
 pub enum Body {
     /// A body that is sent in one piece; `None` if it is empty or was sent.
     Full(Option<Bytes>),
-    /// A body whose chunks are sent as they arrive. An error closes the connection, so that the
-    /// caller notices that the response is truncated.
-    Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
+    /// A body whose chunks are sent as they arrive. A sender that is dropped before [`Chunk::End`]
+    /// closes the connection, so that the caller notices that the response is truncated.
+    Stream(mpsc::Receiver<Chunk>),
 }
 
 impl Body {
@@ -37,8 +45,8 @@
         Self::Full(None)
     }
 
-    /// Creates a body that streams the chunks passed to the returned sender.
-    pub fn stream() -> (mpsc::Sender<Result<Bytes, Truncated>>, Self) {
+    /// Creates a body that streams the chunks passed to the returned sender, up to [`Chunk::End`].
+    pub fn stream() -> (mpsc::Sender<Chunk>, Self) {
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
         (sender, Self::Stream(receiver))
     }
@@ -52,11 +60,17 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(receiver) => {
-                receiver.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Stream(receiver) => match ready!(receiver.poll_recv(context)) {
+                Some(Chunk::Data(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                Some(Chunk::End) => {
+                    *body = Self::Full(None);
+                    Poll::Ready(None)
+                }
+                None => Poll::Ready(Some(Err(Truncated))),
+            },
         }
     }
 
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     attempt::{self, Request},
-    body::{Body, Truncated},
+    body::{Body, Chunk},
     dialect::Headers,
     exchange::{self, Collected, Events, Next, Outgoing},
     flight::Flight,
@@ -303,7 +303,7 @@
 /// Forwards the events of a stream to the caller, once the response head was sent.
 struct Forwarder {
     request: Request,
-    sender: Sender<Result<Bytes, Truncated>>,
+    sender: Sender<Chunk>,
     /// Id of the last event that the caller has.
     last_event_id: Option<u64>,
     events_sent: u64,
@@ -363,9 +363,13 @@
             }
         };
         match end {
-            End::Complete => record_end(&self.request, StatusCode::OK, "served"),
+            End::Complete => {
+                record_end(&self.request, StatusCode::OK, "served");
+                // The caller may have closed the connection.
+                let _ = self.sender.send(Chunk::End).await;
+            }
             End::CallerLeft => self.record_caller_left(),
-            End::Failed(error) => self.abort(error).await,
+            End::Failed(error) => self.record_broken(error),
         }
     }
 
@@ -400,7 +404,7 @@
                 (Some(id), _) => self.last_event_id = Some(id),
                 (None, _) => {}
             }
-            if self.sender.send(Ok(event.raw)).await.is_err() {
+            if self.sender.send(Chunk::Data(event.raw)).await.is_err() {
                 return Forwarded::CallerLeft;
             }
             self.events_sent += 1;
@@ -508,8 +512,8 @@
             .increment(1);
     }
 
-    /// Ends the response with an error, since the stream cannot be resumed.
-    async fn abort(&self, error: attempt::Error) {
+    /// Records that the stream cannot be resumed. The response is truncated without a last chunk.
+    fn record_broken(&self, error: attempt::Error) {
         let cause = match error {
             attempt::Error::Refused(..) => "no upstream can resume the stream in time",
             attempt::Error::UnknownOrigin => "its software version is not known",
@@ -527,8 +531,6 @@
         );
         counter!(RELAY_REQUESTS, "kind" => self.request.route.kind.name(), "outcome" => "broken")
             .increment(1);
-        // The caller may have closed the connection.
-        let _ = self.sender.send(Err(Truncated)).await;
     }
 }
 
--- a/components/relay/tests/slow_caller.rs
+++ b/components/relay/tests/slow_caller.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use cyclamengrade_control::relay::route::Limits;
-use cyclamengrade_relay::{body::Body, connection};
+use cyclamengrade_relay::{
+    body::{Body, Chunk},
+    connection,
+};
 use googletest::prelude::*;
 use hyper::{Request, Response, body::Incoming, header::CONTENT_LENGTH};
 use tokio::{
@@ -124,7 +127,8 @@
     tokio::spawn(connection::serve(relay, limits(), answer, pending()));
     caller.write_all(REQUEST.as_bytes()).await?;
     let sender = senders.recv().await.or_fail()?;
-    let events = async { while sender.send(Ok(Bytes::from(vec![b'x'; 500]))).await.is_ok() {} };
+    let events =
+        async { while sender.send(Chunk::Data(Bytes::from(vec![b'x'; 500]))).await.is_ok() {} };
     timeout(IDLE_TIMEOUT * 3, events).await?;
     Ok(())
 }
