Reset the connection of a truncated stream whose end nothing else marks

A caller of HTTP/1.0 gets a stream without chunks, which ends with its connection. When the stream could not be resumed, or when its relay was killed, the connection was closed in order, and the stream looked complete. Callers of HTTP/1.1 always get chunks or a length, also with `Connection: close`.

Such a connection now resets when it is closed (SO_LINGER of zero) from before the first byte of the response until its body is complete and flushed. The kernel applies the option to a killed process too. The wrapper that tracks the end of a body also passes its size on, so that a plain body without `Content-Length` gets one in place of chunks.

Ruled out: a reset for all callers, since a kill would then discard the ends of complete responses that the kernel still holds.

--- a/components/relay/src/connection.rs
+++ b/components/relay/src/connection.rs
@@ -1,22 +1,33 @@
 //! Serves the requests on one connection of a caller.
 
-use std::{convert::Infallible, future::Future, pin::pin};
+use std::{
+    convert::Infallible,
+    future::Future,
+    pin::{Pin, pin},
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 
+use bytes::Bytes;
 use cyclamengrade_control::relay::route::Limits;
 use cyclamengrade_telemetry::event;
-use http_body_util::BodyExt;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response, StatusCode, Version,
+    body::{Body as _, Frame, Incoming, SizeHint},
+    header::CONTENT_LENGTH,
+    server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, AsyncWriteExt},
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt, DuplexStream},
+    net::TcpStream,
     time::timeout,
 };
 
 use crate::{
-    body::Body,
-    connection::watch::{Fault, Stream, Watch},
+    body::{Body, Truncated},
+    connection::watch::{Fault, InFlight, Stream, Watch},
 };
 
 mod watch;
@@ -24,6 +35,25 @@
 /// Smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// The transport of a connection.
+pub trait Socket: AsyncRead + AsyncWrite + Unpin {
+    /// Sets whether closing the connection resets it and discards what was not delivered.
+    fn reset_on_close(&self, is_resetting: bool);
+}
+
+impl Socket for TcpStream {
+    #[expect(deprecated, reason = "only a linger time above zero blocks a thread")]
+    fn reset_on_close(&self, is_resetting: bool) {
+        // Without the option, the end of the response cannot be marked otherwise.
+        let _ = self.set_linger(is_resetting.then_some(Duration::ZERO));
+    }
+}
+
+/// A connection in memory, which cannot be reset.
+impl Socket for DuplexStream {
+    fn reset_on_close(&self, _: bool) {}
+}
+
 /// Serves requests until the connection ends. Once `draining` completes, the request in flight is the
 /// last one.
 pub async fn serve<T, S, F>(
@@ -32,7 +62,7 @@
     service: S,
     draining: impl Future<Output = ()>,
 ) where
-    T: AsyncRead + AsyncWrite + Unpin,
+    T: Socket,
     S: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
@@ -40,16 +70,14 @@
     let request_watch = watch.clone();
     let service = service_fn(|request| {
         let in_flight = request_watch.begin_request();
+        let version = request.version();
         let response = service(request);
         async move {
-            // The request is in flight until the response body was sent or dropped.
-            let response = response.await.map(|body| {
-                body.map_frame(move |frame| {
-                    let _ = &in_flight;
-                    frame
-                })
-            });
-            Ok::<_, Infallible>(response)
+            let response = response.await;
+            if version < Version::HTTP_11 && !has_length(&response) {
+                in_flight.begin_unmarked();
+            }
+            Ok::<_, Infallible>(response.map(|body| Tracked { body, in_flight }))
         }
     });
     let mut connection = http1::Builder::new()
@@ -69,8 +97,7 @@
             fault = watch.wait_for_fault(&limits) => break fault,
             () = &mut draining, if !is_draining => {
                 is_draining = true;
-                // The full path is needed because `select!` brings another `Pin` into scope.
-                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
         }
     };
@@ -79,8 +106,42 @@
     let _ = timeout(limits.idle_timeout, refusal).await;
 }
 
+fn has_length(response: &Response<Body>) -> bool {
+    response.headers().contains_key(CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
+}
+
+/// The body of a response, whose request is in flight until the body was sent or dropped.
+struct Tracked {
+    body: Body,
+    in_flight: InFlight,
+}
+
+impl hyper::body::Body for Tracked {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if frame.is_none() {
+            self.in_flight.complete();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Closes a refused connection, with an error response if the caller reads responses.
-async fn refuse<T: AsyncRead + AsyncWrite + Unpin>(mut stream: Stream<T>, fault: Fault) {
+async fn refuse<T: Socket>(mut stream: Stream<T>, fault: Fault) {
     let status = match fault {
         Fault::Stalled => StatusCode::REQUEST_TIMEOUT,
         Fault::Ambiguous => StatusCode::BAD_REQUEST,
--- a/components/relay/src/connection/watch.rs
+++ b/components/relay/src/connection/watch.rs
@@ -15,7 +15,7 @@
     time::{Instant, sleep_until},
 };
 
-use crate::shared::lock;
+use crate::{connection::Socket, shared::lock};
 
 /// Why a connection is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +39,8 @@
     /// Since when the caller has read nothing of what waits for it.
     blocked_since: Option<Instant>,
     is_ambiguous: bool,
+    /// Whether a response is incomplete whose end nothing but the close of the connection marks.
+    is_unmarked: bool,
 }
 
 impl State {
@@ -72,6 +74,18 @@
 /// Counts a request as in flight until dropped.
 pub struct InFlight(Arc<Watch>);
 
+impl InFlight {
+    /// Records that nothing but the close of the connection will mark the end of the response.
+    pub fn begin_unmarked(&self) {
+        lock(&self.0.state).is_unmarked = true;
+    }
+
+    /// Records that the response body is complete.
+    pub fn complete(&self) {
+        lock(&self.0.state).is_unmarked = false;
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut state = lock(&self.0.state);
@@ -92,6 +106,7 @@
             is_flushed: true,
             blocked_since: None,
             is_ambiguous: false,
+            is_unmarked: false,
         };
         Arc::new(Self { state: Mutex::new(state), changed: Notify::new() })
     }
@@ -178,11 +193,30 @@
 pub struct Stream<T> {
     inner: T,
     watch: Arc<Watch>,
+    /// Whether closing the connection resets it.
+    is_resetting: bool,
 }
 
 impl<T> Stream<T> {
     pub const fn new(inner: T, watch: Arc<Watch>) -> Self {
-        Self { inner, watch }
+        Self { inner, watch, is_resetting: false }
+    }
+}
+
+impl<T: Socket> Stream<T> {
+    /// Lets the close of the connection reset it, also if the process is killed, before the first bytes
+    /// of a response are written whose end nothing else marks.
+    fn begin_write(&mut self) {
+        if lock(&self.watch.state).is_unmarked {
+            self.set_reset(true);
+        }
+    }
+
+    fn set_reset(&mut self, is_resetting: bool) {
+        if is_resetting != self.is_resetting {
+            self.is_resetting = is_resetting;
+            self.inner.reset_on_close(is_resetting);
+        }
     }
 }
 
@@ -206,12 +240,13 @@
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for Stream<T> {
+impl<T: Socket> AsyncWrite for Stream<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write();
         let written = Pin::new(&mut self.inner).poll_write(context, bytes);
         self.watch.record_write(written.is_pending());
         written
@@ -225,6 +260,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if lock(&self.watch.state).is_unmarked {
+            // An orderly close would mark the response as complete.
+            return Poll::Ready(Ok(()));
+        }
+        self.set_reset(false);
         Pin::new(&mut self.inner).poll_shutdown(context)
     }
 
@@ -233,6 +273,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write();
         let written = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
         self.watch.record_write(written.is_pending());
         written
