Play larger soaks of relays, with faults of many at once and of changing versions

A plan that follows from the seed and the size alone replaces the random choices between two faults, so that a run on a slow machine has the same faults. New are kills of several or all relays, SIGTERM in turn, replaced relays, suspended relays, crashes of a data centre, changes of software versions, responses without length or chunks, refusals without an id, and a silent store. The relays may be those of another build.

--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -4,7 +4,7 @@
 use std::{
     fs, io,
     net::{IpAddr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
@@ -20,7 +20,7 @@
 };
 
 /// Host name of all routes.
-const HOST: &str = "calls.example";
+pub(super) const HOST: &str = "calls.example";
 
 /// Time limit for waiting for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -44,14 +44,41 @@
     ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
+    /// Starts of the process so far.
+    starts: usize,
 }
 
 /// A submitted batch job.
+#[derive(Debug)]
 pub struct Job {
     pub id: String,
     pub items: Vec<String>,
 }
 
+impl Job {
+    /// Creates a job with `count` items, whose ids begin with that of the job.
+    pub fn new(id: &str, count: usize) -> Self {
+        let items = (0..count).map(|item| format!("{id}-{item}")).collect();
+        Self { id: id.to_owned(), items }
+    }
+
+    /// Builds the request that submits this job to a relay; each item asks for `events` events.
+    pub fn submission(&self, relay: SocketAddr, route: &str, events: u64) -> Call {
+        let entries = self.items.iter().map(|item| {
+            json!({
+                "Id": item, "Path": "/batch/item", "Tokens": 10 + events,
+                "Headers": {"Token-Counts": format!("10,{events}"), "Model": "m"},
+                "Body": STANDARD.encode(item)
+            })
+        });
+        let body = json!({"Items": entries.collect::<Vec<_>>()});
+        Call::post(relay, format!("/{route}/{}", self.id))
+            .with_header("host", HOST)
+            .with_header("request-id", &self.id)
+            .with_json(&body)
+    }
+}
+
 /// A store, runners and relays. Dropping it kills the relays and removes their files.
 pub struct Harness {
     pub store: Store,
@@ -59,7 +86,11 @@
     pub runners: Vec<Runner>,
     /// The runner of the service `plain`.
     pub plain: Runner,
+    /// Time from the submission of a job until its items may be abandoned, in seconds; routes have it
+    /// from the next configuration on.
+    pub retention_s: u64,
     relays: Vec<Relay>,
+    program: PathBuf,
     client: Client,
     folder: PathBuf,
     host: IpAddr,
@@ -74,6 +105,15 @@
     ///
     /// A process does not start or does not become ready in time.
     pub async fn start(relays: usize) -> Result<Self, Error> {
+        Self::start_program(relays, binary("cyclamengrade")?).await
+    }
+
+    /// The same, with relays of another build.
+    ///
+    /// # Errors
+    ///
+    /// A process does not start or does not become ready in time.
+    pub async fn start_program(relays: usize, program: PathBuf) -> Result<Self, Error> {
         let host = loopback_address();
         let store = Store::start(host).await?;
         let runners = vec![Runner::start(host, "m-1").await?, Runner::start(host, "m-2").await?];
@@ -87,7 +127,9 @@
             store,
             runners,
             plain,
+            retention_s: 60,
             relays: Vec::new(),
+            program,
             client: Client::new(),
             folder,
             host,
@@ -111,7 +153,7 @@
                 "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
                 "TimeoutMs": 5_000, "TargetLatencyMs": 400, "Priority": 0, "MaxAttempts": 2,
                 "Service": service, "Resumable": name == "stream", "GapAimMs": 400,
-                "CompletionTargetMs": 18_000, "RetentionS": if name == "brief" { 2 } else { 60 }
+                "CompletionTargetMs": 18_000, "RetentionS": if name == "brief" { 2 } else { self.retention_s }
             })
         };
         let mut routes = vec![
@@ -145,6 +187,11 @@
         }]));
     }
 
+    /// Returns the number of relays so far, including those that do not run.
+    pub const fn relays(&self) -> usize {
+        self.relays.len()
+    }
+
     /// Starts a further relay; `number` is the number of relays so far.
     ///
     /// # Errors
@@ -170,6 +217,7 @@
             ready: ports[1],
             settings: path,
             log: self.folder.join(format!("vm-{number}.log")),
+            starts: 0,
         });
         self.start_relay(number)
     }
@@ -225,10 +273,13 @@
     ///
     /// The process does not start.
     pub fn start_relay(&mut self, number: usize) -> Result<(), Error> {
-        let program = binary("cyclamengrade")?;
         let relay = &mut self.relays[number];
+        if relay.starts > 0 {
+            fs::rename(&relay.log, relay.log.with_extension(format!("{}.log", relay.starts)))?;
+        }
+        relay.starts += 1;
         let arguments = ["relay".as_ref(), relay.settings.as_os_str()];
-        relay.process = Some(Process::start_program(&program, arguments, &relay.log)?);
+        relay.process = Some(Process::start_program(&self.program, arguments, &relay.log)?);
         Ok(())
     }
 
@@ -244,6 +295,34 @@
         Ok(())
     }
 
+    /// Kills several relays at the same moment.
+    ///
+    /// # Errors
+    ///
+    /// A process cannot be killed.
+    pub fn kill_relays(&mut self, numbers: &[usize]) -> Result<(), Error> {
+        for number in numbers {
+            if let Some(process) = &mut self.relays[*number].process {
+                process.send_kill()?;
+            }
+        }
+        numbers.iter().try_for_each(|number| self.kill_relay(*number))
+    }
+
+    /// Copies the logs of the relays, and their settings, to a folder, which is created.
+    ///
+    /// # Errors
+    ///
+    /// The folder or a file cannot be written.
+    pub fn save_logs(&self, folder: &Path) -> Result<(), Error> {
+        fs::create_dir_all(folder)?;
+        for entry in fs::read_dir(&self.folder)? {
+            let entry = entry?;
+            fs::copy(entry.path(), folder.join(entry.file_name()))?;
+        }
+        Ok(())
+    }
+
     /// Stops a relay with SIGSTOP, as if its vm were suspended.
     ///
     /// # Errors
@@ -448,21 +527,10 @@
         count: usize,
         events: u64,
     ) -> Result<(Job, Reply), crate::client::Error> {
-        let items: Vec<String> = (0..count).map(|item| format!("{id}-{item}")).collect();
-        let entries = items.iter().map(|item| {
-            json!({
-                "Id": item, "Path": "/batch/item", "Tokens": 10 + events,
-                "Headers": {"Token-Counts": format!("10,{events}"), "Model": "m"},
-                "Body": STANDARD.encode(item)
-            })
-        });
-        let body = json!({"Items": entries.collect::<Vec<_>>()});
-        let call = Call::post(self.relays[relay].listen, format!("/{route}/{id}"))
-            .with_header("host", HOST)
-            .with_header("request-id", id)
-            .with_json(&body);
+        let job = Job::new(id, count);
+        let call = job.submission(self.relays[relay].listen, route, events);
         let reply = self.client.send(call).await?;
-        Ok((Job { id: id.to_owned(), items }, reply))
+        Ok((job, reply))
     }
 
     /// Submits a job on the route `batch` whose items have the given ids and shared parts of their
--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -1,12 +1,17 @@
 //! Test environment for relays with the `bridge` dialect: a metadata store and runners that speak
 //! the protocols which the `platform/` folder translates, and relay processes that use them.
 
+mod caller;
 mod harness;
+mod plan;
 mod runner;
 mod store;
 
+use self::harness::HOST;
 pub use self::{
+    caller::{Callers, Contradiction, ITEM_EVENTS, Promise, Record},
     harness::{Harness, Job},
+    plan::{Disturbance, Plan, Size, Step},
     runner::{Endless, Fault, Run, Runner},
     store::{Faults, Store},
 };
--- /dev/null
+++ b/components/standins/src/bridge/plan.rs
@@ -0,0 +1,322 @@
+//! Random faults of relays, upstreams and the store, in series and overlapping.
+
+use std::{collections::BTreeMap, ops::Range, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::index::sample};
+
+use crate::bridge::{Fault, Faults};
+
+/// Size of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    pub relays: usize,
+    pub callers: usize,
+    /// Upstreams that write streams, at least four: two of each software version.
+    pub runners: usize,
+    /// Time in which faults are injected.
+    pub seconds: u64,
+}
+
+impl Size {
+    /// Returns the software version of a runner.
+    pub const fn version(runner: usize) -> &'static str {
+        if (runner / 2).is_multiple_of(2) { "v1" } else { "v2" }
+    }
+
+    /// Returns the data centre of a runner. Each has runners of both versions, if there are enough.
+    pub const fn data_centre(runner: usize) -> &'static str {
+        ["a", "b", "c"][runner / 4 % 3]
+    }
+
+    /// Whether the responses of a runner have neither length nor chunks.
+    pub const fn is_unframed(runner: usize) -> bool {
+        runner % 3 == 1
+    }
+}
+
+/// One step of a plan. Relays and runners are named by their numbers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    Kill(Vec<usize>),
+    Terminate(usize),
+    /// Starts relays again, those that are still ending when they have ended.
+    Start(Vec<usize>),
+    Pause(Vec<usize>),
+    Resume(Vec<usize>),
+    /// Terminates a relay and starts another one in its place.
+    Replace(usize),
+    Crash(Vec<usize>),
+    List(Vec<usize>, &'static str),
+    Unlist(Vec<usize>),
+    /// Queues faults for responses of a runner.
+    Upstream(usize, Vec<Fault>),
+    /// The same for the runner of plain responses.
+    Service(Fault),
+    Store(Faults),
+    /// Discards the history of the store and writes a new version of the configuration.
+    Configure,
+}
+
+/// What a plan does to the system, in one or several steps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Disturbance {
+    Kill,
+    KillMany,
+    KillAll,
+    Terminate,
+    TerminateInTurn,
+    Pause,
+    PauseMany,
+    Replace,
+    Crash,
+    CrashDataCentre,
+    Upstream,
+    Service,
+    StoreRefuses,
+    StoreSilent,
+    RepliesLost,
+    LateTransactions,
+    Configuration,
+    Listing,
+    /// Upstreams of one software version leave while those of the other one join, and back.
+    Rollout,
+}
+
+/// All disturbances, with the share of each.
+const SHARES: [(Disturbance, u32); 19] = [
+    (Disturbance::Kill, 8),
+    (Disturbance::KillMany, 3),
+    (Disturbance::KillAll, 2),
+    (Disturbance::Terminate, 6),
+    (Disturbance::TerminateInTurn, 3),
+    (Disturbance::Pause, 6),
+    (Disturbance::PauseMany, 3),
+    (Disturbance::Replace, 5),
+    (Disturbance::Crash, 8),
+    (Disturbance::CrashDataCentre, 3),
+    (Disturbance::Upstream, 24),
+    (Disturbance::Service, 8),
+    (Disturbance::StoreRefuses, 5),
+    (Disturbance::StoreSilent, 2),
+    (Disturbance::RepliesLost, 5),
+    (Disturbance::LateTransactions, 2),
+    (Disturbance::Configuration, 4),
+    (Disturbance::Listing, 6),
+    (Disturbance::Rollout, 6),
+];
+
+/// Times and steps of all faults of a run. It follows from the seed and the size alone.
+#[derive(Debug)]
+pub struct Plan {
+    /// In order of time, from the start of the run.
+    pub steps: Vec<(Duration, Step)>,
+    pub disturbances: BTreeMap<Disturbance, u32>,
+}
+
+impl Plan {
+    pub fn new(seed: u64, size: Size) -> Self {
+        let random = StdRng::seed_from_u64(seed);
+        let mut planner = Planner { random, size, now: Duration::ZERO, steps: Vec::new() };
+        let mut disturbances = BTreeMap::new();
+        let end = Duration::from_secs(size.seconds);
+        while planner.now < end {
+            let disturbance = planner.disturbance();
+            *disturbances.entry(disturbance).or_default() += 1;
+            planner.add(disturbance);
+            let pause = planner.time(20..400);
+            planner.now += pause;
+        }
+        let mut steps = planner.steps;
+        steps.retain(|(at, _)| *at < end);
+        steps.sort_by_key(|(at, _)| *at);
+        Self { steps, disturbances }
+    }
+}
+
+struct Planner {
+    random: StdRng,
+    size: Size,
+    now: Duration,
+    steps: Vec<(Duration, Step)>,
+}
+
+impl Planner {
+    fn disturbance(&mut self) -> Disturbance {
+        let sum = SHARES.iter().map(|(_, share)| share).sum();
+        let mut left = self.random.random_range(0..sum);
+        for (disturbance, share) in SHARES {
+            if left < share {
+                return disturbance;
+            }
+            left -= share;
+        }
+        Disturbance::Kill
+    }
+
+    fn time(&mut self, range_ms: Range<u64>) -> Duration {
+        Duration::from_millis(self.random.random_range(range_ms))
+    }
+
+    fn relay(&mut self) -> usize {
+        self.random.random_range(0..self.size.relays)
+    }
+
+    fn runner(&mut self) -> usize {
+        self.random.random_range(0..self.size.runners)
+    }
+
+    /// Returns at least one and at most `share` of all relays.
+    fn relays(&mut self, share: usize) -> Vec<usize> {
+        let most = (self.size.relays / share).max(1);
+        let count = self.random.random_range(1..=most);
+        sample(&mut self.random, self.size.relays, count).into_vec()
+    }
+
+    fn step(&mut self, after: Duration, step: Step) {
+        self.steps.push((self.now + after, step));
+    }
+
+    fn add(&mut self, disturbance: Disturbance) {
+        match disturbance {
+            Disturbance::Kill => {
+                let relay = self.relay();
+                self.kill(vec![relay]);
+            }
+            Disturbance::KillMany => {
+                let relays = self.relays(1);
+                self.kill(relays);
+            }
+            Disturbance::KillAll => self.kill((0..self.size.relays).collect()),
+            Disturbance::Terminate => {
+                let relay = self.relay();
+                self.terminate(vec![relay]);
+            }
+            Disturbance::TerminateInTurn => {
+                let relays = self.relays(3);
+                self.terminate(relays);
+            }
+            Disturbance::Pause => {
+                let relay = self.relay();
+                self.pause(vec![relay]);
+            }
+            Disturbance::PauseMany => {
+                let relays = self.relays(1);
+                self.pause(relays);
+            }
+            Disturbance::Replace => {
+                let relay = self.relay();
+                self.step(Duration::ZERO, Step::Replace(relay));
+            }
+            Disturbance::Crash => {
+                let runner = self.runner();
+                self.step(Duration::ZERO, Step::Crash(vec![runner]));
+            }
+            Disturbance::CrashDataCentre => {
+                let data_centre = Size::data_centre(self.runner());
+                let runners = self.runners(|runner| Size::data_centre(runner) == data_centre);
+                self.step(Duration::ZERO, Step::Crash(runners));
+            }
+            Disturbance::Upstream => {
+                let (runner, fault) = (self.runner(), self.upstream_fault());
+                self.step(Duration::ZERO, Step::Upstream(runner, vec![fault; 2]));
+            }
+            Disturbance::Service => {
+                let faults = [
+                    Fault::SecondAnswer,
+                    Fault::CutAfter(0),
+                    Fault::WrongId,
+                    Fault::KilledAfter(0),
+                    Fault::NotRun,
+                    Fault::NotRunUnnamed,
+                ];
+                let fault = faults[self.random.random_range(0..faults.len())];
+                self.step(Duration::ZERO, Step::Service(fault));
+            }
+            Disturbance::StoreRefuses => {
+                self.store(Faults { refuse: true, ..Faults::default() });
+            }
+            Disturbance::StoreSilent => {
+                self.store(Faults { silent: true, ..Faults::default() });
+            }
+            Disturbance::RepliesLost => {
+                self.store(Faults { lost_replies: 3, ..Faults::default() });
+            }
+            Disturbance::LateTransactions => {
+                self.store(Faults { late_transactions: 2, ..Faults::default() });
+            }
+            Disturbance::Configuration => self.step(Duration::ZERO, Step::Configure),
+            Disturbance::Listing => {
+                let state = if self.random.random_bool(0.5) { "ready" } else { "draining" };
+                let runner = self.runner();
+                self.step(Duration::ZERO, Step::List(vec![runner], state));
+            }
+            Disturbance::Rollout => self.rollout(),
+        }
+    }
+
+    fn kill(&mut self, relays: Vec<usize>) {
+        self.step(Duration::ZERO, Step::Kill(relays.clone()));
+        let down = self.time(20..1_500);
+        self.step(down, Step::Start(relays));
+    }
+
+    /// Terminates relays one after the other.
+    fn terminate(&mut self, relays: Vec<usize>) {
+        let mut after = Duration::ZERO;
+        for relay in relays {
+            self.step(after, Step::Terminate(relay));
+            let down = self.time(50..1_500);
+            self.step(after + down, Step::Start(vec![relay]));
+            after += self.time(50..500);
+        }
+    }
+
+    fn pause(&mut self, relays: Vec<usize>) {
+        self.step(Duration::ZERO, Step::Pause(relays.clone()));
+        let longest = if self.random.random_bool(0.2) { 3_000 } else { 900 };
+        let pause = self.time(50..longest);
+        self.step(pause, Step::Resume(relays));
+    }
+
+    fn upstream_fault(&mut self) -> Fault {
+        let events = self.random.random_range(0..20);
+        // No failures (500): two of them end a batch item for good, as its route allows. An upstream
+        // that lives and closes a stream twice after the same event cannot be told from one that ends it.
+        let faults = [
+            Fault::CutAfter(events),
+            Fault::CloseAfter(events + 1),
+            Fault::KilledAfter(events),
+            Fault::NotRun,
+            Fault::NotRunUnnamed,
+            Fault::WrongId,
+            Fault::Silent,
+        ];
+        faults[self.random.random_range(0..faults.len())]
+    }
+
+    fn store(&mut self, faults: Faults) {
+        self.step(Duration::ZERO, Step::Store(faults));
+        let duration = self.time(50..900);
+        self.step(duration, Step::Store(Faults::default()));
+    }
+
+    fn runners(&self, condition: impl Fn(usize) -> bool) -> Vec<usize> {
+        (0..self.size.runners).filter(|runner| condition(*runner)).collect()
+    }
+
+    fn rollout(&mut self) {
+        let version = Size::version(self.runner());
+        let old = self.runners(|runner| Size::version(runner) == version);
+        let new = self.runners(|runner| Size::version(runner) != version);
+        self.step(Duration::ZERO, Step::List(new, "ready"));
+        self.step(Duration::ZERO, Step::List(old.clone(), "draining"));
+        let removed = self.time(20..1_500);
+        self.step(removed, Step::Unlist(old.clone()));
+        if self.random.random_bool(0.5) {
+            let ended = removed + self.time(0..300);
+            self.step(ended, Step::Crash(old.clone()));
+        }
+        let back = removed + self.time(100..2_500);
+        self.step(back, Step::List(old, "ready"));
+    }
+}
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -36,6 +36,8 @@
 pub enum Fault {
     /// Refuses the request with 503 and `Not-Run`, without running it.
     NotRun,
+    /// The same, without the id of the request.
+    NotRunUnnamed,
     /// Closes the connection after this many events and half of another one, or in the middle of a
     /// plain body.
     CutAfter(u64),
@@ -96,6 +98,8 @@
     is_leaving: bool,
     /// Whether responses have neither length nor chunks and end with their connections.
     is_unframed: bool,
+    /// Whether the data of events names the version.
+    names_version: bool,
     /// Requests a second that the responses name (`Server-Limit`).
     limit: Option<f64>,
     /// Part of a prompt under which the runner crashes.
@@ -103,6 +107,8 @@
     /// Body of a request under which the runner crashes.
     fatal_body: Option<String>,
     crashes: Vec<Instant>,
+    /// Ids of the requests whose responses were closed early, without a crash.
+    early_closes: Vec<String>,
 }
 
 #[derive(Clone)]
@@ -110,9 +116,9 @@
     pub id: String,
     pub address: SocketAddr,
     /// Version of its software.
-    version: String,
+    pub version: String,
     /// Data centre that its entry states.
-    data_centre: String,
+    pub data_centre: String,
     state: Arc<Mutex<State>>,
     /// Number of crashes so far. A crash closes all connections.
     crashed: watch::Sender<usize>,
@@ -188,6 +194,12 @@
         self.state().crashes.clone()
     }
 
+    /// Returns the ids of the requests whose responses this runner closed early by
+    /// [`Fault::CloseAfter`].
+    pub fn early_closes(&self) -> Vec<String> {
+        self.state().early_closes.clone()
+    }
+
     /// Says in all further responses that this runner is leaving. Its entry stays as it is.
     pub fn announce_leaving(&self) {
         self.state().is_leaving = true;
@@ -199,6 +211,12 @@
         self.state().is_unframed = true;
     }
 
+    /// Writes the version into the data of all further events, so that the texts of batch items tell
+    /// which versions wrote them.
+    pub fn name_version(&self) {
+        self.state().names_version = true;
+    }
+
     /// Names a limit in all further responses, or none. The runner goes on serving what exceeds it.
     pub fn set_limit(&self, requests_per_s: Option<f64>) {
         self.state().limit = requests_per_s;
@@ -267,9 +285,10 @@
             let mut state = self.state();
             if state.faults.is_empty() { None } else { Some(state.faults.remove(0)) }
         };
-        if fault == Some(Fault::NotRun) {
+        if let Some(refusal @ (Fault::NotRun | Fault::NotRunUnnamed)) = fault {
             let headers = [("Not-Run", "1"), ("Request-Id", id)];
-            write_plain(stream, "503 Service Unavailable", &headers, "").await?;
+            let count = if refusal == Fault::NotRun { 2 } else { 1 };
+            write_plain(stream, "503 Service Unavailable", &headers[..count], "").await?;
             return Ok(true);
         }
         self.state().runs.push(Run {
@@ -405,16 +424,14 @@
         stream.write_all(head.as_bytes()).await?;
         for event in first..=events {
             sleep(EVENT_INTERVAL).await;
-            let kind = match self.version.as_str() {
-                "v1" => String::new(),
-                version => format!("event: {version}\n"),
-            };
-            let text = format!("{kind}id: {event}\ndata: piece {event}\n\n");
+            let text = self.event(event);
             if let Some(Fault::CloseAfter(count) | Fault::KilledAfter(count)) = fault
                 && event >= first + count
             {
                 if matches!(fault, Some(Fault::KilledAfter(_))) {
                     self.crash();
+                } else {
+                    self.state().early_closes.push(headers[0].1.to_owned());
                 }
                 return Ok(false);
             }
@@ -438,6 +455,19 @@
         Ok(true)
     }
 
+    /// Returns the text of an event with this number.
+    fn event(&self, number: u64) -> String {
+        let kind = match self.version.as_str() {
+            "v1" => String::new(),
+            version => format!("event: {version}\n"),
+        };
+        let suffix = match self.state().names_version {
+            true => format!(" {}", self.version),
+            false => String::new(),
+        };
+        format!("{kind}id: {number}\ndata: piece {number}{suffix}\n\n")
+    }
+
     /// Whether a successful response has neither length nor chunks.
     fn is_unframed(&self, fault: Option<Fault>) -> bool {
         match fault {
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -381,10 +381,8 @@
             if after < state.discarded_version {
                 return response(StatusCode::GONE, Bytes::new());
             }
-            let changes = state
-                .history
-                .iter()
-                .filter(|(version, name, _)| *version > after && name.0 == table);
+            let seen = state.history.partition_point(|(version, ..)| *version <= after);
+            let changes = state.history[seen..].iter().filter(|(_, name, _)| name.0 == table);
             let rows: Vec<Value> = changes
                 .map(|(version, name, value)| row_json(name, value.as_deref(), *version))
                 .collect();
--- a/components/standins/src/process.rs
+++ b/components/standins/src/process.rs
@@ -112,6 +112,11 @@
         self.child.wait().map(drop)
     }
 
+    /// Sends SIGKILL without waiting for the end of the process.
+    pub fn send_kill(&mut self) -> io::Result<()> {
+        self.child.kill()
+    }
+
     /// Sends SIGSTOP, which suspends the process until [`Self::resume`].
     pub fn pause(&self) -> io::Result<()> {
         self.signal("STOP")
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -1,350 +1,386 @@
 //! Random faults, in series and overlapping, at real relay processes while callers use them.
 //!
-//! `SOAK_SEED=N SOAK_RUNS=M cargo test --test relay_soak -- --nocapture` runs the seeds from N on, and
-//! prints what each one did.
+//! `scripts/soak` plays more seeds and larger runs. A run is given by these environment variables:
+//!
+//! | variable | meaning | default |
+//! | --- | --- | --- |
+//! | `SOAK_SEED` | first seed | 1 |
+//! | `SOAK_RUNS` | number of seeds | 3 |
+//! | `SOAK_RELAYS`, `SOAK_CALLERS`, `SOAK_RUNNERS` | relays, callers, upstreams of streams | 4, 6, 5 |
+//! | `SOAK_SECONDS` | time in which faults are injected | 6 |
+//! | `SOAK_PROGRAM` | path of the program whose relays are played | the built one |
+//! | `SOAK_LOGS` | folder for the logs of seeds that fail | none are kept |
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     env,
-    net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    fmt::Debug,
+    fs,
+    ops::RangeInclusive,
+    path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
 use cyclamengrade_standins::{
-    bridge::{Fault, Faults, Harness, Job},
-    client::{Call, Client},
+    bridge::{
+        Callers, Contradiction, Faults, Harness, ITEM_EVENTS, Job, Plan, Promise, Record, Runner,
+        Size, Step,
+    },
+    fleet::{Error, binary},
 };
 use googletest::prelude::*;
-use rand::{RngExt, SeedableRng, rngs::StdRng};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
-const RELAYS: usize = 4;
-const CALLERS: u64 = 6;
-/// Time in which faults are injected.
-const FAULT_TIME: Duration = Duration::from_secs(6);
+const DEFAULT_SIZE: Size = Size { relays: 4, callers: 6, runners: 5, seconds: 6 };
 /// Time between the last fault and the last new request.
 const CALM_TIME: Duration = Duration::from_secs(1);
+/// Longest time between two checks for relays that have ended.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Time within which a relay is ready or has ended, after the last fault.
+const HEAL_TIMEOUT: Duration = Duration::from_secs(8);
 /// Seed and number of runs in CI.
 const DEFAULT_SEED: u64 = 1;
 const DEFAULT_RUNS: u64 = 3;
 
-/// What callers saw, by id of the request.
-#[derive(Default)]
-struct Seen {
-    refused: BTreeSet<String>,
-    answered_once: BTreeSet<String>,
-    /// Contradictions to what a relay promises.
-    broken: Vec<String>,
-    streams: u64,
-    continued: u64,
-    jobs: Vec<Job>,
+/// Returns the value of an environment variable, or `default` if it is not set.
+fn number(name: &str, default: u64, range: RangeInclusive<u64>) -> Result<u64> {
+    let Ok(text) = env::var(name) else { return Ok(default) };
+    match text.parse() {
+        Ok(value) if range.contains(&value) => Ok(value),
+        _ => fail!("{name} is {text:?}, and has to be a number in {range:?}").map(|()| default),
+    }
 }
 
-struct Caller {
-    client: Client,
-    addresses: Vec<SocketAddr>,
-    seen: Arc<Mutex<Seen>>,
-    next_id: Arc<AtomicU64>,
-    random: StdRng,
+fn size() -> Result<Size> {
+    let count = |name, default: usize, range| -> Result<usize> {
+        Ok(number(name, default as u64, range)? as usize)
+    };
+    Ok(Size {
+        relays: count("SOAK_RELAYS", DEFAULT_SIZE.relays, 1..=150)?,
+        callers: count("SOAK_CALLERS", DEFAULT_SIZE.callers, 1..=500)?,
+        runners: count("SOAK_RUNNERS", DEFAULT_SIZE.runners, 4..=200)?,
+        seconds: number("SOAK_SECONDS", DEFAULT_SIZE.seconds, 1..=600)?,
+    })
 }
 
-impl Caller {
-    fn id(&self) -> String {
-        format!("r-{}", self.next_id.fetch_add(1, Ordering::Relaxed))
+fn program() -> Result<PathBuf> {
+    match env::var_os("SOAK_PROGRAM") {
+        Some(path) => Ok(path.into()),
+        None => Ok(binary("cyclamengrade")?),
     }
+}
 
-    fn call(&mut self, route: &str, id: &str) -> Call {
-        let address = self.addresses[self.random.random_range(0..self.addresses.len())];
-        Call::post(address, format!("/{route}/path"))
-            .with_header("host", "calls.example")
-            .with_header("request-id", id)
-            .with_header("deadline-ms", "4000")
-            .with_body(id.to_owned())
-            .with_timeout(Duration::from_secs(6))
-    }
+/// The system while a plan is played.
+struct Run {
+    harness: Harness,
+    callers: Callers,
+    /// Number in the harness of each relay of the plan, which changes when it is replaced.
+    relays: Vec<usize>,
+    /// Relays that were replaced and may still run.
+    leaving: BTreeSet<usize>,
+    /// Relays that were killed or asked to stop, and those of them that are to start again.
+    stopped: BTreeSet<usize>,
+    waiting: BTreeSet<usize>,
+}
 
-    fn note(&self, record: impl FnOnce(&mut Seen)) {
-        if let Ok(mut seen) = self.seen.lock() {
-            record(&mut seen);
+impl Run {
+    async fn start(seed: u64, size: Size) -> Result<Self> {
+        let mut harness = Harness::start_program(size.relays, program()?).await?;
+        // Longer than a run, so that no item is abandoned.
+        harness.retention_s = 120 + 2 * size.seconds;
+        harness.configure(json!([]));
+        for runner in harness.runners.len()..size.runners {
+            let id = format!("m-{}", runner + 1);
+            let (version, data_centre) = (Size::version(runner), Size::data_centre(runner));
+            let runner = harness.add_runner(&id, version, data_centre).await?;
+            harness.store.put("servers", &runner.id, &runner.entry("model", "ready"));
+        }
+        for (number, runner) in harness.runners.iter().enumerate() {
+            runner.name_version();
+            if Size::is_unframed(number) {
+                runner.omit_framing();
+            }
         }
+        harness.list(&harness.runners[size.runners - 1], 0).await?;
+        let relays: Vec<usize> = (0..size.relays).collect();
+        let addresses = relays.iter().map(|relay| harness.address(*relay)).collect();
+        Ok(Self {
+            callers: Callers::start(size.callers, seed, addresses),
+            harness,
+            relays,
+            leaving: BTreeSet::new(),
+            stopped: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+        })
     }
 
-    async fn run(mut self, stop: Arc<AtomicBool>) {
-        while !stop.load(Ordering::Relaxed) {
-            match self.random.random_range(0..10) {
-                0..6 => self.stream().await,
-                6..9 => self.single().await,
-                _ => self.submit().await,
+    async fn play(&mut self, plan: &Plan) -> Result<()> {
+        let begin = Instant::now();
+        for (at, step) in &plan.steps {
+            while begin.elapsed() < *at {
+                self.check()?;
+                sleep(CHECK_PERIOD.min(at.saturating_sub(begin.elapsed()))).await;
             }
-            let pause = self.random.random_range(5..60);
-            sleep(Duration::from_millis(pause)).await;
+            self.apply(step)?;
         }
+        Ok(())
     }
 
-    /// Reads a stream, and continues it at another relay when it breaks off.
-    async fn stream(&mut self) {
-        let events = self.random.random_range(3..60);
-        let (origin, mut last, mut version) = (self.id(), 0_u64, None::<String>);
-        for attempt in 0..3 {
-            let id = if attempt == 0 { origin.clone() } else { self.id() };
-            let mut call =
-                self.call("stream", &id).with_header("token-counts", format!("9,{events}"));
-            if last > 0 {
-                call = call
-                    .with_header("last-event-id", last.to_string())
-                    .with_header("resumes", origin.clone());
-                self.note(|seen| seen.continued += 1);
-            } else if attempt > 0 {
-                // Nothing of the stream has arrived: the next attempt would be a new stream.
-                return;
+    fn numbers(&self, relays: &[usize]) -> Vec<usize> {
+        relays.iter().map(|relay| self.relays[*relay]).collect()
+    }
+
+    fn runner(&self, runner: usize) -> &Runner {
+        &self.harness.runners[runner]
+    }
+
+    fn apply(&mut self, step: &Step) -> Result<()> {
+        match step {
+            Step::Kill(relays) => {
+                let numbers = self.numbers(relays);
+                self.harness.kill_relays(&numbers)?;
+                self.stopped.extend(numbers);
+            }
+            Step::Terminate(relay) => self.terminate(self.relays[*relay])?,
+            Step::Start(relays) => {
+                let numbers = self.numbers(relays).into_iter();
+                self.waiting.extend(numbers.filter(|number| self.stopped.contains(number)));
             }
-            let Ok(mut response) = self.client.open(call).await else { continue };
-            if response.status == 503 {
-                self.note(|seen| _ = seen.refused.insert(id.clone()));
+            Step::Pause(relays) => self.signal(relays, Harness::pause_relay)?,
+            Step::Resume(relays) => self.signal(relays, Harness::resume_relay)?,
+            Step::Replace(relay) => self.replace(*relay)?,
+            Step::Crash(runners) => {
+                runners.iter().for_each(|runner| self.runner(*runner).crash());
             }
-            if response.status != 200 {
-                continue;
+            Step::List(runners, state) => {
+                for runner in runners.iter().map(|runner| self.runner(*runner)) {
+                    self.harness.store.put("servers", &runner.id, &runner.entry("model", state));
+                }
             }
-            loop {
-                match response.next_event().await {
-                    Ok(Some(event)) => {
-                        let field = |name: &str| {
-                            let line = event.lines().find_map(|line| line.strip_prefix(name));
-                            line.unwrap_or_default().trim().to_owned()
-                        };
-                        let (found, written_by) = (field("id:"), field("event:"));
-                        if found != (last + 1).to_string() {
-                            let text = format!("{id}: event {found} after event {last}");
-                            return self.note(|seen| seen.broken.push(text));
-                        }
-                        if version.get_or_insert_with(|| written_by.clone()) != &written_by {
-                            let text = format!("{id}: event {found} has another version");
-                            return self.note(|seen| seen.broken.push(text));
-                        }
-                        last += 1;
-                    }
-                    Ok(None) if last == events => {
-                        return self.note(|seen| seen.streams += 1);
-                    }
-                    Ok(None) => {
-                        let text = format!("{id}: ends as complete after {last} of {events}");
-                        return self.note(|seen| seen.broken.push(text));
-                    }
-                    Err(_) => break,
+            Step::Unlist(runners) => {
+                for runner in runners.iter().map(|runner| self.runner(*runner)) {
+                    self.harness.store.remove("servers", &runner.id);
                 }
             }
+            Step::Upstream(runner, faults) => self.runner(*runner).queue_faults(faults),
+            Step::Service(fault) => self.harness.plain.queue_faults(&[*fault]),
+            Step::Store(faults) => self.harness.store.set_faults(*faults),
+            Step::Configure => {
+                self.harness.store.discard_history();
+                self.harness.configure(json!([]));
+            }
         }
+        Ok(())
     }
 
-    async fn single(&mut self) {
-        let id = self.id();
-        let route = if self.random.random_bool(0.5) { "safe" } else { "unsafe" };
-        let call = self.call(route, &id);
-        let Ok(reply) = self.client.send(call).await else { return };
-        match reply.status {
-            503 => self.note(|seen| _ = seen.refused.insert(id.clone())),
-            200 if reply.text() != format!("answer to {id}") => {
-                self.note(|seen| seen.broken.push(format!("{id}: another answer")));
-            }
-            200 if route == "unsafe" => self.note(|seen| _ = seen.answered_once.insert(id.clone())),
-            _ => {}
+    fn terminate(&mut self, number: usize) -> Result<()> {
+        if self.harness.is_running(number)? {
+            self.harness.terminate_relay(number)?;
+            self.stopped.insert(number);
         }
+        Ok(())
     }
 
-    async fn submit(&mut self) {
-        let id = self.id();
-        let items: Vec<String> = (0..3).map(|item| format!("{id}-{item}")).collect();
-        let entries = items.iter().map(|item| {
-            json!({
-                "Id": item, "Path": "/batch/item", "Tokens": 40, "Body": "",
-                "Headers": {"Token-Counts": "10,30", "Model": "m"}
-            })
-        });
-        let body = json!({"Items": entries.collect::<Vec<_>>()});
-        let mut call = self.call("batch", &id);
-        call = call.with_json(&body);
-        if let Ok(reply) = self.client.send(call).await
-            && reply.status == 202
-        {
-            self.note(|seen| seen.jobs.push(Job { id, items }));
+    fn signal(
+        &mut self,
+        relays: &[usize],
+        send: impl Fn(&Harness, usize) -> Result<(), Error>,
+    ) -> Result<()> {
+        for number in self.numbers(relays) {
+            if self.harness.is_running(number)? {
+                send(&self.harness, number)?;
+            }
         }
+        Ok(())
     }
-}
 
-/// Injects one random fault. Returns its name.
-async fn inject(harness: &mut Harness, random: &mut StdRng) -> Result<&'static str> {
-    let relay = random.random_range(0..RELAYS);
-    let runner = harness.runners[random.random_range(0..harness.runners.len())].clone();
-    Ok(match random.random_range(0..12) {
-        0 => {
-            harness.kill_relay(relay)?;
-            "kill"
-        }
-        1 => {
-            harness.terminate_relay(relay)?;
-            "terminate"
-        }
-        2 => {
-            harness.pause_relay(relay)?;
-            sleep(Duration::from_millis(random.random_range(50..900))).await;
-            harness.resume_relay(relay)?;
-            "pause"
-        }
-        3 => {
-            runner.crash();
-            "crash"
-        }
-        4..=6 => {
-            let cut = Fault::CutAfter(random.random_range(0..20));
-            // No failures (500): two of them end a batch item for good, as its route allows.
-            let faults = [cut, Fault::NotRun, Fault::WrongId, Fault::Silent];
-            let fault = faults[random.random_range(0..faults.len())];
-            runner.queue_faults(&[fault; 2]);
-            "upstream"
-        }
-        7 => {
-            let faults = [Fault::SecondAnswer, Fault::CutAfter(0), Fault::WrongId];
-            harness.plain.queue_faults(&[faults[random.random_range(0..faults.len())]]);
-            "service"
-        }
-        8 => {
-            harness.store.set_faults(Faults { refuse: true, ..Faults::default() });
-            "store refuses"
-        }
-        9 => {
-            harness.store.set_faults(Faults { lost_replies: 3, ..Faults::default() });
-            "replies lost"
+    /// Callers use the relay that leaves until its process is gone.
+    fn replace(&mut self, relay: usize) -> Result<()> {
+        let (old, new) = (self.relays[relay], self.harness.relays());
+        self.signal(&[relay], Harness::resume_relay)?;
+        self.terminate(old)?;
+        self.waiting.remove(&old);
+        self.leaving.insert(old);
+        self.harness.add_relay(new)?;
+        self.relays[relay] = new;
+        self.update_addresses();
+        Ok(())
+    }
+
+    fn update_addresses(&self) {
+        let numbers = self.relays.iter().chain(&self.leaving);
+        let addresses = numbers.map(|number| self.harness.address(*number)).collect();
+        self.callers.set_addresses(addresses);
+    }
+
+    /// Starts relays that have ended and are to run again.
+    fn check(&mut self) -> Result<()> {
+        for number in self.relays.clone() {
+            if !self.stopped.contains(&number) && !self.harness.is_running(number)? {
+                return fail!("relay {number} ended by itself");
+            }
         }
-        10 => {
-            harness.store.discard_history();
-            harness.configure(json!([]));
-            "configuration"
+        for number in self.leaving.clone() {
+            if !self.harness.is_running(number)? {
+                self.leaving.remove(&number);
+                self.update_addresses();
+            }
         }
-        _ => {
-            let state = if random.random_bool(0.5) { "ready" } else { "draining" };
-            harness.store.put("servers", &runner.id, &runner.entry("model", state));
-            "listing"
+        for number in self.waiting.clone() {
+            if !self.harness.is_running(number)? {
+                self.harness.start_relay(number)?;
+                self.waiting.remove(&number);
+                self.stopped.remove(&number);
+            }
         }
-    })
-}
-
-/// Undoes what lasts of the faults: starts relays that have ended, and lists all runners.
-async fn heal(harness: &mut Harness) -> Result<()> {
-    harness.store.set_faults(Faults::default());
-    for runner in &harness.runners {
-        harness.store.put("servers", &runner.id, &runner.entry("model", "ready"));
+        Ok(())
     }
-    for relay in 0..RELAYS {
+
+    /// Undoes what lasts of the faults: starts relays that have ended, and lists all runners.
+    async fn heal(&mut self) -> Result<()> {
+        let all: Vec<usize> = (0..self.relays.len()).collect();
+        self.apply(&Step::Store(Faults::default()))?;
+        self.apply(&Step::List((0..self.harness.runners.len()).collect(), "ready"))?;
+        self.apply(&Step::Resume(all.clone()))?;
+        self.apply(&Step::Start(all))?;
         let start = Instant::now();
-        // A relay that was asked to stop ends within its grace time.
-        while harness.is_running(relay)? && harness.readiness(relay).await != Some(200) {
-            if start.elapsed() > Duration::from_secs(8) {
-                return fail!("relay {relay} is neither ready nor ended");
+        while !(self.waiting.is_empty() && self.leaving.is_empty()) {
+            self.check()?;
+            if start.elapsed() > HEAL_TIMEOUT {
+                let (waiting, leaving) = (&self.waiting, &self.leaving);
+                return fail!("relays {waiting:?} and {leaving:?} have not ended");
             }
-            sleep(Duration::from_millis(50)).await;
+            sleep(CHECK_PERIOD).await;
         }
-        if !harness.is_running(relay)? {
-            harness.start_relay(relay)?;
+        for number in &self.relays {
+            self.harness.await_ready(*number).await?;
         }
-        harness.await_ready(relay).await?;
+        Ok(())
     }
-    Ok(())
-}
 
-/// Returns the promises that were broken according to what ran at the upstreams.
-fn contradictions(harness: &Harness, seen: &Seen) -> Vec<String> {
-    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for runner in harness.runners.iter().chain([&harness.plain]) {
-        for run in runner.runs() {
-            *runs.entry(run.id).or_default() += 1;
+    /// Plays a plan. Returns what the callers saw, and the promises that were broken.
+    async fn outcome(&mut self, plan: &Plan) -> Result<(Record, Vec<Contradiction>)> {
+        self.play(plan).await?;
+        self.heal().await?;
+        sleep(CALM_TIME).await;
+        let record = self.callers.stop().await?;
+        let runners = self.harness.runners.iter().chain([&self.harness.plain]);
+        let mut contradictions = record.contradictions(runners);
+        for (number, job) in record.jobs.iter().enumerate() {
+            let relays = &self.relays;
+            let (first, second) = (number % relays.len(), (number + 1) % relays.len());
+            let found = job_contradictions(&self.harness, relays[first], relays[second], job);
+            contradictions.extend(found.await);
         }
+        Ok((record, contradictions))
     }
-    let count = |id: &String| runs.get(id).copied().unwrap_or_default();
-    let refused = seen.refused.iter().filter(|id| count(id) > 0);
-    let refused = refused.map(|id| format!("{id} was refused as not run, and ran"));
-    let once = seen.answered_once.iter().filter(|id| count(id) != 1);
-    let once = once.map(|id| format!("{id} ran {} times", count(id)));
-    seen.broken.iter().cloned().chain(refused).chain(once).collect()
+
+    /// Writes what is needed to trace a failure.
+    fn save(&self, folder: &Path, contradictions: &impl Debug) -> Result<()> {
+        self.harness.save_logs(folder)?;
+        fs::write(folder.join("contradictions"), format!("{contradictions:#?}"))?;
+        let runners = self.harness.runners.iter().chain([&self.harness.plain]);
+        let mut runs = String::new();
+        for runner in runners {
+            let name = format!("{} {} {}", runner.id, runner.version, runner.address);
+            runs.extend(runner.runs().iter().map(|run| format!("{name}: {run:?}\n")));
+            runs += &format!("{name}: crashes {:?}\n", runner.crashes());
+        }
+        Ok(fs::write(folder.join("runs"), runs)?)
+    }
+}
+
+/// Returns the results of a job that a relay lists, when they are as many as its items or more.
+async fn listing(harness: &Harness, relay: usize, job: &Job) -> Result<Vec<Value>> {
+    let results = async || {
+        let page: Value = harness.results(relay, &job.id, 0).await.ok()?.json().ok()?;
+        let results = page["Results"].as_array()?;
+        (results.len() >= job.items.len()).then(|| results.clone())
+    };
+    Ok(harness.eventually("all results of a job", results).await?)
 }
 
-async fn soak(seed: u64) -> Result<()> {
-    let mut harness = Harness::start(RELAYS).await?;
-    for (id, version) in [("m-3", "v1"), ("m-4", "v2"), ("m-5", "v2")] {
-        let runner = harness.add_runner(id, version, "a").await?;
-        harness.list(&runner, 0).await?;
+/// Returns the promises about an accepted job that two relays broke.
+async fn job_contradictions(
+    harness: &Harness,
+    first: usize,
+    second: usize,
+    job: &Job,
+) -> Vec<Contradiction> {
+    let item = |text| vec![Contradiction::new(Promise::Item, &job.id, text)];
+    let (results, others) =
+        match (listing(harness, first, job).await, listing(harness, second, job).await) {
+            (Ok(results), Ok(others)) => (results, others),
+            (Err(error), _) | (_, Err(error)) => return item(error.to_string()),
+        };
+    let mut ids: Vec<&str> = results.iter().filter_map(|result| result["Id"].as_str()).collect();
+    ids.sort_unstable();
+    if ids != job.items.iter().map(String::as_str).collect::<Vec<_>>() {
+        return item(format!("lists the items {ids:?}"));
     }
-    let mut random = StdRng::seed_from_u64(seed);
-    let (seen, stop) = (Arc::new(Mutex::new(Seen::default())), Arc::new(AtomicBool::new(false)));
-    let next_id = Arc::new(AtomicU64::new(0));
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| {
-            let caller = Caller {
-                client: Client::new(),
-                addresses: (0..RELAYS).map(|relay| harness.address(relay)).collect(),
-                seen: seen.clone(),
-                next_id: next_id.clone(),
-                random: StdRng::seed_from_u64(seed * 1_000 + number),
-            };
-            tokio::spawn(caller.run(stop.clone()))
-        })
-        .collect();
-    let begin = Instant::now();
-    let mut faults: BTreeMap<&str, u32> = BTreeMap::new();
-    while begin.elapsed() < FAULT_TIME {
-        *faults.entry(inject(&mut harness, &mut random).await?).or_default() += 1;
-        sleep(Duration::from_millis(random.random_range(20..400))).await;
-        if random.random_bool(0.3) {
-            harness.store.set_faults(Faults::default());
-        }
-        for relay in 0..RELAYS {
-            if random.random_bool(0.3) && !harness.is_running(relay)? {
-                harness.start_relay(relay)?;
-            }
-        }
+    if results != others {
+        return item(format!("listed as {results:?} and as {others:?}"));
     }
-    heal(&mut harness).await?;
-    sleep(CALM_TIME).await;
-    stop.store(true, Ordering::Relaxed);
-    for caller in callers {
-        caller.await?;
+    let texts = results.iter().filter_map(|result| {
+        let (promise, text) = text_contradiction(result["Text"].as_str().unwrap_or_default())?;
+        Some(Contradiction::new(promise, result["Id"].as_str().unwrap_or_default(), text))
+    });
+    texts.collect()
+}
+
+/// Returns the promise that the text of an item breaks, with the evidence.
+fn text_contradiction(text: &str) -> Option<(Promise, String)> {
+    let pieces: Vec<(&str, &str)> = text.lines().filter_map(|line| line.rsplit_once(' ')).collect();
+    let versions: BTreeSet<&str> = pieces.iter().map(|(_, version)| *version).collect();
+    let events = pieces.iter().map(|(event, _)| *event);
+    match events.eq((1..=ITEM_EVENTS).map(|event| format!("piece {event}"))) {
+        false => Some((Promise::Item, format!("text {text:?}"))),
+        true if versions.len() > 1 => Some((Promise::Version, format!("text {text:?}"))),
+        true => None,
     }
-    let seen = std::mem::take(&mut *seen.lock().map_err(|error| error.to_string()).or_fail()?);
-    for job in &seen.jobs {
-        let results = harness.await_results(0, job).await?;
-        let mut done: Vec<&str> = Harness::complete_items(&results, 30);
-        done.sort_unstable();
-        let items: Vec<&str> = job.items.iter().map(String::as_str).collect();
-        expect_that!(done, eq(&items), "seed {seed}: {results:?}");
-        let ids: BTreeSet<Option<&str>> =
-            results.iter().map(|result| result["Id"].as_str()).collect();
-        expect_that!(ids.len(), eq(results.len()));
+}
+
+async fn soak(seed: u64, size: Size) -> Result<()> {
+    let plan = Plan::new(seed, size);
+    let mut run = Run::start(seed, size).await?;
+    let outcome = run.outcome(&plan).await;
+    let contradictions = outcome.as_ref().map(|(_, contradictions)| contradictions);
+    let is_sound = contradictions.is_ok_and(Vec::is_empty);
+    if let Some(folder) = env::var_os("SOAK_LOGS")
+        && !is_sound
+    {
+        let name = format!("seed-{seed}-relays-{}", size.relays);
+        run.save(&PathBuf::from(folder).join(name), &contradictions)?;
+    }
+    let (record, contradictions) = outcome?;
+    let mut broken: BTreeMap<Promise, u32> = BTreeMap::new();
+    for contradiction in &contradictions {
+        *broken.entry(contradiction.promise).or_default() += 1;
     }
     println!(
-        "seed {seed}: {} streams, {} continued, {} refused, {} jobs, faults {faults:?}",
-        seen.streams,
-        seen.continued,
-        seen.refused.len(),
-        seen.jobs.len()
+        "seed {seed}, {} relays: {} streams to the end, {} continued, {} refused, {} jobs, \
+         contradictions {broken:?}, disturbances {:?}",
+        size.relays,
+        record.streams,
+        record.continued,
+        record.refused.len(),
+        record.jobs.len(),
+        plan.disturbances
     );
-    expect_that!(contradictions(&harness, &seen), is_empty(), "seed {seed}");
-    verify_that!(seen.streams, gt(10))
+    expect_that!(contradictions, is_empty(), "seed {seed}");
+    verify_that!(record.streams, gt(10))
 }
 
 /// Guards against promises to callers that hold under single faults and not under several at once.
 #[gtest]
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn random_faults() -> Result<()> {
-    let number = |name: &str, default| {
-        env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
-    };
-    let first = number("SOAK_SEED", DEFAULT_SEED);
-    for seed in first..first + number("SOAK_RUNS", DEFAULT_RUNS) {
-        soak(seed).await?;
+    let size = size()?;
+    let first = number("SOAK_SEED", DEFAULT_SEED, 0..=u64::MAX >> 16)?;
+    for seed in first..first + number("SOAK_RUNS", DEFAULT_RUNS, 1..=1_000)? {
+        let outcome = soak(seed, size).await;
+        expect_that!(outcome, ok(anything()), "seed {seed}");
     }
     Ok(())
 }
