--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -240,7 +240,8 @@
         let mut crashed = self.crashed.subscribe();
         loop {
             let accepted = select! {
-                accepted = listener.accept() => accepted,
+                // A process that has ended accepts no connections.
+                biased;
                 _ = crashed.changed() => {
                     drop(listener);
                     sleep(RESTART_TIME).await;
@@ -248,11 +249,13 @@
                     listener = bound;
                     continue;
                 }
+                accepted = listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else { continue };
             self.state().connections += 1;
             let runner = self.clone();
-            let mut crashed = self.crashed.subscribe();
+            // This also ends with a crash between the accept and the start of the task.
+            let mut crashed = crashed.clone();
             tokio::spawn(async move {
                 select! {
                     // An I/O error only ends this connection, which the peer notices by itself.
