--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::HashMap,
+    future::pending,
     io,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -120,8 +121,11 @@
     /// Data centre that its entry states.
     pub data_centre: String,
     state: Arc<Mutex<State>>,
-    /// Number of crashes so far. A crash closes all connections.
+    /// Number of crashes so far.
     crashed: watch::Sender<usize>,
+    /// Number of crashes after which the listener was closed. Only then the connections are, as when
+    /// the vm of a process closes its files in the order in which they were opened.
+    closed: watch::Sender<usize>,
 }
 
 impl Runner {
@@ -147,6 +151,7 @@
             data_centre: data_centre.into(),
             state: Arc::default(),
             crashed: watch::Sender::new(0),
+            closed: watch::Sender::new(0),
         };
         tokio::spawn(runner.clone().accept(listener));
         Ok(runner)
@@ -189,6 +194,12 @@
         self.crashed.send_modify(|count| *count += 1);
     }
 
+    /// Crashes while a connection is served, which ends with the others.
+    async fn crash_here(&self) -> io::Result<bool> {
+        self.crash();
+        pending().await
+    }
+
     /// Returns the times of the crashes.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state().crashes.clone()
@@ -244,6 +255,7 @@
                 biased;
                 _ = crashed.changed() => {
                     drop(listener);
+                    self.closed.send_modify(|count| *count += 1);
                     sleep(RESTART_TIME).await;
                     let Ok(bound) = TcpListener::bind(self.address).await else { return };
                     listener = bound;
@@ -254,13 +266,12 @@
             let Ok((stream, _)) = accepted else { continue };
             self.state().connections += 1;
             let runner = self.clone();
-            // This also ends with a crash between the accept and the start of the task.
-            let mut crashed = crashed.clone();
+            let mut closed = self.closed.subscribe();
             tokio::spawn(async move {
                 select! {
                     // An I/O error only ends this connection, which the peer notices by itself.
                     _ = runner.serve(stream) => {}
-                    _ = crashed.changed() => {}
+                    _ = closed.changed() => {}
                 }
             });
         }
@@ -302,8 +313,7 @@
         });
         if self.is_fatal(request) {
             sleep(CRASH_DELAY).await;
-            self.crash();
-            return Ok(false);
+            return self.crash_here().await;
         }
         let id = if fault == Some(Fault::WrongId) { "another" } else { id };
         let mut headers = vec![("Request-Id", id), ("Server-Stamp", "stamp")];
@@ -340,7 +350,7 @@
                 let head = unframed_head("200 OK", &headers);
                 stream.write_all(format!("{head}\r\n{}", &body[..end]).as_bytes()).await?;
                 if matches!(fault, Some(Fault::KilledAfter(_))) {
-                    self.crash();
+                    return self.crash_here().await;
                 }
                 return Ok(false);
             }
@@ -432,10 +442,9 @@
                 && event >= first + count
             {
                 if matches!(fault, Some(Fault::KilledAfter(_))) {
-                    self.crash();
-                } else {
-                    self.state().early_closes.push(headers[0].1.to_owned());
+                    return self.crash_here().await;
                 }
+                self.state().early_closes.push(headers[0].1.to_owned());
                 return Ok(false);
             }
             if is_unframed {
