--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod harness;
+mod listing;
 mod plan;
 mod runner;
 mod store;
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -22,14 +22,11 @@
 };
 
 use cyclamengrade_standins::{
-    bridge::{
-        Callers, Contradiction, Faults, Harness, ITEM_EVENTS, Job, Plan, Promise, Record, Runner,
-        Size, Step,
-    },
+    bridge::{Callers, Contradiction, Faults, Harness, Plan, Promise, Record, Runner, Size, Step},
     fleet::{Error, binary},
 };
 use googletest::prelude::*;
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::time::sleep;
 
 const DEFAULT_SIZE: Size = Size { relays: 4, callers: 6, runners: 5, seconds: 6 };
@@ -267,12 +264,7 @@
         let record = self.callers.stop().await?;
         let runners = self.harness.runners.iter().chain([&self.harness.plain]);
         let mut contradictions = record.contradictions(runners);
-        for (number, job) in record.jobs.iter().enumerate() {
-            let relays = &self.relays;
-            let (first, second) = (number % relays.len(), (number + 1) % relays.len());
-            let found = job_contradictions(&self.harness, relays[first], relays[second], job);
-            contradictions.extend(found.await);
-        }
+        contradictions.extend(self.harness.job_contradictions(&self.relays, &record.jobs).await);
         Ok((record, contradictions))
     }
 
@@ -291,56 +283,6 @@
     }
 }
 
-/// Returns the results of a job that a relay lists, when they are as many as its items or more.
-async fn listing(harness: &Harness, relay: usize, job: &Job) -> Result<Vec<Value>> {
-    let results = async || {
-        let page: Value = harness.results(relay, &job.id, 0).await.ok()?.json().ok()?;
-        let results = page["Results"].as_array()?;
-        (results.len() >= job.items.len()).then(|| results.clone())
-    };
-    Ok(harness.eventually("all results of a job", results).await?)
-}
-
-/// Returns the promises about an accepted job that two relays broke.
-async fn job_contradictions(
-    harness: &Harness,
-    first: usize,
-    second: usize,
-    job: &Job,
-) -> Vec<Contradiction> {
-    let item = |text| vec![Contradiction::new(Promise::Item, &job.id, text)];
-    let (results, others) =
-        match (listing(harness, first, job).await, listing(harness, second, job).await) {
-            (Ok(results), Ok(others)) => (results, others),
-            (Err(error), _) | (_, Err(error)) => return item(error.to_string()),
-        };
-    let mut ids: Vec<&str> = results.iter().filter_map(|result| result["Id"].as_str()).collect();
-    ids.sort_unstable();
-    if ids != job.items.iter().map(String::as_str).collect::<Vec<_>>() {
-        return item(format!("lists the items {ids:?}"));
-    }
-    if results != others {
-        return item(format!("listed as {results:?} and as {others:?}"));
-    }
-    let texts = results.iter().filter_map(|result| {
-        let (promise, text) = text_contradiction(result["Text"].as_str().unwrap_or_default())?;
-        Some(Contradiction::new(promise, result["Id"].as_str().unwrap_or_default(), text))
-    });
-    texts.collect()
-}
-
-/// Returns the promise that the text of an item breaks, with the evidence.
-fn text_contradiction(text: &str) -> Option<(Promise, String)> {
-    let pieces: Vec<(&str, &str)> = text.lines().filter_map(|line| line.rsplit_once(' ')).collect();
-    let versions: BTreeSet<&str> = pieces.iter().map(|(_, version)| *version).collect();
-    let events = pieces.iter().map(|(event, _)| *event);
-    match events.eq((1..=ITEM_EVENTS).map(|event| format!("piece {event}"))) {
-        false => Some((Promise::Item, format!("text {text:?}"))),
-        true if versions.len() > 1 => Some((Promise::Version, format!("text {text:?}"))),
-        true => None,
-    }
-}
-
 async fn soak(seed: u64, size: Size) -> Result<()> {
     let plan = Plan::new(seed, size);
     let mut run = Run::start(seed, size).await?;
