--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -4,7 +4,6 @@
 
 use std::{
     collections::HashMap,
-    future::pending,
     io,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -108,6 +107,8 @@
     /// Body of a request under which the runner crashes.
     fatal_body: Option<String>,
     crashes: Vec<Instant>,
+    /// Time from the close of the connections in a crash to that of the listener.
+    listener_delay: Duration,
     /// Ids of the requests whose responses were closed early, without a crash.
     early_closes: Vec<String>,
 }
@@ -121,11 +122,8 @@
     /// Data centre that its entry states.
     pub data_centre: String,
     state: Arc<Mutex<State>>,
-    /// Number of crashes so far.
+    /// Number of crashes so far. A crash closes all connections.
     crashed: watch::Sender<usize>,
-    /// Number of crashes after which the listener was closed. Only then the connections are, as when
-    /// the vm of a process closes its files in the order in which they were opened.
-    closed: watch::Sender<usize>,
 }
 
 impl Runner {
@@ -151,7 +149,6 @@
             data_centre: data_centre.into(),
             state: Arc::default(),
             crashed: watch::Sender::new(0),
-            closed: watch::Sender::new(0),
         };
         tokio::spawn(runner.clone().accept(listener));
         Ok(runner)
@@ -194,10 +191,10 @@
         self.crashed.send_modify(|count| *count += 1);
     }
 
-    /// Crashes while a connection is served, which ends with the others.
-    async fn crash_here(&self) -> io::Result<bool> {
-        self.crash();
-        pending().await
+    /// Keeps the listener open for a time after the connections were closed in a crash, as a busy vm
+    /// does with a process that was killed. Nothing is accepted from its queue.
+    pub fn delay_listener(&self, delay: Duration) {
+        self.state().listener_delay = delay;
     }
 
     /// Returns the times of the crashes.
@@ -254,8 +251,9 @@
                 // A process that has ended accepts no connections.
                 biased;
                 _ = crashed.changed() => {
+                    let delay = self.state().listener_delay;
+                    sleep(delay).await;
                     drop(listener);
-                    self.closed.send_modify(|count| *count += 1);
                     sleep(RESTART_TIME).await;
                     let Ok(bound) = TcpListener::bind(self.address).await else { return };
                     listener = bound;
@@ -266,12 +264,13 @@
             let Ok((stream, _)) = accepted else { continue };
             self.state().connections += 1;
             let runner = self.clone();
-            let mut closed = self.closed.subscribe();
+            // This also ends with a crash between the accept and the start of the task.
+            let mut crashed = crashed.clone();
             tokio::spawn(async move {
                 select! {
                     // An I/O error only ends this connection, which the peer notices by itself.
                     _ = runner.serve(stream) => {}
-                    _ = closed.changed() => {}
+                    _ = crashed.changed() => {}
                 }
             });
         }
@@ -313,7 +312,8 @@
         });
         if self.is_fatal(request) {
             sleep(CRASH_DELAY).await;
-            return self.crash_here().await;
+            self.crash();
+            return Ok(false);
         }
         let id = if fault == Some(Fault::WrongId) { "another" } else { id };
         let mut headers = vec![("Request-Id", id), ("Server-Stamp", "stamp")];
@@ -350,7 +350,7 @@
                 let head = unframed_head("200 OK", &headers);
                 stream.write_all(format!("{head}\r\n{}", &body[..end]).as_bytes()).await?;
                 if matches!(fault, Some(Fault::KilledAfter(_))) {
-                    return self.crash_here().await;
+                    self.crash();
                 }
                 return Ok(false);
             }
@@ -442,9 +442,10 @@
                 && event >= first + count
             {
                 if matches!(fault, Some(Fault::KilledAfter(_))) {
-                    return self.crash_here().await;
+                    self.crash();
+                } else {
+                    self.state().early_closes.push(headers[0].1.to_owned());
                 }
-                self.state().early_closes.push(headers[0].1.to_owned());
                 return Ok(false);
             }
             if is_unframed {
--- a/tests/relay_closed.rs
+++ b/tests/relay_closed.rs
@@ -1,5 +1,7 @@
 //! Responses of upstreams whose end is marked by nothing but the close of their connection.
 
+use std::time::Duration;
+
 use cyclamengrade_standins::{
     bridge::{Fault, Harness},
     client::{Client, Reply},
@@ -127,6 +129,21 @@
     Ok(())
 }
 
+/// Guards against half of a body or of a stream that is passed on as all of it, because the vm of the
+/// killed upstream closes its listener some milliseconds after its connections.
+#[gtest]
+#[tokio::test]
+async fn late_listener() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for runner in harness.runners.iter().chain([&harness.plain]) {
+        runner.delay_listener(Duration::from_millis(50));
+        runner.queue_faults(&[Fault::KilledAfter(4)]);
+    }
+    let reply = harness.send(harness.call(0, "unsafe", "r-1")).await?;
+    expect_that!(reply.status, eq(502), "{}", reply.text());
+    verify_that!(harness.stream(0, "once", "s-1", 12).await, err(anything()))
+}
+
 /// Guards against plain bodies that are refused because nothing marks their ends.
 #[gtest]
 #[tokio::test]
