--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -73,7 +73,7 @@
     Regression {
         seed: 21_003,
         size: SIZE_24,
-        cause: "Version on 8d00271: versions of streams are forgotten when all relays stop",
+        cause: "Version on 8d00271: a relay takes the only version that it knows for that of a stream",
     },
     Regression {
         seed: 31_001,
