--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -38,6 +38,8 @@
 pub enum Fault {
     /// Refuses the request with 503 and `Not-Run`, without running it.
     NotRun,
+    /// The same, without the id of the request.
+    NotRunUnnamed,
     /// Closes the connection after this many events and half of another one, or in the middle of a
     /// plain body.
     CutAfter(u64),
@@ -190,6 +192,8 @@
     is_leaving: bool,
     /// Whether responses have neither length nor chunks and end with their connections.
     is_unframed: bool,
+    /// Whether the data of events names the version.
+    names_version: bool,
     /// Requests a second that the responses name (`Server-Limit`).
     limit: Option<f64>,
     /// Part of a prompt under which the runner crashes.
@@ -197,6 +201,10 @@
     /// Body of a request under which the runner crashes.
     fatal_body: Option<String>,
     crashes: Vec<Instant>,
+    /// Time from the close of the connections in a crash to that of the listener.
+    listener_delay: Duration,
+    /// Ids of the requests whose responses were closed early, without a crash.
+    early_closes: Vec<String>,
 }
 
 #[derive(Clone)]
@@ -204,9 +212,9 @@
     pub id: String,
     pub address: SocketAddr,
     /// Version of its software.
-    version: String,
+    pub version: String,
     /// Data centre that its entry states.
-    data_centre: String,
+    pub data_centre: String,
     state: Arc<Mutex<State>>,
     /// Number of crashes so far. A crash closes all connections.
     crashed: watch::Sender<usize>,
@@ -277,11 +285,23 @@
         self.crashed.send_modify(|count| *count += 1);
     }
 
+    /// Keeps the listener open for a time after the connections were closed in a crash, as a busy vm
+    /// does with a process that was killed. Nothing is accepted from its queue.
+    pub fn delay_listener(&self, delay: Duration) {
+        self.state().listener_delay = delay;
+    }
+
     /// Returns the times of the crashes.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state().crashes.clone()
     }
 
+    /// Returns the ids of the requests whose responses this runner closed early by
+    /// [`Fault::CloseAfter`].
+    pub fn early_closes(&self) -> Vec<String> {
+        self.state().early_closes.clone()
+    }
+
     /// Says in all further responses that this runner is leaving. Its entry stays as it is.
     pub fn announce_leaving(&self) {
         self.state().is_leaving = true;
@@ -293,6 +313,12 @@
         self.state().is_unframed = true;
     }
 
+    /// Writes the version into the data of all further events, so that the texts of batch items tell
+    /// which versions wrote them.
+    pub fn name_version(&self) {
+        self.state().names_version = true;
+    }
+
     /// Names a limit in all further responses, or none. The runner goes on serving what exceeds it.
     pub fn set_limit(&self, requests_per_s: Option<f64>) {
         self.state().limit = requests_per_s;
@@ -316,19 +342,24 @@
         let mut crashed = self.crashed.subscribe();
         loop {
             let accepted = select! {
-                accepted = listener.accept() => accepted,
+                // A process that has ended accepts no connections.
+                biased;
                 _ = crashed.changed() => {
+                    let delay = self.state().listener_delay;
+                    sleep(delay).await;
                     drop(listener);
                     sleep(RESTART_TIME).await;
                     let Ok(bound) = TcpListener::bind(self.address).await else { return };
                     listener = bound;
                     continue;
                 }
+                accepted = listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else { continue };
             self.state().connections += 1;
             let runner = self.clone();
-            let mut crashed = self.crashed.subscribe();
+            // This also ends with a crash between the accept and the start of the task.
+            let mut crashed = crashed.clone();
             tokio::spawn(async move {
                 select! {
                     // An I/O error only ends this connection, which the peer notices by itself.
@@ -411,9 +442,10 @@
             let mut state = self.state();
             if state.faults.is_empty() { None } else { Some(state.faults.remove(0)) }
         };
-        if fault == Some(Fault::NotRun) {
+        if let Some(refusal @ (Fault::NotRun | Fault::NotRunUnnamed)) = fault {
             let headers = [("Not-Run", "1"), ("Request-Id", id)];
-            write_plain(stream, "503 Service Unavailable", &headers, "").await?;
+            let count = if refusal == Fault::NotRun { 2 } else { 1 };
+            write_plain(stream, "503 Service Unavailable", &headers[..count], "").await?;
             return Ok(true);
         }
         if let Some(Fault::Repeated(repeated)) = fault
@@ -563,20 +595,14 @@
         stream.write_all(head.as_bytes()).await?;
         for event in first..=events {
             sleep(EVENT_INTERVAL).await;
-            let kind = match self.version.as_str() {
-                "v1" => String::new(),
-                version => format!("event: {version}\n"),
-            };
-            let id = match fault {
-                Some(Fault::OmitIds(_)) => String::new(),
-                _ => format!("id: {event}\n"),
-            };
-            let text = format!("{kind}{id}data: piece {event}\n\n");
+            let text = self.event(event, fault);
             if let Some(Fault::CloseAfter(count) | Fault::KilledAfter(count)) = fault
                 && event >= first + count
             {
                 if matches!(fault, Some(Fault::KilledAfter(_))) {
                     self.crash();
+                } else {
+                    self.state().early_closes.push(headers[0].1.to_owned());
                 }
                 return Ok(false);
             }
@@ -600,6 +626,23 @@
         Ok(true)
     }
 
+    /// Returns the text of an event with this number.
+    fn event(&self, number: u64, fault: Option<Fault>) -> String {
+        let kind = match self.version.as_str() {
+            "v1" => String::new(),
+            version => format!("event: {version}\n"),
+        };
+        let id = match fault {
+            Some(Fault::OmitIds(_)) => String::new(),
+            _ => format!("id: {number}\n"),
+        };
+        let suffix = match self.state().names_version {
+            true => format!(" {}", self.version),
+            false => String::new(),
+        };
+        format!("{kind}{id}data: piece {number}{suffix}\n\n")
+    }
+
     /// Whether a successful response has neither length nor chunks.
     fn is_unframed(&self, fault: Option<Fault>) -> bool {
         match fault {
