Keep the answer of a batch item whose run is stopped at its end

A batch item that can be completed ended as "every attempt failed at its upstream", with three attempts within a second and no upstream at fault.

Cause: the traffic threads append the last token to the transcript, and the control thread hears a moment later that the run has ended. A limit that fell in between stopped the run as paused, with its whole answer kept. The next run asked its upstream to continue after the last token, got an end without a token, and failed with "the response ended before the last chunk of the completion". The failed run is charged, and the item ran into the same failure until its attempts were spent: a paused item does not discard its text on the last attempt. Busy cores widen the gap between the threads.

The transcript now marks the end together with the last tokens, and a run of an item whose answer is complete ends without a request. The same holds for an item with as many tokens as it asked for. A complete answer is not discarded on a last attempt or for a new version of the model, since nothing is left to run.

The new event 708 run_failed names the upstream, attempts, tokens and error of each charged run. Ruled out: crashes (none in these tests), ejected or unreachable upstreams (none in the logs).

batch_run::stopped_at_end stops both kinds of complete answers and fails without the change.

--- a/components/daemon/src/batch/dispatcher.rs
+++ b/components/daemon/src/batch/dispatcher.rs
@@ -30,7 +30,7 @@
     input::Reader,
     items::Items,
     reports::{self, Limits},
-    runner::{Call, Outcome, Runner, Summary, Transcript},
+    runner::{Call, Outcome, Received, Runner, Summary, Transcript},
 };
 use crate::{
     lease,
@@ -93,6 +93,14 @@
     drain_waiters: Vec<oneshot::Sender<()>>,
 }
 
+/// What a run has to do.
+enum Task {
+    /// Send the item to the upstream, which appends to the transcript.
+    Send(Call, Transcript),
+    /// Nothing, since an earlier run received the whole answer before it was stopped.
+    Complete(Received),
+}
+
 /// A run in progress.
 struct ActiveRun {
     run: Run,
@@ -251,13 +259,10 @@
         let (id, upstream) = (run.id, run.upstream.clone());
         (self.dependencies.notify)(traffic::Input::BatchStarted { upstream });
         reports::stream_opened(&run.deployment);
-        let Some((call, transcript)) = self.prepare_call(&run) else {
-            let summary =
-                Summary { outcome: Outcome::NotRun, first_token: None, between_tokens: None };
-            let transcript = Transcript::default();
-            let task = self.dependencies.traffic.spawn(async {}).abort_handle();
-            self.runs.insert(id, ActiveRun { run, transcript, task });
-            return send_report(&self.actor_ref, Report::Finished { run: id, summary });
+        let (call, transcript) = match self.prepare_task(&run) {
+            Some(Task::Send(call, transcript)) => (call, transcript),
+            Some(Task::Complete(received)) => return self.end_unsent(run, Outcome::Done, received),
+            None => return self.end_unsent(run, Outcome::NotRun, Received::default()),
         };
         let task =
             self.dependencies.traffic.spawn(self.dependencies.runner.run(call, transcript.clone()));
@@ -270,23 +275,35 @@
                 // The runner panicked; an attempt is charged to the item.
                 Err(error) => {
                     event!(InternalFault, error:% = error);
-                    Summary { outcome: Outcome::Failed, first_token: None, between_tokens: None }
+                    let outcome = Outcome::Failed(error.to_string());
+                    Summary { outcome, first_token: None, between_tokens: None }
                 }
             };
             send_report(&actor_ref, Report::Finished { run: id, summary });
         });
     }
 
-    /// Returns the parameters and the transcript of a run, or `None` if the upstream, the
-    /// deployment or the item no longer exists.
-    fn prepare_call(&mut self, run: &Run) -> Option<(Call, Transcript)> {
+    /// Ends a run whose item is not sent to the upstream.
+    fn end_unsent(&mut self, run: Run, outcome: Outcome, received: Received) {
+        let summary = Summary { outcome, first_token: None, between_tokens: None };
+        let (id, transcript) = (run.id, Transcript::new(received));
+        let task = self.dependencies.traffic.spawn(async {}).abort_handle();
+        self.runs.insert(id, ActiveRun { run, transcript, task });
+        send_report(&self.actor_ref, Report::Finished { run: id, summary });
+    }
+
+    /// Returns `None` if the upstream, the deployment or the item no longer exists.
+    fn prepare_task(&mut self, run: &Run) -> Option<Task> {
         let fleet = self.dependencies.fleet.borrow().clone();
         let vm = fleet.iter().find(|vm| vm.name == run.upstream)?;
         let document = self.dependencies.configuration.borrow().document.clone();
         let deployment = document.deployments.get(&run.deployment)?;
         let version = deployment.version.clone();
-        let (item, (tokens, text)) =
+        let (item, received) =
             self.items.start_run(&run.job, run.item, version.as_deref(), run.discard_text)?;
+        if received.complete {
+            return Some(Task::Complete(received));
+        }
         let epoch = self.dependencies.lease.borrow().epoch.unwrap_or_default();
         let call = Call {
             upstream: run.upstream.clone(),
@@ -296,10 +313,10 @@
             version,
             prompt: item.prompt,
             max_tokens: item.max_tokens,
-            resume_from: tokens,
+            resume_from: received.tokens,
             stream: format!("{}-{epoch}-batch-{}", self.dependencies.settings.name, run.id.0),
         };
-        Some((call, Transcript::new(tokens, text)))
+        Some(Task::Send(call, Transcript::new(received)))
     }
 
     /// Cancels a run; with `keep_text`, a later run resumes from the text received so far.
@@ -326,11 +343,16 @@
     fn handle_finished(&mut self, id: RunId, summary: Summary) {
         let Some(ActiveRun { run, transcript, .. }) = self.runs.remove(&id) else { return };
         reports::stream_closed(&run.deployment);
-        let (tokens, text) = transcript.snapshot();
+        let received = transcript.snapshot();
         let (dispatch_outcome, traffic_outcome) = match summary.outcome {
             Outcome::Done => {
-                let bytes = self.items.record_answer(&run.job, run.item, text);
-                (dispatch::Outcome::Answered(bytes), traffic::Outcome::Done)
+                let bytes = self.items.record_answer(&run.job, run.item, received.text);
+                // Without a token the upstream has shown nothing; the answer was complete before.
+                let ended = match summary.first_token {
+                    Some(_) => traffic::Outcome::Done,
+                    None => traffic::Outcome::Cancelled,
+                };
+                (dispatch::Outcome::Answered(bytes), ended)
             }
             Outcome::Rejected(reason) => {
                 self.items.record_failure(&run.job, run.item, &reason);
@@ -339,8 +361,10 @@
                 (dispatch::Outcome::Rejected(reason.len() as u64), traffic::Outcome::Done)
             }
             Outcome::NotRun => (dispatch::Outcome::NotRun, traffic::Outcome::NotRun),
-            Outcome::Failed => {
-                self.items.store_received(&run.job, run.item, (tokens, text));
+            Outcome::Failed(error) => {
+                let attempts = self.attempts(&run.job, run.item) + 1;
+                reports::run_failed(&run, attempts, received.tokens, &error);
+                self.items.store_received(&run.job, run.item, received);
                 (dispatch::Outcome::Failed, traffic::Outcome::Failed)
             }
         };
--- a/components/daemon/src/batch/items.rs
+++ b/components/daemon/src/batch/items.rs
@@ -4,11 +4,13 @@
 
 use cyclamengrade_caller::backend::{Item, ItemResult};
 
+use super::runner::Received;
+
 #[derive(Debug)]
 struct Entry {
     item: Item,
-    /// Number of tokens and text that earlier runs received.
-    received: (u32, String),
+    /// Tokens that earlier runs received.
+    received: Received,
     /// Version of the model that was requested from the run that began the text.
     version: Option<String>,
     /// Present once the item has succeeded or failed.
@@ -26,32 +28,33 @@
     /// Adds an item unless it is already present.
     pub fn insert(&mut self, job: &str, index: u32, item: Item) {
         let entries = self.jobs.entry(job.to_owned()).or_default();
-        let entry = Entry { item, received: (0, String::new()), version: None, result: None };
+        let entry = Entry { item, received: Received::default(), version: None, result: None };
         entries.entry(index).or_insert(entry);
     }
 
-    /// Returns an item for its next run, with the number of tokens and the text that earlier runs
-    /// received.
+    /// Returns an item for its next run, with the tokens that earlier runs received.
     ///
     /// With `discard_text`, or if the run requests another version of the model than the one that began
-    /// the text, the text is discarded first, so that the run starts from the prompt.
+    /// the text, the text is discarded first, so that the run starts from the prompt. A complete
+    /// answer is never discarded, since there is nothing left to run.
     pub fn start_run(
         &mut self,
         job: &str,
         index: u32,
         version: Option<&str>,
         discard_text: bool,
-    ) -> Option<(Item, (u32, String))> {
+    ) -> Option<(Item, Received)> {
         let entry = self.entry(job, index)?;
-        if discard_text || entry.version.as_deref() != version {
-            entry.received = (0, String::new());
+        entry.received.complete |= entry.received.tokens >= entry.item.max_tokens;
+        if !entry.received.complete && (discard_text || entry.version.as_deref() != version) {
+            entry.received = Received::default();
             entry.version = version.map(str::to_owned);
         }
         Some((entry.item.clone(), entry.received.clone()))
     }
 
-    /// Stores the number of tokens and the text received so far, from which a later run resumes.
-    pub fn store_received(&mut self, job: &str, index: u32, received: (u32, String)) {
+    /// Stores the tokens received so far, from which a later run resumes.
+    pub fn store_received(&mut self, job: &str, index: u32, received: Received) {
         if let Some(entry) = self.entry(job, index) {
             entry.received = received;
         }
@@ -63,7 +66,7 @@
         let Some(entry) = self.entry(job, index) else { return 0 };
         let bytes = text.len() + entry.item.id.len();
         let id = entry.item.id.clone();
-        entry.received = (0, String::new());
+        entry.received = Received::default();
         entry.result = Some(ItemResult { id, text: Some(text), error: None });
         bytes as u64
     }
@@ -79,7 +82,7 @@
         let entries = self.jobs.entry(job.to_owned()).or_default();
         let entry = entries.entry(index).or_insert_with(|| Entry {
             item: placeholder(),
-            received: (0, String::new()),
+            received: Received::default(),
             version: None,
             result: None,
         });
--- a/components/daemon/src/batch/reports.rs
+++ b/components/daemon/src/batch/reports.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use cyclamengrade_control::job::{self, dispatch::Event};
+use cyclamengrade_control::job::{
+    self,
+    dispatch::{Event, Run},
+};
 use cyclamengrade_telemetry::{
     event,
     metrics::{BATCH_ITEMS, BATCH_PAUSES, BATCH_STREAM_LIMIT, BATCH_STREAMS, CHUNKS, JOBS},
@@ -46,6 +49,20 @@
     counter!(BATCH_PAUSES, "deployment" => deployment.to_owned()).increment(1);
 }
 
+/// Logs a run that is charged to its item. `received` is the number of tokens that all runs of the
+/// item received.
+pub(super) fn run_failed(run: &Run, attempts: u32, received: u32, error: &str) {
+    event!(
+        RunFailed,
+        job = run.job.as_str(),
+        item = run.item,
+        upstream = run.upstream.as_str(),
+        attempts = attempts,
+        received = received,
+        error = error
+    );
+}
+
 /// Logs an item that has failed permanently.
 pub(super) fn item_failed(job: &str, item: u32, attempts: u32, error: &str) {
     event!(ItemFailed, job = job, item = item, attempts = attempts, error = error);
--- a/components/daemon/src/batch/runner.rs
+++ b/components/daemon/src/batch/runner.rs
@@ -13,7 +13,8 @@
 
 /// Runs items at upstreams.
 pub trait Runner: Send + Sync + 'static {
-    /// Runs an item and appends each token to `transcript` as it arrives.
+    /// Runs an item and appends the tokens to `transcript` as they arrive, the last ones together
+    /// with the mark that the answer is complete.
     ///
     /// The transcript already contains the tokens after which the stream resumes. The future is
     /// polled on the traffic runtime; an implementation must cancel the stream when the future is
@@ -62,33 +63,47 @@
     Rejected(String),
     /// The item was certainly not executed; no attempt is charged.
     NotRun,
-    /// The item was executed and failed or was interrupted; an attempt is charged.
-    Failed,
+    /// The item was executed and failed or was interrupted, for this reason; an attempt is charged.
+    Failed(String),
 }
 
-/// Number and text of the tokens of an item received so far; clones share the content.
+/// Tokens of an item received so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Received {
+    /// Number of tokens.
+    pub tokens: u32,
+    pub text: String,
+    /// Whether the answer has ended.
+    pub complete: bool,
+}
+
+/// Tokens of an item that a run appends to; clones share the content.
 #[derive(Clone, Debug, Default)]
-pub struct Transcript(Arc<Mutex<(u32, String)>>);
+pub struct Transcript(Arc<Mutex<Received>>);
 
 impl Transcript {
     /// Creates a transcript that starts with the tokens of earlier runs.
-    pub fn new(tokens: u32, text: String) -> Self {
-        Self(Arc::new(Mutex::new((tokens, text))))
+    pub fn new(received: Received) -> Self {
+        Self(Arc::new(Mutex::new(received)))
     }
 
-    /// Appends a token.
-    pub fn push(&self, text: &str) {
-        let mut guard = self.lock();
-        guard.0 += 1;
-        guard.1.push_str(text);
+    /// Appends tokens. `complete` marks them as the last ones of the answer; a run that is stopped
+    /// at this moment never keeps the tokens without the mark.
+    pub fn extend<T: AsRef<str>>(&self, tokens: impl IntoIterator<Item = T>, complete: bool) {
+        let mut received = self.lock();
+        for token in tokens {
+            received.tokens += 1;
+            received.text.push_str(token.as_ref());
+        }
+        received.complete |= complete;
     }
 
-    /// Returns the number of tokens and their text.
-    pub fn snapshot(&self) -> (u32, String) {
+    /// Returns a copy of the content.
+    pub fn snapshot(&self) -> Received {
         self.lock().clone()
     }
 
-    fn lock(&self) -> MutexGuard<'_, (u32, String)> {
+    fn lock(&self) -> MutexGuard<'_, Received> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/components/daemon/src/runner.rs
+++ b/components/daemon/src/runner.rs
@@ -42,7 +42,7 @@
             let outcome = run_call(&client, call, &transcript, &mut times).await;
             // After a failure the stream is cancelled, because an engine that has not noticed a
             // broken connection keeps generating until the stream is cancelled.
-            canceller.armed = matches!(outcome, Outcome::Failed);
+            canceller.armed = matches!(outcome, Outcome::Failed(_));
             drop(canceller);
             times.finish(outcome)
         })
@@ -128,7 +128,7 @@
     match tokio::time::timeout(SILENCE_TIMEOUT, client.open(call.address, request)).await {
         Ok(Ok(stream)) => {
             let outcome = read_stream(stream, transcript, times).await;
-            if outcome == Outcome::Failed {
+            if matches!(outcome, Outcome::Failed(_)) {
                 client.close_idle(call.address);
             }
             outcome
@@ -136,7 +136,7 @@
         Ok(Err(error)) => outcome_for_error(&error),
         Err(_) => {
             client.close_idle(call.address);
-            Outcome::Failed
+            silent()
         }
     }
 }
@@ -148,13 +148,13 @@
         if !tokens.is_empty() {
             times.record(tokens.len());
         }
-        for token in tokens.drain(..) {
-            transcript.push(&token.text);
-        }
+        let complete = matches!(progress, Ok(Ok(Progress::End { .. })));
+        transcript.extend(tokens.drain(..).map(|token| token.text), complete);
         match progress {
             Ok(Ok(Progress::Tokens)) => {}
             Ok(Ok(Progress::End { .. })) => return Outcome::Done,
-            Ok(Err(_)) | Err(_) => return Outcome::Failed,
+            Ok(Err(error)) => return Outcome::Failed(error.to_string()),
+            Err(_) => return silent(),
         }
     }
 }
@@ -166,6 +166,10 @@
             Outcome::Rejected(message.clone())
         }
         _ if error.execution() == Execution::NotStarted => Outcome::NotRun,
-        _ => Outcome::Failed,
+        _ => Outcome::Failed(error.to_string()),
     }
 }
+
+fn silent() -> Outcome {
+    Outcome::Failed(format!("no token arrived within {SILENCE_TIMEOUT:?}"))
+}
--- a/components/daemon/tests/batch_run.rs
+++ b/components/daemon/tests/batch_run.rs
@@ -66,7 +66,7 @@
     let platform = Platform::new();
     let runner = Scripted::new(|call| {
         let outcome = match call.prompt.as_str() {
-            "item-3" => Outcome::Failed,
+            "item-3" => Outcome::Failed("connection closed".to_owned()),
             "item-5" => Outcome::Rejected("the prompt is too long".into()),
             _ => Outcome::Done,
         };
@@ -111,6 +111,33 @@
     expect_that!(job.failed, eq(0));
 }
 
+/// Guards against an item that is sent again, and fails, after its run was stopped between the last
+/// token and the report that it has ended.
+#[gtest]
+#[tokio::test]
+async fn stopped_at_end() {
+    let platform = Platform::new();
+    let runner = Scripted::new(|call| match call.prompt.as_str() {
+        _ if call.resume_from > 0 => vec![Step::End(Outcome::Failed("no last chunk".to_owned()))],
+        "item-0" => vec![Step::LastTokens(2), Step::Hang],
+        _ => vec![Step::Tokens(call.max_tokens), Step::Hang],
+    });
+    let daemon = platform.daemon("entry-0", runner.clone(), 2).await;
+    let job = platform.submit("k", 2).await;
+    eventually(async || (runner.open() == 2).then_some(())).await;
+    daemon.set_limit(0).await;
+    eventually(async || (runner.open() == 0).then_some(())).await;
+    daemon.set_limit(2).await;
+    let job = platform.wait_for_state(&job.id, JobState::Completed).await;
+    expect_that!((job.succeeded, job.failed), eq((2, 0)));
+    expect_that!(runner.calls.lock().unwrap().len(), eq(2));
+    let results = platform.results(&job.id).await;
+    let max_tokens = runner.calls_for("item-1")[0].max_tokens;
+    let (early, full) = (answer("item-0", 2), answer("item-1", max_tokens));
+    expect_that!(texts(&results)["item-0"], some(eq(early.as_str())));
+    expect_that!(texts(&results)["item-1"], some(eq(full.as_str())));
+}
+
 /// Guards against the text of an item that is joined from runs at two versions of the model.
 #[gtest]
 #[tokio::test]
--- a/components/daemon/tests/durable/mod.rs
+++ b/components/daemon/tests/durable/mod.rs
@@ -92,6 +92,8 @@
 pub enum Step {
     /// Appends this many tokens of the answer after those received earlier.
     Tokens(u32),
+    /// Appends this many tokens, with which the answer is complete.
+    LastTokens(u32),
     Pause(Duration),
     /// Waits until the run is cancelled.
     Hang,
@@ -158,11 +160,10 @@
             let mut index = call.resume_from;
             for step in steps {
                 match step {
-                    Step::Tokens(count) => {
-                        for _ in 0..count {
-                            transcript.push(&token(&call.prompt, index));
-                            index += 1;
-                        }
+                    Step::Tokens(count) | Step::LastTokens(count) => {
+                        let tokens = (index..index + count).map(|at| token(&call.prompt, at));
+                        transcript.extend(tokens, matches!(step, Step::LastTokens(_)));
+                        index += count;
                     }
                     Step::Pause(time) => sleep(time).await,
                     Step::Hang => std::future::pending().await,
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -140,6 +140,9 @@
     706 Warn ChunkCommitLost "chunk_commit_lost" "results of a chunk were discarded because another daemon holds the chunk or the job has ended",
     /// A batch item failed and is not attempted again. Fields: `job`, `item`, `attempts`, `error`.
     707 Warn ItemFailed "item_failed" "batch item failed",
+    /// A run of a batch item failed and counts as an attempt. Fields: `job`, `item`, `upstream`,
+    /// `attempts` (with this one), `received` (tokens that later runs may continue from), `error`.
+    708 Info RunFailed "run_failed" "run of a batch item failed",
 
     /// A lease renewal took longer than a third of the length of the lease. Fields: `elapsed_ms`.
     800 Warn LeaseRenewedLate "lease_renewed_late" "lease was renewed late",
