Ignore a hedge that arrives after the first token of its request

A caller waited until the deadline of its request, 30 s, and got "expired", although an upstream was answering it.

Cause: the control thread sends a hedge, and the task of the request has had the first token of the regular attempt in the meantime. The task started the hedge all the same. When the hedge made progress before its cancellation arrived, the task cancelled the regular attempt in its favour, and then the hedge, as the control thread told it, which knew of the first token. No attempt was left, and neither side noticed. Busy cores delay the control thread, and hedges are sent when upstreams are slow.

The task now ignores a hedge that arrives while an attempt with tokens is in flight. The report of that first token is on its way to the control thread, which cancels the hedge when it arrives.

Ruled out: the request waited in no queue and its attempts did not fail (no last error).

The race has no test of its own, since it needs the control thread to stop between two messages.

--- a/components/daemon/src/online/completion.rs
+++ b/components/daemon/src/online/completion.rs
@@ -239,6 +239,18 @@
                 }
             }
         }
+        // The actor sent this hedge before it heard of the first token, and will cancel it. If the
+        // hedge were started and made progress first, it would replace the attempt that the actor
+        // keeps, and nothing would be left after the cancellation.
+        if self.attempts.in_flight().iter().any(|attempt| attempt.samples.is_some()) {
+            return Continue(());
+        }
+        // The actor sent this hedge before it heard of the first token, and will cancel it. If the
+        // hedge were started and made progress first, it would replace the attempt that the actor
+        // keeps, and nothing would be left after the cancellation.
+        if self.attempts.in_flight().iter().any(|attempt| attempt.samples.is_some()) {
+            return Continue(());
+        }
         self.meter.record_attempt(self.attempts.in_flight().len(), self.state.delivered_tokens);
         // What two versions of a model write does not fit together.
         let version = match self.state.delivered_tokens {
