Charge batch items for the crashes that they may have caused, and for no others

Items that can be completed ended as "every attempt failed at its upstream", and an item that crashes its upstream ended four of them instead of three, when other items failed in the same second.

Runs stopped by a lower limit within half a second of a failed run were charged, as if the upstream had crashed. - After a crash was seen, further items, also on their last attempts, were started at the same upstream, whose port still accepted the connection. - A run that was stopped for another reason at the moment of the crash was not charged at all.

An interrupted run (the connection broke off or fell silent) is now told from one that was answered with an error. After an interruption the upstream gets no items for a second. Stopped runs are no longer charged by time: their cancellation tells whether the upstream still accepts connections, and the item is charged if not; a last attempt, which runs alone, is then spent.

job_dispatch::error_beside_sound_items and pause_after_interruption, batch_run::stopped_at_crash. item_crashes_upstream ends its runs as interrupted now, which is what a crash is.

--- a/components/control/src/job/dispatch/message.rs
+++ b/components/control/src/job/dispatch/message.rs
@@ -79,8 +79,11 @@
     Rejected(u64),
     /// The item was certainly not executed; no attempt is charged.
     NotRun,
-    /// The item was executed and failed or was interrupted; an attempt is charged.
+    /// The upstream executed the item and answered with an error; an attempt is charged.
     Failed,
+    /// The connection broke off or fell silent, as it does when the upstream crashes; an attempt is
+    /// charged.
+    Interrupted,
 }
 
 /// Input of the batch dispatcher.
@@ -134,6 +137,16 @@
     },
     /// A run has ended.
     Ended { run: RunId, outcome: Outcome },
+    /// The upstream of a run that was stopped did not accept the cancellation, because it has
+    /// crashed.
+    StoppedAtCrash {
+        /// Identifier of the job.
+        job: String,
+        /// Index of the item.
+        item: u32,
+        /// Whether the item ran without other batch items at the upstream.
+        alone: bool,
+    },
     /// A job was accepted or cancelled, here or at another daemon.
     Notice {
         /// Identifier of the job.
@@ -164,6 +177,8 @@
         run: RunId,
         /// Whether a later run resumes from the text received so far.
         keep_text: bool,
+        /// Whether the item ran without other batch items at the upstream.
+        alone: bool,
     },
     /// Record that an item has failed without a further run.
     Fail {
--- a/components/control/src/job/dispatch/mod.rs
+++ b/components/control/src/job/dispatch/mod.rs
@@ -164,6 +164,7 @@
             Input::Loaded { chunk, missing } => self.items_loaded(&chunk, missing),
             Input::Stored { chunk, ok } => self.results_stored(&chunk, ok),
             Input::Ended { run, outcome } => self.run_ended(run, outcome),
+            Input::StoppedAtCrash { job, item, alone } => self.charge_attempt(&job, item, alone),
             Input::Notice { job } => self.handle_notice(&job),
             Input::Drain { until } => self.drain_until = Some(until),
         }
@@ -184,8 +185,8 @@
     /// Returns the number of attempts charged to an item; `None` when no held chunk contains it.
     pub fn attempts(&self, job: &str, item: u32) -> Option<u32> {
         let first = ChunkId { job: job.to_owned(), number: 0 };
-        let held = self.held.range(first..).take_while(|(id, _)| id.job == job);
-        held.filter_map(|(_, held)| held.items.get(&item)).map(|item| item.attempts).next()
+        let mut held = self.held.range(first..).take_while(|(id, _)| id.job == job);
+        held.find_map(|(_, held)| held.items.get(&item)).map(|item| item.attempts)
     }
 
     /// Returns the number of running items.
--- a/components/control/src/job/dispatch/start.rs
+++ b/components/control/src/job/dispatch/start.rs
@@ -9,11 +9,13 @@
 };
 use crate::{job::row::Chunk, store::Transaction, time::Time};
 
-/// Time for which an upstream gets no further item after it did not execute one.
-const NOT_RUN_COOLDOWN: Duration = Duration::from_secs(1);
+/// Time for which an upstream gets no further item after it did not execute one or a run was
+/// interrupted. A connection to a crashing upstream may still be accepted, and would cost the next
+/// item an attempt.
+const COOLDOWN: Duration = Duration::from_secs(1);
 
-/// Time after a failed run within which a lowered limit counts as the loss of the upstream.
-const UPSTREAM_LOSS_WINDOW: Duration = Duration::from_millis(500);
+/// Reason of an item whose attempts are spent.
+const ATTEMPTS_SPENT: &str = "every attempt failed at its upstream";
 
 /// Number of charged attempts from which the next run of an item discards the text received before.
 const DISCARD_TEXT_ATTEMPTS: u32 = 2;
@@ -27,8 +29,6 @@
     /// Runs in the order in which they started.
     runs: Vec<RunId>,
     cooldown_until: Time,
-    /// Time of the last failed run; `None` once a later run has received an answer.
-    last_failure: Option<Time>,
     /// Run that excludes other batch runs at this upstream.
     exclusive_run: Option<RunId>,
     /// Whether new runs are held back until the upstream is free for an item that must run alone.
@@ -88,12 +88,7 @@
         upstream.streams = streams;
         let excess = upstream.runs.len().saturating_sub(streams as usize);
         let newest: Vec<_> = upstream.runs.iter().rev().take(excess).copied().collect();
-        let lost =
-            upstream.last_failure.is_some_and(|at| self.now.since(at) < UPSTREAM_LOSS_WINDOW);
         for run in newest {
-            if lost {
-                self.charge_attempt(run);
-            }
             self.stop_run(run, true);
         }
         if streams == 0
@@ -103,27 +98,37 @@
         }
     }
 
-    /// Charges an attempt to an item whose upstream was lost before the item's own run had ended.
+    /// Charges an attempt to an item whose upstream crashed before its run was stopped.
     ///
-    /// Otherwise an item that crashes its upstream would not be charged when the failures of the
-    /// other runs lower the limit first. At least one attempt always remains, since the
-    /// last one runs alone.
-    fn charge_attempt(&mut self, run: RunId) {
-        let max_attempts = self.settings.item_attempts.saturating_sub(1);
-        let Some(active) = self.runs.get(&run).cloned() else { return };
-        if let Some(item) = self.item_mut(&active) {
-            item.attempts = max_attempts.min(item.attempts + 1).max(item.attempts);
+    /// Otherwise an item that crashes its upstream would not be charged when the limit of the
+    /// upstream falls in the same moment. Unless the item ran alone, one attempt always remains,
+    /// since another item may have crashed the upstream.
+    pub(super) fn charge_attempt(&mut self, job: &str, index: u32, alone: bool) {
+        let limit = self.settings.item_attempts;
+        let first = ChunkId { job: job.to_owned(), number: 0 };
+        let mut held = self.held.range_mut(first..).take_while(|(id, _)| id.job == job);
+        let found = held.find_map(|(id, held)| Some((id.clone(), held.items.get_mut(&index)?)));
+        let Some((chunk, item)) = found.filter(|(_, item)| !item.is_finished()) else { return };
+        let most = if alone { limit } else { limit.saturating_sub(1) };
+        item.attempts = most.min(item.attempts + 1).max(item.attempts);
+        if item.attempts < limit {
+            return;
+        }
+        if let ItemState::Running { run, .. } = item.state {
+            self.stop_run(run, false);
         }
+        self.fail_item(&chunk, index, ATTEMPTS_SPENT);
     }
 
     /// Stops a run; its item waits for a stream again.
     pub(super) fn stop_run(&mut self, run: RunId, keep_text: bool) {
+        let alone = self.upstreams.values().any(|upstream| upstream.exclusive_run == Some(run));
         let Some(active) = self.remove_run(run) else { return };
         if let Some(item) = self.item_mut(&active) {
             item.state = ItemState::Waiting;
             item.paused = keep_text;
         }
-        self.actions.push(Action::Stop { run, keep_text });
+        self.actions.push(Action::Stop { run, keep_text, alone });
     }
 
     fn remove_run(&mut self, run: RunId) -> Option<ActiveRun> {
@@ -360,15 +365,17 @@
         let (now, limit) = (self.now, self.settings.item_attempts);
         if let Some(upstream) = self.upstreams.get_mut(&active.upstream) {
             match outcome {
-                Outcome::NotRun => upstream.cooldown_until = now + NOT_RUN_COOLDOWN,
-                Outcome::Failed => upstream.last_failure = Some(now),
-                Outcome::Answered(_) | Outcome::Rejected(_) => upstream.last_failure = None,
+                Outcome::NotRun | Outcome::Interrupted => {
+                    upstream.cooldown_until = now + COOLDOWN;
+                }
+                Outcome::Answered(_) | Outcome::Rejected(_) | Outcome::Failed => {}
             }
         }
         let Some(held) = self.held.get_mut(&active.chunk) else { return };
         let Some(item) = held.items.get_mut(&active.item) else { return };
         let ItemState::Running { since, .. } = item.state else { return };
-        held.last_run_failed = matches!(outcome, Outcome::NotRun | Outcome::Failed);
+        held.last_run_failed =
+            matches!(outcome, Outcome::NotRun | Outcome::Failed | Outcome::Interrupted);
         match outcome {
             Outcome::Answered(bytes) | Outcome::Rejected(bytes) => {
                 let succeeded = matches!(outcome, Outcome::Answered(_));
@@ -377,16 +384,12 @@
                 held.run_times = (held.run_times.0 + now.since(since), held.run_times.1 + 1);
             }
             Outcome::NotRun => item.state = ItemState::Waiting,
-            Outcome::Failed => {
+            Outcome::Failed | Outcome::Interrupted => {
                 item.state = ItemState::Waiting;
                 item.attempts += 1;
                 held.last_progress = now;
                 if item.attempts >= limit {
-                    self.fail_item(
-                        &active.chunk,
-                        active.item,
-                        "every attempt failed at its upstream",
-                    );
+                    self.fail_item(&active.chunk, active.item, ATTEMPTS_SPENT);
                 }
             }
         }
--- a/components/control/tests/job_dispatch.rs
+++ b/components/control/tests/job_dispatch.rs
@@ -11,7 +11,7 @@
     job_key,
 };
 use googletest::prelude::*;
-use support::{CallOutcome, World};
+use support::{CallOutcome, JOB, World};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -80,7 +80,7 @@
         for run in runs {
             let index = world.process(0).runs.keys().position(|id| *id == run.id);
             let end = match crashed.contains(&run.upstream) {
-                true => Outcome::Failed,
+                true => Outcome::Interrupted,
                 false => Outcome::Answered(8),
             };
             if let Some(index) = index {
@@ -95,6 +95,49 @@
     expect_that!(world.started.iter().filter(|(_, item)| *item == 0).count(), eq(3));
 }
 
+/// Guards against charging the items beside one that its upstream answers with an error, when its
+/// failure lowers the limit of the upstream.
+#[gtest]
+fn error_beside_sound_items() {
+    let mut world = World::new(1);
+    world.store.add_job(4, 4);
+    world.run(SECOND, |_| None);
+    for _ in 0..4 {
+        let index = world.process(0).runs.values().position(|run| run.item == 0);
+        if let Some(index) = index {
+            world.end(0, index, Outcome::Failed);
+        }
+        world.limit(0, 2);
+        world.limit(0, 4);
+    }
+    let charged: Vec<_> =
+        (1..4).map(|item| world.process(0).dispatch.attempts(JOB, item)).collect();
+    expect_that!(charged, each(some(eq(&0))));
+}
+
+/// Guards against an item that loses an attempt because it is sent to an upstream that is about to
+/// crash.
+#[gtest]
+fn pause_after_interruption() {
+    let mut world = World::new(1);
+    world.store.add_job(12, 12);
+    world.run(SECOND, |_| None);
+    let upstream = world.process(0).runs.values().next().map(|run| run.upstream.clone());
+    let interrupted = upstream.unwrap_or_default();
+    while let Some(index) =
+        world.process(0).runs.values().position(|run| run.upstream == interrupted)
+    {
+        world.end(0, index, Outcome::Interrupted);
+    }
+    let runs_there = |world: &mut World| {
+        world.process(0).runs.values().filter(|run| run.upstream == interrupted).count()
+    };
+    world.run(Duration::from_millis(800), |_| None);
+    expect_that!(runs_there(&mut world), eq(0));
+    world.run(Duration::from_millis(400), |_| None);
+    expect_that!(runs_there(&mut world), gt(0));
+}
+
 /// A failing item ends as failed after the allowed number of attempts, even if only one is allowed.
 #[gtest]
 fn failing_item_ends_after_allowed_attempts() {
--- a/components/control/tests/job_schedule.rs
+++ b/components/control/tests/job_schedule.rs
@@ -39,7 +39,8 @@
         8 => Just(Outcome::Answered(8)),
         1 => Just(Outcome::Rejected(8)),
         1 => Just(Outcome::NotRun),
-        2 => Just(Outcome::Failed),
+        1 => Just(Outcome::Failed),
+        1 => Just(Outcome::Interrupted),
     ];
     prop_oneof![
         40 => (daemon.clone(), 0..8_usize, fate)
--- a/components/daemon/src/batch/dispatcher.rs
+++ b/components/daemon/src/batch/dispatcher.rs
@@ -2,7 +2,7 @@
 //!
 //! The actor performs the actions of the state machine [`Dispatch`] and passes their results back.
 
-use std::{collections::BTreeMap, convert::Infallible, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use cyclamengrade_control::{
     job::dispatch::{self, Action, ChunkId, Dispatch, Run, RunId},
@@ -106,6 +106,8 @@
     run: Run,
     transcript: Transcript,
     task: AbortHandle,
+    /// Address of the upstream and identifier of the stream; `None` if the item was not sent.
+    stream: Option<(SocketAddr, String)>,
 }
 
 /// Limit of the batch streams that this daemon may hold open at an upstream.
@@ -156,6 +158,12 @@
         run: RunId,
         summary: Summary,
     },
+    /// The upstream of a run that was stopped has crashed.
+    StoppedAtCrash {
+        job: String,
+        item: u32,
+        alone: bool,
+    },
 }
 
 impl Dispatcher {
@@ -190,7 +198,7 @@
             Action::Call { call, request } => self.call(call, request),
             Action::Load { chunk, items } => self.load(chunk, items),
             Action::Start(run) => self.start_run(run),
-            Action::Stop { run, keep_text } => self.stop_run(run, keep_text),
+            Action::Stop { run, keep_text, alone } => self.stop_run(run, keep_text, alone),
             Action::Fail { job, item, reason } => {
                 self.items.record_failure(&job, item, reason);
                 reports::item_failed(&job, item, self.attempts(&job, item), reason);
@@ -264,9 +272,10 @@
             Some(Task::Complete(received)) => return self.end_unsent(run, Outcome::Done, received),
             None => return self.end_unsent(run, Outcome::NotRun, Received::default()),
         };
+        let stream = Some((call.address, call.stream.clone()));
         let task =
             self.dependencies.traffic.spawn(self.dependencies.runner.run(call, transcript.clone()));
-        self.runs.insert(id, ActiveRun { run, transcript, task: task.abort_handle() });
+        self.runs.insert(id, ActiveRun { run, transcript, task: task.abort_handle(), stream });
         let actor_ref = self.actor_ref.clone();
         self.dependencies.traffic.spawn(async move {
             let summary = match task.await {
@@ -288,7 +297,7 @@
         let summary = Summary { outcome, first_token: None, between_tokens: None };
         let (id, transcript) = (run.id, Transcript::new(received));
         let task = self.dependencies.traffic.spawn(async {}).abort_handle();
-        self.runs.insert(id, ActiveRun { run, transcript, task });
+        self.runs.insert(id, ActiveRun { run, transcript, task, stream: None });
         send_report(&self.actor_ref, Report::Finished { run: id, summary });
     }
 
@@ -320,9 +329,13 @@
     }
 
     /// Cancels a run; with `keep_text`, a later run resumes from the text received so far.
-    fn stop_run(&mut self, id: RunId, keep_text: bool) {
-        let Some(ActiveRun { run, transcript, task }) = self.runs.remove(&id) else { return };
+    fn stop_run(&mut self, id: RunId, keep_text: bool, alone: bool) {
+        let Some(active) = self.runs.remove(&id) else { return };
+        let ActiveRun { run, transcript, task, stream } = active;
         task.abort();
+        if let Some(stream) = stream {
+            self.cancel_stream(&run, alone, stream);
+        }
         reports::stream_closed(&run.deployment);
         if keep_text {
             // Only runs stopped by a lower limit count as paused, not those that a graceful
@@ -340,6 +353,18 @@
         });
     }
 
+    /// Cancels the stream of a run that was stopped, and reports whether its upstream has crashed.
+    fn cancel_stream(&self, run: &Run, alone: bool, (address, stream): (SocketAddr, String)) {
+        let (job, item) = (run.job.clone(), run.item);
+        let cancelling = self.dependencies.runner.cancel(address, stream);
+        let actor_ref = self.actor_ref.clone();
+        self.dependencies.traffic.spawn(async move {
+            if cancelling.await {
+                send_report(&actor_ref, Report::StoppedAtCrash { job, item, alone });
+            }
+        });
+    }
+
     fn handle_finished(&mut self, id: RunId, summary: Summary) {
         let Some(ActiveRun { run, transcript, .. }) = self.runs.remove(&id) else { return };
         reports::stream_closed(&run.deployment);
@@ -362,11 +387,13 @@
             }
             Outcome::NotRun => (dispatch::Outcome::NotRun, traffic::Outcome::NotRun),
             Outcome::Failed(error) => {
-                let attempts = self.attempts(&run.job, run.item) + 1;
-                reports::run_failed(&run, attempts, received.tokens, &error);
-                self.items.store_received(&run.job, run.item, received);
+                self.record_failed_run(&run, received, &error);
                 (dispatch::Outcome::Failed, traffic::Outcome::Failed)
             }
+            Outcome::Interrupted(error) => {
+                self.record_failed_run(&run, received, &error);
+                (dispatch::Outcome::Interrupted, traffic::Outcome::Failed)
+            }
         };
         (self.dependencies.notify)(traffic::Input::BatchEnded {
             upstream: run.upstream,
@@ -377,6 +404,12 @@
         self.handle_input(dispatch::Input::Ended { run: id, outcome: dispatch_outcome });
     }
 
+    fn record_failed_run(&mut self, run: &Run, received: Received, error: &str) {
+        let attempts = self.attempts(&run.job, run.item) + 1;
+        reports::run_failed(run, attempts, received.tokens, error);
+        self.items.store_received(&run.job, run.item, received);
+    }
+
     fn handle_lease(&mut self, state: lease::State) {
         if state.superseded {
             self.handle_input(dispatch::Input::Superseded);
@@ -512,6 +545,9 @@
                 self.handle_input(dispatch::Input::Stored { chunk, ok });
             }
             Report::Finished { run, summary } => self.handle_finished(run, summary),
+            Report::StoppedAtCrash { job, item, alone } => {
+                self.handle_input(dispatch::Input::StoppedAtCrash { job, item, alone });
+            }
         }
     }
 }
--- a/components/daemon/src/batch/mod.rs
+++ b/components/daemon/src/batch/mod.rs
@@ -15,5 +15,5 @@
 pub use self::{
     dispatcher::{BatchLimit, Dependencies, Dispatcher, JobNotice},
     jobs::Jobs,
-    runner::{Call, Outcome, Received, Runner, Running, Summary, Transcript},
+    runner::{Call, Cancelling, Outcome, Received, Runner, Running, Summary, Transcript},
 };
--- a/components/daemon/src/batch/runner.rs
+++ b/components/daemon/src/batch/runner.rs
@@ -8,18 +8,23 @@
     time::Duration,
 };
 
-/// A run in progress. Dropping the future cancels the stream at the upstream.
+/// A run in progress. Dropping the future closes the connection of the stream.
 pub type Running = Pin<Box<dyn Future<Output = Summary> + Send>>;
 
+/// A cancellation in progress. Returns whether the upstream has crashed.
+pub type Cancelling = Pin<Box<dyn Future<Output = bool> + Send>>;
+
 /// Runs items at upstreams.
 pub trait Runner: Send + Sync + 'static {
     /// Runs an item and appends the tokens to `transcript` as they arrive, the last ones together
     /// with the mark that the answer is complete.
     ///
     /// The transcript already contains the tokens after which the stream resumes. The future is
-    /// polled on the traffic runtime; an implementation must cancel the stream when the future is
-    /// dropped.
+    /// polled on the traffic runtime.
     fn run(&self, call: Call, transcript: Transcript) -> Running;
+
+    /// Cancels the stream of a run whose future was dropped.
+    fn cancel(&self, address: SocketAddr, stream: String) -> Cancelling;
 }
 
 /// Parameters of a run of an item.
@@ -63,8 +68,10 @@
     Rejected(String),
     /// The item was certainly not executed; no attempt is charged.
     NotRun,
-    /// The item was executed and failed or was interrupted, for this reason; an attempt is charged.
+    /// The upstream executed the item and answered with this error; an attempt is charged.
     Failed(String),
+    /// The connection broke off or fell silent, for this reason; an attempt is charged.
+    Interrupted(String),
 }
 
 /// Tokens of an item received so far.
--- a/components/daemon/src/runner.rs
+++ b/components/daemon/src/runner.rs
@@ -6,13 +6,18 @@
 };
 
 use cyclamengrade_upstream::{Client, Error, Execution, Progress, Stream, StreamRequest, wire};
-use tokio::runtime::Handle;
+use tokio::{runtime::Handle, time::sleep};
 
-use crate::batch::{Call, Outcome, Running, Summary, Transcript};
+use crate::batch::{Call, Cancelling, Outcome, Running, Summary, Transcript};
 
 /// Maximum gap between two tokens of a batch item. After a longer one, the run fails.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Attempts to cancel a stream.
+const CANCEL_ATTEMPTS: u32 = 2;
+/// Time between them.
+const CANCEL_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Runs batch items through the client of the upstreams.
 pub struct Runner {
     client: Client,
@@ -20,7 +25,7 @@
 }
 
 impl Runner {
-    /// Creates a runner that sends its cancellations on the runtime `traffic`.
+    /// Creates a runner that cancels failed streams on the runtime `traffic`.
     pub const fn new(client: Client, traffic: Handle) -> Self {
         Self { client, traffic }
     }
@@ -28,51 +33,40 @@
 
 impl crate::batch::Runner for Runner {
     fn run(&self, call: Call, transcript: Transcript) -> Running {
-        let canceller = Canceller {
-            client: self.client.clone(),
-            traffic: self.traffic.clone(),
-            address: call.address,
-            stream: call.stream.clone(),
-            armed: true,
-        };
-        let client = self.client.clone();
+        let (client, traffic) = (self.client.clone(), self.traffic.clone());
         Box::pin(async move {
-            let mut canceller = canceller;
+            let (address, stream) = (call.address, call.stream.clone());
             let mut times = Times::new();
             let outcome = run_call(&client, call, &transcript, &mut times).await;
-            // After a failure the stream is cancelled, because an engine that has not noticed a
-            // broken connection keeps generating until the stream is cancelled.
-            canceller.armed = matches!(outcome, Outcome::Failed(_));
-            drop(canceller);
+            if matches!(outcome, Outcome::Failed(_) | Outcome::Interrupted(_)) {
+                // An engine that has not noticed a broken connection keeps generating until the
+                // stream is cancelled.
+                traffic.spawn(async move { cancel(&client, address, &stream).await });
+            }
             times.finish(outcome)
         })
     }
-}
 
-/// Cancels a stream at its engine when it is dropped while armed, for example because the future of
-/// the run was dropped.
-struct Canceller {
-    client: Client,
-    traffic: Handle,
-    address: SocketAddr,
-    stream: String,
-    armed: bool,
+    fn cancel(&self, address: SocketAddr, stream: String) -> Cancelling {
+        let client = self.client.clone();
+        Box::pin(async move { cancel(&client, address, &stream).await })
+    }
 }
 
-impl Drop for Canceller {
-    fn drop(&mut self) {
-        if !self.armed {
-            return;
+/// Cancels a stream. Returns whether the engine accepts no connection, that is, has crashed.
+///
+/// A crashing engine may still accept the connection and then close it, so that one further attempt
+/// tells.
+async fn cancel(client: &Client, address: SocketAddr, stream: &str) -> bool {
+    for _ in 0..CANCEL_ATTEMPTS {
+        match client.cancel(address, stream).await {
+            Err(Error::Connect { .. }) => return true,
+            Err(Error::Broken { .. }) => sleep(CANCEL_RETRY_DELAY).await,
+            // The engine also stops when it notices the closed connection.
+            Ok(()) | Err(Error::Refused { .. } | Error::Protocol { .. }) => return false,
         }
-        let client = self.client.clone();
-        let stream = std::mem::take(&mut self.stream);
-        let address = self.address;
-        self.traffic.spawn(async move {
-            // A failed cancellation is not retried, because the engine also stops when it notices
-            // the closed connection.
-            let _ = client.cancel(address, &stream).await;
-        });
     }
+    false
 }
 
 /// Arrival times of the tokens of one run.
@@ -128,7 +122,7 @@
     match tokio::time::timeout(SILENCE_TIMEOUT, client.open(call.address, request)).await {
         Ok(Ok(stream)) => {
             let outcome = read_stream(stream, transcript, times).await;
-            if matches!(outcome, Outcome::Failed(_)) {
+            if matches!(outcome, Outcome::Failed(_) | Outcome::Interrupted(_)) {
                 client.close_idle(call.address);
             }
             outcome
@@ -153,7 +147,7 @@
         match progress {
             Ok(Ok(Progress::Tokens)) => {}
             Ok(Ok(Progress::End { .. })) => return Outcome::Done,
-            Ok(Err(error)) => return Outcome::Failed(error.to_string()),
+            Ok(Err(error)) => return outcome_for_error(&error),
             Err(_) => return silent(),
         }
     }
@@ -166,10 +160,11 @@
             Outcome::Rejected(message.clone())
         }
         _ if error.execution() == Execution::NotStarted => Outcome::NotRun,
-        _ => Outcome::Failed(error.to_string()),
+        Error::Refused { .. } | Error::Protocol { .. } => Outcome::Failed(error.to_string()),
+        Error::Connect { .. } | Error::Broken { .. } => Outcome::Interrupted(error.to_string()),
     }
 }
 
 fn silent() -> Outcome {
-    Outcome::Failed(format!("no token arrived within {SILENCE_TIMEOUT:?}"))
+    Outcome::Interrupted(format!("no token arrived within {SILENCE_TIMEOUT:?}"))
 }
--- a/components/daemon/tests/batch_run.rs
+++ b/components/daemon/tests/batch_run.rs
@@ -3,7 +3,10 @@
 
 mod durable;
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use cyclamengrade_caller::{Kind, backend::JobState};
 use cyclamengrade_control::traffic::Input;
@@ -138,6 +141,31 @@
     expect_that!(texts(&results)["item-1"], some(eq(full.as_str())));
 }
 
+/// Guards against an item that ends one upstream after the other without being charged, because
+/// its runs are stopped at the moment of the crash.
+#[gtest]
+#[tokio::test]
+async fn stopped_at_crash() {
+    let platform = Platform::new();
+    let starts = AtomicU64::new(0);
+    let runner = Scripted::new(move |_| match starts.fetch_add(1, Ordering::SeqCst) {
+        0 | 1 => vec![Step::Hang],
+        _ => vec![Step::End(Outcome::Interrupted("connection closed".to_owned()))],
+    });
+    runner.crashed.store(true, Ordering::SeqCst);
+    let daemon = platform.daemon("entry-0", runner.clone(), 1).await;
+    let job = platform.submit("k", 1).await;
+    for runs in 1..=2 {
+        eventually(async || (runner.calls_for("item-0").len() == runs).then_some(())).await;
+        daemon.set_limit(0).await;
+        eventually(async || (runner.open() == 0).then_some(())).await;
+        daemon.set_limit(1).await;
+    }
+    let job = platform.wait_for_state(&job.id, JobState::Completed).await;
+    expect_that!((job.succeeded, job.failed), eq((0, 1)));
+    expect_that!(runner.calls_for("item-0"), len(eq(3)));
+}
+
 /// Guards against the text of an item that is joined from runs at two versions of the model.
 #[gtest]
 #[tokio::test]
--- a/components/daemon/tests/durable/mod.rs
+++ b/components/daemon/tests/durable/mod.rs
@@ -5,9 +5,10 @@
 use std::{
     collections::BTreeMap,
     future::Future,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicI64, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -18,8 +19,8 @@
 use cyclamengrade_control::{fleet::Vm, traffic};
 use cyclamengrade_daemon::{
     batch::{
-        BatchLimit, Call, Dependencies, Dispatcher, Jobs, Outcome, Runner, Running, Summary,
-        Transcript,
+        BatchLimit, Call, Cancelling, Dependencies, Dispatcher, Jobs, Outcome, Runner, Running,
+        Summary, Transcript,
     },
     lease::Renewer,
     node::{Clock, Configuration},
@@ -107,6 +108,8 @@
 pub struct Scripted {
     script: Box<Script>,
     pub calls: Mutex<Vec<Call>>,
+    /// Whether the upstreams have crashed when a stopped run is cancelled.
+    pub crashed: AtomicBool,
     /// Number of streams that are open.
     pub open: Arc<AtomicU64>,
     /// Maximum number of streams that were open at the same time.
@@ -118,6 +121,7 @@
         Arc::new(Self {
             script: Box::new(script),
             calls: Mutex::default(),
+            crashed: AtomicBool::new(false),
             open: Arc::default(),
             max_open: AtomicU64::new(0),
         })
@@ -149,6 +153,11 @@
 }
 
 impl Runner for Scripted {
+    fn cancel(&self, _: SocketAddr, _: String) -> Cancelling {
+        let crashed = self.crashed.load(Ordering::SeqCst);
+        Box::pin(async move { crashed })
+    }
+
     fn run(&self, call: Call, transcript: Transcript) -> Running {
         let steps = (self.script)(&call);
         self.calls.lock().unwrap().push(call.clone());
