Kill an engine that has streams, with a budget that allows to resume them

killed_engine::online_streams waited 30 s for one of six streams at the first engine. No rule places one there: in the runs that failed, the engine was ejected as slow (event 501) and got no regular requests, as it should. The test kills the engine with the most streams now, which is as strict: at least one stream is cut off.

It also took the retry budget that 100 requests earn for granted. The test now reads the budget and goes on until it allows a retry and a hedge for each stream, with a larger share of the successes.

--- a/tests/killed_engine.rs
+++ b/tests/killed_engine.rs
@@ -1,38 +1,60 @@
 //! Tests of engines that crash with work in flight or that are leaving.
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use cyclamengrade_standins::{
     answer,
+    client::Call,
     engine::Runs,
-    fleet::{Completion, Harness, Plan, items},
+    fleet::{Completion, DEPLOYMENT, Fleet, Harness, Plan, items},
 };
 use googletest::prelude::*;
 use serde_json::json;
 
+/// Streams in flight when an engine crashes.
+const STREAMS: usize = 6;
+
+/// Returns the retries and hedges that the first daemon's budget allows, which it publishes every 2 s.
+async fn retry_budget(fleet: &Fleet) -> Option<f64> {
+    let call = Call::get(fleet.daemons[0].address, "/metrics");
+    let text = fleet.client.send(call).await.ok()?.text();
+    let label = format!("deployment=\"{DEPLOYMENT}\"");
+    let line = text.lines().find(|line| line.contains("retry_budget{") && line.contains(&label))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 /// Streams of a crashed engine must be resumed at another engine and deliver the whole answer.
 #[gtest]
 #[tokio::test]
 async fn online_streams() -> Result<()> {
-    let mut harness = Harness::start().await?;
-    // The retry budget is a share of these successful requests.
-    for number in 0..100 {
-        harness
-            .ledger
-            .complete(&harness.fleet, 0, Completion::new(format!("order {number}"), 1))
-            .await;
-    }
+    let settings = json!({"policy": {"retry_share": 0.5}});
+    let mut harness = Harness::start_plan(Plan::new(2, 3, 1).with_settings(&settings)).await?;
+    // The retry budget is a share of these successful requests. Hedges spend it as well, so that
+    // their number does not tell how much is left.
+    let number = Cell::new(0);
+    harness
+        .fleet
+        .eventually("a retry and a hedge for each stream in the budget", async || {
+            for _ in 0..10 {
+                let completion =
+                    Completion::new(format!("order {}", number.replace(number.get() + 1)), 1);
+                harness.ledger.complete(&harness.fleet, 0, completion).await;
+            }
+            (retry_budget(&harness.fleet).await? >= 2.0 * STREAMS as f64).then_some(())
+        })
+        .await?;
     let long = |number| Completion::new(format!("long {number}"), 200);
-    let streams: Vec<_> = (0..6).map(|number| harness.spawn(0, long(number))).collect();
+    let streams: Vec<_> = (0..STREAMS).map(|number| harness.spawn(0, long(number))).collect();
     let fleet = &harness.fleet;
-    fleet
-        .eventually("streams at the first engine", async || {
+    let busiest = fleet
+        .eventually("streams at an engine", async || {
             let upstreams = fleet.upstreams(fleet.daemons[0].address).await.ok()?;
-            let first = upstreams.iter().find(|up| up.name == fleet.engines[0].name)?;
-            (first.online > 0).then_some(())
+            let busiest = upstreams.iter().max_by_key(|upstream| upstream.online)?;
+            let number = fleet.engines.iter().position(|engine| engine.name == busiest.name)?;
+            (busiest.online > 0).then_some(number)
         })
         .await?;
-    harness.fleet.engines[0].process.kill()?;
+    harness.fleet.engines[busiest].process.kill()?;
     for stream in streams {
         let answer = stream.await?;
         expect_that!(answer.error, none());
