Blame a crash also while the upstream still accepts connections

Cause in the relay: after a broken connection it opened one connection, and took the upstream for alive when that was accepted. The port of a process that is ending may accept connections until its last thread has ended, so such a crash was not blamed on the request. The relay now asks twice, at once and after 200 ms, and the connection must also stay open.

Cause in the stand-in: a connection that it accepted at the moment of its crash outlived the crash, which no process does. The crash goes first now.

Cause in the test: it took a 503 while all upstreams are down for the quarantine. It also waits for the event part_quarantined now.

--- a/components/relay/src/quarantine.rs
+++ b/components/relay/src/quarantine.rs
@@ -25,7 +25,10 @@
     HeaderMap,
     header::{AUTHORIZATION, HOST},
 };
-use tokio::{net::TcpStream, sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::{
     exchange::Outgoing,
@@ -38,8 +41,9 @@
 const COLLECTOR_KEY: &str = "quarantine";
 /// Number of relays that collect the same blames, so that the loss of one forgets none.
 const COLLECTORS: usize = 2;
-/// Timeout of the connection that shows whether an upstream still accepts any.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Times after a broken connection at which the relay looks whether the upstream serves. A crashing
+/// upstream may accept connections until its last thread has ended.
+const PROBE_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(200)];
 /// Attempts to store a quarantine while others change the row.
 const MAX_STORE_ATTEMPTS: u32 = 5;
 /// Time after which a quarantine that could not be stored is stored again.
@@ -102,8 +106,7 @@
         }
         let (shared, upstream) = (self.clone(), upstream.clone());
         tokio::spawn(async move {
-            let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(upstream.address)).await;
-            if matches!(probe, Ok(Ok(_))) {
+            if shared.serves_on(&upstream).await {
                 return;
             }
             shared.record_upstream_failure(key, &upstream.id, Failure::NotSent);
@@ -115,6 +118,18 @@
         });
     }
 
+    /// Returns whether an upstream keeps accepting connections after one of them broke off.
+    async fn serves_on(&self, upstream: &Upstream) -> bool {
+        let max = self.max_connections(&upstream.deployment);
+        for delay in PROBE_DELAYS {
+            sleep(delay).await;
+            if !self.pool.is_reachable(&upstream.id, upstream.address, max).await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Handles a blame that another relay, or this one, reports.
     pub fn handle_blame(&self, upstream: u32, parts: &[Part]) {
         let query = lock(&self.quarantine.suspicions).blame(self.clock.now(), upstream, parts);
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -23,6 +23,8 @@
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Time from a crash until the runner has started again.
 const RESTART_TIME: Duration = Duration::from_millis(1_000);
+/// Time for which a runner that closes its listening socket late still accepts connections.
+const LATE_LISTENER_TIME: Duration = Duration::from_millis(30);
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -102,6 +104,8 @@
     fatal_part: Option<String>,
     /// Body of a request under which the runner crashes.
     fatal_body: Option<String>,
+    /// Whether a crash closes the connections before the listening socket.
+    closes_listener_late: bool,
     crashes: Vec<Instant>,
 }
 
@@ -171,6 +175,12 @@
         self.state().fatal_body = Some(body.to_owned());
     }
 
+    /// Lets crashes close the connections `LATE_LISTENER_TIME` before the listening socket, as a
+    /// process does whose threads end one after the other.
+    pub fn close_listener_late(&self) {
+        self.state().closes_listener_late = true;
+    }
+
     /// Ceases to crash under requests.
     pub fn mend(&self) {
         let mut state = self.state();
@@ -222,19 +232,24 @@
         let mut crashed = self.crashed.subscribe();
         loop {
             let accepted = select! {
-                accepted = listener.accept() => accepted,
+                // A connection that is accepted at the moment of the crash must not outlive it.
+                biased;
                 _ = crashed.changed() => {
+                    if self.state().closes_listener_late {
+                        sleep(LATE_LISTENER_TIME).await;
+                    }
                     drop(listener);
                     sleep(RESTART_TIME).await;
                     let Ok(bound) = TcpListener::bind(self.address).await else { return };
                     listener = bound;
                     continue;
                 }
+                accepted = listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else { continue };
             self.state().connections += 1;
             let runner = self.clone();
-            let mut crashed = self.crashed.subscribe();
+            let mut crashed = crashed.clone();
             tokio::spawn(async move {
                 select! {
                     // An I/O error only ends this connection, which the peer notices by itself.
--- a/tests/relay_quarantine.rs
+++ b/tests/relay_quarantine.rs
@@ -45,12 +45,17 @@
     Ok(harness)
 }
 
-/// Sends requests with the fatal part until they are refused as not run.
+/// Sends requests with the fatal part until the part is quarantined and they are refused as not run.
+/// A 503 alone may also mean that all upstreams are down.
 async fn provoke(harness: &Harness) -> Result<()> {
     for number in 0..40 {
         let call = request(harness, 0, &format!("bad-{number}"), &[COMMON, FATAL]);
         let reply = harness.send(call).await;
-        if reply.is_ok_and(|reply| reply.status == 503) && all_upstreams_serve(harness).await {
+        let is_quarantined = !harness.events(0, "part_quarantined").is_empty();
+        if reply.is_ok_and(|reply| reply.status == 503)
+            && is_quarantined
+            && all_upstreams_serve(harness).await
+        {
             return Ok(());
         }
         sleep(Duration::from_millis(100)).await;
@@ -124,6 +129,18 @@
     verify_that!(reply.status, eq(200))
 }
 
+/// Guards against taking a crash for a broken connection because the upstream still accepts
+/// connections for a moment.
+#[gtest]
+#[tokio::test]
+async fn late_listener() -> Result<()> {
+    let harness = start(1).await?;
+    for runner in &harness.runners {
+        runner.close_listener_late();
+    }
+    provoke(&harness).await
+}
+
 /// Guards against relays that forget the part when all of them restart, and against relays that start
 /// later and do not know it.
 #[gtest]
