--- a/components/daemon/src/batch/dispatcher.rs
+++ b/components/daemon/src/batch/dispatcher.rs
@@ -2,7 +2,7 @@
 //!
 //! The actor performs the actions of the state machine [`Dispatch`] and passes their results back.
 
-use std::{collections::BTreeMap, convert::Infallible, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use cyclamengrade_control::{
     job::dispatch::{self, Action, ChunkId, Dispatch, Run, RunId},
@@ -30,7 +30,7 @@
     input::Reader,
     items::Items,
     reports::{self, Limits},
-    runner::{Call, Outcome, Runner, Summary, Transcript},
+    runner::{Call, Outcome, Received, Runner, Summary, Transcript},
 };
 use crate::{
     lease,
@@ -93,11 +93,21 @@
     drain_waiters: Vec<oneshot::Sender<()>>,
 }
 
+/// What a run has to do.
+enum Task {
+    /// Send the item to the upstream, which appends to the transcript.
+    Send(Call, Transcript),
+    /// Nothing, since an earlier run received the whole answer before it was stopped.
+    Complete(Received),
+}
+
 /// A run in progress.
 struct ActiveRun {
     run: Run,
     transcript: Transcript,
     task: AbortHandle,
+    /// Address of the upstream and identifier of the stream; `None` if the item was not sent.
+    stream: Option<(SocketAddr, String)>,
 }
 
 /// Limit of the batch streams that this daemon may hold open at an upstream.
@@ -148,6 +158,12 @@
         run: RunId,
         summary: Summary,
     },
+    /// The upstream of a run that was stopped has crashed.
+    StoppedAtCrash {
+        job: String,
+        item: u32,
+        alone: bool,
+    },
 }
 
 impl Dispatcher {
@@ -182,7 +198,7 @@
             Action::Call { call, request } => self.call(call, request),
             Action::Load { chunk, items } => self.load(chunk, items),
             Action::Start(run) => self.start_run(run),
-            Action::Stop { run, keep_text } => self.stop_run(run, keep_text),
+            Action::Stop { run, keep_text, alone } => self.stop_run(run, keep_text, alone),
             Action::Fail { job, item, reason } => {
                 self.items.record_failure(&job, item, reason);
                 reports::item_failed(&job, item, self.attempts(&job, item), reason);
@@ -251,17 +267,15 @@
         let (id, upstream) = (run.id, run.upstream.clone());
         (self.dependencies.notify)(traffic::Input::BatchStarted { upstream });
         reports::stream_opened(&run.deployment);
-        let Some((call, transcript)) = self.prepare_call(&run) else {
-            let summary =
-                Summary { outcome: Outcome::NotRun, first_token: None, between_tokens: None };
-            let transcript = Transcript::default();
-            let task = self.dependencies.traffic.spawn(async {}).abort_handle();
-            self.runs.insert(id, ActiveRun { run, transcript, task });
-            return send_report(&self.actor_ref, Report::Finished { run: id, summary });
+        let (call, transcript) = match self.prepare_task(&run) {
+            Some(Task::Send(call, transcript)) => (call, transcript),
+            Some(Task::Complete(received)) => return self.end_unsent(run, Outcome::Done, received),
+            None => return self.end_unsent(run, Outcome::NotRun, Received::default()),
         };
+        let stream = Some((call.address, call.stream.clone()));
         let task =
             self.dependencies.traffic.spawn(self.dependencies.runner.run(call, transcript.clone()));
-        self.runs.insert(id, ActiveRun { run, transcript, task: task.abort_handle() });
+        self.runs.insert(id, ActiveRun { run, transcript, task: task.abort_handle(), stream });
         let actor_ref = self.actor_ref.clone();
         self.dependencies.traffic.spawn(async move {
             let summary = match task.await {
@@ -270,23 +284,35 @@
                 // The runner panicked; an attempt is charged to the item.
                 Err(error) => {
                     event!(InternalFault, error:% = error);
-                    Summary { outcome: Outcome::Failed, first_token: None, between_tokens: None }
+                    let outcome = Outcome::Failed(error.to_string());
+                    Summary { outcome, first_token: None, between_tokens: None }
                 }
             };
             send_report(&actor_ref, Report::Finished { run: id, summary });
         });
     }
 
-    /// Returns the parameters and the transcript of a run, or `None` if the upstream, the
-    /// deployment or the item no longer exists.
-    fn prepare_call(&mut self, run: &Run) -> Option<(Call, Transcript)> {
+    /// Ends a run whose item is not sent to the upstream.
+    fn end_unsent(&mut self, run: Run, outcome: Outcome, received: Received) {
+        let summary = Summary { outcome, first_token: None, between_tokens: None };
+        let (id, transcript) = (run.id, Transcript::new(received));
+        let task = self.dependencies.traffic.spawn(async {}).abort_handle();
+        self.runs.insert(id, ActiveRun { run, transcript, task, stream: None });
+        send_report(&self.actor_ref, Report::Finished { run: id, summary });
+    }
+
+    /// Returns `None` if the upstream, the deployment or the item no longer exists.
+    fn prepare_task(&mut self, run: &Run) -> Option<Task> {
         let fleet = self.dependencies.fleet.borrow().clone();
         let vm = fleet.iter().find(|vm| vm.name == run.upstream)?;
         let document = self.dependencies.configuration.borrow().document.clone();
         let deployment = document.deployments.get(&run.deployment)?;
         let version = deployment.version.clone();
-        let (item, (tokens, text)) =
+        let (item, received) =
             self.items.start_run(&run.job, run.item, version.as_deref(), run.discard_text)?;
+        if received.complete {
+            return Some(Task::Complete(received));
+        }
         let epoch = self.dependencies.lease.borrow().epoch.unwrap_or_default();
         let call = Call {
             upstream: run.upstream.clone(),
@@ -296,16 +322,20 @@
             version,
             prompt: item.prompt,
             max_tokens: item.max_tokens,
-            resume_from: tokens,
+            resume_from: received.tokens,
             stream: format!("{}-{epoch}-batch-{}", self.dependencies.settings.name, run.id.0),
         };
-        Some((call, Transcript::new(tokens, text)))
+        Some(Task::Send(call, Transcript::new(received)))
     }
 
     /// Cancels a run; with `keep_text`, a later run resumes from the text received so far.
-    fn stop_run(&mut self, id: RunId, keep_text: bool) {
-        let Some(ActiveRun { run, transcript, task }) = self.runs.remove(&id) else { return };
+    fn stop_run(&mut self, id: RunId, keep_text: bool, alone: bool) {
+        let Some(active) = self.runs.remove(&id) else { return };
+        let ActiveRun { run, transcript, task, stream } = active;
         task.abort();
+        if let Some(stream) = stream {
+            self.cancel_stream(&run, alone, stream);
+        }
         reports::stream_closed(&run.deployment);
         if keep_text {
             // Only runs stopped by a lower limit count as paused, not those that a graceful
@@ -323,14 +353,31 @@
         });
     }
 
+    /// Cancels the stream of a run that was stopped, and reports whether its upstream has crashed.
+    fn cancel_stream(&self, run: &Run, alone: bool, (address, stream): (SocketAddr, String)) {
+        let (job, item) = (run.job.clone(), run.item);
+        let cancelling = self.dependencies.runner.cancel(address, stream);
+        let actor_ref = self.actor_ref.clone();
+        self.dependencies.traffic.spawn(async move {
+            if cancelling.await {
+                send_report(&actor_ref, Report::StoppedAtCrash { job, item, alone });
+            }
+        });
+    }
+
     fn handle_finished(&mut self, id: RunId, summary: Summary) {
         let Some(ActiveRun { run, transcript, .. }) = self.runs.remove(&id) else { return };
         reports::stream_closed(&run.deployment);
-        let (tokens, text) = transcript.snapshot();
+        let received = transcript.snapshot();
         let (dispatch_outcome, traffic_outcome) = match summary.outcome {
             Outcome::Done => {
-                let bytes = self.items.record_answer(&run.job, run.item, text);
-                (dispatch::Outcome::Answered(bytes), traffic::Outcome::Done)
+                let bytes = self.items.record_answer(&run.job, run.item, received.text);
+                // Without a token the upstream has shown nothing; the answer was complete before.
+                let ended = match summary.first_token {
+                    Some(_) => traffic::Outcome::Done,
+                    None => traffic::Outcome::Cancelled,
+                };
+                (dispatch::Outcome::Answered(bytes), ended)
             }
             Outcome::Rejected(reason) => {
                 self.items.record_failure(&run.job, run.item, &reason);
@@ -339,10 +386,14 @@
                 (dispatch::Outcome::Rejected(reason.len() as u64), traffic::Outcome::Done)
             }
             Outcome::NotRun => (dispatch::Outcome::NotRun, traffic::Outcome::NotRun),
-            Outcome::Failed => {
-                self.items.store_received(&run.job, run.item, (tokens, text));
+            Outcome::Failed(error) => {
+                self.record_failed_run(&run, received, &error);
                 (dispatch::Outcome::Failed, traffic::Outcome::Failed)
             }
+            Outcome::Interrupted(error) => {
+                self.record_failed_run(&run, received, &error);
+                (dispatch::Outcome::Interrupted, traffic::Outcome::Failed)
+            }
         };
         (self.dependencies.notify)(traffic::Input::BatchEnded {
             upstream: run.upstream,
@@ -353,6 +404,12 @@
         self.handle_input(dispatch::Input::Ended { run: id, outcome: dispatch_outcome });
     }
 
+    fn record_failed_run(&mut self, run: &Run, received: Received, error: &str) {
+        let attempts = self.attempts(&run.job, run.item) + 1;
+        reports::run_failed(run, attempts, received.tokens, error);
+        self.items.store_received(&run.job, run.item, received);
+    }
+
     fn handle_lease(&mut self, state: lease::State) {
         if state.superseded {
             self.handle_input(dispatch::Input::Superseded);
@@ -488,6 +545,9 @@
                 self.handle_input(dispatch::Input::Stored { chunk, ok });
             }
             Report::Finished { run, summary } => self.handle_finished(run, summary),
+            Report::StoppedAtCrash { job, item, alone } => {
+                self.handle_input(dispatch::Input::StoppedAtCrash { job, item, alone });
+            }
         }
     }
 }
--- a/components/daemon/tests/durable/mod.rs
+++ b/components/daemon/tests/durable/mod.rs
@@ -5,9 +5,10 @@
 use std::{
     collections::BTreeMap,
     future::Future,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicI64, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -18,8 +19,8 @@
 use cyclamengrade_control::{fleet::Vm, traffic};
 use cyclamengrade_daemon::{
     batch::{
-        BatchLimit, Call, Dependencies, Dispatcher, Jobs, Outcome, Runner, Running, Summary,
-        Transcript,
+        BatchLimit, Call, Cancelling, Dependencies, Dispatcher, Jobs, Outcome, Runner, Running,
+        Summary, Transcript,
     },
     lease::Renewer,
     node::{Clock, Configuration},
@@ -92,6 +93,8 @@
 pub enum Step {
     /// Appends this many tokens of the answer after those received earlier.
     Tokens(u32),
+    /// Appends this many tokens, with which the answer is complete.
+    LastTokens(u32),
     Pause(Duration),
     /// Waits until the run is cancelled.
     Hang,
@@ -105,6 +108,8 @@
 pub struct Scripted {
     script: Box<Script>,
     pub calls: Mutex<Vec<Call>>,
+    /// Whether the upstreams have crashed when a stopped run is cancelled.
+    pub crashed: AtomicBool,
     /// Number of streams that are open.
     pub open: Arc<AtomicU64>,
     /// Maximum number of streams that were open at the same time.
@@ -116,6 +121,7 @@
         Arc::new(Self {
             script: Box::new(script),
             calls: Mutex::default(),
+            crashed: AtomicBool::new(false),
             open: Arc::default(),
             max_open: AtomicU64::new(0),
         })
@@ -147,6 +153,11 @@
 }
 
 impl Runner for Scripted {
+    fn cancel(&self, _: SocketAddr, _: String) -> Cancelling {
+        let crashed = self.crashed.load(Ordering::SeqCst);
+        Box::pin(async move { crashed })
+    }
+
     fn run(&self, call: Call, transcript: Transcript) -> Running {
         let steps = (self.script)(&call);
         self.calls.lock().unwrap().push(call.clone());
@@ -158,11 +169,10 @@
             let mut index = call.resume_from;
             for step in steps {
                 match step {
-                    Step::Tokens(count) => {
-                        for _ in 0..count {
-                            transcript.push(&token(&call.prompt, index));
-                            index += 1;
-                        }
+                    Step::Tokens(count) | Step::LastTokens(count) => {
+                        let tokens = (index..index + count).map(|at| token(&call.prompt, at));
+                        transcript.extend(tokens, matches!(step, Step::LastTokens(_)));
+                        index += count;
                     }
                     Step::Pause(time) => sleep(time).await,
                     Step::Hang => std::future::pending().await,
