Reproduce faults from rows that other writers leave

Entries of upstreams, the configuration, rows of the relays' own tables, answers of the store and datagrams, each odd in one way beside others that are in order, against relay processes and against the parsers and state machines.

--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -96,6 +96,15 @@
         Ok(Self { receiver, sender })
     }
 
+    /// Returns the address at which messages arrive.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.receiver.local_addr()
+    }
+
     /// Sends a message. Returns whether the system accepted it; its delivery is not confirmed.
     pub fn send(&self, to: SocketAddr, message: Message) -> bool {
         self.sender.send_to(&encode(message).encode_to_vec(), to).is_ok()
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -42,6 +42,7 @@
     process: Option<Process>,
     listen: SocketAddr,
     ready: SocketAddr,
+    peer: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -168,6 +169,7 @@
             process: None,
             listen: ports[0],
             ready: ports[1],
+            peer: ports[3],
             settings: path,
             log: self.folder.join(format!("vm-{number}.log")),
         });
@@ -362,6 +364,11 @@
         self.relays[relay].listen
     }
 
+    /// Returns the address at which a relay receives the datagrams of other relays.
+    pub fn peer_address(&self, relay: usize) -> SocketAddr {
+        self.relays[relay].peer
+    }
+
     /// Returns the status of a relay's readiness probe, or `None` if it does not respond.
     pub async fn readiness(&self, number: usize) -> Option<u16> {
         let call = Call::get(self.relays[number].ready, "/-/readyz");
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
@@ -106,10 +107,21 @@
 
     /// Writes a row whose value need not be JSON.
     pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.put_row(table, "", key, value);
+    }
+
+    /// Writes a row of a part of a table. The value need not be JSON.
+    pub fn put_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
         self.shared.write(vec![(name, Some(encode(value)))]);
     }
 
+    /// Writes a row whose value need not be base64.
+    pub fn put_encoded(&self, table: &str, key: &str, value: &str) {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.shared.write(vec![(name, Some(value.to_owned()))]);
+    }
+
     /// Deletes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let name = (table.to_owned(), String::new(), key.to_owned());
@@ -123,6 +135,21 @@
         names.map(|(.., key)| key.clone()).collect()
     }
 
+    /// Returns the names of the rows of a table, as part and key.
+    pub fn names(&self, table: &str) -> Vec<(String, String)> {
+        let state = self.shared.state();
+        let names = state.rows.keys().filter(|(found, ..)| found == table);
+        names.map(|(_, part, key)| (part.clone(), key.clone())).collect()
+    }
+
+    /// Returns the value of a row, or `None` if there is no such row or its value is not JSON.
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        let state = self.shared.state();
+        let bytes = STANDARD.decode(&state.rows.get(&name)?.value).ok()?;
+        serde_json::from_slice(&bytes).ok()
+    }
+
     /// Returns the names of all objects.
     pub fn objects(&self) -> Vec<String> {
         self.shared.state().objects.keys().cloned().collect()
@@ -442,8 +469,7 @@
 }
 
 fn encode(bytes: &[u8]) -> String {
-    use base64::Engine;
-    base64::engine::general_purpose::STANDARD.encode(bytes)
+    STANDARD.encode(bytes)
 }
 
 fn json_response(value: &Value) -> Response<Full<Bytes>> {
