Compute the loads of shards in 64 bits

Relays refused requests, or placed them past the broker, after an entry with some four million slots or more had been listed: the sums of slots and their products with 1,000 overflowed 32 bits. Builds with checks ended the task that receives all messages of other relays; builds without them saw a full shard as free, and a free one as full.

Evidence: odd_upstreams failed with "attempt to multiply with overflow" at 4,294,968 slots of one upstream and with "attempt to add with overflow" in Broker::load for two, and in relay_entries good requests got 503. Ruled out: the number of requests at an upstream, which never comes near these bounds.

Sums are of at most 2^32 upstreams with 2^32 slots, and the product with 1,000 still fits into 64 bits for any list that fits into memory.

--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -304,14 +304,14 @@
 
     /// Returns the load of a shard.
     pub fn load(&self, now: Time, shard: u32) -> Load {
-        let (mut slots, mut used, mut free) = (0, 0, 0);
+        let (mut slots, mut used, mut free) = (0_u64, 0_u64, 0_u64);
         for place in self.shard(shard) {
-            let in_use = self.used(place.upstream).total();
-            let free_here = self.free(place, now);
+            let in_use = u64::from(self.used(place.upstream).total());
+            let free_here = u64::from(self.free(place, now));
             slots += if self.limits.rate(place.upstream).is_some() {
                 in_use + free_here
             } else {
-                place.slots
+                place.slots.into()
             };
             used += in_use;
             free += free_here;
@@ -319,8 +319,9 @@
         let waiting = self.queues.get(&shard).map_or(0, Queue::online_len);
         let permille = match slots {
             0 => 1_000,
-            slots => (used + waiting as u32) * 1_000 / slots,
+            slots => (used + waiting as u64) * 1_000 / slots,
         };
+        let permille = u32::try_from(permille).unwrap_or(u32::MAX);
         let wait = if free > 0 { Duration::ZERO } else { self.wait(shard, waiting) };
         Load { permille, wait }
     }
@@ -472,8 +473,8 @@
             .filter(|place| !place.leaving && !self.suspensions.is_suspended(place.upstream, now))
             .copied()
             .collect();
-        let mut spare: u32 = usable.iter().map(|place| self.free(place, now)).sum();
-        while f64::from(spare) > reserve {
+        let mut spare: u64 = usable.iter().map(|place| u64::from(self.free(place, now))).sum();
+        while spare as f64 > reserve {
             let Some(((urgency, holder, ticket), upstream)) = self.next_batch(now, shard, &usable)
             else {
                 return;
--- a/components/control/src/relay/broker/placement.rs
+++ b/components/control/src/relay/broker/placement.rs
@@ -15,6 +15,11 @@
         && ask.software.is_none_or(|software| software == place.software)
 }
 
+/// Returns a part of the slots of an upstream in thousandths.
+fn permille(part: u32, slots: u32) -> u64 {
+    u64::from(part) * 1_000 / u64::from(slots.max(1))
+}
+
 impl Broker {
     /// Returns the upstreams that accept a request.
     pub(super) fn accepting(&self, ask: &Ask) -> impl Iterator<Item = &Place> {
@@ -80,7 +85,7 @@
             (
                 !ask.connected.contains(&place.upstream),
                 place.data_centre != ask.data_centre,
-                used * 1_000 / place.slots.max(1),
+                permille(used, place.slots),
                 // Spreads equal choices over the upstreams.
                 place.upstream.wrapping_add(ask.ticket.0 as u32).wrapping_mul(0x9e37_79b9),
             )
@@ -131,7 +136,7 @@
             let suitable = free
                 .iter()
                 .filter(|place| software.is_none_or(|software| software == place.software));
-            let best = suitable.max_by_key(|place| self.free(place, now) * 1_000 / place.slots)?;
+            let best = suitable.max_by_key(|place| permille(self.free(place, now), place.slots))?;
             Some((key, best.upstream))
         })
     }
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -510,7 +510,7 @@
         let cost = |key: &Key| {
             let entry = &self.entries[*key];
             let distance = u32::from(entry.upstream.data_centre != self.data_centre);
-            (entry.own * 1_000 / entry.slots(), distance)
+            (u64::from(entry.own) * 1_000 / u64::from(entry.slots()), distance)
         };
         match picked.into_iter().flatten().min_by_key(cost) {
             Some(key) => Choice::Send(key),
