Shorten the logged reason for which a row cannot be used

The reason of the parser quotes the text that it did not expect, and a row can hold 64 kB: each change of such a row wrote a line of that length at every relay. relay_entries::odd_entries saw a reason of 60,046 bytes. The line row_unusable now has the first 200 characters, and one function writes it.

--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -30,6 +30,9 @@
     shared::{Job, Member, Shared},
 };
 
+/// Longest logged reason for which a row cannot be used, in characters.
+const MAX_REASON_CHARS: usize = 200;
+
 /// Changes of one table, or a snapshot of it.
 pub struct Update {
     pub table: String,
@@ -85,9 +88,7 @@
                 continue;
             };
             match self.shared.dialect.configuration(value) {
-                Err(error) => {
-                    event!(RowUnusable, key:% = key, version = change.version, error:% = error);
-                }
+                Err(error) => log_unusable(key, change.version, &error),
                 Ok(table) if table.version <= self.shared.routes.load().version => {}
                 Ok(table) => {
                     event!(
@@ -139,7 +140,7 @@
         match parsed {
             Ok(upstream) => self.registry.put(id, row.version, upstream),
             Err(error) => {
-                event!(RowUnusable, key:% = row.key, version = row.version, error:% = error);
+                log_unusable(&row.key, row.version, &error);
                 self.registry.remove(id)
             }
         }
@@ -295,10 +296,16 @@
 
 fn log_malformed(change: &Change) {
     if let Content::Malformed(error) = &change.content {
-        event!(RowUnusable, key:% = change.key, version = change.version, error:% = error);
+        log_unusable(&change.key, change.version, error);
     }
 }
 
+/// Logs that a row cannot be used. The reason may quote a text that fills the row, and is shortened.
+pub fn log_unusable(key: &str, version: u64, reason: &str) {
+    let reason: String = reason.chars().take(MAX_REASON_CHARS).collect();
+    event!(RowUnusable, key:% = key, version = version, error:% = reason);
+}
+
 fn decode<T: DeserializeOwned>(change: &Change) -> Option<T> {
     let error = match &change.content {
         Content::Deleted => return None,
@@ -308,6 +315,6 @@
         },
         Content::Malformed(error) => error.clone(),
     };
-    event!(RowUnusable, key:% = change.key, version = change.version, error:% = error);
+    log_unusable(&change.key, change.version, &error);
     None
 }
--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    directory::log_unusable,
     job::{key, row, store},
     shared::{MONITOR_KEY, MONITORS, Shared, lock},
 };
@@ -204,7 +205,7 @@
     match store::decode(row) {
         Ok(value) => Some(value),
         Err(error) => {
-            event!(RowUnusable, key:% = row.key, version = row.version, error:% = error);
+            log_unusable(&row.key, row.version, &error.to_string());
             None
         }
     }
