Take entries with values that no upstream has for unusable

Operators saw requests fail after another writer had left an entry. Entries with port 0, with no slots, millions or 4,294,967,295 of them, with an empty version or deployment, or with an address that is not of one vm became upstreams: a relay tried them, brokers divided the load by their slots, and port 0 or the unspecified address can never serve. The parser accepts each value of the field's type, and nothing asked whether an upstream can have it.

control::relay::entry states what an upstream can have; the relay asks before it keeps an entry, and logs row_unusable with the reason. An upstream whose entry becomes unusable is dropped until it is in order again. The native dialect gives the version "unstated" to entries without one; its value was empty before, so relays of both landings side by side do not continue each other's streams there.

Ruled out: the platform's adapter as the place of the rule, since it only translates.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod broker;
 pub mod ending;
+pub mod entry;
 pub mod failure;
 pub mod framing;
 pub mod job;
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -62,7 +62,7 @@
     pub deployment: String,
     pub address: std::net::SocketAddr,
     pub data_centre: String,
-    /// Version of the upstream's software; empty if its entry does not state it.
+    /// Version of the upstream's software.
     pub version: String,
     /// Number of requests that the upstream runs concurrently.
     pub slots: Option<u32>,
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -9,6 +9,7 @@
 
 use cyclamengrade_control::{
     relay::{
+        entry,
         monitor::Health,
         registry::{self, Registry},
     },
@@ -137,7 +138,11 @@
             Content::Value(value) => self.shared.dialect.upstream(id, value),
             Content::Malformed(error) => Err(error.clone()),
         };
-        match parsed {
+        let plausible = parsed.and_then(|upstream| match entry::flaw(&upstream) {
+            Some(flaw) => Err(flaw.to_string()),
+            None => Ok(upstream),
+        });
+        match plausible {
             Ok(upstream) => self.registry.put(id, row.version, upstream),
             Err(error) => {
                 log_unusable(&row.key, row.version, &error);
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -125,7 +125,7 @@
     #[serde(default)]
     data_centre: String,
     /// Version of the upstream's software.
-    #[serde(default)]
+    #[serde(default = "unstated")]
     version: String,
     slots: Option<u32>,
     #[serde(default)]
@@ -134,6 +134,11 @@
     born: Option<u64>,
 }
 
+/// Returns the version of the upstreams whose entries do not state one.
+fn unstated() -> String {
+    "unstated".to_owned()
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct JobJson {
