Bound the times and weights of the configuration

Callers of a route with times of 1e22 ms, or with weights whose sum exceeds 32 bits, got no response; with times of 1e300 ms they got 503, and batch items expired at once. Panics of the clock ended the task of each such connection, the sum of weights overflowed, and a time too large for the type counted as zero. A route with a limit on waiting tokens and a long completion time panicked when far more tokens waited.

Times that are too large become the longest one, and a table of routes bounds all of its times by a year, which has the same effect as any longer time and leaves room for what is added to it. Weights are added as floats, and the time for a next try is bounded before it becomes a duration.

Ruled out: a refusal of the whole configuration, since its other routes are in order and the store accepted it.

--- a/components/control/src/relay/quota.rs
+++ b/components/control/src/relay/quota.rs
@@ -70,7 +70,8 @@
         match total.checked_sub(limit) {
             Some(excess) if excess > 0 => {
                 // A full route drains within about the completion time of its jobs.
-                let wait = completion.mul_f64(excess as f64 / limit as f64);
+                let wait = completion.as_secs_f64() * excess as f64 / limit as f64;
+                let wait = Duration::try_from_secs_f64(wait).unwrap_or(MAX_RETRY_AFTER);
                 Admission::Full(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
             }
             _ if view.age > MAX_VIEW_AGE && total as f64 > limit as f64 * STALE_VIEW_SHARE => {
--- a/components/control/src/relay/route.rs
+++ b/components/control/src/relay/route.rs
@@ -4,6 +4,10 @@
 
 use crate::relay::quota::Quota;
 
+/// Longest time of a configuration. Times are added to clocks and multiplied, and one of a year has the
+/// same effect as any longer one.
+pub const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3_600);
+
 /// Kind of a route, which says whether its requests may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
@@ -81,6 +85,18 @@
         }
     }
 
+    /// Returns the route with times of at most [`MAX_TIME`].
+    fn bounded(self) -> Self {
+        Self {
+            timeout: self.timeout.min(MAX_TIME),
+            latency_objective: self.latency_objective.min(MAX_TIME),
+            gap_objective: self.gap_objective.min(MAX_TIME),
+            completion_target: self.completion_target.min(MAX_TIME),
+            retention: self.retention.min(MAX_TIME),
+            ..self
+        }
+    }
+
     /// Returns the deployments that serve the route.
     pub fn deployments(&self) -> impl Iterator<Item = &str> {
         self.targets.iter().map(|target| target.deployment.as_str())
@@ -89,8 +105,8 @@
     /// Returns the deployment at a point between 0 and 1 of the weighted split. A random point
     /// selects deployments in proportion to their weights.
     pub fn deployment(&self, point: f64) -> Option<&str> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = point * f64::from(total);
+        let total: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
+        let mut remaining = point * total;
         for target in &self.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
@@ -121,6 +137,17 @@
     pub idle_timeout: Duration,
 }
 
+impl Limits {
+    /// Returns the limits with times of at most [`MAX_TIME`].
+    fn bounded(self) -> Self {
+        Self {
+            head_timeout: self.head_timeout.min(MAX_TIME),
+            idle_timeout: self.idle_timeout.min(MAX_TIME),
+            ..self
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -146,7 +173,7 @@
 }
 
 impl Table {
-    /// Creates a table and sorts its routes for [`Self::find`].
+    /// Creates a table, bounds its times by [`MAX_TIME`], and sorts its routes for [`Self::find`].
     pub fn new(
         version: u64,
         routes: Vec<Route>,
@@ -155,14 +182,17 @@
     ) -> Self {
         let mut by_host: BTreeMap<String, Vec<_>> = BTreeMap::new();
         for route in routes {
-            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(route.into());
+            by_host
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .push(route.bounded().into());
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route: &std::sync::Arc<Route>| {
                 std::cmp::Reverse(route.path_prefix.len())
             });
         }
-        Self { version, routes: by_host, deployments, limits }
+        Self { version, routes: by_host, deployments, limits: limits.bounded() }
     }
 
     /// Returns the route of the host with the longest prefix of the path. Ignores a port after the
--- a/components/control/tests/relay_quota.rs
+++ b/components/control/tests/relay_quota.rs
@@ -116,3 +116,12 @@
         assert!(admitted > 0, "seed {seed}");
     }
 }
+
+/// Guards against a time for the next try that overflows when far more tokens wait than the limit allows.
+#[gtest]
+fn extreme_excess() {
+    let view = View { waiting: u64::MAX, reserved: u64::MAX, age: Duration::ZERO };
+    let completion = Duration::from_secs(365 * 24 * 3_600);
+    let admission = Quota::new(1).admit(view, 1, completion);
+    expect_that!(admission, eq(Admission::Full(Duration::from_secs(4))));
+}
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -63,7 +63,7 @@
         Err(response) => return response,
     };
     let Some(now) = shared.clock.store_ms() else { return store_unavailable(shared) };
-    let after = |duration: Duration| now + duration.as_millis() as u64;
+    let after = |duration: Duration| now.saturating_add(duration.as_millis() as u64);
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let is_running = *shared.phase.borrow() == Phase::Running;
     let job = row::Job {
