--- a/components/platform/src/transport.rs
+++ b/components/platform/src/transport.rs
@@ -4,7 +4,7 @@
 use std::{error::Error as _, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, StatusCode,
     header::{CONTENT_TYPE, IF_NONE_MATCH},
@@ -166,6 +166,9 @@
             Ok(Ok(body)) => {
                 Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
             }
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::Protocol(format!(
+                "the answer of {address} exceeds {MAX_ANSWER_BYTES} bytes"
+            ))),
             Ok(Err(error)) => Err(call.effect.unconfirmed_error(format!("{address}: {error}"))),
             Err(_) => Err(call.effect.unconfirmed_error(format!("{address} timed out"))),
         }
--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -109,6 +109,10 @@
                 }
                 Err(error) => {
                     self.record_failure(&error);
+                    if matches!(error, Error::Protocol(_)) {
+                        // The same call would get the same answer. A snapshot is read in pages.
+                        self.version = None;
+                    }
                     sleep(self.backoff).await;
                     self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
                 }
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -47,6 +47,8 @@
 
 /// Bytes that an endless answer sends at once.
 const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
+/// Limit on the values in the answer to one read of rows.
+const MAX_READ_BYTES: usize = 1 << 20;
 /// Delay after which a late transaction takes effect.
 const LATE_TRANSACTION_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -388,12 +390,17 @@
     let mut found = state.rows.iter().filter(|((found, found_part, key), _)| {
         found == table && found_part == part && key.as_str() >= from && to.is_none_or(|to| key < to)
     });
-    let rows: Vec<Value> = found
-        .by_ref()
-        .take(limit)
-        .map(|(name, row)| row_json(name, Some(&row.value), row.version))
-        .collect();
-    let has_more = found.next().is_some();
+    let mut rows = Vec::new();
+    let mut bytes = 0;
+    let mut has_more = false;
+    for (name, row) in found.by_ref() {
+        bytes += row.value.len();
+        has_more = rows.len() == limit || (bytes > MAX_READ_BYTES && !rows.is_empty());
+        if has_more {
+            break;
+        }
+        rows.push(row_json(name, Some(&row.value), row.version));
+    }
     json_response(&json!({
         "Rows": rows, "HasMore": has_more, "Ver": state.version, "NowMs": shared.now_ms()
     }))
