Take jobs over whose rows others have changed

Batch jobs were not completed when a row about one of their items could not be read: each takeover failed at that row and was tried again every 200 ms. From reading: a row among the results whose key is no position was read over and over, and the list of results grew until the memory of the relay was used up; failures of 2^32 - 1, and texts with events or ids near 2^64, overflowed.

An unreadable row of failures counts as none, an unreadable text as not stored, and a result that cannot be read occupies its position and is not shown. Results are read up to the first position without a row. A text with more events than it has lines, or with an id that not every writer of JSON can represent, is not continued, nor one of an item that the job does not have. Sums of tokens and times saturate.

Evidence: relay_entries::odd_job_rows failed on and passes, now also with odd keys among the results. Ruled out: a job that is given up, since its items are intact.

--- a/components/control/src/relay/job.rs
+++ b/components/control/src/relay/job.rs
@@ -86,7 +86,7 @@
             RunFailure::Impossible => true,
             RunFailure::Failed => {
                 let failures = self.failures.entry(item).or_default();
-                *failures += 1;
+                *failures = failures.saturating_add(1);
                 *failures >= self.max_failures
             }
             RunFailure::Interrupted => false,
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -147,7 +147,8 @@
             return None;
         }
         let tokens = |item: usize| owned.items.get(item).map_or(0, |item| item.tokens);
-        let finished: u64 = results.entries.iter().map(|entry| tokens(entry.item)).sum();
+        let finished =
+            results.entries.iter().map(|entry| tokens(entry.item)).fold(0, u64::saturating_add);
         let unfinished = owned.unfinished_tokens().saturating_sub(finished);
         Some(owned.job.row.with_tokens(unfinished))
     }
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -116,7 +116,7 @@
         &self,
         job: Job,
         items: Arc<Vec<Item>>,
-        outcomes: &[row::Outcome],
+        outcomes: &[Option<row::Outcome>],
         failures: &BTreeMap<usize, u32>,
     ) -> Owned {
         let max_failures = self.route(&job.row).map_or(1, |route| route.max_attempts);
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -78,7 +78,7 @@
         job: Job,
         items: Arc<Vec<Item>>,
         max_failures: u32,
-        outcomes: &[Outcome],
+        outcomes: &[Option<Outcome>],
         failures: &BTreeMap<usize, u32>,
     ) -> Self {
         let mut progress = Progress::new(items.len(), max_failures);
@@ -102,7 +102,7 @@
 
     /// Replaces the committed results with those read from the store, after a commit whose outcome
     /// is unknown. Aborts the runs of items that have a result.
-    pub fn reconcile(&mut self, outcomes: &[Outcome]) {
+    pub fn reconcile(&mut self, outcomes: &[Option<Outcome>]) {
         let committed = committed_items(&self.items, outcomes);
         self.results.reconcile(&committed);
         for item in committed {
@@ -125,12 +125,13 @@
     /// Returns the tokens of the items without a committed result.
     pub fn unfinished_tokens(&self) -> u64 {
         let unfinished = self.results.uncommitted(self.items.len());
-        unfinished.map(|item| self.items[item].tokens).sum()
+        unfinished.map(|item| self.items[item].tokens).fold(0, u64::saturating_add)
     }
 
     /// Restores the texts that earlier owners stored, if their software is known.
     pub fn restore(&mut self, partials: BTreeMap<usize, row::Partial>) {
-        for (item, partial) in partials {
+        let items = self.items.len();
+        for (item, partial) in partials.into_iter().filter(|(item, _)| *item < items) {
             let Some(software) = partial.software.map(Software) else { continue };
             let last = Some(partial.last);
             let transcript = Transcript {
@@ -151,7 +152,7 @@
         let texts = self.transcripts.iter().filter_map(|(item, transcript)| {
             let transcript = lock(transcript);
             let last = transcript.last?;
-            let needs_save = last >= transcript.saved.unwrap_or(0) + min_events
+            let needs_save = last >= transcript.saved.unwrap_or(0).saturating_add(min_events)
                 && transcript.text.len() <= max_bytes;
             needs_save.then(|| {
                 let (text, events) = (transcript.text.clone(), transcript.events);
@@ -183,10 +184,11 @@
 
 /// Returns the positions in the job of the items that have a committed result, in the order of the
 /// results.
-fn committed_items(items: &[Item], outcomes: &[Outcome]) -> Vec<usize> {
+fn committed_items(items: &[Item], outcomes: &[Option<Outcome>]) -> Vec<usize> {
     let positions: BTreeMap<&str, usize> =
         items.iter().enumerate().map(|(index, item)| (item.id.as_str(), index)).collect();
-    // A result with an unknown item id is a malformed row. It still occupies its position.
-    let found = outcomes.iter().map(|outcome| positions.get(outcome.item.as_str()).copied());
+    // A result that cannot be read, or with an unknown item id, still occupies its position.
+    let position = |outcome: &Outcome| positions.get(outcome.item.as_str()).copied();
+    let found = outcomes.iter().map(|outcome| outcome.as_ref().and_then(position));
     found.map(|item| item.unwrap_or(usize::MAX)).collect()
 }
--- a/components/relay/src/job/cleanup.rs
+++ b/components/relay/src/job/cleanup.rs
@@ -44,7 +44,8 @@
     let peers = shared.peers();
     let jobs = shared.jobs();
     let expired = jobs.iter().filter(|(_, job)| {
-        job.row.state != row::State::Open && now_ms >= job.row.expires_ms + keep.as_millis() as u64
+        job.row.state != row::State::Open
+            && now_ms >= job.row.expires_ms.saturating_add(keep.as_millis() as u64)
     });
     let own = expired.filter(|(id, _)| should_take_over(shared.as_instance(), None, id, &peers));
     own.map(|(id, job)| (id.clone(), job.version)).collect()
@@ -53,7 +54,7 @@
 /// Deletes a job. Its row is deleted last, so that an interrupted deletion is repeated.
 async fn delete(shared: &Shared, id: &str, version: u64) -> Result<(), Error> {
     let results = store::all_result_rows(shared, id).await?;
-    for object in results.into_iter().filter_map(|result| result.object) {
+    for object in results.into_iter().flatten().filter_map(|result| result.object) {
         shared.objects.delete(object).await?;
     }
     shared.objects.delete(key::input(id)).await?;
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -9,6 +9,10 @@
 use cyclamengrade_control::relay::job;
 use serde::{Deserialize, Serialize};
 
+/// Largest id of an event whose text is continued: the largest integer that every writer of JSON
+/// represents exactly.
+const MAX_EVENT_ID: u64 = (1 << 53) - 1;
+
 /// Row of a relay.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -174,7 +178,7 @@
         duration: Duration,
         limit: usize,
     ) {
-        let end_ms = now_ms + duration.as_millis() as u64;
+        let end_ms = now_ms.saturating_add(duration.as_millis() as u64);
         self.ends_ms.retain(|_, end_ms| *end_ms > now_ms);
         self.ends_ms.extend(parts.into_iter().map(|part| (part, end_ms)));
         let mut by_end: Vec<(u64, u64)> =
@@ -200,6 +204,13 @@
     pub software: Option<u32>,
 }
 
+impl Partial {
+    /// Whether the row has as many events as its text may have, and ids that can be continued.
+    pub const fn is_sound(&self) -> bool {
+        self.events <= self.text.len() as u64 + 1 && self.last <= MAX_EVENT_ID
+    }
+}
+
 /// Row with the software versions of all deployments.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
--- a/components/relay/src/job/store.rs
+++ b/components/relay/src/job/store.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     dialect::{Item, Outcome, Page},
+    directory::log_unusable,
     job::{key, row},
     shared::{Job, Shared},
 };
@@ -207,17 +208,18 @@
     }
 }
 
-/// Reads up to `limit` rows of results from the position `from`.
+/// Reads up to `limit` rows of results from the position `from`, up to the first position without a row.
+/// A row that cannot be decoded is `None`; it still occupies its position.
 ///
 /// # Errors
 ///
-/// Fails if the store does not answer or a row cannot be decoded.
+/// Fails if the store does not answer.
 pub async fn result_rows(
     shared: &Shared,
     id: &str,
     from: usize,
     limit: usize,
-) -> Result<Vec<row::Outcome>, Error> {
+) -> Result<Vec<Option<row::Outcome>>, Error> {
     let prefix = key::results(id);
     let after = match from.checked_sub(1) {
         Some(last) => key::result(id, last),
@@ -225,7 +227,11 @@
     };
     let rows = shared.table.scan(prefix, after, limit).await?;
     shared.record_store_contact();
-    rows.iter().map(decode).collect()
+    // Rows of other writers may have keys that are no positions.
+    let is_next =
+        |(index, row): &(usize, &Row)| row.key == key::result(id, from.saturating_add(*index));
+    let listed = rows.iter().enumerate().take_while(is_next);
+    Ok(listed.map(|(_, row)| decode_or_log(row)).collect())
 }
 
 /// Reads all rows of results, in the order of their positions.
@@ -233,7 +239,10 @@
 /// # Errors
 ///
 /// Fails under the same conditions as [`result_rows`].
-pub async fn all_result_rows(shared: &Shared, id: &str) -> Result<Vec<row::Outcome>, Error> {
+pub async fn all_result_rows(
+    shared: &Shared,
+    id: &str,
+) -> Result<Vec<Option<row::Outcome>>, Error> {
     let mut all = Vec::new();
     loop {
         let found = result_rows(shared, id, all.len(), MAX_ROWS_PER_READ).await?;
@@ -248,11 +257,16 @@
     shared: &Shared,
     total: usize,
     after: usize,
-    rows: Vec<row::Outcome>,
+    rows: Vec<Option<row::Outcome>>,
 ) -> Result<Page, Error> {
     let mut results = Vec::new();
     let mut bytes = 0;
+    let mut next = after;
     for row in rows {
+        let Some(row) = row else {
+            next += 1;
+            continue;
+        };
         let text = match (row.text, row.object) {
             (Some(text), _) => text,
             (None, Some(object)) => text(shared, object).await?,
@@ -267,8 +281,9 @@
             break;
         }
         results.push(Outcome { item: row.item, state: row.state.into(), text });
+        next += 1;
     }
-    Ok(Page { total, next: after + results.len(), results })
+    Ok(Page { total, next, results })
 }
 
 async fn text(shared: &Shared, object: String) -> Result<String, Error> {
@@ -282,20 +297,20 @@
 ///
 /// # Errors
 ///
-/// Fails if the store does not answer or the row cannot be decoded.
+/// Fails if the store does not answer. A row that cannot be decoded counts as none.
 pub async fn failures(shared: &Shared, id: &str) -> Result<BTreeMap<usize, u32>, Error> {
     let rows = shared.table.read(vec![key::failures(id)]).await?;
-    match rows.into_iter().next().flatten() {
-        Some(row) => Ok(decode::<row::Failures>(&row)?.counts),
-        None => Ok(BTreeMap::new()),
-    }
+    let row = rows.into_iter().next().flatten();
+    let row: Option<row::Failures> = row.as_ref().and_then(decode_or_log);
+    Ok(row.unwrap_or_default().counts)
 }
 
-/// Reads the texts of unfinished items that earlier owners stored, by position of the item.
+/// Reads the texts of unfinished items that earlier owners stored, by position of the item. Rows that
+/// cannot be used are left out.
 ///
 /// # Errors
 ///
-/// Fails if the store does not answer or a row cannot be decoded.
+/// Fails if the store does not answer.
 pub async fn partials(shared: &Shared, id: &str) -> Result<BTreeMap<usize, row::Partial>, Error> {
     let prefix = key::partials(id);
     let mut all = BTreeMap::new();
@@ -306,8 +321,13 @@
         after.clone_from(&last.key);
         for row in &rows {
             let item = row.key.strip_prefix(&prefix).and_then(|item| item.parse().ok());
-            if let Some(item) = item {
-                all.insert(item, decode(row)?);
+            let partial = decode_or_log::<row::Partial>(row);
+            match item.zip(partial) {
+                Some((item, partial)) if partial.is_sound() => {
+                    all.insert(item, partial);
+                }
+                Some(_) => log_unusable(&row.key, row.version, "it has more events than its text"),
+                None => {}
             }
         }
     }
@@ -331,6 +351,17 @@
     T::deserialize(&row.value).map_err(|error| Error::Protocol(format!("row {}: {error}", row.key)))
 }
 
+/// Decodes the value of a row, or returns `None` after logging that it cannot be used.
+pub fn decode_or_log<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    match decode(row) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log_unusable(&row.key, row.version, &error.to_string());
+            None
+        }
+    }
+}
+
 /// Ends a job and keeps its committed results. Returns whether the job exists.
 ///
 /// # Errors
--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -15,17 +15,15 @@
 use cyclamengrade_control::relay::origin::{Software, Stream};
 use cyclamengrade_platform::{
     Error,
-    table::{Commit, Row, Transaction},
+    table::{Commit, Transaction},
 };
 use cyclamengrade_telemetry::event;
-use serde::de::DeserializeOwned;
 use tokio::{
     sync::{Mutex, Notify, watch},
     time::{sleep, timeout},
 };
 
 use crate::{
-    directory::log_unusable,
     job::{key, row, store},
     shared::{MONITOR_KEY, MONITORS, Shared, lock},
 };
@@ -107,7 +105,7 @@
             let is_last = rows.len() < PAGE_ROWS;
             after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
             for row in rows {
-                if let Some(origins) = decode(&row) {
+                if let Some(origins) = store::decode_or_log(&row) {
                     self.keep_stored(&origins);
                 }
             }
@@ -132,7 +130,9 @@
     async fn recover_own_origins(&self) -> Result<(), Error> {
         let rows = self.table.read(vec![key::origins(&self.name)]).await?;
         let row = rows.into_iter().flatten().next();
-        let Some(row) = row.as_ref().and_then(decode::<row::Origins>) else { return Ok(()) };
+        let Some(row) = row.as_ref().and_then(store::decode_or_log::<row::Origins>) else {
+            return Ok(());
+        };
         let (Some(now_ms), now) = (self.clock.store_ms(), self.clock.now()) else { return Ok(()) };
         let mut own = lock(&self.origins.own);
         for (stream, software, expires_ms) in row.streams {
@@ -182,7 +182,7 @@
     async fn write_versions(&self) -> Result<(), Error> {
         let key = key::versions();
         let stored = self.table.read(vec![key.clone()]).await?.into_iter().next().flatten();
-        if let Some(known) = stored.as_ref().and_then(decode) {
+        if let Some(known) = stored.as_ref().and_then(store::decode_or_log) {
             self.origins.set_versions(known);
         }
         let Some(versions) = self.changed_versions() else { return Ok(()) };
@@ -199,18 +199,6 @@
     }
 }
 
-/// Returns the value of a row, or `None` after logging that it cannot be used. Such a row is replaced by
-/// the next write.
-fn decode<T: DeserializeOwned>(row: &Row) -> Option<T> {
-    match store::decode(row) {
-        Ok(value) => Some(value),
-        Err(error) => {
-            log_unusable(&row.key, row.version, &error.to_string());
-            None
-        }
-    }
-}
-
 fn format_versions(versions: &row::Versions) -> String {
     let sets = versions.deployments.iter().map(|(name, set)| {
         let software: Vec<String> =
--- a/tests/relay_entries.rs
+++ b/tests/relay_entries.rs
@@ -382,6 +382,9 @@
         for item in ["000000", "999999", "odd"] {
             harness.store.put_row("partials", part, &format!("{id}/{item}"), bytes);
         }
+        for position in ["000000", "999999", "odd"] {
+            harness.store.put_row("results", part, &format!("{id}/{position}"), bytes);
+        }
         let partial = json!({
             "last": u64::MAX, "text": "piece", "events": u64::MAX, "software": u32::MAX
         });
