Ignore times of the store that no clock reaches

From reading: an answer with a clock of 9.3e18 ms overflowed the offset of the store's clock, which ends the task that follows the table in builds with checks; one with 1e30 ms left the relay without the time until the next answer, and jobs were refused. A row of the software versions with a time in the far future kept the streams of its deployment from being continued without a record until the versions changed.

Times beyond a hundred thousand years are ignored, a time of versions after now counts as now, and the priority of an item saturates.

--- a/components/control/src/relay/priority.rs
+++ b/components/control/src/relay/priority.rs
@@ -70,6 +70,6 @@
     /// Returns the priority of an item that is due at `due_ms` and is expected to run for
     /// `remaining` from `now_ms`. Both times are milliseconds of the same clock.
     pub const fn new(now_ms: u64, due_ms: u64, remaining: Duration) -> Self {
-        Self { late: now_ms + remaining.as_millis() as u64 > due_ms, due_ms }
+        Self { late: now_ms.saturating_add(remaining.as_millis() as u64) > due_ms, due_ms }
     }
 }
--- a/components/relay/src/clock.rs
+++ b/components/relay/src/clock.rs
@@ -10,6 +10,10 @@
 /// Offset that marks the store's clock as unknown.
 const UNKNOWN_OFFSET: i64 = i64::MIN;
 
+/// Latest plausible time of the store's clock: a hundred thousand years. Times and durations that are
+/// added to it stay within 64 bits.
+const MAX_STORE_MS: u64 = 100_000 * 365 * 24 * 3_600 * 1_000;
+
 /// Clocks of a relay.
 pub struct Clock {
     start: Instant,
@@ -28,8 +32,11 @@
         Time(self.start.elapsed().as_micros() as u64 + 60_000_000)
     }
 
-    /// Sets the store's clock from an answer of the store.
+    /// Sets the store's clock from an answer of the store. A time that no clock reaches is ignored.
     pub fn record_store_time(&self, store_ms: u64) {
+        if store_ms > MAX_STORE_MS {
+            return;
+        }
         let offset = store_ms as i64 - (self.now().0 / 1_000) as i64;
         self.store_offset_ms.store(offset, Ordering::Relaxed);
     }
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -221,7 +221,7 @@
                 }
                 Some(Subject::Versions) => {
                     if let Some(row) = decode::<row::Versions>(change) {
-                        self.shared.origins.set_versions(row);
+                        self.shared.origins.set_versions(row, self.shared.clock.store_ms());
                     }
                 }
                 None => {}
--- a/components/relay/src/origin.rs
+++ b/components/relay/src/origin.rs
@@ -97,8 +97,14 @@
         lock(&self.queries)
     }
 
-    /// Sets the versions of the deployments that the store has.
-    pub fn set_versions(&self, versions: row::Versions) {
+    /// Sets the versions of the deployments that the store has. A time after `now_ms`, on the store's clock,
+    /// is not one at which a relay wrote them, and counts as this one.
+    pub fn set_versions(&self, mut versions: row::Versions, now_ms: Option<u64>) {
+        if let Some(now_ms) = now_ms {
+            for set in versions.deployments.values_mut() {
+                set.since_ms = set.since_ms.min(now_ms);
+            }
+        }
         *lock(&self.versions) = versions;
     }
 
--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -183,7 +183,7 @@
         let key = key::versions();
         let stored = self.table.read(vec![key.clone()]).await?.into_iter().next().flatten();
         if let Some(known) = stored.as_ref().and_then(store::decode_or_log) {
-            self.origins.set_versions(known);
+            self.origins.set_versions(known, self.clock.store_ms());
         }
         let Some(versions) = self.changed_versions() else { return Ok(()) };
         let version = stored.map_or(0, |row| row.version);
@@ -193,7 +193,7 @@
         // After a conflict, the feed brings what another relay wrote.
         if let Commit::Done { .. } = self.table.commit(write).await? {
             event!(VersionsChanged, versions:% = format_versions(&versions));
-            self.origins.set_versions(versions);
+            self.origins.set_versions(versions, self.clock.store_ms());
         }
         Ok(())
     }
