--- a/components/daemon/tests/configuration_apply.rs
+++ b/components/daemon/tests/configuration_apply.rs
@@ -1,12 +1,12 @@
 //! Acceptance of configuration changes: guards against a change that is lost, accepted twice, or
 //! accepted on top of a revision that its author has not seen.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use cyclamengrade_caller::{Failure, Kind, backend::ConfigurationChange};
 use cyclamengrade_configuration::{Client, Deployment, Document};
 use cyclamengrade_daemon::configuration::{apply, history};
-use cyclamengrade_platform::memory::Table;
+use cyclamengrade_platform::{Table as _, memory::Table, table::Transaction};
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -130,3 +130,23 @@
     // size.
     expect_that!(entries[0].changes.len(), eq(2));
 }
+
+/// Guards against a daemon that reads the same revisions over and over, until its memory is used up,
+/// because another writer has put a record of an earlier number into the row of a revision.
+#[gtest]
+#[tokio::test]
+async fn misplaced_record() {
+    let table = Table::new();
+    for (expected, id) in [(0, "first"), (1, "second"), (2, "third")] {
+        accept(&table, change(expected, id, &[id])).await.unwrap();
+    }
+    let rows = table.rows("config/revision/");
+    let (first, last) = (&rows[0], &rows[2]);
+    let write = Transaction::new().with_write(&last.key, first.value.clone());
+    table.commit(write).await.unwrap();
+    // Without a delay, the calls would leave no time for the timeout.
+    table.faults().set_slow(Duration::from_millis(5));
+    let read = tokio::time::timeout(Duration::from_secs(5), history(&table, 10)).await;
+    let failure = read.unwrap().unwrap_err();
+    expect_that!(failure.kind, eq(Kind::Unavailable));
+}
