--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -15,10 +15,9 @@
 use cyclamengrade_control::relay::origin::{Software, Stream};
 use cyclamengrade_platform::{
     Error,
-    table::{Commit, Row, Transaction},
+    table::{Commit, Transaction},
 };
 use cyclamengrade_telemetry::event;
-use serde::de::DeserializeOwned;
 use tokio::{
     sync::{Mutex, Notify, watch},
     time::{sleep, timeout},
@@ -106,7 +105,7 @@
             let is_last = rows.len() < PAGE_ROWS;
             after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
             for row in rows {
-                if let Some(origins) = decode(&row) {
+                if let Some(origins) = store::decode_or_log(&row) {
                     self.keep_stored(&origins);
                 }
             }
@@ -131,7 +130,9 @@
     async fn recover_own_origins(&self) -> Result<(), Error> {
         let rows = self.table.read(vec![key::origins(&self.name)]).await?;
         let row = rows.into_iter().flatten().next();
-        let Some(row) = row.as_ref().and_then(decode::<row::Origins>) else { return Ok(()) };
+        let Some(row) = row.as_ref().and_then(store::decode_or_log::<row::Origins>) else {
+            return Ok(());
+        };
         let (Some(now_ms), now) = (self.clock.store_ms(), self.clock.now()) else { return Ok(()) };
         let mut own = lock(&self.origins.own);
         for (stream, software, expires_ms) in row.streams {
@@ -181,8 +182,8 @@
     async fn write_versions(&self) -> Result<(), Error> {
         let key = key::versions();
         let stored = self.table.read(vec![key.clone()]).await?.into_iter().next().flatten();
-        if let Some(known) = stored.as_ref().and_then(decode) {
-            self.origins.set_versions(known);
+        if let Some(known) = stored.as_ref().and_then(store::decode_or_log) {
+            self.origins.set_versions(known, self.clock.store_ms());
         }
         let Some(versions) = self.changed_versions() else { return Ok(()) };
         let version = stored.map_or(0, |row| row.version);
@@ -192,24 +193,12 @@
         // After a conflict, the feed brings what another relay wrote.
         if let Commit::Done { .. } = self.table.commit(write).await? {
             event!(VersionsChanged, versions:% = format_versions(&versions));
-            self.origins.set_versions(versions);
+            self.origins.set_versions(versions, self.clock.store_ms());
         }
         Ok(())
     }
 }
 
-/// Returns the value of a row, or `None` after logging that it cannot be used. Such a row is replaced by
-/// the next write.
-fn decode<T: DeserializeOwned>(row: &Row) -> Option<T> {
-    match store::decode(row) {
-        Ok(value) => Some(value),
-        Err(error) => {
-            event!(RowUnusable, key:% = row.key, version = row.version, error:% = error);
-            None
-        }
-    }
-}
-
 fn format_versions(versions: &row::Versions) -> String {
     let sets = versions.deployments.iter().map(|(name, set)| {
         let software: Vec<String> =
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
@@ -46,6 +47,8 @@
 
 /// Bytes that an endless answer sends at once.
 const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
+/// Limit on the values in the answer to one read of rows.
+const MAX_READ_BYTES: usize = 1 << 20;
 /// Delay after which a late transaction takes effect.
 const LATE_TRANSACTION_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -106,10 +109,21 @@
 
     /// Writes a row whose value need not be JSON.
     pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.put_row(table, "", key, value);
+    }
+
+    /// Writes a row of a part of a table. The value need not be JSON.
+    pub fn put_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
         self.shared.write(vec![(name, Some(encode(value)))]);
     }
 
+    /// Writes a row whose value need not be base64.
+    pub fn put_encoded(&self, table: &str, key: &str, value: &str) {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.shared.write(vec![(name, Some(value.to_owned()))]);
+    }
+
     /// Deletes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let name = (table.to_owned(), String::new(), key.to_owned());
@@ -123,6 +137,21 @@
         names.map(|(.., key)| key.clone()).collect()
     }
 
+    /// Returns the names of the rows of a table, as part and key.
+    pub fn names(&self, table: &str) -> Vec<(String, String)> {
+        let state = self.shared.state();
+        let names = state.rows.keys().filter(|(found, ..)| found == table);
+        names.map(|(_, part, key)| (part.clone(), key.clone())).collect()
+    }
+
+    /// Returns the value of a row, or `None` if there is no such row or its value is not JSON.
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        let state = self.shared.state();
+        let bytes = STANDARD.decode(&state.rows.get(&name)?.value).ok()?;
+        serde_json::from_slice(&bytes).ok()
+    }
+
     /// Returns the names of all objects.
     pub fn objects(&self) -> Vec<String> {
         self.shared.state().objects.keys().cloned().collect()
@@ -361,12 +390,17 @@
     let mut found = state.rows.iter().filter(|((found, found_part, key), _)| {
         found == table && found_part == part && key.as_str() >= from && to.is_none_or(|to| key < to)
     });
-    let rows: Vec<Value> = found
-        .by_ref()
-        .take(limit)
-        .map(|(name, row)| row_json(name, Some(&row.value), row.version))
-        .collect();
-    let has_more = found.next().is_some();
+    let mut rows = Vec::new();
+    let mut bytes = 0;
+    let mut has_more = false;
+    for (name, row) in found.by_ref() {
+        bytes += row.value.len();
+        has_more = rows.len() == limit || (bytes > MAX_READ_BYTES && !rows.is_empty());
+        if has_more {
+            break;
+        }
+        rows.push(row_json(name, Some(&row.value), row.version));
+    }
     json_response(&json!({
         "Rows": rows, "HasMore": has_more, "Ver": state.version, "NowMs": shared.now_ms()
     }))
@@ -440,8 +474,7 @@
 }
 
 fn encode(bytes: &[u8]) -> String {
-    use base64::Engine;
-    base64::engine::general_purpose::STANDARD.encode(bytes)
+    STANDARD.encode(bytes)
 }
 
 fn json_response(value: &Value) -> Response<Full<Bytes>> {
