Read an object again when nothing marks the end of the answer

A store that is killed, or that closes a connection early, cut an answer with neither length nor chunks short, and the part counted as the whole object. Answers about rows are JSON, whose syntax shows the missing part; objects are raw. Results of batch jobs would lack lines, and items would be taken for missing in their input.

Objects never change, so an unmarked answer now counts once the one before it had the same content, up to four reads. Answers with a length or chunks are read once, as before.

Ruled out: an error for every unmarked answer, since a store may send all of its objects in this way.

--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -152,8 +152,17 @@
 
     fn get(&self, key: String) -> Boxed<'_, Option<Bytes>> {
         Box::pin(async move {
-            let answer =
-                self.call_objects(Effect::Read, Method::GET, &key, None, Bytes::new()).await?;
+            let answer = self
+                .transport
+                .read_object(Call {
+                    effect: Effect::Read,
+                    method: Method::GET,
+                    address: self.objects,
+                    path: object_path(&key),
+                    tag: None,
+                    body: Bytes::new(),
+                })
+                .await?;
             match answer.status {
                 StatusCode::OK => Ok(Some(answer.body)),
                 StatusCode::NOT_FOUND => Ok(None),
--- a/components/platform/src/transport.rs
+++ b/components/platform/src/transport.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, StatusCode,
-    header::{CONTENT_TYPE, IF_NONE_MATCH},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, IF_NONE_MATCH, TRANSFER_ENCODING},
 };
 use hyper_util::{
     client::legacy::{Client as Pool, connect::HttpConnector},
@@ -28,6 +28,9 @@
 /// Maximum number of retries of a call that the platform refused because of its rate limit.
 const MAX_RATE_LIMIT_RETRIES: u32 = 3;
 
+/// Maximum number of reads of an object until two of them bring the same.
+const MAX_OBJECT_READS: u32 = 4;
+
 /// Backoff before the first retry, doubled for each further one.
 const INITIAL_RATE_LIMIT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -53,6 +56,7 @@
 }
 
 /// A call, which may be sent several times because of retries.
+#[derive(Clone, Debug)]
 pub struct Call {
     /// Whether the call writes.
     pub effect: Effect,
@@ -72,6 +76,9 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Whether a length or chunks mark the end of the body. Otherwise it ends with its connection,
+    /// which a service that is killed closes as well.
+    pub has_marked_end: bool,
 }
 
 /// Connection pool for calls to the platform's services. Clones share the connections.
@@ -125,6 +132,27 @@
         self.attempt(call, deadline).await
     }
 
+    /// Reads an object that never changes. It has no syntax that would show a missing part, so that an
+    /// answer whose end is not marked counts only when the one before it has the same content.
+    ///
+    /// # Errors
+    ///
+    /// A call failed as described for [`Self::call`], or no two successive answers were the same.
+    pub async fn read_object(&self, call: Call) -> Result<Answer, Error> {
+        let mut previous = None;
+        for _ in 0..MAX_OBJECT_READS {
+            let answer = self.call(call.clone()).await?;
+            if answer.has_marked_end
+                || answer.status != StatusCode::OK
+                || previous.as_ref() == Some(&answer.body)
+            {
+                return Ok(answer);
+            }
+            previous = Some(answer.body);
+        }
+        Err(Error::Unreachable(format!("{}: {} is cut off", call.address, call.path)))
+    }
+
     /// Sends a call once.
     async fn attempt(&self, call: &Call, deadline: Instant) -> Result<Answer, Error> {
         let address = call.address;
@@ -164,7 +192,9 @@
         let limited = Limited::new(body, MAX_ANSWER_BYTES);
         match timeout_at(self.body_deadline(&head.headers, deadline), limited.collect()).await {
             Ok(Ok(body)) => {
-                Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
+                let has_marked_end = has_marked_end(&head.headers);
+                let (status, headers, body) = (head.status, head.headers, body.to_bytes());
+                Ok(Answer { status, headers, body, has_marked_end })
             }
             Ok(Err(error)) => Err(call.effect.unconfirmed_error(format!("{address}: {error}"))),
             Err(_) => Err(call.effect.unconfirmed_error(format!("{address} timed out"))),
@@ -174,13 +204,29 @@
     /// Extends the deadline by the time that the transfer of the body of an answer may take.
     fn body_deadline(&self, headers: &HeaderMap, deadline: Instant) -> Instant {
         let length = headers
-            .get(hyper::header::CONTENT_LENGTH)
+            .get(CONTENT_LENGTH)
             .and_then(|length| length.to_str().ok()?.parse::<u64>().ok())
             .unwrap_or(0);
         deadline + Duration::from_secs(length / MIN_TRANSFER_BYTES_PER_S)
     }
 }
 
+/// Whether a length or chunks mark the end of a body (RFC 9112, section 6.3).
+fn has_marked_end(headers: &HeaderMap) -> bool {
+    let is_chunked = |value: &HeaderValue| {
+        value.to_str().is_ok_and(|codings| {
+            codings
+                .rsplit(',')
+                .next()
+                .is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+        })
+    };
+    match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        Some(last) => is_chunked(last),
+        None => headers.contains_key(CONTENT_LENGTH),
+    }
+}
+
 impl Answer {
     /// Returns the error of an answer with an unexpected status, with the first 200 bytes of its
     /// body.
