Confirm that a service lives when nothing marks the end of its response

A plain service that was killed while it wrote a response with neither length nor chunks left callers of the daemon half of the response with its status, and an idempotency key recorded it: its connections are closed in order, as after a complete response.

Such a response now counts only if the service accepts another connection, which is kept for the next request; otherwise the call has failed after it started. Streams of engines are not affected: they need their last chunk.

Ruled out: an error for every unmarked response, since a service may send all of its responses in this way. A service that lives and closes early cannot be told apart, since a call may not be sent twice.

calls::killed_service failed before; unmarked_response guards against the opposite.

--- a/components/upstream/src/client.rs
+++ b/components/upstream/src/client.rs
@@ -6,8 +6,8 @@
 use http_body_util::Full;
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
+    body::{Body, Incoming},
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING},
     http::request::Builder,
 };
 use serde::de::DeserializeOwned;
@@ -152,6 +152,9 @@
 
     /// Calls a plain service and returns its response, whatever the status.
     ///
+    /// A response that ends with its connection, without a length or chunks, counts as complete only if
+    /// the service accepts another connection: one that is killed closes its connections too.
+    ///
     /// The response has no timeout. Dropping the future closes the connection.
     pub async fn call_service(
         &self,
@@ -172,8 +175,12 @@
             .get(CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
+        let has_marked_end = has_marked_end(&response);
         let body =
             read_body(address, response, connection, self.pool.options.max_body_bytes).await?;
+        if !has_marked_end {
+            self.pool.confirm_alive(address).await?;
+        }
         Ok(UpstreamResponse { status, content_type, body })
     }
 
@@ -260,6 +267,18 @@
     })
 }
 
+/// Whether a length or chunks mark the end of a response (RFC 9112, section 6.3).
+fn has_marked_end(response: &Response<Incoming>) -> bool {
+    let codings = response.headers().get_all(TRANSFER_ENCODING).iter().next_back();
+    match codings.map(|codings| codings.to_str().unwrap_or_default()) {
+        Some(codings) => codings
+            .rsplit(',')
+            .next()
+            .is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked")),
+        None => response.body().size_hint().exact().is_some(),
+    }
+}
+
 /// Reads a whole response body of at most `limit` bytes and returns the connection to the pool.
 async fn read_body(
     address: SocketAddr,
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -178,6 +178,17 @@
         self.lock_idle().retain(|(_, other), _| *other != address);
     }
 
+    /// Fails unless the upstream accepts another connection, which is kept for a later request.
+    pub(crate) async fn confirm_alive(&self, address: SocketAddr) -> Result<(), Error> {
+        let connection = self.connect(address).await.map_err(|error| Error::Broken {
+            address: address.to_string(),
+            cause: format!("the response may be cut off: {error}"),
+            execution: Execution::Started,
+        })?;
+        self.put_idle(connection);
+        Ok(())
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
         let error = |cause: String| Error::Connect { address: address.to_string(), cause };
         let socket = timeout(self.options.connect_timeout, TcpStream::connect(address))
--- a/components/upstream/tests/calls.rs
+++ b/components/upstream/tests/calls.rs
@@ -364,3 +364,37 @@
         expect_that!(requests.recv().await.unwrap().0, eq(connection));
     }
 }
+
+const UNMARKED_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nhalf";
+
+async fn call_service(address: SocketAddr) -> std::result::Result<Bytes, Error> {
+    let request = ServiceRequest {
+        path: "/x",
+        body: &Bytes::new(),
+        content_type: None,
+        idempotency_key: None,
+        traceparent: None,
+        new_connection: false,
+    };
+    client().call_service(address, request).await.map(|response| response.body)
+}
+
+/// Guards against a part of a response that counts as all of it, because the service was killed while
+/// it wrote a response whose end nothing marks.
+#[gtest]
+#[tokio::test]
+async fn killed_service() -> Result<()> {
+    // The server refuses connections after the last script has begun.
+    let (address, _requests) = start_server(vec![vec![vec![UNMARKED_RESPONSE]]], false).await;
+    let started = matches_pattern!(Error::Broken { execution: eq(&Execution::Started), .. });
+    verify_that!(call_service(address).await, err(started))
+}
+
+/// Guards against a complete response that counts as cut because nothing marks its end.
+#[gtest]
+#[tokio::test]
+async fn unmarked_response() -> Result<()> {
+    let scripts = vec![vec![vec![UNMARKED_RESPONSE]], Vec::new()];
+    let (address, _requests) = start_server(scripts, false).await;
+    verify_that!(call_service(address).await, ok(eq("half")))
+}
