Ask an upstream whether it lives before the close of its connection counts as an end

The upstream has to answer a request without an id now, which it does not run. A longer wait was ruled out: no time bounds how long a busy vm takes to end a process.

relay_closed::late_listener failed before and passes.

--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -14,7 +14,9 @@
 use hyper::{
     HeaderMap, Method, Request, StatusCode, Uri,
     body::{Body, Incoming},
-    header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING},
+    header::{
+        CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING,
+    },
 };
 use tokio::time;
 
@@ -41,6 +43,9 @@
 /// Limit on the size of a response body that is buffered.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Timeout of a request that shows whether an upstream lives.
+const LIVENESS_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Removes the hop-by-hop headers, including those that the `Connection` header names.
 pub fn strip_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
@@ -118,7 +123,7 @@
     /// Returns [`Failure::Silent`] after a timeout or the deadline, and [`Failure::Broken`] if the
     /// connection fails, the body is longer than [`MAX_RESPONSE_BYTES`], the responses that are being
     /// read need more memory together than there is for them, or nothing but the close of the
-    /// connection marks the end of the body and the upstream accepts no other one.
+    /// connection marks the end of the body and the upstream does not answer any more.
     pub async fn collect(
         self,
         flight: &Flight,
@@ -153,7 +158,7 @@
             true => flight.pool().release(connection, &headers),
             false => {
                 drop(connection);
-                if !flight.is_reachable().await {
+                if !is_alive(flight).await {
                     return Err(Failure::Broken);
                 }
             }
@@ -311,6 +316,27 @@
     }
 }
 
+/// Whether an upstream lives: it answers a request without an id, which it does not run. The vm of a
+/// process that was killed may still accept connections while it closes others.
+pub async fn is_alive(flight: &Flight) -> bool {
+    let Some(mut connection) = flight.open_connection().await else { return false };
+    let Some(request) = liveness_request(&flight.upstream, flight.headers()) else { return false };
+    let response = connection.sender.send_request(request);
+    match time::timeout(LIVENESS_TIMEOUT, response).await {
+        // Another status means that the upstream itself answered.
+        Ok(Ok(response)) => response.status() != StatusCode::MISDIRECTED_REQUEST,
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
+
+fn liveness_request(upstream: &Upstream, names: &Headers) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::default());
+    let headers = request.headers_mut();
+    headers.insert(HOST, HeaderValue::from_str(&upstream.address.to_string()).ok()?);
+    headers.insert(&names.expect_instance, HeaderValue::from_str(&upstream.id).ok()?);
+    Some(request)
+}
+
 fn parse_limit(flight: &Flight, value: &HeaderValue) -> Option<Rate> {
     let rate = value.to_str().ok().and_then(Rate::parse);
     if rate.is_none() {
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -17,8 +17,9 @@
 use metrics::counter;
 
 use crate::{
+    dialect::Headers,
     memory::Budget,
-    pool::Pool,
+    pool::{Connection, Pool},
     shared::Shared,
     slots::{Need, Outcome, Placement},
 };
@@ -119,10 +120,15 @@
         usable == Some(self.key) && !is_limited
     }
 
-    /// Whether the upstream accepts connections.
-    pub async fn is_reachable(&self) -> bool {
+    /// Returns a new connection to the upstream, without the idle ones.
+    pub async fn open_connection(&self) -> Option<Connection> {
         let Upstream { id, address, deployment, .. } = &self.upstream;
-        self.pool().is_reachable(id, *address, self.shared.max_connections(deployment)).await
+        self.pool().open_new(id, *address, self.shared.max_connections(deployment)).await
+    }
+
+    /// Returns the names of the headers that upstreams understand.
+    pub fn headers(&self) -> &Headers {
+        self.shared.dialect.headers()
     }
 
     /// Returns the memory for responses that are collected.
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -436,7 +436,7 @@
         }
         if !self.request.route.is_retryable() || !self.is_numbered {
             // The stream cannot be resumed. All that can be known is whether the upstream lives.
-            if flight.is_reachable().await {
+            if exchange::is_alive(&flight).await {
                 flight.record_success();
                 return Err(End::Complete);
             }
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -109,6 +109,12 @@
         Self::open(permit, address).await
     }
 
+    /// Opens a connection for a single request. Returns `None` if `max` connections to the upstream are
+    /// open already or if it cannot be opened.
+    pub async fn open_new(&self, id: &str, address: SocketAddr, max: usize) -> Option<Connection> {
+        Self::open(self.acquire_permit(id, max)?, address).await
+    }
+
     /// Whether an upstream accepts a connection and keeps it open, which is then kept for reuse. An
     /// upstream that was killed refuses it.
     pub async fn is_reachable(&self, id: &str, address: SocketAddr, max: usize) -> bool {
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -438,6 +438,10 @@
                 .await?;
             return Ok(true);
         }
+        if id.is_empty() {
+            write_plain(stream, "400 Bad Request", &[("Not-Run", "1")], "").await?;
+            return Ok(true);
+        }
         let fault = {
             let mut state = self.state();
             if state.faults.is_empty() { None } else { Some(state.faults.remove(0)) }
