--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -53,12 +53,13 @@
 const SIZE_90: Size = Size { relays: 90, callers: 60, runners: 40, seconds: 30 };
 
 /// The times of processes differ between runs, so that a seed may pass with its cause still there.
-const REGRESSIONS: [Regression; 5] = [
+const REGRESSIONS: [Regression; 7] = [
     Regression {
         seed: 10_039,
         size: DEFAULT_SIZE,
         cause: "OnceEnd on 9514c29: the listener of a killed upstream outlives its connections",
     },
+    Regression { seed: 14_006, size: DEFAULT_SIZE, cause: "Answer on 9514c29: as seed 10039" },
     Regression {
         seed: 20_001,
         size: SIZE_24,
@@ -80,6 +81,7 @@
         size: SIZE_90,
         cause: "Version on 2f610d8, and ends up to d61a9bd: as seed 21001",
     },
+    Regression { seed: 32_001, size: SIZE_90, cause: "OnceEnd on 9514c29: as seed 10039" },
 ];
 
 /// Returns the value of an environment variable, or `default` if it is not set.
