Stop reading the log at a row that holds another revision

A daemon read the configuration log without end, and its memory grew until the vm ended it, when the row of the newest revision held the record of an earlier one: it read on from the number of the record, and the same rows came again. The number has to be that of the row's key now; otherwise the log counts as malformed and the daemon keeps the revision in force.

Evidence: configuration_apply::misplaced_record did not end within 5 s on the commit before, and passes.

--- a/components/daemon/src/configuration/store.rs
+++ b/components/daemon/src/configuration/store.rs
@@ -73,6 +73,11 @@
         }
         for row in &rows {
             let record: Record = parse(row)?;
+            if row.key != revision_key(record.number) {
+                // Reading on from an earlier number would bring the same rows again.
+                let message = format!("row {} holds revision {}", row.key, record.number);
+                return Err(platform::Error::Protocol(message));
+            }
             last = record.number;
             records.push(record);
         }
