Keep one upstream for each name in the list of vms

With each list that had a name twice, the fleet kept one more upstream under a key that nothing removes any more: the second vm took a new key, and the first one's was lost. Such upstreams were chosen for requests as before, and their number grew with the lists. The first vm with a name counts now.

--- a/components/control/src/fleet.rs
+++ b/components/control/src/fleet.rs
@@ -52,6 +52,10 @@
     pub fn update(&mut self, vms: &[Vm], document: &Document) {
         let mut names = BTreeMap::new();
         for vm in vms {
+            if names.contains_key(&vm.name) {
+                // A name has one key. The first vm with it counts.
+                continue;
+            }
             let Some(deployment) = document.deployments.get(&vm.service) else { continue };
             let upstream = Upstream {
                 name: vm.name.clone(),
