Follow the list of vms when one of its entries is odd

A daemon refused the whole list of vms when one entry could not be read, for example with port 99999, and kept the last list without a line above debug: new upstreams were not seen, and removed ones stayed. Each entry is read by itself now, and one that cannot be read is left out with a warning. Entries without a name or service, with port 0, or with an address that is not of one vm are left out as well; the rule is the one for entries of the relay.

--- a/components/control/src/fleet.rs
+++ b/components/control/src/fleet.rs
@@ -1,6 +1,9 @@
 //! The vms that the platform lists, and the upstreams among them, kept under stable keys.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
 
 use cyclamengrade_configuration::{Document, Kind};
 use slotmap::{SlotMap, new_key_type};
@@ -38,6 +41,21 @@
     pub leaving: bool,
 }
 
+impl Vm {
+    /// Whether the entry can be that of a vm. Other writers may leave entries in the list.
+    pub fn is_plausible(&self) -> bool {
+        !self.name.is_empty() && !self.service.is_empty() && is_vm_address(self.address)
+    }
+}
+
+/// Whether connections to an address reach one other vm. Those to the unspecified address reach the vm
+/// that opens them.
+pub fn is_vm_address(address: SocketAddr) -> bool {
+    let is_broadcast = matches!(address.ip(), IpAddr::V4(ip) if ip.is_broadcast());
+    let is_unicast = !address.ip().is_unspecified() && !address.ip().is_multicast();
+    address.port() != 0 && is_unicast && !is_broadcast
+}
+
 /// The known upstreams, by key and by name.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
--- a/components/control/src/relay/entry.rs
+++ b/components/control/src/relay/entry.rs
@@ -2,11 +2,9 @@
 //!
 //! Other writers may leave entries in the list. An entry with a value that no upstream has names none.
 
-use std::net::IpAddr;
-
 use displaydoc::Display;
 
-use crate::relay::selector::Upstream;
+use crate::{fleet::is_vm_address, relay::selector::Upstream};
 
 /// Largest number of slots. Each request takes a connection, and one vm can open at most as many
 /// connections to an address as there are ports.
@@ -49,7 +47,7 @@
     if upstream.data_centre.len() > MAX_TEXT_BYTES {
         return Some(Flaw::DataCentre);
     }
-    if upstream.address.port() == 0 || !is_unicast(upstream.address.ip()) {
+    if !is_vm_address(upstream.address) {
         return Some(Flaw::Address);
     }
     match upstream.slots {
@@ -58,10 +56,3 @@
         Some(_) | None => None,
     }
 }
-
-/// Whether an address may be that of one vm. A connection to the unspecified address reaches the vm that
-/// opens it.
-fn is_unicast(address: IpAddr) -> bool {
-    let is_broadcast = matches!(address, IpAddr::V4(address) if address.is_broadcast());
-    !address.is_unspecified() && !address.is_multicast() && !is_broadcast
-}
--- a/components/control/tests/fleet_names.rs
+++ b/components/control/tests/fleet_names.rs
@@ -34,3 +34,16 @@
     fleet.update(&[], &document);
     expect_that!(fleet.upstreams.len(), eq(0));
 }
+
+/// Guards against connections to entries that cannot be those of vms.
+#[gtest]
+fn implausible_entries() {
+    expect_that!(vm("u-1", 1).is_plausible(), eq(true));
+    expect_that!(vm("u-1", 0).is_plausible(), eq(false));
+    expect_that!(vm("", 1).is_plausible(), eq(false));
+    expect_that!(Vm { service: String::new(), ..vm("u-1", 1) }.is_plausible(), eq(false));
+    for host in [[0, 0, 0, 0], [224, 0, 0, 1], [255, 255, 255, 255]] {
+        let address = SocketAddr::from((host, 80));
+        expect_that!(Vm { address, ..vm("u-1", 1) }.is_plausible(), eq(false), "{address}");
+    }
+}
--- a/components/daemon/src/vms.rs
+++ b/components/daemon/src/vms.rs
@@ -19,7 +19,7 @@
         match node.vms.list(entity_tag.clone()).await {
             Ok(Some((new_entity_tag, vms))) => {
                 entity_tag = Some(new_entity_tag);
-                fleet.send_replace(Arc::new(vms.into_iter().map(convert).collect()));
+                fleet.send_replace(Arc::new(plausible(vms)));
             }
             Ok(None) => {}
             Err(error) => log::debug!("cannot read the platform's list of vms: {error}"),
@@ -27,6 +27,16 @@
     }
 }
 
+/// Returns the vms without the entries that cannot be those of vms.
+fn plausible(vms: Vec<platform::Vm>) -> Vec<Vm> {
+    let (listed, odd): (Vec<Vm>, Vec<Vm>) =
+        vms.into_iter().map(convert).partition(Vm::is_plausible);
+    for vm in odd {
+        log::warn!("the list has a vm {:?} with an unusable entry: {}", vm.name, vm.address);
+    }
+    listed
+}
+
 fn convert(vm: platform::Vm) -> Vm {
     let platform::Vm { name, address, data_centre, service, leaving } = vm;
     Vm { name, address, data_centre, service, leaving }
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use hyper::{Method, StatusCode, header::ETAG};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::Value;
 
 use crate::{
     Boxed, Error, Objects, Table, Vm, Vms,
@@ -53,6 +54,15 @@
     pub vms: Vec<Vm>,
 }
 
+/// Answer of `GET /v1/vms` with entries of any form. Other writers may leave some in the list.
+#[derive(Deserialize)]
+struct Entries {
+    vms: Vec<Value>,
+}
+
+/// Longest logged reason for which an entry cannot be read, in characters.
+const MAX_REASON_CHARS: usize = 200;
+
 /// Client of the table service, the object store and the service that lists the vms.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -194,17 +204,29 @@
                 StatusCode::OK => {}
                 _ => return Err(answer.unexpected()),
             }
-            let list: List = serde_json::from_slice(&answer.body)
+            let list: Entries = serde_json::from_slice(&answer.body)
                 .map_err(|error| Error::Protocol(error.to_string()))?;
             let tag =
                 answer.headers.get(ETAG).and_then(|tag| tag.to_str().ok()).ok_or_else(|| {
                     Error::Protocol("the list of vms has no `ETag` header".into())
                 })?;
-            Ok(Some((tag.to_owned(), list.vms)))
+            Ok(Some((tag.to_owned(), list.vms.into_iter().filter_map(read_entry).collect())))
         })
     }
 }
 
+/// Returns the vm of an entry, or `None` after logging that it cannot be read.
+fn read_entry(entry: Value) -> Option<Vm> {
+    match Vm::deserialize(&entry) {
+        Ok(vm) => Some(vm),
+        Err(error) => {
+            let reason: String = error.to_string().chars().take(MAX_REASON_CHARS).collect();
+            log::warn!("the list of vms has an entry that cannot be read: {reason}");
+            None
+        }
+    }
+}
+
 fn object_path(key: &str) -> String {
     format!("/v1/objects/{}", transport::encode(key))
 }
