Count the results of a job as complete only after an explicit end

The daemon ended the response with a job's results as complete when the task that reads them went away without a word, for example by a panic: the same default as in the relay.

The last message of the channel is now `Results::End` or `Results::Failed`, as it already was for completions; a channel that closes without either breaks the connection to the caller. The stream of a completion needs no change: its failure is an event without the mark `[DONE]`, as docs/callers.md says.

routes::truncated_results now has a job whose sender is dropped and a caller that wants its connection closed; it failed before and passes. It still covers the failure that it covered. All tests of the packages caller and daemon passed once.

--- a/components/caller/src/backend.rs
+++ b/components/caller/src/backend.rs
@@ -71,18 +71,15 @@
     /// Streams the results of a job that are committed so far, as JSON lines in the order of the
     /// items.
     ///
-    /// A failure on the channel breaks the connection to the caller, so that truncated results do
-    /// not look complete.
+    /// The last message is [`Results::End`] or [`Results::Failed`]. A failure, or a channel that closes
+    /// without either of them, breaks the connection to the caller, so that truncated results do not
+    /// look complete.
     ///
     /// # Errors
     ///
     /// Fails with [`Kind::NotFound`](crate::Kind::NotFound) if the client has no job with this
     /// identifier.
-    fn results(
-        &self,
-        client: String,
-        id: String,
-    ) -> BackendFuture<mpsc::Receiver<Result<Bytes, Failure>>>;
+    fn results(&self, client: String, id: String) -> BackendFuture<mpsc::Receiver<Results>>;
 
     /// Cancels a job and returns its final state. A job that has already ended stays as it is.
     ///
@@ -158,6 +155,17 @@
     Failed(Failure),
 }
 
+/// Part of the results of a batch job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Results {
+    /// Whole JSON lines.
+    Lines(Bytes),
+    /// All results that were committed have been sent.
+    End,
+    /// The results could not be read; lines may have been sent before.
+    Failed(Failure),
+}
+
 /// Call of a plain service, from `POST /v1/services/DEPLOYMENT/...`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceCall {
--- a/components/caller/src/response.rs
+++ b/components/caller/src/response.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
-use crate::{Failure, Kind, completion::EventStream};
+use crate::{Failure, Kind, backend::Results, completion::EventStream};
 
 const APPLICATION_JSON: HeaderValue = HeaderValue::from_static("application/json");
 const TEXT_EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
@@ -47,9 +47,9 @@
     Full(Option<Bytes>),
     /// Server-sent events of a completion.
     Events(Box<EventStream>),
-    /// Chunks that arrive over time. A failure breaks the connection, so that the truncated body
+    /// Results that arrive over time. A failure breaks the connection, so that the truncated body
     /// does not look complete.
-    Chunks(mpsc::Receiver<Result<Bytes, Failure>>),
+    Results(mpsc::Receiver<Results>),
 }
 
 impl Body for ResponseBody {
@@ -65,9 +65,18 @@
             Content::Events(events) => {
                 events.poll(cx).map(|data| data.map(|data| Ok(Frame::data(data))))
             }
-            Content::Chunks(chunks) => {
-                chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Content::Results(results) => match ready!(results.poll_recv(cx)) {
+                Some(Results::Lines(lines)) => Poll::Ready(Some(Ok(Frame::data(lines)))),
+                Some(Results::End) => {
+                    self.content = Content::Full(None);
+                    Poll::Ready(None)
+                }
+                Some(Results::Failed(failure)) => Poll::Ready(Some(Err(failure))),
+                None => Poll::Ready(Some(Err(Failure::may_have_run(
+                    Kind::Internal,
+                    "the daemon stopped the results before their end",
+                )))),
+            },
         }
     }
 
@@ -78,7 +87,7 @@
     fn size_hint(&self) -> SizeHint {
         match &self.content {
             Content::Full(body) => SizeHint::with_exact(body.as_ref().map_or(0, Bytes::len) as u64),
-            Content::Events(_) | Content::Chunks(_) => SizeHint::default(),
+            Content::Events(_) | Content::Results(_) => SizeHint::default(),
         }
     }
 }
@@ -123,8 +132,8 @@
 }
 
 /// Creates a response that streams JSON lines.
-pub(crate) fn json_lines(chunks: mpsc::Receiver<Result<Bytes, Failure>>) -> Response {
-    let mut response = Response::new(ResponseBody::new(Content::Chunks(chunks)));
+pub(crate) fn json_lines(results: mpsc::Receiver<Results>) -> Response {
+    let mut response = Response::new(ResponseBody::new(Content::Results(results)));
     response.headers_mut().insert(CONTENT_TYPE, APPLICATION_JSONL);
     response
 }
--- a/components/caller/tests/routes.rs
+++ b/components/caller/tests/routes.rs
@@ -43,7 +43,8 @@
     }
 }
 
-/// Guards against truncated batch results that look complete when the backend reports a failure.
+/// Guards against truncated batch results that look complete when the backend reports a failure, and when
+/// it ends without a last word.
 #[gtest]
 #[tokio::test]
 async fn truncated_results() {
@@ -52,15 +53,19 @@
         net::TcpStream,
     };
     let server = server().await;
-    let mut socket = TcpStream::connect(server.address).await.unwrap();
-    let request = "GET /v1/batches/broken/results HTTP/1.1\r\nhost: x\r\n\
-        authorization: Bearer secret\r\n\r\n";
-    socket.write_all(request.as_bytes()).await.unwrap();
-    let mut received = Vec::new();
-    let _ = socket.read_to_end(&mut received).await;
-    let response = String::from_utf8(received).unwrap();
-    // The last chunk of the transfer encoding is missing.
-    expect_that!(response, not(ends_with("0\r\n\r\n")));
+    for job in ["broken", "dropped"] {
+        let mut socket = TcpStream::connect(server.address).await.unwrap();
+        let request = format!(
+            "GET /v1/batches/{job}/results HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+             authorization: Bearer secret\r\n\r\n"
+        );
+        socket.write_all(request.as_bytes()).await.unwrap();
+        let mut received = Vec::new();
+        let _ = socket.read_to_end(&mut received).await;
+        let response = String::from_utf8(received).unwrap();
+        // The last chunk of the transfer encoding is missing.
+        expect_that!(response, not(ends_with("0\r\n\r\n")), "{job}");
+    }
 }
 
 /// Guards against batch input that exceeds the shared memory budget, and against memory that is not
--- a/components/caller/tests/support/mod.rs
+++ b/components/caller/tests/support/mod.rs
@@ -10,12 +10,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use cyclamengrade_caller::{
     Failure, Kind, Options, Server,
     backend::{
         Backend, BackendFuture, Completion, ConfigurationChange, Event, HistoryEntry, Job,
-        JobState, Revision, ServiceCall, ServiceResponse, Submission, Upstream,
+        JobState, Results, Revision, ServiceCall, ServiceResponse, Submission, Upstream,
     },
 };
 use serde_json::{Value, json};
@@ -121,19 +120,18 @@
         ready(Ok(job()))
     }
 
-    fn results(
-        &self,
-        _: String,
-        id: String,
-    ) -> BackendFuture<mpsc::Receiver<Result<Bytes, Failure>>> {
+    fn results(&self, _: String, id: String) -> BackendFuture<mpsc::Receiver<Results>> {
         let (sender, receiver) = mpsc::channel(4);
         tokio::spawn(async move {
-            let _ = sender.send(Ok("{\"id\":\"a\"}\n".into())).await;
-            if id == "broken" {
-                let _ = sender
-                    .send(Err(Failure::may_have_run(Kind::Unavailable, "store is down")))
-                    .await;
-            }
+            let _ = sender.send(Results::Lines("{\"id\":\"a\"}\n".into())).await;
+            let last = match id.as_str() {
+                "broken" => {
+                    Results::Failed(Failure::may_have_run(Kind::Unavailable, "store is down"))
+                }
+                "dropped" => return,
+                _ => Results::End,
+            };
+            let _ = sender.send(last).await;
         });
         ready(Ok(receiver))
     }
--- a/components/daemon/examples/bench/backend.rs
+++ b/components/daemon/examples/bench/backend.rs
@@ -1,10 +1,9 @@
 //! Backend of the HTTP server that serves online completions only.
 
-use bytes::Bytes;
 use cyclamengrade_caller::{
     Failure, Kind,
     backend::{
-        Backend, BackendFuture, Completion, ConfigurationChange, Event, HistoryEntry, Job,
+        Backend, BackendFuture, Completion, ConfigurationChange, Event, HistoryEntry, Job, Results,
         Revision, ServiceCall, ServiceResponse, Submission, Upstream,
     },
 };
@@ -39,11 +38,7 @@
         unsupported()
     }
 
-    fn results(
-        &self,
-        _: String,
-        _: String,
-    ) -> BackendFuture<mpsc::Receiver<Result<Bytes, Failure>>> {
+    fn results(&self, _: String, _: String) -> BackendFuture<mpsc::Receiver<Results>> {
         unsupported()
     }
 
--- a/components/daemon/src/batch/jobs.rs
+++ b/components/daemon/src/batch/jobs.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cyclamengrade_caller::{
     Failure, Kind,
-    backend::{Job, JobState, Submission},
+    backend::{Job, JobState, Results, Submission},
 };
 use cyclamengrade_configuration::Kind as DeploymentKind;
 use cyclamengrade_control::{
@@ -135,7 +135,7 @@
         &self,
         client: &str,
         id: &str,
-    ) -> Result<mpsc::Receiver<Result<Bytes, Failure>>, Failure> {
+    ) -> Result<mpsc::Receiver<Results>, Failure> {
         let row = self.read_row(client, id).await?;
         Ok(results::stream(self.table.clone(), self.objects.clone(), id.to_owned(), row))
     }
--- a/components/daemon/src/batch/results.rs
+++ b/components/daemon/src/batch/results.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cyclamengrade_caller::{Failure, Kind};
+use cyclamengrade_caller::{Failure, Kind, backend::Results};
 use cyclamengrade_control::{
     job::{Chunk, ChunkState, Job, chunk_key},
     store::{Call, Reply},
@@ -23,41 +23,22 @@
 
 /// Streams the committed results of a job, given its row, as JSON lines.
 ///
-/// Chunks without committed results are skipped. The stream ends after the first failure.
+/// Chunks without committed results are skipped. The first failure ends the stream.
 pub(super) fn stream(
     table: Arc<dyn Table>,
     objects: Arc<dyn Objects>,
     id: String,
     job: Job,
-) -> mpsc::Receiver<Result<Bytes, Failure>> {
+) -> mpsc::Receiver<Results> {
     let (sender, receiver) = mpsc::channel(READ_AHEAD_CHUNKS);
     let reader = Reader { table, objects, id, job };
     tokio::spawn(async move {
-        let claimed_chunks = reader.job.next.min(reader.job.base_chunks());
-        let mut first = 0;
-        while first < claimed_chunks {
-            let page: Vec<_> = (first..claimed_chunks.min(first + ROWS_PER_READ)).collect();
-            first += ROWS_PER_READ;
-            let rows = match reader.read_rows(&page).await {
-                Ok(rows) => rows,
-                Err(failure) => {
-                    let _ = sender.send(Err(failure)).await;
-                    return;
-                }
-            };
-            let reads =
-                page.into_iter().zip(rows).map(|(number, row)| reader.read_chunk(number, row));
-            let mut contents = stream::iter(reads).buffered(READ_AHEAD_CHUNKS);
-            while let Some(content) = contents.next().await {
-                let failed = content.is_err();
-                if content.as_ref().is_ok_and(Bytes::is_empty) {
-                    continue;
-                }
-                if sender.send(content).await.is_err() || failed {
-                    return;
-                }
-            }
-        }
+        let last = match reader.send_lines(&sender).await {
+            Ok(()) => Results::End,
+            Err(failure) => Results::Failed(failure),
+        };
+        // The caller may have closed its connection.
+        let _ = sender.send(last).await;
     });
     receiver
 }
@@ -71,6 +52,27 @@
 }
 
 impl Reader {
+    /// Sends the committed results of all chunks. Stops early if the caller has closed its connection.
+    async fn send_lines(&self, sender: &mpsc::Sender<Results>) -> Result<(), Failure> {
+        let claimed_chunks = self.job.next.min(self.job.base_chunks());
+        let mut first = 0;
+        while first < claimed_chunks {
+            let page: Vec<_> = (first..claimed_chunks.min(first + ROWS_PER_READ)).collect();
+            first += ROWS_PER_READ;
+            let rows = self.read_rows(&page).await?;
+            let reads =
+                page.into_iter().zip(rows).map(|(number, row)| self.read_chunk(number, row));
+            let mut contents = stream::iter(reads).buffered(READ_AHEAD_CHUNKS);
+            while let Some(content) = contents.next().await {
+                let lines = content?;
+                if !lines.is_empty() && sender.send(Results::Lines(lines)).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+
     async fn read_rows(&self, numbers: &[u32]) -> Result<Vec<Option<Chunk>>, Failure> {
         let keys = numbers.iter().map(|number| chunk_key(&self.id, *number)).collect();
         match store::call(&*self.table, Call::Read(keys)).await {
--- a/components/daemon/src/serve.rs
+++ b/components/daemon/src/serve.rs
@@ -3,13 +3,9 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use bytes::Bytes;
-use cyclamengrade_caller::{
-    Failure,
-    backend::{
-        Backend, BackendFuture, Completion, ConfigurationChange, Event, HistoryEntry, Job,
-        Revision, ServiceCall, ServiceResponse, Submission, Upstream,
-    },
+use cyclamengrade_caller::backend::{
+    Backend, BackendFuture, Completion, ConfigurationChange, Event, HistoryEntry, Job, Results,
+    Revision, ServiceCall, ServiceResponse, Submission, Upstream,
 };
 use cyclamengrade_control::{revision::Input, traffic::UpstreamStatus};
 use cyclamengrade_peer as peer;
@@ -79,11 +75,7 @@
         Box::pin(async move { jobs.job(&client, &id).await })
     }
 
-    fn results(
-        &self,
-        client: String,
-        id: String,
-    ) -> BackendFuture<mpsc::Receiver<Result<Bytes, Failure>>> {
+    fn results(&self, client: String, id: String) -> BackendFuture<mpsc::Receiver<Results>> {
         let jobs = Arc::clone(&self.jobs);
         Box::pin(async move { jobs.results(&client, &id).await })
     }
--- a/components/daemon/tests/durable/mod.rs
+++ b/components/daemon/tests/durable/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use cyclamengrade_caller::backend::{Item, ItemResult, Job, JobState, Submission};
+use cyclamengrade_caller::backend::{Item, ItemResult, Job, JobState, Results, Submission};
 use cyclamengrade_configuration::{Client, Deployment, Document, Limit};
 use cyclamengrade_control::{fleet::Vm, traffic};
 use cyclamengrade_daemon::{
@@ -280,12 +280,15 @@
     pub async fn results(&self, id: &str) -> Vec<ItemResult> {
         let mut lines = self.jobs().results(CLIENT, id).await.unwrap();
         let mut results = Vec::new();
-        while let Some(content) = lines.recv().await {
-            let content = content.unwrap();
+        loop {
+            let content = match lines.recv().await.unwrap() {
+                Results::Lines(content) => content,
+                Results::End => return results,
+                Results::Failed(failure) => panic!("{failure:?}"),
+            };
             let lines = content.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
             results.extend(lines.map(|line| serde_json::from_slice::<ItemResult>(line).unwrap()));
         }
-        results
     }
 
     pub async fn submit(&self, key: &str, items: u32) -> Job {
