Fail the reading of results when a result object lacks lines

A result object that was cut off gave the caller the lines that it still had, and a proper end: the lines were paired with the items, and items without a line were left out. A chunk that is done has a line for each of its items, so a different number now fails the response, and an event names it.

batch_run::cut_results cuts the objects in the stand-in in half; it failed before and passes.

--- a/components/daemon/src/batch/results.rs
+++ b/components/daemon/src/batch/results.rs
@@ -98,6 +98,7 @@
             }
             let items = row.items.clone().unwrap_or_else(|| self.job.items_of(number));
             let content = self.read_object(&row).await?;
+            check_lines(&content, items.len())?;
             let chunk_lines =
                 content.split_inclusive(|byte| *byte == b'\n').map(|line| content.slice_ref(line));
             lines.extend(items.into_iter().zip(chunk_lines));
@@ -133,3 +134,15 @@
         }
     }
 }
+
+/// Checks that a result object has a whole line for each item, so that a part of it is not taken for all
+/// of it.
+fn check_lines(content: &Bytes, items: usize) -> Result<(), Failure> {
+    let lines = content.iter().filter(|byte| **byte == b'\n').count();
+    if lines == items {
+        return Ok(());
+    }
+    let message = format!("a result object has {lines} whole lines for {items} items");
+    event!(InternalFault, error = message.as_str());
+    Err(Failure::may_have_run(Kind::Internal, message))
+}
--- a/components/daemon/tests/batch_run.rs
+++ b/components/daemon/tests/batch_run.rs
@@ -5,9 +5,13 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use cyclamengrade_caller::{Kind, backend::JobState};
+use cyclamengrade_caller::{
+    Kind,
+    backend::{JobState, Results},
+};
 use cyclamengrade_control::traffic::Input;
 use cyclamengrade_daemon::batch::{Dispatcher, Outcome};
+use cyclamengrade_platform::Objects;
 use durable::{CLIENT, Platform, Scripted, Step, answer, eventually, texts};
 use googletest::prelude::*;
 
@@ -409,3 +413,27 @@
     let job = platform.wait_for_state(&job.id, JobState::Completed).await;
     expect_that!((job.succeeded, job.failed), eq((3, 1)));
 }
+
+/// Guards against results that look complete although a part of a result object is missing.
+#[gtest]
+#[tokio::test]
+async fn cut_results() {
+    let platform = Platform::new();
+    let _daemon = platform.daemon("entry-0", Scripted::immediate(), 4).await;
+    let job = platform.submit("k", 8).await;
+    platform.wait_for_state(&job.id, JobState::Completed).await;
+    let objects = &platform.objects;
+    for key in objects.keys() {
+        let content = objects.get(key.clone()).await.unwrap().unwrap();
+        if content.windows(6).any(|window| window == b"\"text\"") {
+            objects.delete(key.clone()).await.unwrap();
+            objects.put_new(key, content.slice(..content.len() / 2)).await.unwrap();
+        }
+    }
+    let mut results = platform.jobs().results(CLIENT, &job.id).await.unwrap();
+    let mut last = None;
+    while let Some(message) = results.recv().await {
+        last = Some(message);
+    }
+    expect_that!(last, some(matches_pattern!(Results::Failed(_))));
+}
