Never take a repeated answer of the store for the answer to another call

A submission whose row had been written was refused with 503, a transaction that had taken effect counted as in conflict, one that was in conflict counted as done, an object counted as written and changes of a table were missed, when a service wrote an earlier answer once more on a kept connection.

The pool of hyper-util takes a connection back before its caller has seen the answer, so a pool of our own keeps a connection only after a successful answer has been read. Refusals can't be repeated to another call then. Answers about objects are alike, so each of these calls opens a connection.

Ruled out: new connections for all writes, which would add a round trip to each commit; hyper-util's poison for connections, which comes too late when a call is already waiting for one; late answers to calls that timed out, since their connections were and are closed.

Still open: in the daemon role the table's answers have no time, so a repeated successful answer counts there.

--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -57,6 +57,8 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     transport: Transport,
+    /// For calls about objects, whose answers to different calls may be alike.
+    object_transport: Transport,
     table: SocketAddr,
     objects: SocketAddr,
     vms: SocketAddr,
@@ -66,7 +68,9 @@
     /// Creates a client of the services at the three addresses. `timeout` bounds one call,
     /// including its retries after a rate limit.
     pub fn new(table: SocketAddr, objects: SocketAddr, vms: SocketAddr, timeout: Duration) -> Self {
-        Self { transport: Transport::new(timeout), table, objects, vms }
+        let transport = Transport::new(timeout);
+        let object_transport = transport.clone().with_new_connections();
+        Self { transport, object_transport, table, objects, vms }
     }
 
     async fn call_table<T: DeserializeOwned>(
@@ -104,7 +108,7 @@
         body: Bytes,
     ) -> Result<Answer, Error> {
         let (address, path) = (self.objects, object_path(key));
-        self.transport.call(Call { effect, method, address, path, tag, body }).await
+        self.object_transport.call(Call { effect, method, address, path, tag, body }).await
     }
 }
 
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod feed;
 pub mod http;
 pub mod memory;
+mod pool;
 pub mod table;
 pub mod transport;
 
--- a/components/platform/src/transport.rs
+++ b/components/platform/src/transport.rs
@@ -1,30 +1,23 @@
 //! HTTP calls to the platform's services, with connection pooling, timeouts and retries after a
 //! rate limit.
 
-use std::{error::Error as _, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, StatusCode,
-    header::{CONTENT_TYPE, IF_NONE_MATCH},
-};
-use hyper_util::{
-    client::legacy::{Client as Pool, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+    header::{CONNECTION, CONTENT_TYPE, HOST, IF_NONE_MATCH},
 };
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::Error;
+use crate::{
+    Error,
+    pool::{Connection, Pool},
+};
 
 /// Limit on the body of an answer: an object of 8 MiB, the largest that the platform keeps, with a margin.
 const MAX_ANSWER_BYTES: usize = 9 << 20;
-/// Maximum number of idle connections that are kept for each service.
-const MAX_IDLE_CONNECTIONS: usize = 16;
-
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Maximum number of retries of a call that the platform refused because of its rate limit.
 const MAX_RATE_LIMIT_RETRIES: u32 = 3;
 
@@ -74,10 +67,25 @@
     pub body: Bytes,
 }
 
-/// Connection pool for calls to the platform's services. Clones share the connections.
+/// Which connections a call may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reuse {
+    Any,
+    /// A connection does not deliver two equal answers.
+    UniqueAnswers,
+    /// Each call opens a connection.
+    Never,
+}
+
+/// Client for calls to the platform's services. Clones share the connections.
+///
+/// A faulty service may write an answer once more on a connection that is kept, and nothing in an
+/// answer names its call. So a connection is kept only after a successful answer, never after a
+/// refusal.
 #[derive(Clone, Debug)]
 pub struct Transport {
-    pool: Pool<HttpConnector, Full<Bytes>>,
+    pool: Arc<Pool>,
+    reuse: Reuse,
     timeout: Duration,
 }
 
@@ -85,20 +93,23 @@
     /// Creates a transport. `timeout` bounds one call, including its retries after a rate limit;
     /// time for the transfer of a large body is added to it. Connecting may take half of it.
     pub fn new(timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(timeout / 2));
-        connector.set_nodelay(true);
-        let pool = Pool::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
-            .build(connector);
-        Self { pool, timeout }
+        Self { pool: Arc::default(), reuse: Reuse::Any, timeout }
     }
 
     /// Returns a transport with the same connections and another timeout.
     pub fn with_timeout(&self, timeout: Duration) -> Self {
-        Self { pool: self.pool.clone(), timeout }
+        Self { timeout, ..self.clone() }
+    }
+
+    /// Takes an answer for a repetition if its connection has delivered the same one before. For
+    /// services whose answers bear a version or a time.
+    pub fn with_unique_answers(self) -> Self {
+        Self { reuse: Reuse::UniqueAnswers, ..self }
+    }
+
+    /// Opens a connection for each call. For services whose answers are alike.
+    pub fn with_new_connections(self) -> Self {
+        Self { reuse: Reuse::Never, ..self }
     }
 
     /// Makes a call, and retries it with exponential backoff while the service refuses it because
@@ -125,50 +136,89 @@
         self.attempt(call, deadline).await
     }
 
-    /// Sends a call once.
+    /// Sends a call once, or once more on a new connection if it reads and the answer may be a
+    /// repetition.
     async fn attempt(&self, call: &Call, deadline: Instant) -> Result<Answer, Error> {
-        let address = call.address;
-        let mut request = Request::builder()
-            .method(call.method.clone())
-            .uri(format!("http://{address}{}", call.path))
-            .header(CONTENT_TYPE, "application/json");
-        if let Some(tag) = &call.tag {
-            request = request.header(IF_NONE_MATCH, tag);
+        let mut connection = match self.reuse {
+            Reuse::Any | Reuse::UniqueAnswers => self.pool.take(call.address),
+            Reuse::Never => None,
+        };
+        loop {
+            let is_kept = connection.is_some();
+            let connection = match connection.take() {
+                Some(connection) => connection,
+                None => self.connect(call.address).await?,
+            };
+            match self.exchange(call, connection, deadline).await {
+                Ok(answer) => return Ok(answer),
+                // The service had closed the connection, or the answer may be one to another call.
+                Err(Failure::NotSent(_)) if is_kept => {}
+                Err(Failure::Repeated) if call.effect == Effect::Read => {}
+                Err(failure) => return Err(failure.into_error(call)),
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+        let opened = Connection::open(address, self.timeout / 2).await;
+        opened.map_err(|cause| Error::Unreachable(format!("{address}: {cause}")))
+    }
+
+    /// Makes a call on a connection, and keeps the connection if another call may use it.
+    async fn exchange(
+        &self,
+        call: &Call,
+        mut connection: Connection,
+        deadline: Instant,
+    ) -> Result<Answer, Failure> {
+        let request = request(call)?;
+        // A connection that has just delivered an answer needs a moment for the next call.
+        match timeout_at(deadline, connection.sender.ready()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return Err(Failure::NotSent(error.to_string())),
+            Err(_) => return Err(Failure::NotSent("timed out".into())),
         }
-        let request = request
-            .body(Full::new(call.body.clone()))
-            .map_err(|error| Error::Unreachable(format!("{}: {error}", call.path)))?;
-        let response = match timeout_at(deadline, self.pool.request(request)).await {
-            Err(_) => return Err(call.effect.unconfirmed_error(format!("{address} timed out"))),
-            Ok(Err(error)) => {
-                let cause = error.source().map_or_else(|| error.to_string(), ToString::to_string);
-                let cause = format!("{address}: {cause}");
-                return Err(match error.is_connect() {
-                    true => Error::Unreachable(cause),
-                    false => call.effect.unconfirmed_error(cause),
+        let sending = connection.sender.try_send_request(request);
+        let response = match timeout_at(deadline, sending).await {
+            Err(_) => return Err(Failure::Unconfirmed("timed out".into())),
+            Ok(Err(mut error)) => {
+                let is_sent = error.take_message().is_none();
+                let cause = error.into_error().to_string();
+                return Err(match is_sent {
+                    true => Failure::Unconfirmed(cause),
+                    false => Failure::NotSent(cause),
                 });
             }
             Ok(Ok(response)) => response,
         };
         let (head, body) = response.into_parts();
         match head.status {
-            StatusCode::TOO_MANY_REQUESTS => return Err(Error::RateLimited),
+            StatusCode::TOO_MANY_REQUESTS => return Err(Failure::RateLimited),
             StatusCode::SERVICE_UNAVAILABLE => {
-                return Err(Error::Unreachable(format!("{address} answered {}", head.status)));
+                return Err(Failure::Refused(format!("answered {}", head.status)));
             }
             status if status.is_server_error() => {
-                return Err(call.effect.unconfirmed_error(format!("{address} answered {status}")));
+                return Err(Failure::Unconfirmed(format!("answered {status}")));
             }
             _ => {}
         }
         let limited = Limited::new(body, MAX_ANSWER_BYTES);
-        match timeout_at(self.body_deadline(&head.headers, deadline), limited.collect()).await {
-            Ok(Ok(body)) => {
-                Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
-            }
-            Ok(Err(error)) => Err(call.effect.unconfirmed_error(format!("{address}: {error}"))),
-            Err(_) => Err(call.effect.unconfirmed_error(format!("{address} timed out"))),
+        let body = match timeout_at(self.body_deadline(&head.headers, deadline), limited.collect())
+            .await
+        {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => return Err(Failure::Unconfirmed(error.to_string())),
+            Err(_) => return Err(Failure::Unconfirmed("timed out".into())),
+        };
+        let is_repeated = connection.record_body(&body);
+        if is_repeated && self.reuse == Reuse::UniqueAnswers {
+            return Err(Failure::Repeated);
+        }
+        let is_success = head.status.is_success() || head.status == StatusCode::NOT_MODIFIED;
+        if is_success && self.reuse != Reuse::Never && !is_closing(&head.headers) {
+            self.pool.keep(connection);
         }
+        Ok(Answer { status: head.status, headers: head.headers, body })
     }
 
     /// Extends the deadline by the time that the transfer of the body of an answer may take.
@@ -181,6 +231,58 @@
     }
 }
 
+/// Why a call on one connection failed.
+enum Failure {
+    /// The connection was closed before the call was sent.
+    NotSent(String),
+    /// The service refused the call without any effect.
+    Refused(String),
+    RateLimited,
+    /// The call may have reached the service.
+    Unconfirmed(String),
+    /// The answer may be one to an earlier call.
+    Repeated,
+}
+
+impl Failure {
+    fn into_error(self, call: &Call) -> Error {
+        let address = call.address;
+        match self {
+            Self::NotSent(cause) | Self::Refused(cause) => {
+                Error::Unreachable(format!("{address}: {cause}"))
+            }
+            Self::RateLimited => Error::RateLimited,
+            Self::Unconfirmed(cause) => {
+                call.effect.unconfirmed_error(format!("{address}: {cause}"))
+            }
+            Self::Repeated => {
+                call.effect.unconfirmed_error(format!("{address} repeated an earlier answer"))
+            }
+        }
+    }
+}
+
+fn request(call: &Call) -> Result<Request<Full<Bytes>>, Failure> {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header(HOST, call.address.to_string())
+        .header(CONTENT_TYPE, "application/json");
+    if let Some(tag) = &call.tag {
+        request = request.header(IF_NONE_MATCH, tag);
+    }
+    request
+        .body(Full::new(call.body.clone()))
+        .map_err(|error| Failure::NotSent(format!("{}: {error}", call.path)))
+}
+
+/// Whether the service closes the connection after this answer.
+fn is_closing(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    let mut values = values.filter_map(|value| value.to_str().ok());
+    values.any(|value| value.to_ascii_lowercase().contains("close"))
+}
+
 impl Answer {
     /// Returns the error of an answer with an unexpected status, with the first 200 bytes of its
     /// body.
