Log the upstream of a batch item that is charged for a stopped run

The event 708 named each run that ended with a failure, but not those that were stopped while their upstream crashed, so that the log of a failed item lacked its last attempt. Nothing changes in what callers get.

--- a/components/daemon/src/batch/dispatcher.rs
+++ b/components/daemon/src/batch/dispatcher.rs
@@ -160,8 +160,9 @@
     },
     /// The upstream of a run that was stopped has crashed.
     StoppedAtCrash {
-        job: String,
-        item: u32,
+        run: Run,
+        /// Tokens that all runs of the item received.
+        received: u32,
         alone: bool,
     },
 }
@@ -334,7 +335,7 @@
         let ActiveRun { run, transcript, task, stream } = active;
         task.abort();
         if let Some(stream) = stream {
-            self.cancel_stream(&run, alone, stream);
+            self.cancel_stream(run.clone(), transcript.snapshot().tokens, alone, stream);
         }
         reports::stream_closed(&run.deployment);
         if keep_text {
@@ -354,17 +355,31 @@
     }
 
     /// Cancels the stream of a run that was stopped, and reports whether its upstream has crashed.
-    fn cancel_stream(&self, run: &Run, alone: bool, (address, stream): (SocketAddr, String)) {
-        let (job, item) = (run.job.clone(), run.item);
+    fn cancel_stream(
+        &self,
+        run: Run,
+        received: u32,
+        alone: bool,
+        (address, stream): (SocketAddr, String),
+    ) {
         let cancelling = self.dependencies.runner.cancel(address, stream);
         let actor_ref = self.actor_ref.clone();
         self.dependencies.traffic.spawn(async move {
             if cancelling.await {
-                send_report(&actor_ref, Report::StoppedAtCrash { job, item, alone });
+                send_report(&actor_ref, Report::StoppedAtCrash { run, received, alone });
             }
         });
     }
 
+    /// Handles that the upstream of a stopped run has crashed.
+    fn handle_crash(&mut self, run: Run, received: u32, alone: bool) {
+        let attempts = self.attempts(&run.job, run.item) + 1;
+        let error = "the upstream crashed before the run was stopped";
+        reports::run_failed(&run, attempts, received, error);
+        let Run { job, item, .. } = run;
+        self.handle_input(dispatch::Input::StoppedAtCrash { job, item, alone });
+    }
+
     fn handle_finished(&mut self, id: RunId, summary: Summary) {
         let Some(ActiveRun { run, transcript, .. }) = self.runs.remove(&id) else { return };
         reports::stream_closed(&run.deployment);
@@ -545,8 +560,8 @@
                 self.handle_input(dispatch::Input::Stored { chunk, ok });
             }
             Report::Finished { run, summary } => self.handle_finished(run, summary),
-            Report::StoppedAtCrash { job, item, alone } => {
-                self.handle_input(dispatch::Input::StoppedAtCrash { job, item, alone });
+            Report::StoppedAtCrash { run, received, alone } => {
+                self.handle_crash(run, received, alone);
             }
         }
     }
