--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -185,8 +185,9 @@
     /// A relay rejected a request, for example one without a route, and did not forward it. Fields:
     /// `request`, `reason`, `status`.
     1206 Info RequestImproper "request_improper" "request was rejected and not forwarded",
-    /// A caller's connection was closed because its request was stalled or ambiguous. Fields:
-    /// `reason`, `status`.
+    /// A caller's connection was closed because its request was stalled or ambiguous, or because it
+    /// read nothing of its response within the idle timeout. Fields: `reason`, `status`; no status if
+    /// nothing was sent.
     1207 Info ConnectionRefused "connection_refused" "connection of a caller was closed",
 
     /// A caller continues a stream that broke off. Fields: `request`, `resumes` (the request that began
