Close the connection to an upstream of the daemon after a refusal

A completion or a call of a service that ran counted as refused, and so ran at a second upstream, when an engine wrote an earlier 503 once more on a kept connection.

The client now returns a connection to the pool only after a successful response. A refusal cannot be repeated to another request then. Ruled out: new connections for all requests, which cost a round trip each.

Still open: a successful response that is written once more counts for the next request on its connection, since nothing in it names its request. A stream would give the tokens of another one.

--- a/components/upstream/src/client.rs
+++ b/components/upstream/src/client.rs
@@ -260,13 +260,16 @@
     })
 }
 
-/// Reads a whole response body of at most `limit` bytes and returns the connection to the pool.
+/// Reads a whole response body of at most `limit` bytes. Returns the connection to the pool after a
+/// successful response only: the upstream may write a refusal once more, and nothing in it would tell it
+/// from the answer to the next request.
 async fn read_body(
     address: SocketAddr,
     response: Response<Incoming>,
     mut connection: PooledConnection,
     limit: usize,
 ) -> Result<Bytes, Error> {
+    let is_success = response.status().is_success();
     let mut body = response.into_body();
     let mut first = Bytes::new();
     let mut rest = BytesMut::new();
@@ -289,6 +292,8 @@
             rest.extend_from_slice(&data);
         }
     }
-    connection.release();
+    if is_success {
+        connection.release();
+    }
     Ok(if rest.is_empty() { first } else { rest.freeze() })
 }
