--- a/components/upstream/tests/calls.rs
+++ b/components/upstream/tests/calls.rs
@@ -398,3 +398,72 @@
     let (address, _requests) = start_server(scripts, false).await;
     verify_that!(call_service(address).await, ok(eq("half")))
 }
+
+const REFUSED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nfull";
+
+/// Guards against a request that has run and counts as refused, because the upstream wrote an earlier
+/// refusal once more on a kept connection.
+#[gtest]
+#[tokio::test]
+async fn repeated_refusal() {
+    let tokens = vec![
+        REFUSED,
+        CHUNKED_HEAD,
+        http_chunk(
+            "data: {\"index\":0,\"text\":\"a\",\"finish_reason\":\"stop\"}\n\ndata: [DONE]\n\n",
+        ),
+        LAST_CHUNK,
+    ];
+    let first = vec![vec![REFUSED], tokens.clone()];
+    let second = vec![tokens[1..].to_vec()];
+    let (address, _requests) = start_server(vec![first, second], true).await;
+    let client = client();
+    let (_, refused) = read_stream(&client, address, 0).await;
+    expect_that!(refused, err(matches_pattern!(Error::Refused { status: eq(&503), .. })));
+    let (tokens, result) = read_stream(&client, address, 0).await;
+    expect_that!(result, eq(&stopped()));
+    expect_that!(texts(&tokens), elements_are![eq(&"a")]);
+}
+
+/// Guards against a call of a plain service that has run and counts as refused for the same reason.
+#[gtest]
+#[tokio::test]
+async fn repeated_service_refusal() {
+    let first = vec![vec![REFUSED], vec![REFUSED, json_response("{}")]];
+    let second = vec![vec![json_response("{}")]];
+    let (address, _requests) = start_server(vec![first, second], true).await;
+    let (client, body) = (client(), Bytes::new());
+    let request = ServiceRequest {
+        path: "/call",
+        body: &body,
+        content_type: None,
+        idempotency_key: None,
+        traceparent: None,
+        new_connection: false,
+    };
+    expect_that!(client.call_service(address, request).await.unwrap().status, eq(503));
+    expect_that!(client.call_service(address, request).await.unwrap().status, eq(200));
+}
+
+/// Guards against the response to another call of a plain service that is taken for the one to the
+/// current call, because the service wrote it once more on a kept connection.
+#[gtest]
+#[tokio::test]
+async fn repeated_service_response() {
+    let (first, second) = (json_response("{\"a\":1}"), json_response("{\"b\":1}"));
+    let script = vec![vec![vec![first], vec![first, second]], vec![vec![second]]];
+    let (address, _requests) = start_server(script, true).await;
+    let (client, body) = (client(), Bytes::new());
+    let request = ServiceRequest {
+        path: "/call",
+        body: &body,
+        content_type: None,
+        idempotency_key: None,
+        traceparent: None,
+        new_connection: false,
+    };
+    client.call_service(address, request).await.unwrap();
+    let response = client.call_service(address, request).await;
+    // An error is right as well.
+    expect_that!(response.is_ok_and(|response| response.body.as_ref() == b"{\"a\":1}"), eq(false));
+}
