Reproduce a repeated response of a plain service that counts for another call

A caller of the daemon gets the body of another caller's response when a plain service writes a successful response once more on a kept connection. Nothing in it names its call, so the fix has to open a connection for each call or to let services echo an id; neither is decided.

--- a/components/upstream/tests/calls.rs
+++ b/components/upstream/tests/calls.rs
@@ -412,3 +412,26 @@
     expect_that!(client.call_service(address, request).await.unwrap().status, eq(503));
     expect_that!(client.call_service(address, request).await.unwrap().status, eq(200));
 }
+
+/// Guards against the response to another call of a plain service that is taken for the one to the
+/// current call, because the service wrote it once more on a kept connection.
+#[gtest]
+#[tokio::test]
+async fn repeated_service_response() {
+    let (first, second) = (json_response("{\"a\":1}"), json_response("{\"b\":1}"));
+    let script = vec![vec![vec![first], vec![first, second]], vec![vec![second]]];
+    let (address, _requests) = start_server(script, true).await;
+    let (client, body) = (client(), Bytes::new());
+    let request = ServiceRequest {
+        path: "/call",
+        body: &body,
+        content_type: None,
+        idempotency_key: None,
+        traceparent: None,
+        new_connection: false,
+    };
+    client.call_service(address, request).await.unwrap();
+    let response = client.call_service(address, request).await;
+    // An error is right as well.
+    expect_that!(response.is_ok_and(|response| response.body.as_ref() == b"{\"a\":1}"), eq(false));
+}
