Believe a confirmed close only of an upstream that still lives

A stream counted as complete when its upstream closed the connection early and was then killed before the first event of the run that was to confirm the end: two closes in a row, neither of them the upstream's word. The upstream now has to answer a request without an id after the second close.

--- a/components/control/src/relay/ending.rs
+++ b/components/control/src/relay/ending.rs
@@ -1,7 +1,8 @@
 //! Whether a stream is complete whose end is marked by nothing but the close of its connection.
 //!
 //! The vm of an upstream that is killed closes its connections in order, so a close alone says nothing. A
-//! run that resumes the stream after its last event and closes without a further event confirms the end.
+//! run that resumes the stream after its last event and closes without a further event confirms the end,
+//! if its upstream still lives afterwards.
 
 /// Runs in a row that closed their connections after the same event.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -15,14 +16,14 @@
         self.closes = 0;
     }
 
-    /// Records that a run closed its connection. Returns whether the stream is complete.
+    /// Records that a run closed its connection. Returns whether this confirms an earlier close.
     pub const fn record_close(&mut self) -> bool {
         self.closes += 1;
         self.closes > 1
     }
 
-    /// Records that the upstream of the last run could not be asked to resume the stream. It may have
-    /// failed, which explains its close.
+    /// Records that the upstream of the last run does not answer. It may have failed, which explains its
+    /// close.
     pub const fn record_failure(&mut self) {
         self.closes = 0;
     }
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -171,15 +171,25 @@
                 return End::Completed.into();
             }
             Ok(Next::Closed) => {
-                let mut transcript = lock(transcript);
+                drop(events);
+                let (count, is_confirmed) = {
+                    let mut transcript = lock(transcript);
+                    let is_confirmed = transcript.ending.record_close();
+                    (transcript.events, is_confirmed && transcript.last.is_some())
+                };
                 event!(
                     ResponseUnmarked,
                     request:% = id,
                     upstream:% = flight.upstream.id,
-                    events = transcript.events
+                    events = count
                 );
-                let is_complete = transcript.ending.record_close() && transcript.last.is_some();
-                return if is_complete { End::Completed.into() } else { Read::Closed };
+                if !is_confirmed {
+                    return Read::Closed;
+                }
+                if exchange::is_alive(flight).await {
+                    return End::Completed.into();
+                }
+                return End::Interrupted(Failure::Broken).into();
             }
             Ok(Next::Event(event)) => {
                 flight.record_answer();
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -430,16 +430,16 @@
     /// Finds out whether a stream is complete whose upstream closed the connection without marking an
     /// end. Returns the run that resumes it otherwise.
     async fn confirm_end(&mut self, mut flight: Flight) -> Result<Run, End> {
-        if self.ending.record_close() {
-            flight.record_success();
-            return Err(End::Complete);
-        }
-        if !self.request.route.is_retryable() || !self.is_numbered {
-            // The stream cannot be resumed. All that can be known is whether the upstream lives.
+        let is_confirmed = self.ending.record_close();
+        // A stream that cannot be resumed has only one run. All that can be known is whether its
+        // upstream lives.
+        let is_last = is_confirmed || !self.request.route.is_retryable() || !self.is_numbered;
+        if is_last {
             if exchange::is_alive(&flight).await {
                 flight.record_success();
                 return Err(End::Complete);
             }
+            self.ending.record_failure();
         } else if flight.may_repeat() {
             match self.request_rest(&mut flight).await? {
                 Some((events, next)) => return Ok(Run { flight, events, next }),
--- a/tests/relay_closed.rs
+++ b/tests/relay_closed.rs
@@ -183,3 +183,21 @@
     let results = harness.await_results(0, &job).await?;
     verify_that!(Harness::complete_items(&results, 9).len(), eq(6))
 }
+
+/// Guards against a stream, and a text of an item, that count as complete because the upstream closed
+/// their connection early and was then killed before the first event of the run that was to confirm the
+/// end.
+#[gtest]
+#[tokio::test]
+async fn killed_confirmation() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for runner in &harness.runners {
+        runner.queue_faults(&[Fault::CloseAfter(4), Fault::KilledAfter(0)]);
+    }
+    let reply = harness.stream(0, "stream", "s-1", 12).await;
+    expect_that!(reply.is_err() || reply.is_ok_and(|reply| is_complete(&reply, 12)), eq(true));
+    let (job, status) = harness.submit(0, "j-1", 3, 9).await?;
+    expect_that!(status, eq(202));
+    let results = harness.await_results(0, &job).await?;
+    verify_that!(Harness::complete_items(&results, 9).len(), eq(3))
+}
