--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -167,7 +167,7 @@
     fn get(&self, key: String) -> Boxed<'_, Option<Bytes>> {
         Box::pin(async move {
             let answer = self
-                .transport
+                .object_transport
                 .read_object(Call {
                     effect: Effect::Read,
                     method: Method::GET,
--- a/components/platform/tests/kept_connections.rs
+++ b/components/platform/tests/kept_connections.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cyclamengrade_platform::{
-    Error,
+    Error, Objects, http,
     transport::{Call, Effect, Transport},
 };
 use googletest::prelude::*;
@@ -110,3 +110,15 @@
     expect_that!(first.status, eq(StatusCode::CREATED));
     verify_that!(second.status, eq(StatusCode::PRECONDITION_FAILED))
 }
+
+/// Guards against the content of another object, because the object store wrote an earlier answer once
+/// more.
+#[gtest]
+#[tokio::test]
+async fn repeated_object() -> Result<()> {
+    let answers = vec![answer("200 OK", "first"), answer("200 OK", "second")];
+    let address = start_service(answers).await?;
+    let client = http::Client::new(address, address, address, Duration::from_secs(2));
+    expect_that!(client.get("a".into()).await.or_fail()?, some(eq("first")));
+    verify_that!(client.get("b".into()).await.or_fail()?, some(eq("second")))
+}
