Take only chunks and a length for the marked end of a response

A response whose transfer coding is not chunked ends with its connection too, and was taken for one with a marked end: a stream that was cut short looked complete. relay_closed::coded_stream failed in 2 of 2 runs before and passes.

--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -102,9 +102,13 @@
     /// Whether the end of the body is marked by its length or its chunks (RFC 9112, section 6.3).
     /// Otherwise it ends with its connection, which an upstream that is killed closes as well.
     pub fn has_marked_end(&self) -> bool {
-        self.headers.contains_key(CONTENT_LENGTH)
-            || self.headers.contains_key(TRANSFER_ENCODING)
-            || self.body.is_end_stream()
+        let is_chunked = |codings: &HeaderValue| {
+            let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
+            last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+        };
+        let codings = self.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        self.body.is_end_stream()
+            || codings.map_or_else(|| self.headers.contains_key(CONTENT_LENGTH), is_chunked)
     }
 
     /// Whether the body is an event stream.
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -48,7 +48,9 @@
     /// Sends neither length nor chunks and closes the connection after this many events, or in the
     /// middle of a plain body, in the same way as after a complete response.
     CloseAfter(u64),
-    /// The same, and crashes at that moment.
+    /// The same, with a transfer coding that marks no end.
+    CloseCoded(u64),
+    /// The same as `CloseAfter`, and crashes at that moment.
     KilledAfter(u64),
     /// Leaves out the ids of the events, and breaks off after this many of them.
     OmitIds(u64),
@@ -123,7 +125,7 @@
 /// When a response is repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Moment {
-    /// While the connection is idle, unless the next request comes within [`IDLE_REPEAT_DELAY`].
+    /// While the connection is idle, unless the next request comes within `IDLE_REPEAT_DELAY`.
     Idle,
     /// Before the answer to the next request on the connection.
     Next,
@@ -628,12 +630,17 @@
         if !is_unframed {
             head += "Transfer-Encoding: chunked\r\n";
         }
+        if matches!(fault, Some(Fault::CloseCoded(_))) {
+            head += "Transfer-Encoding: identity\r\n";
+        }
         head += "\r\n";
         stream.write_all(head.as_bytes()).await?;
         for event in first..=events {
             sleep(EVENT_INTERVAL).await;
             let text = self.event(event, fault);
-            if let Some(Fault::CloseAfter(count) | Fault::KilledAfter(count)) = fault
+            if let Some(
+                Fault::CloseAfter(count) | Fault::CloseCoded(count) | Fault::KilledAfter(count),
+            ) = fault
                 && event >= first + count
             {
                 if matches!(fault, Some(Fault::KilledAfter(_))) {
@@ -683,7 +690,7 @@
     /// Whether a successful response has neither length nor chunks.
     fn is_unframed(&self, fault: Option<Fault>) -> bool {
         match fault {
-            Some(Fault::CloseAfter(_) | Fault::KilledAfter(_)) => true,
+            Some(Fault::CloseAfter(_) | Fault::CloseCoded(_) | Fault::KilledAfter(_)) => true,
             Some(_) => false,
             None => self.state().is_unframed,
         }
--- a/tests/relay_closed.rs
+++ b/tests/relay_closed.rs
@@ -201,3 +201,15 @@
     let results = harness.await_results(0, &job).await?;
     verify_that!(Harness::complete_items(&results, 9).len(), eq(3))
 }
+
+/// Guards against a transfer coding that marks no end and counts as chunks.
+#[gtest]
+#[tokio::test]
+async fn coded_stream() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for runner in &harness.runners {
+        runner.queue_faults(&[Fault::CloseCoded(4)]);
+    }
+    let reply = harness.stream(0, "stream", "s-1", 12).await?;
+    verify_that!(reply.text(), eq(&events(12)))
+}
