Confirm the end of a stream only at the start of the upstream that wrote it

The close of one upstream and a single early close of the next one counted as a confirmed end, when the first one could not be asked for the rest; so did, in a batch item, closes that other runs lay between. Closes count for one upstream now, and only while it is listed as the same start: with another time of birth, address or software it is not asked for the rest, and its answer proves nothing, nor does that of an upstream that is leaving. A stream that has brought comments only is not complete. A finished run frees its slot before a slow caller has taken the last events.

The restart under the same id is from reading.

--- a/components/control/src/relay/ending.rs
+++ b/components/control/src/relay/ending.rs
@@ -4,7 +4,7 @@
 //! run that resumes the stream after its last event and closes without a further event confirms the end,
 //! if its upstream still lives afterwards.
 
-/// Runs in a row that closed their connections after the same event.
+/// Runs in a row, at one upstream, that closed their connections after the same event.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ending {
     closes: u32,
@@ -22,9 +22,9 @@
         self.closes > 1
     }
 
-    /// Records that the upstream of the last run does not answer. It may have failed, which explains its
-    /// close.
-    pub const fn record_failure(&mut self) {
+    /// Forgets the closes so far, since another upstream goes on, or the last one does not answer. Closes
+    /// of two upstreams have nothing to do with each other.
+    pub const fn reset(&mut self) {
         self.closes = 0;
     }
 }
--- a/components/control/tests/relay_ending.rs
+++ b/components/control/tests/relay_ending.rs
@@ -11,12 +11,13 @@
     expect_that!(ending.record_close(), eq(true));
 }
 
-/// Guards against a close that counts although its upstream was killed, or further events arrived.
+/// Guards against a close that counts although its upstream was killed, another upstream went on, or
+/// further events arrived.
 #[gtest]
 fn explained_close() {
     let mut ending = Ending::default();
     ending.record_close();
-    ending.record_failure();
+    ending.reset();
     expect_that!(ending.record_close(), eq(false));
     ending.record_event();
     expect_that!(ending.record_close(), eq(false));
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use cyclamengrade_control::relay::{failure::Failure, job::RunFailure};
+use cyclamengrade_control::relay::{ending::Ending, failure::Failure, job::RunFailure};
 use cyclamengrade_telemetry::event;
 use hyper::{
     HeaderMap, Method, StatusCode, Uri,
@@ -69,15 +69,13 @@
     mut flight: Flight,
     transcript: Arc<Mutex<Transcript>>,
 ) -> End {
-    let mut end = run_once(&shared, &outgoing, &mut flight, &transcript).await;
-    if end == Read::Closed && flight.may_repeat() {
+    let mut ending = Ending::default();
+    let mut read = run_once(&shared, &outgoing, &mut flight, &transcript, &mut ending).await;
+    if read == Read::Closed && flight.may_repeat() {
         // The upstream tells by a run after the last event whether the text is complete.
-        end = run_once(&shared, &outgoing, &mut flight, &transcript).await;
-        if matches!(end, Read::Ended(End::Interrupted(_))) {
-            lock(&transcript).ending.record_failure();
-        }
+        read = run_once(&shared, &outgoing, &mut flight, &transcript, &mut ending).await;
     }
-    let end = match end {
+    let end = match read {
         Read::Closed => End::Interrupted(Failure::Broken),
         Read::Ended(end) => end,
     };
@@ -122,6 +120,7 @@
     outgoing: &Outgoing,
     flight: &mut Flight,
     transcript: &Mutex<Transcript>,
+    ending: &mut Ending,
 ) -> Read {
     let options = Options {
         deadline: None,
@@ -132,7 +131,7 @@
     match exchange::send(flight, shared.dialect.headers(), outgoing, options).await {
         Ok(response) => {
             flight.record_bytes();
-            read(shared, &outgoing.id, response, flight, transcript).await
+            read(shared, &outgoing.id, response, flight, transcript, ending).await
         }
         Err(failure) => End::Interrupted(failure).into(),
     }
@@ -145,6 +144,7 @@
     response: Response,
     flight: &mut Flight,
     transcript: &Mutex<Transcript>,
+    ending: &mut Ending,
 ) -> Read {
     match response.status {
         StatusCode::OK if response.is_event_stream() => {}
@@ -172,10 +172,10 @@
             }
             Ok(Next::Closed) => {
                 drop(events);
-                let (count, is_confirmed) = {
-                    let mut transcript = lock(transcript);
-                    let is_confirmed = transcript.ending.record_close();
-                    (transcript.events, is_confirmed && transcript.last.is_some())
+                let is_confirmed = ending.record_close();
+                let (count, has_event) = {
+                    let transcript = lock(transcript);
+                    (transcript.events, transcript.last.is_some())
                 };
                 event!(
                     ResponseUnmarked,
@@ -183,7 +183,7 @@
                     upstream:% = flight.upstream.id,
                     events = count
                 );
-                if !is_confirmed {
+                if !(is_confirmed && has_event) {
                     return Read::Closed;
                 }
                 if exchange::is_alive(flight).await {
@@ -207,7 +207,7 @@
                 }
                 transcript.last = Some(id);
                 transcript.events += 1;
-                transcript.ending.record_event();
+                ending.record_event();
                 transcript.text.push_str(&data);
                 if transcript.text.len() > MAX_TEXT_BYTES {
                     // No item has such a text; none of it can be trusted.
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -6,7 +6,7 @@
 };
 
 use cyclamengrade_control::{
-    relay::{broker::Ticket, ending::Ending, job::Progress, origin::Software, results::Results},
+    relay::{broker::Ticket, job::Progress, origin::Software, results::Results},
     time::Time,
 };
 use tokio::task::AbortHandle;
@@ -31,7 +31,6 @@
     pub software: Option<Software>,
     /// Id of the last event that is in the store.
     pub saved: Option<u64>,
-    pub ending: Ending,
 }
 
 /// A run of an item at an upstream.
@@ -140,7 +139,6 @@
                 events: partial.events,
                 software: Some(software),
                 saved: last,
-                ending: Ending::default(),
             };
             self.transcripts.insert(item, Arc::new(Mutex::new(transcript)));
         }
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -323,12 +323,20 @@
 /// Whether an upstream lives: it answers a request without an id, which it does not run. The vm of a
 /// process that was killed may still accept connections while it closes others.
 pub async fn is_alive(flight: &Flight) -> bool {
+    if !flight.is_same_start() {
+        return false;
+    }
     let Some(mut connection) = flight.open_connection().await else { return false };
     let Some(request) = liveness_request(&flight.upstream, flight.headers()) else { return false };
     let response = connection.sender.send_request(request);
     match time::timeout(LIVENESS_TIMEOUT, response).await {
-        // Another status means that the upstream itself answered.
-        Ok(Ok(response)) => response.status() != StatusCode::MISDIRECTED_REQUEST,
+        // Another status means that the upstream itself answered. One that is leaving may still answer
+        // after it has closed its runs.
+        Ok(Ok(response)) => {
+            response.status() != StatusCode::MISDIRECTED_REQUEST
+                && !response.headers().contains_key(&flight.headers().leaving)
+                && flight.is_same_start()
+        }
         Ok(Err(_)) | Err(_) => false,
     }
 }
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -114,10 +114,24 @@
     /// Whether the request may be sent once more to the same upstream with the slot that it holds: the
     /// upstream is still in use and names no limit, of which only a broker may take.
     pub fn may_repeat(&self) -> bool {
+        let is_usable = {
+            let selector = self.shared.selector();
+            let usable = selector.usable_key(selector.short_id(self.key), self.shared.clock.now());
+            let is_limited = selector.limit(self.key).is_some_and(|limit| limit.rate.is_some());
+            usable == Some(self.key) && !is_limited
+        };
+        is_usable && self.is_same_start()
+    }
+
+    /// Whether the upstream is listed as the start that the request was sent to. An upstream may start
+    /// again under its id, also with other software.
+    pub fn is_same_start(&self) -> bool {
         let selector = self.shared.selector();
-        let usable = selector.usable_key(selector.short_id(self.key), self.shared.clock.now());
-        let is_limited = selector.limit(self.key).is_some_and(|limit| limit.rate.is_some());
-        usable == Some(self.key) && !is_limited
+        selector.upstream(self.key).is_none_or(|listed| {
+            listed.born == self.upstream.born
+                && listed.address == self.upstream.address
+                && listed.software() == self.upstream.software()
+        })
     }
 
     /// Returns a new connection to the upstream, without the idle ones.
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -225,7 +225,7 @@
             }
         }
         let (status, headers) = (response.status, response.headers.clone());
-        let mut events = exchange::Response::events(response);
+        let mut events = response.events();
         let first = match events.next(request.read_timeout()).await {
             // A new stream has an event, so this one was cut off.
             Ok(Next::Closed) if last_event_id.is_none() => {
@@ -353,6 +353,8 @@
                 Forwarded::Complete => {
                     run.flight.record_success();
                     run.events.finish(run.flight.pool());
+                    // The caller may be slow to take the rest, which needs no slot of the upstream.
+                    drop(run.flight);
                     break End::Complete;
                 }
                 Forwarded::CallerLeft => break End::CallerLeft,
@@ -435,16 +437,16 @@
         // upstream lives.
         let is_last = is_confirmed || !self.request.route.is_retryable() || !self.is_numbered;
         if is_last {
-            if exchange::is_alive(&flight).await {
+            // A stream has an event; comments are none.
+            let has_event = self.last_event_id.is_some() || !self.is_numbered;
+            if has_event && exchange::is_alive(&flight).await {
                 flight.record_success();
                 return Err(End::Complete);
             }
-            self.ending.record_failure();
-        } else if flight.may_repeat() {
-            match self.request_rest(&mut flight).await? {
-                Some((events, next)) => return Ok(Run { flight, events, next }),
-                None => self.ending.record_failure(),
-            }
+        } else if flight.may_repeat()
+            && let Some((events, next)) = self.request_rest(&mut flight).await?
+        {
+            return Ok(Run { flight, events, next });
         }
         self.resume(flight, Failure::Broken).await
     }
@@ -476,6 +478,7 @@
 
     /// Resumes the stream after the last event at another upstream, since the run of `flight` failed.
     async fn resume(&mut self, mut flight: Flight, mut failure: Failure) -> Result<Run, End> {
+        self.ending.reset();
         loop {
             self.record_failure(&flight, failure)?;
             drop(flight);
--- a/tests/relay_closed.rs
+++ b/tests/relay_closed.rs
@@ -213,3 +213,22 @@
     let reply = harness.stream(0, "stream", "s-1", 12).await?;
     verify_that!(reply.text(), eq(&events(12)))
 }
+
+/// Guards against the closes of two upstreams that count as confirmations of each other. An upstream with
+/// a limit is not asked for the rest.
+#[gtest]
+#[tokio::test]
+async fn closes_of_two() -> Result<()> {
+    for _ in 0..4 {
+        let harness = Harness::start(1).await?;
+        for runner in &harness.runners {
+            runner.set_limit(Some(50.0));
+        }
+        harness.runners[0].queue_faults(&[Fault::CloseAfter(4)]);
+        harness.runners[1].queue_faults(&[Fault::CloseAfter(0)]);
+        let reply = harness.stream(0, "stream", "s-1", 12).await;
+        let is_wrong = reply.is_ok_and(|reply| reply.status == 200 && !is_complete(&reply, 12));
+        expect_that!(is_wrong, eq(false));
+    }
+    Ok(())
+}
