--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -34,8 +34,8 @@
 /// Timeout for opening a connection. A lost SYN is retransmitted only after one second, so trying
 /// another upstream is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which a connection has to stay open before its upstream counts as reachable. A process that
-/// is being killed closes the connections in its queue within this time.
+/// Time for which a connection has to stay open before its upstream counts as reachable. The listener of
+/// a process that is being killed may outlive it on a busy vm, so this is no proof that the upstream lives.
 const REACHABLE_TIME: Duration = Duration::from_millis(10);
 /// Limit on the bytes of a response that are buffered, and so on its head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
