--- a/components/upstream/tests/calls.rs
+++ b/components/upstream/tests/calls.rs
@@ -317,7 +317,8 @@
     const NOT_FOUND: &[u8] = b"HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n";
     const CONFLICT: &[u8] = b"HTTP/1.1 409 X\r\ncontent-length: 3\r\n\r\nold";
     let events = json_response(r#"{"events":[{"number":9,"prefix":"0f","stored":true}]}"#);
-    let script = vec![vec![vec![OK], vec![CONFLICT], vec![NOT_FOUND], vec![events]]];
+    // A connection is not used again after a refusal.
+    let script = vec![vec![vec![OK], vec![CONFLICT]], vec![vec![NOT_FOUND]], vec![vec![events]]];
     let (address, mut requests) = start_server(script, true).await;
     let client = client();
     let order = wire::Order { models: vec!["m@2".into()] };
@@ -328,13 +329,14 @@
     let events = client.cache_events(address, 8).await.unwrap();
     expect_that!(events.events[0].number, eq(9));
     let request_lines = [
-        "PUT /v1/orders ",
-        "PUT /v1/orders ",
-        "DELETE /v1/streams/s-1 ",
-        "GET /v1/cache-events?after=8 ",
+        (0, "PUT /v1/orders "),
+        (0, "PUT /v1/orders "),
+        (1, "DELETE /v1/streams/s-1 "),
+        (2, "GET /v1/cache-events?after=8 "),
     ];
-    for (number, request_line) in request_lines.into_iter().enumerate() {
-        let (_, request) = requests.recv().await.unwrap();
+    for (number, (connection, request_line)) in request_lines.into_iter().enumerate() {
+        let (seen, request) = requests.recv().await.unwrap();
+        expect_that!(seen, eq(connection));
         expect_that!(request, starts_with(request_line));
         if number == 0 {
             expect_that!(request, contains_substring("x-fencing-number: 7"));
