Log why a connection of a relay to an upstream could not be opened

An attempt that fails as not_sent did not tell a refused connection from one that nothing answered, which is what the hypotheses about lost links differ in.

--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -9,7 +10,7 @@
 
 use bytes::Bytes;
 use cyclamengrade_control::relay::response::History;
-use cyclamengrade_telemetry::metrics::RELAY_CONNECTIONS_OPENED;
+use cyclamengrade_telemetry::{event, metrics::RELAY_CONNECTIONS_OPENED};
 use http_body_util::Full;
 use hyper::{
     HeaderMap,
@@ -130,8 +131,19 @@
     }
 
     async fn open(permit: Permit, address: SocketAddr) -> Option<Connection> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let start = Instant::now();
+        let stream = match connect(address).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                event!(
+                    ConnectionFailed,
+                    upstream:% = permit.id,
+                    cause:% = cause(&error),
+                    elapsed_ms = start.elapsed().as_millis() as u64
+                );
+                return None;
+            }
+        };
         counter!(RELAY_CONNECTIONS_OPENED).increment(1);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -225,6 +237,20 @@
     }
 }
 
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn cause(error: &io::Error) -> String {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => "refused".into(),
+        io::ErrorKind::TimedOut => "timeout".into(),
+        kind => kind.to_string(),
+    }
+}
+
 /// Returns the idle timeout that the `Keep-Alive` header states.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -244,6 +244,10 @@
     /// `part` (hash as in event 1227), `left_ms`.
     1229 Error PartQuarantined "part_quarantined" "requests are quarantined",
 
+    /// A relay could not open a connection to an upstream. Fields: `upstream`, `cause` (`refused` if the
+    /// vm answered, `timeout` if nothing did, otherwise the kind of the error), `elapsed_ms`.
+    1230 Info ConnectionFailed "connection_failed" "connection to an upstream could not be opened",
+
     /// A batch job was stored. Fields: `job`, `items`, `elapsed_ms`.
     1240 Info JobStored "job_stored" "batch job was stored",
     /// A batch job could not be stored. Fields: `job`, `status`, `error`.
