Reproduce relays that lose their links to the upstreams

The stand-in for the store can serve each relay the addresses of proxies in place of the runners, so that the connections of one relay hang, are refused or are reset while the other relays keep theirs.

--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -5,6 +5,7 @@
     fs, io,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -13,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    bridge::{Runner, Store},
+    bridge::{Cut, Links, Runner, Store},
     client::{Call, Client, Reply},
     fleet::{Error, binary, create_folder, loopback_address},
     process::Process,
@@ -47,6 +48,8 @@
     log: PathBuf,
     /// Starts of the process so far.
     starts: usize,
+    /// Its connections to the runners, if they can be cut.
+    links: Option<Arc<Links>>,
 }
 
 /// A submitted batch job.
@@ -95,6 +98,8 @@
     client: Client,
     folder: PathBuf,
     host: IpAddr,
+    /// Whether the connections of relays to runners can be cut.
+    is_linked: bool,
     version: u64,
 }
 
@@ -106,15 +111,28 @@
     ///
     /// A process does not start or does not become ready in time.
     pub async fn start(relays: usize) -> Result<Self, Error> {
-        Self::start_program(relays, binary("cyclamengrade")?).await
+        Self::start_program(relays, binary("cyclamengrade")?, false).await
     }
 
-    /// The same, with relays of another build.
+    /// The same, with connections of the relays to the runners that can be cut.
     ///
     /// # Errors
     ///
     /// A process does not start or does not become ready in time.
-    pub async fn start_program(relays: usize, program: PathBuf) -> Result<Self, Error> {
+    pub async fn start_linked(relays: usize) -> Result<Self, Error> {
+        Self::start_program(relays, binary("cyclamengrade")?, true).await
+    }
+
+    /// The same, with relays of another build, and connections that can be cut if `is_linked`.
+    ///
+    /// # Errors
+    ///
+    /// A process does not start or does not become ready in time.
+    pub async fn start_program(
+        relays: usize,
+        program: PathBuf,
+        is_linked: bool,
+    ) -> Result<Self, Error> {
         let host = loopback_address();
         let store = Store::start(host).await?;
         let runners = vec![Runner::start(host, "m-1").await?, Runner::start(host, "m-2").await?];
@@ -134,6 +152,7 @@
             client: Client::new(),
             folder,
             host,
+            is_linked,
             version: 0,
         };
         harness.configure(json!([]));
@@ -197,17 +216,22 @@
     ///
     /// # Errors
     ///
-    /// The process does not start.
+    /// The process does not start, or the store cannot listen for it.
     pub fn add_relay(&mut self, number: usize) -> Result<(), Error> {
         // No other process uses the address of this harness, and the system does not assign ports
         // below its ephemeral range.
         let first = FIRST_RELAY_PORT + PORTS_PER_RELAY * number as u16;
         let ports: Vec<SocketAddr> =
             (first..first + PORTS_PER_RELAY).map(|port| (self.host, port).into()).collect();
+        let links = self.is_linked.then(|| Arc::new(Links::new(self.host)));
+        let store = match &links {
+            Some(links) => self.store.serve_links(links.clone())?,
+            None => self.store.address,
+        };
         let settings = json!({
             "name": format!("vm-{number}"), "data_centre": "a", "listen": ports[0],
             "ready_listen": ports[1], "metrics_listen": ports[2], "peer_listen": ports[3],
-            "dialect": "bridge", "store": {"address": self.store.address, "keep_s": 1},
+            "dialect": "bridge", "store": {"address": store, "keep_s": 1},
             "memory_bytes": 16 << 20, "stop": {"grace_s": 4.0, "leave_ms": 300}
         });
         let path = self.folder.join(format!("vm-{number}.json"));
@@ -220,10 +244,19 @@
             settings: path,
             log: self.folder.join(format!("vm-{number}.log")),
             starts: 0,
+            links,
         });
         self.start_relay(number)
     }
 
+    /// Cuts the connections of a relay to all runners, or lets them go on. Without effect if they cannot
+    /// be cut.
+    pub fn cut_links(&self, relay: usize, cut: Cut) {
+        if let Some(links) = &self.relays[relay].links {
+            links.set_cut(cut);
+        }
+    }
+
     /// Starts a runner with a version of the software in a data centre. The relays, which are in the
     /// data centre `a`, do not know it before it is listed.
     ///
--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod harness;
+mod links;
 mod listing;
 mod plan;
 mod runner;
@@ -12,6 +13,7 @@
 pub use self::{
     caller::{Callers, Contradiction, ITEM_EVENTS, Promise, Record},
     harness::{Harness, Job},
+    links::{Cut, Links},
     plan::{Disturbance, Plan, Size, Step},
     runner::{Answer, Endless, Fault, Mark, Moment, Naming, Repeated, Run, Runner},
     store::{Faults, Store},
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -6,7 +6,7 @@
     convert::Infallible,
     future::pending,
     io,
-    net::{IpAddr, SocketAddr},
+    net::{self, IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -27,6 +27,8 @@
     time::timeout,
 };
 
+use crate::bridge::Links;
+
 /// Identifies a row by table, part and key.
 type Name = (String, String, String);
 
@@ -98,10 +100,21 @@
             changed: Notify::new(),
             start: Instant::now(),
         });
-        tokio::spawn(accept(listener, shared.clone()));
+        tokio::spawn(accept(listener, shared.clone(), None));
         Ok(Self { address, shared })
     }
 
+    /// Returns a further address at which the store answers, with the proxies of one relay in place of
+    /// the runners.
+    pub fn serve_links(&self, links: Arc<Links>) -> io::Result<SocketAddr> {
+        let listener = net::TcpListener::bind((self.address.ip(), 0))?;
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let address = listener.local_addr()?;
+        tokio::spawn(accept(listener, self.shared.clone(), Some(links)));
+        Ok(address)
+    }
+
     /// Writes a row with a JSON value, as operators and runners do.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().as_bytes());
@@ -249,17 +262,17 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>, links: Option<Arc<Links>>) {
     loop {
         let Ok((mut stream, _)) = listener.accept().await else { continue };
-        let shared = shared.clone();
+        let (shared, links) = (shared.clone(), links.clone());
         tokio::spawn(async move {
             if shared.state().faults.endless {
                 // Ends with an error when the caller closes the connection.
                 let _ = write_endless(&mut stream).await;
                 return;
             }
-            let service = service_fn(move |request| handle(shared.clone(), request));
+            let service = service_fn(move |request| handle(shared.clone(), links.clone(), request));
             // A dropped response ends the connection with an error, which is intended.
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
@@ -275,6 +288,7 @@
 
 async fn handle(
     shared: Arc<Shared>,
+    links: Option<Arc<Links>>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, ReplyLost> {
     let (head, body) = request.into_parts();
@@ -311,7 +325,7 @@
         }
         return Ok(answer);
     }
-    Ok(read(&shared, &head.uri).await)
+    Ok(read(&shared, links.as_deref(), &head.uri).await)
 }
 
 fn write(shared: &Shared, method: &Method, path: &str, body: &Bytes) -> Response<Full<Bytes>> {
@@ -345,12 +359,12 @@
     }
 }
 
-async fn read(shared: &Shared, uri: &hyper::Uri) -> Response<Full<Bytes>> {
+async fn read(shared: &Shared, links: Option<&Links>, uri: &hyper::Uri) -> Response<Full<Bytes>> {
     let query = query(uri.query().unwrap_or_default());
     let text = |name: &str| query.get(name).cloned().unwrap_or_default();
     let number = |name: &str| text(name).parse::<u64>().ok();
     match uri.path() {
-        "/-/rows-get" => rows(shared, &text("Table"), &text("part"), &query),
+        "/-/rows-get" => rows(shared, links, &text("Table"), &text("part"), &query),
         "/-/rows-parts" => {
             let state = shared.state();
             let table = text("Table");
@@ -365,7 +379,7 @@
         }
         "/-/rows-feed" => {
             let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
-            feed(shared, &text("Table"), number("After").unwrap_or(0), wait).await
+            feed(shared, links, &text("Table"), number("After").unwrap_or(0), wait).await
         }
         path => match path.strip_prefix("/-/blob-get/") {
             Some(object) => match shared.state().objects.get(object) {
@@ -379,6 +393,7 @@
 
 fn rows(
     shared: &Shared,
+    links: Option<&Links>,
     table: &str,
     part: &str,
     query: &HashMap<String, String>,
@@ -399,14 +414,20 @@
         if has_more {
             break;
         }
-        rows.push(row_json(name, Some(&row.value), row.version));
+        rows.push(row_json(name, Some(&seen_value(links, name, &row.value)), row.version));
     }
     json_response(&json!({
         "Rows": rows, "HasMore": has_more, "Ver": state.version, "NowMs": shared.now_ms()
     }))
 }
 
-async fn feed(shared: &Shared, table: &str, after: u64, wait: Duration) -> Response<Full<Bytes>> {
+async fn feed(
+    shared: &Shared,
+    links: Option<&Links>,
+    table: &str,
+    after: u64,
+    wait: Duration,
+) -> Response<Full<Bytes>> {
     let deadline = Instant::now() + wait;
     loop {
         let changed = shared.changed.notified();
@@ -418,7 +439,10 @@
             let seen = state.history.partition_point(|(version, ..)| *version <= after);
             let changes = state.history[seen..].iter().filter(|(_, name, _)| name.0 == table);
             let rows: Vec<Value> = changes
-                .map(|(version, name, value)| row_json(name, value.as_deref(), *version))
+                .map(|(version, name, value)| {
+                    let value = value.as_deref().map(|value| seen_value(links, name, value));
+                    row_json(name, value.as_deref(), *version)
+                })
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
@@ -437,6 +461,19 @@
     (text("Table"), text("part"), text("Key"))
 }
 
+/// Returns the value of a row as a relay with these links sees it.
+fn seen_value(links: Option<&Links>, (table, ..): &Name, value: &str) -> String {
+    let with_proxy = |links: &Links| {
+        let mut entry: Value = serde_json::from_slice(&STANDARD.decode(value).ok()?).ok()?;
+        let runner = entry["Address"].as_str()?.parse().ok()?;
+        entry["Address"] = json!(links.proxy(runner).ok()?);
+        Some(encode(entry.to_string().as_bytes()))
+    };
+    let links = links.filter(|_| table == "servers");
+    // An entry that names no runner is passed on as it is.
+    links.and_then(with_proxy).unwrap_or_else(|| value.to_owned())
+}
+
 fn row_json((table, part, key): &Name, value: Option<&str>, version: u64) -> Value {
     match value {
         Some(value) => {
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -127,7 +127,7 @@
 
 impl Run {
     async fn start(seed: u64, size: Size) -> Result<Self> {
-        let mut harness = Harness::start_program(size.relays, program()?).await?;
+        let mut harness = Harness::start_program(size.relays, program()?, true).await?;
         // Longer than a run, so that no item is abandoned.
         harness.retention_s = 120 + 2 * size.seconds;
         harness.configure(json!([]));
