Carry connections to upstreams for relays that have lost their links

Callers of a relay without links to the upstreams were refused: it had one way to an upstream, a connection of its own, and spent each slot that a broker granted on connects of 400 ms. Now a connection that fails, or takes longer than 50 ms, is opened by another relay, which carries its bytes. Requests, slots, attempts, deadlines, ends of streams and blames stay with the relay that has the request; chunks mark the end of what the upstream sent, so that a helping relay that dies is no end of a stream. A relay that reaches an upstream which another one does not shows that the link failed, so the upstream is neither paused nor blamed. Lost links are probed in the background.

Ruled out: reports of cut relays that harm the others (no upstream is paused at other relays), and leaving the rotation (two seconds, and the platform uses all relays of a data centre again when most of them are cut off).

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod framing;
 pub mod job;
 pub mod limit;
+pub mod link;
 pub mod monitor;
 pub mod origin;
 pub mod owner;
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -226,6 +226,25 @@
         removed
     }
 
+    /// Returns the upstream with this id, if it is listed.
+    pub fn upstream_of(&self, id: &str) -> Option<&Upstream> {
+        self.upstream(*self.by_id.get(id)?)
+    }
+
+    /// Returns the upstream with this id if no byte of it has arrived for at least `silence`.
+    pub fn silent_upstream(&self, id: &str, silence: Duration, now: Time) -> Option<Upstream> {
+        let entry = self.entries.get(*self.by_id.get(id)?)?;
+        (now.since(entry.last_byte) >= silence).then(|| entry.upstream.clone())
+    }
+
+    /// Forgets the failures and the silence of an upstream that another relay reaches, since the link of
+    /// this one caused them.
+    pub fn clear_suspicion(&mut self, id: &str, now: Time) {
+        if let Some(key) = self.by_id.get(id).copied() {
+            self.record_bytes(key, now);
+        }
+    }
+
     /// Returns the upstream of a key, unless it was removed.
     pub fn upstream(&self, key: Key) -> Option<&Upstream> {
         self.entries.get(key).map(|entry| &entry.upstream)
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -24,6 +24,7 @@
     dialect::Headers,
     events::{Event, Splitter},
     flight::Flight,
+    link,
     memory::Reservation,
     pool::{Connection, Pool},
 };
@@ -96,6 +97,8 @@
     pub headers: HeaderMap,
     body: Incoming,
     connection: Connection,
+    /// Checks the link while the body does not go on.
+    check: Option<link::Check>,
 }
 
 impl Response {
@@ -135,7 +138,7 @@
         deadline: Instant,
     ) -> Result<Collected, Failure> {
         let has_marked_end = self.has_marked_end();
-        let Self { status, headers, mut body, connection } = self;
+        let Self { status, headers, mut body, connection, .. } = self;
         let mut memory = flight.response_memory().reserve().ok_or(Failure::Broken)?;
         let mut bytes = BytesMut::new();
         loop {
@@ -237,7 +240,9 @@
             if let Some(event) = self.splitter.next() {
                 return Ok(Next::Event(event));
             }
-            match time::timeout_at(until, self.response.body.frame()).await {
+            let Response { body, check, .. } = &mut self.response;
+            let frame = link::check_while(check.as_ref(), body.frame());
+            match time::timeout_at(until, frame).await {
                 Err(_) => return Err(Failure::Silent),
                 Ok(Some(Err(_))) => return Err(Failure::Broken),
                 Ok(Some(Ok(frame))) => {
@@ -272,16 +277,14 @@
     outgoing: &Outgoing,
     options: Options,
 ) -> Result<Response, Failure> {
-    let upstream = &flight.upstream;
-    let Upstream { id, address, .. } = upstream;
-    let max = options.max_connections;
-    let connection = flight.pool().acquire(id, *address, max, &outgoing.id).await;
-    let Some(mut connection) = connection else { return Err(Failure::NotSent) };
-    let request = request(names, upstream, outgoing, options).ok_or(Failure::NotSent)?;
+    let mut connection = flight.connect(options.max_connections, &outgoing.id).await?;
+    let request = request(names, &flight.upstream, outgoing, options).ok_or(Failure::NotSent)?;
     flight.set_sent(true);
     connection.history.record(&outgoing.id);
+    let check = flight.link_check(&connection.path);
+    let sending = connection.sender.try_send_request(request);
     let response =
-        match time::timeout(options.timeout, connection.sender.try_send_request(request)).await {
+        match time::timeout(options.timeout, link::check_while(check.as_ref(), sending)).await {
             Err(_) => return Err(Failure::Silent),
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => {
@@ -295,7 +298,7 @@
             }
         };
     let (head, body) = response.into_parts();
-    let response = Response { status: head.status, headers: head.headers, body, connection };
+    let response = Response { status: head.status, headers: head.headers, body, connection, check };
     validate(flight, names, outgoing, response, options.timeout).await
 }
 
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -18,8 +18,9 @@
 
 use crate::{
     dialect::Headers,
+    link,
     memory::Budget,
-    pool::{Connection, Pool},
+    pool::{Connection, Path, Pool},
     shared::Shared,
     slots::{Need, Outcome, Placement},
 };
@@ -43,6 +44,9 @@
     has_answered: bool,
     /// Whether the request may have reached the upstream.
     is_sent: bool,
+    /// Whether a failure to connect, a broken connection or silence may be due to a link and not to
+    /// the upstream.
+    is_excused: bool,
 }
 
 impl Flight {
@@ -134,10 +138,42 @@
         })
     }
 
+    /// Returns a connection for the request with this id.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none. Nothing was sent.
+    pub async fn connect(&mut self, max: usize, request_id: &str) -> Result<Connection, Failure> {
+        let Upstream { id, address, .. } = &self.upstream;
+        let acquired = self.shared.acquire_connection(id, *address, max, request_id).await;
+        self.is_excused = match &acquired {
+            Ok(connection) => connection.path != Path::Direct,
+            Err(unavailable) => !unavailable.is_upstream_fault(),
+        };
+        acquired.map_err(|_| Failure::NotSent)
+    }
+
+    /// Returns what checks the link of a connection to the upstream while it is silent.
+    pub fn link_check(&self, path: &Path) -> Option<link::Check> {
+        (*path == Path::Direct).then(|| link::Check::new(&self.shared, &self.upstream.id))
+    }
+
+    /// Whether the upstream is not to blame for a failure, which may be due to a link.
+    fn excuses(&self, failure: Failure) -> bool {
+        match failure {
+            Failure::NotSent => self.is_excused,
+            Failure::Broken | Failure::Silent => {
+                self.is_excused || self.shared.has_lost_link(&self.upstream.id)
+            }
+            Failure::NotRun | Failure::Misdirected => false,
+        }
+    }
+
     /// Returns a new connection to the upstream, without the idle ones.
     pub async fn open_connection(&self) -> Option<Connection> {
         let Upstream { id, address, deployment, .. } = &self.upstream;
-        self.pool().open_new(id, *address, self.shared.max_connections(deployment)).await
+        let max = self.shared.max_connections(deployment);
+        self.shared.open_new_connection(id, *address, max).await.ok()
     }
 
     /// Returns the names of the headers that upstreams understand.
@@ -167,7 +203,9 @@
     /// Records a failed attempt. Ejects the upstream for a time if it caused the failure.
     pub fn record_failure(&self, failure: Failure) {
         counter!(RELAY_ATTEMPTS, "outcome" => failure.name()).increment(1);
-        self.shared.record_upstream_failure(self.key, &self.upstream.id, failure);
+        if !self.excuses(failure) {
+            self.shared.record_upstream_failure(self.key, &self.upstream.id, failure);
+        }
         // Batch items never crash upstreams by themselves.
         let is_suspect = self.class == Class::Online && !self.has_answered;
         if failure == Failure::Broken && is_suspect {
@@ -351,6 +389,7 @@
             parts: [].into(),
             has_answered: false,
             is_sent: false,
+            is_excused: false,
         })
     }
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod follower;
 mod front;
 pub mod job;
+mod link;
 mod memory;
 mod native;
 mod online;
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -1,16 +1,18 @@
 //! Pool of HTTP/1 connections to upstreams.
 
 use std::{
-    collections::HashMap,
-    io,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use cyclamengrade_control::relay::response::History;
-use cyclamengrade_telemetry::{event, metrics::RELAY_CONNECTIONS_OPENED};
+use cyclamengrade_control::relay::{response::History, selector::Upstream};
+use cyclamengrade_telemetry::metrics::RELAY_CONNECTIONS_OPENED;
 use http_body_util::Full;
 use hyper::{
     HeaderMap,
@@ -20,21 +22,22 @@
 use hyper_util::rt::TokioIo;
 use metrics::counter;
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
-    task::JoinHandle,
-    time::{sleep, timeout},
+    task::{AbortHandle, JoinHandle},
+    time::sleep,
 };
 
-use crate::shared::lock;
+use crate::{
+    link::{Transport, Unreachable},
+    shared::{Shared, lock},
+};
 
 /// Idle timeout assumed for an upstream that does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time before the end of the idle timeout from which a connection is no longer reused, so that
 /// no request is sent while the upstream closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
-/// Timeout for opening a connection. A lost SYN is retransmitted only after one second, so trying
-/// another upstream is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which a connection has to stay open before its upstream counts as reachable. The listener of
 /// a process that is being killed may outlive it on a busy vm, so this is no proof that the upstream lives.
 const REACHABLE_TIME: Duration = Duration::from_millis(10);
@@ -42,10 +45,19 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// How a connection reaches its upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Path {
+    Direct,
+    /// Another relay, which is named, carries it.
+    Carried(String),
+}
+
 /// A connection to an upstream. Dropping it closes the connection and cancels the request on it.
 pub struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) history: History,
+    pub(crate) path: Path,
     task: JoinHandle<()>,
     permit: Permit,
 }
@@ -62,101 +74,172 @@
     expires: Instant,
 }
 
+/// Open connections to one upstream, idle or in use, by their numbers. Those that are direct have a
+/// handle that closes them.
+type Open = HashMap<u64, Option<AbortHandle>>;
+
 /// Counts a connection towards the limit of its upstream until dropped.
 struct Permit {
     id: String,
-    open: Arc<Mutex<HashMap<String, usize>>>,
+    number: u64,
+    open: Arc<Mutex<HashMap<String, Open>>>,
+}
+
+impl Permit {
+    fn set_direct(&self, handle: AbortHandle) {
+        if let Some(open) = lock(&self.open).get_mut(&self.id) {
+            open.insert(self.number, Some(handle));
+        }
+    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let mut open = lock(&self.open);
-        if let Some(count) = open.get_mut(&self.id) {
-            *count -= 1;
-            if *count == 0 {
-                open.remove(&self.id);
+        let mut all = lock(&self.open);
+        if let Some(open) = all.get_mut(&self.id) {
+            open.remove(&self.number);
+            if open.is_empty() {
+                all.remove(&self.id);
             }
         }
     }
 }
 
+/// Why there is no connection for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unavailable {
+    /// As many connections to the upstream as allowed are open.
+    Limit,
+    Unreachable(Unreachable),
+}
+
+impl Unavailable {
+    /// Whether the upstream is at fault, as far as is known, and not the link of this relay.
+    pub const fn is_upstream_fault(self) -> bool {
+        match self {
+            Self::Limit => true,
+            Self::Unreachable(unreachable) => unreachable.is_upstream_fault,
+        }
+    }
+}
+
 /// Connections by id of their upstream.
 #[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<String, Vec<Idle>>>,
-    /// Number of open connections, idle or in use.
-    open: Arc<Mutex<HashMap<String, usize>>>,
+    open: Arc<Mutex<HashMap<String, Open>>>,
+    /// Number of permits so far.
+    permits: AtomicU64,
 }
 
-impl Pool {
-    /// Returns an idle connection that can carry a request with this id, or opens a new one. Returns `None`
-    /// if `max` connections to the upstream are in use already or if the connection cannot be opened.
-    pub async fn acquire(
-        &self,
+impl Shared {
+    /// Returns an idle connection that can carry a request with this id, or opens a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `max` connections to the upstream are in use already or if the connection cannot be opened.
+    pub async fn acquire_connection(
+        self: &Arc<Self>,
         id: &str,
         address: SocketAddr,
         max: usize,
         request_id: &str,
-    ) -> Option<Connection> {
-        if let Some(connection) = self.reuse(id, request_id) {
-            return Some(connection);
+    ) -> Result<Connection, Unavailable> {
+        if let Some(connection) = self.pool.reuse(id, request_id) {
+            return Ok(connection);
         }
-        let permit = match self.acquire_permit(id, max) {
+        let permit = match self.pool.acquire_permit(id, max) {
             Some(permit) => permit,
             // An idle connection that cannot carry the request gives way to a new one.
-            None if self.close_one(id) => self.acquire_permit(id, max)?,
-            None => return None,
+            None if self.pool.close_one(id) => {
+                self.pool.acquire_permit(id, max).ok_or(Unavailable::Limit)?
+            }
+            None => return Err(Unavailable::Limit),
         };
-        Self::open(permit, address).await
+        self.open_connection(permit, address).await
     }
 
-    /// Opens a connection for a single request. Returns `None` if `max` connections to the upstream are
-    /// open already or if it cannot be opened.
-    pub async fn open_new(&self, id: &str, address: SocketAddr, max: usize) -> Option<Connection> {
-        Self::open(self.acquire_permit(id, max)?, address).await
+    /// Opens a connection for a single request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `max` connections to the upstream are open already or if it cannot be opened.
+    pub async fn open_new_connection(
+        self: &Arc<Self>,
+        id: &str,
+        address: SocketAddr,
+        max: usize,
+    ) -> Result<Connection, Unavailable> {
+        let permit = self.pool.acquire_permit(id, max).ok_or(Unavailable::Limit)?;
+        self.open_connection(permit, address).await
     }
 
     /// Whether an upstream accepts a connection and keeps it open, which is then kept for reuse. An
     /// upstream that was killed refuses it.
-    pub async fn is_reachable(&self, id: &str, address: SocketAddr, max: usize) -> bool {
+    pub async fn is_reachable(self: &Arc<Self>, upstream: &Upstream) -> bool {
+        let Upstream { id, address, deployment, .. } = upstream;
         // At the limit, the other connections to the upstream are open.
-        let Some(permit) = self.acquire_permit(id, max) else { return true };
-        let Some(connection) = Self::open(permit, address).await else { return false };
+        let permit = self.pool.acquire_permit(id, self.max_connections(deployment));
+        let Some(permit) = permit else { return true };
+        let Ok(connection) = self.open_connection(permit, *address).await else { return false };
         sleep(REACHABLE_TIME).await;
         if connection.sender.is_closed() {
             return false;
         }
-        self.keep(connection, DEFAULT_IDLE_TIMEOUT);
+        self.pool.keep(connection, DEFAULT_IDLE_TIMEOUT);
         true
     }
 
-    async fn open(permit: Permit, address: SocketAddr) -> Option<Connection> {
-        let start = Instant::now();
-        let stream = match connect(address).await {
-            Ok(stream) => stream,
-            Err(error) => {
-                event!(
-                    ConnectionFailed,
-                    upstream:% = permit.id,
-                    cause:% = cause(&error),
-                    elapsed_ms = start.elapsed().as_millis() as u64
-                );
-                return None;
+    /// Keeps a connection that was opened without a request.
+    pub async fn adopt(&self, upstream: &Upstream, stream: TcpStream) {
+        let permit =
+            self.pool.acquire_permit(&upstream.id, self.max_connections(&upstream.deployment));
+        let Some(permit) = permit else { return };
+        if let Some(connection) = handshake(permit, Path::Direct, stream).await {
+            self.pool.keep(connection, DEFAULT_IDLE_TIMEOUT);
+        }
+    }
+
+    async fn open_connection(
+        self: &Arc<Self>,
+        permit: Permit,
+        address: SocketAddr,
+    ) -> Result<Connection, Unavailable> {
+        let opened = self.open_transport(&permit.id, address).await;
+        let connection = match opened.map_err(Unavailable::Unreachable)? {
+            Transport::Direct(stream) => handshake(permit, Path::Direct, stream).await,
+            Transport::Carried(tunnel, name) => {
+                handshake(permit, Path::Carried(name), tunnel).await
             }
         };
-        counter!(RELAY_CONNECTIONS_OPENED).increment(1);
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .ok()?;
-        let task = tokio::spawn(async move {
-            // The request on the connection returns the error.
-            let _ = connection.await;
-        });
-        Some(Connection { sender, history: History::default(), task, permit })
+        // The connection was closed again at once.
+        let fault = Unavailable::Unreachable(Unreachable { is_upstream_fault: true });
+        connection.ok_or(fault)
+    }
+}
+
+async fn handshake(
+    permit: Permit,
+    path: Path,
+    transport: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+) -> Option<Connection> {
+    counter!(RELAY_CONNECTIONS_OPENED).increment(1);
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(transport))
+        .await
+        .ok()?;
+    let task = tokio::spawn(async move {
+        // The request on the connection returns the error.
+        let _ = connection.await;
+    });
+    if path == Path::Direct {
+        permit.set_direct(task.abort_handle());
     }
+    Some(Connection { sender, history: History::default(), path, task, permit })
+}
 
+impl Pool {
     /// Returns up to `max` ids of upstreams to which a connection is idle.
     pub fn idle_ids(&self, max: usize) -> Vec<String> {
         let now = Instant::now();
@@ -191,13 +274,14 @@
     }
 
     fn acquire_permit(&self, id: &str, max: usize) -> Option<Permit> {
-        let mut open = lock(&self.open);
-        let count = open.entry(id.to_owned()).or_default();
-        if *count >= max {
+        let mut all = lock(&self.open);
+        let open = all.entry(id.to_owned()).or_default();
+        if open.len() >= max {
             return None;
         }
-        *count += 1;
-        Some(Permit { id: id.to_owned(), open: self.open.clone() })
+        let number = self.permits.fetch_add(1, Ordering::Relaxed);
+        open.insert(number, None);
+        Some(Permit { id: id.to_owned(), number, open: self.open.clone() })
     }
 
     /// Keeps a connection for reuse after its response was read to the end. Drops it if the
@@ -227,6 +311,39 @@
         }
     }
 
+    /// Returns the ids of the upstreams to which a connection of this relay's own is open.
+    pub fn direct_ids(&self) -> BTreeSet<String> {
+        let all = lock(&self.open);
+        let direct = all.iter().filter(|(_, open)| open.values().any(Option::is_some));
+        direct.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Closes this relay's own connections to an upstream. The requests on them fail.
+    pub fn abort_direct(&self, id: &str) {
+        let handles: Vec<AbortHandle> = {
+            let all = lock(&self.open);
+            all.get(id).map(|open| open.values().flatten().cloned().collect()).unwrap_or_default()
+        };
+        handles.iter().for_each(AbortHandle::abort);
+    }
+
+    /// Closes the idle connections to an upstream that other relays carry.
+    pub fn close_idle_carried(&self, id: &str) {
+        if let Some(list) = lock(&self.idle).get_mut(id) {
+            list.retain(|idle| idle.connection.path == Path::Direct);
+        }
+    }
+
+    /// Closes the idle connections that are carried by these relays.
+    pub fn close_idle_via(&self, is_closed: impl Fn(&str) -> bool) {
+        for list in lock(&self.idle).values_mut() {
+            list.retain(|idle| match &idle.connection.path {
+                Path::Direct => true,
+                Path::Carried(name) => !is_closed(name),
+            });
+        }
+    }
+
     /// Closes the idle connections that may no longer be reused.
     pub fn close_expired(&self) {
         let now = Instant::now();
@@ -237,20 +354,6 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
-
-fn cause(error: &io::Error) -> String {
-    match error.kind() {
-        io::ErrorKind::ConnectionRefused => "refused".into(),
-        io::ErrorKind::TimedOut => "timeout".into(),
-        kind => kind.to_string(),
-    }
-}
-
 /// Returns the idle timeout that the `Keep-Alive` header states.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/components/relay/src/quarantine.rs
+++ b/components/relay/src/quarantine.rs
@@ -119,11 +119,10 @@
     }
 
     /// Returns whether an upstream keeps accepting connections after one of them broke off.
-    async fn serves_on(&self, upstream: &Upstream) -> bool {
-        let max = self.max_connections(&upstream.deployment);
+    async fn serves_on(self: &Arc<Self>, upstream: &Upstream) -> bool {
         for delay in PROBE_DELAYS {
             sleep(delay).await;
-            if !self.pool.is_reachable(&upstream.id, upstream.address, max).await {
+            if !self.is_reachable(upstream).await {
                 return false;
             }
         }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -20,6 +20,7 @@
     follower::Follower,
     front,
     job::{cleanup, key, row, store},
+    link,
     origin::archive,
     peers, quarantine,
     shared::{Phase, Readiness, Shared},
@@ -143,6 +144,9 @@
     tokio::spawn(dispatcher.clone().run());
     tokio::spawn(dispatcher.clone().watch_owners());
     tokio::spawn(cleanup::run(shared.clone(), settings.store.keep()));
+    let carrier = front::bind(settings.peer_listen).await?;
+    tokio::spawn(link::carrier::serve(shared.clone(), carrier));
+    tokio::spawn(shared.clone().probe_lost_links());
     tokio::spawn(close_expired_connections(shared.clone()));
     tokio::spawn(quarantine::store_changes(shared.clone()));
     tokio::spawn(archive::write_changes(shared.clone()));
@@ -164,6 +168,7 @@
     loop {
         sleep(SWEEP_PERIOD * 5).await;
         shared.pool.close_expired();
+        shared.close_unusable_carried();
     }
 }
 
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -28,7 +28,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, dialect::Dialect, job::row, memory::Budget, origin::Cache, pool::Pool,
+    clock::Clock, dialect::Dialect, job::row, link, memory::Budget, origin::Cache, pool::Pool,
     quarantine::Ledger, slots::Slots,
 };
 
@@ -122,6 +122,10 @@
     pub routes: ArcSwap<route::Table>,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Links to upstreams, and connections that are carried for other relays.
+    pub link: link::State,
+    /// Memory of the process, in bytes.
+    pub memory_bytes: u64,
     /// Memory for request bodies.
     pub body_memory: Budget,
     /// Memory for response bodies that are collected before they are forwarded.
@@ -189,6 +193,8 @@
             clock: Clock::new(),
             routes: ArcSwap::from_pointee(route::Table::default()),
             pool: Pool::default(),
+            link: link::State::default(),
+            memory_bytes: u64::MAX,
             body_memory: Budget::new(u64::MAX),
             response_memory: Budget::new(u64::MAX),
             data_centre: data_centre.to_owned(),
@@ -217,6 +223,7 @@
     /// Limits the memory for request and response bodies to shares of `bytes`, the memory of the process.
     pub fn with_memory(self, bytes: u64) -> Self {
         Self {
+            memory_bytes: bytes,
             body_memory: Budget::new(bytes / BODY_MEMORY_DIVISOR),
             response_memory: Budget::new(bytes / RESPONSE_MEMORY_DIVISOR),
             ..self
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -70,6 +70,8 @@
     shared.phase.send_replace(Phase::Draining);
     // Requests that are still in flight at the end of the grace time are cut off.
     let _ = timeout_at(end, &mut server).await;
+    // Other relays learn that this one stops and close what it carries for them.
+    let _ = timeout_at(end, shared.wait_until_none_carried()).await;
     let _ = timeout_at(end, handover).await;
     event!(DrainFinished);
     let removal = Transaction::new().with_delete(key::member(&shared.name));
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -244,9 +244,25 @@
     /// `part` (hash as in event 1227), `left_ms`.
     1229 Error PartQuarantined "part_quarantined" "requests are quarantined",
 
-    /// A relay could not open a connection to an upstream. Fields: `upstream`, `cause` (`refused` if the
-    /// vm answered, `timeout` if nothing did, otherwise the kind of the error), `elapsed_ms`.
+    /// A relay could not open a connection to an upstream. Fields: `upstream`, `cause` (`timeout` if
+    /// nothing answered, otherwise `refused`), `error`, `elapsed_ms`.
     1230 Info ConnectionFailed "connection_failed" "connection to an upstream could not be opened",
+    /// A relay cannot open connections to an upstream that another relay reaches. Fields: `upstream`,
+    /// `cause` as in event 1230.
+    1231 Warn LinkLost "link_lost" "link of this relay to an upstream is lost",
+    /// A relay opened a connection to an upstream on a link that was lost. Fields: `upstream`,
+    /// `elapsed_ms` since it was lost.
+    1232 Info LinkRestored "link_restored" "link of this relay to an upstream is back",
+    /// Another relay carries a connection to an upstream for this one. Fields: `upstream`, `member`,
+    /// `elapsed_ms`.
+    1233 Info ConnectionCarried "connection_carried" "another relay carries a connection to an upstream",
+    /// Another relay does not carry a connection to an upstream for this one. Fields: `upstream`,
+    /// `member`, `reason` (`unreachable` if it has no connection to the upstream either, `busy`, or
+    /// `silent`).
+    1234 Info CarrierDeclined "carrier_declined" "another relay does not carry a connection",
+    /// This relay was asked to carry a connection to an upstream for another one, and declined. Fields:
+    /// `upstream`, `reason` (`stopping`, `full`, `cut off`, `unknown upstream` or `unreachable`).
+    1235 Info CarryDeclined "carry_declined" "connection is not carried for another relay",
 
     /// A batch job was stored. Fields: `job`, `items`, `elapsed_ms`.
     1240 Info JobStored "job_stored" "batch job was stored",
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -128,6 +128,11 @@
          because no broker answered.",
     RELAY_CONNECTIONS_OPENED "relay_connections_opened_total" Counter Count ""
         "Connections that a relay opened to upstreams.",
+    RELAY_LINKS_LOST "relay_links_lost" Gauge Count ""
+        "Upstreams that other relays reach and this one does not.",
+    RELAY_CARRIED_CONNECTIONS "relay_carried_connections_total" Counter Count "outcome"
+        "Connections to upstreams that this relay asked others to carry, opened or declined, and that \
+         it was asked to carry, carried or refused.",
     RELAY_ITEMS "relay_items_total" Counter Count "outcome"
         "Runs of batch items, by outcome: completed, abandoned, failed, interrupted or paused.",
     RELAY_RESULTS "relay_results_total" Counter Count ""
