Refuse a successful response without a body whose end nothing marks

Callers got a 200 with Content-Length: 0 from an upstream that ended the head of its response after the stamp and closed the connection, on routes of all kinds: such a head looks like that of a response which its connection ends, and the upstream lives. A sound response without a body states a length or has a status that has none. The daemon's client of plain services had the same fault.

--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -130,7 +130,8 @@
     /// Returns [`Failure::Silent`] after a timeout or the deadline, and [`Failure::Broken`] if the
     /// connection fails, the body is longer than [`MAX_RESPONSE_BYTES`], the responses that are being
     /// read need more memory together than there is for them, or nothing but the close of the
-    /// connection marks the end of the body and the upstream does not answer any more.
+    /// connection marks the end of the body and the upstream does not answer any more or the response
+    /// is a successful one without a body.
     pub async fn collect(
         self,
         flight: &Flight,
@@ -165,7 +166,9 @@
             true => flight.pool().release(connection, &headers),
             false => {
                 drop(connection);
-                if !is_alive(flight).await {
+                // A head that ends early looks like the head of a response without a body.
+                let may_lack_body = status.is_success() && bytes.is_empty();
+                if may_lack_body || !is_alive(flight).await {
                     return Err(Failure::Broken);
                 }
             }
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -52,6 +52,9 @@
     CloseCoded(u64),
     /// The same as `CloseAfter`, and crashes at that moment.
     KilledAfter(u64),
+    /// Ends the head after the stamp, before what tells the type and the end of the body, and closes the
+    /// connection.
+    ShortHead,
     /// Leaves out the ids of the events, and breaks off after this many of them.
     OmitIds(u64),
     /// Leaves out the events of a new stream before this one.
@@ -518,6 +521,11 @@
                 sleep(Duration::from_secs(30)).await;
                 return Ok(false);
             }
+            Some(Fault::ShortHead) => {
+                let head = unframed_head("200 OK", &headers) + "\r\n";
+                stream.write_all(head.as_bytes()).await?;
+                return Ok(false);
+            }
             Some(Fault::Endless(place)) => {
                 self.write_endless(stream, &headers, place).await?;
                 return Ok(false);
--- a/components/upstream/src/client.rs
+++ b/components/upstream/src/client.rs
@@ -279,7 +279,8 @@
     }
 }
 
-/// Reads a whole response body of at most `limit` bytes. Returns the connection to the pool after a
+/// Reads a whole response body of at most `limit` bytes. A successful response without a body fails if
+/// nothing marks its end: a head that ends early looks the same. Returns the connection to the pool after a
 /// successful response only: the upstream may write a refusal once more, and nothing in it would tell it
 /// from the answer to the next request.
 async fn read_body(
@@ -289,6 +290,7 @@
     limit: usize,
 ) -> Result<Bytes, Error> {
     let is_success = response.status().is_success();
+    let has_marked_end = has_marked_end(&response);
     let mut body = response.into_body();
     let mut first = Bytes::new();
     let mut rest = BytesMut::new();
@@ -311,6 +313,13 @@
             rest.extend_from_slice(&data);
         }
     }
+    if is_success && !has_marked_end && first.is_empty() {
+        return Err(Error::Broken {
+            address: address.to_string(),
+            cause: "the response has neither a body nor a marked end".into(),
+            execution: Execution::Started,
+        });
+    }
     if is_success {
         connection.release();
     }
--- a/components/upstream/tests/calls.rs
+++ b/components/upstream/tests/calls.rs
@@ -401,6 +401,17 @@
     verify_that!(call_service(address).await, ok(eq("half")))
 }
 
+/// Guards against a response whose head ends early, at a service that lives on, being taken for a complete
+/// one without a body.
+#[gtest]
+#[tokio::test]
+async fn short_head() -> Result<()> {
+    let scripts = vec![vec![vec![b"HTTP/1.1 200 OK\r\n\r\n".as_slice()]], Vec::new()];
+    let (address, _requests) = start_server(scripts, false).await;
+    let started = matches_pattern!(Error::Broken { execution: eq(&Execution::Started), .. });
+    verify_that!(call_service(address).await, err(started))
+}
+
 const REFUSED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nfull";
 
 /// Guards against a request that has run and counts as refused, because the upstream wrote an earlier
