Confirm at the store that a version is the only one before a stream of unknown origin continues

Any answer of the store counted for the age of the list, and the age is measured by a clock that stands while the vm is suspended. Now only a call that begins after the caller's request shows that the list of upstreams is current; the row of the versions is read again as well. Without an answer in 300 ms the caller gets 503.

--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -44,6 +44,9 @@
     pub silence: Duration,
 }
 
+/// The list of upstreams has not changed up to a version of the store.
+pub struct Unchanged(pub u64);
+
 /// Removes the upstreams whose entries expired in an outage of the store and did not return within
 /// the grace period.
 pub struct Sweep;
@@ -76,7 +79,9 @@
         if update.table == sources.configuration_table {
             self.apply_configuration(&sources.configuration_key, update.changes);
         } else if update.table == sources.upstream_table {
+            let version = update.changes.version;
             self.apply_upstreams(now, update);
+            self.shared.listing.record_applied(version);
         } else {
             self.apply_fleet(now, update);
         }
@@ -286,6 +291,14 @@
     }
 }
 
+impl Message<Unchanged> for Directory {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Unchanged, _: &mut Context<Self, ()>) {
+        self.shared.listing.record_applied(message.0);
+    }
+}
+
 impl Message<Sweep> for Directory {
     type Reply = ();
 
--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    directory::{Directory, Update},
+    directory::{Directory, Unchanged, Update},
     job::key,
     shared::Shared,
 };
@@ -154,6 +154,10 @@
         self.shared.clock.record_store_time(changes.clock_ms);
         self.version = Some(changes.version.max(self.version.unwrap_or(0)));
         if changes.rows.is_empty() && !is_snapshot && silence < self.wait + ANSWER_MARGIN {
+            if self.table == self.shared.dialect.sources().upstream_table {
+                // Fails only if the directory actor has stopped, which the control thread logs.
+                let _ = self.directory.tell(Unchanged(changes.version)).await;
+            }
             return;
         }
         let update = Update { table: self.table.clone(), changes, is_snapshot, silence };
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod front;
 pub mod job;
 mod link;
+mod listing;
 mod memory;
 mod native;
 mod online;
--- a/components/relay/src/origin.rs
+++ b/components/relay/src/origin.rs
@@ -16,7 +16,6 @@
 
 use cyclamengrade_control::relay::{
     origin::{Origins, Software, Stream},
-    registry::OUTAGE_THRESHOLD,
     route::Route,
     selector::Upstream,
 };
@@ -246,7 +245,15 @@
             Some(stream) => self.recorded_origin(stream, sole.is_some()).await,
             None => None,
         };
-        known.or_else(|| sole.map(|software| (software, Source::SoleVersion)))
+        if known.is_some() {
+            return known;
+        }
+        let software = sole?;
+        let (has_versions, is_current) =
+            tokio::join!(self.reload_versions(), self.is_listing_current());
+        let is_sole = has_versions && is_current;
+        (is_sole && self.sole_software(route, lifetime) == Some(software))
+            .then_some((software, Source::SoleVersion))
     }
 
     /// Returns the software that began a stream, if this relay, another one or the store keeps it. With
@@ -281,11 +288,8 @@
     }
 
     /// Returns the software of all upstreams that may serve a route, if all have had the same for
-    /// `lifetime` and the list of upstreams is current.
+    /// `lifetime`, as far as this relay knows.
     fn sole_software(&self, route: &Route, lifetime: Duration) -> Option<Software> {
-        if self.store_age() > OUTAGE_THRESHOLD {
-            return None;
-        }
         let mut versions = route.deployments().map(|name| self.settled_software(name, lifetime));
         let first = versions.next()??;
         versions.all(|other| other == Some(first)).then_some(first)
--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -38,6 +38,8 @@
 const RELOAD_PERIOD: Duration = Duration::from_millis(500);
 /// Timeout of reading the origins, while a caller waits.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a read of the row of the versions, for which callers that continue a stream wait.
+const VERSIONS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Rows of origins that are read at once.
 const PAGE_ROWS: usize = 500;
 /// Time between two comparisons of the versions in the store with the listed upstreams, and between two
@@ -126,6 +128,24 @@
         }
     }
 
+    /// Reads since when the deployments have their versions. Returns whether the store answered.
+    pub async fn reload_versions(&self) -> bool {
+        let read = timeout(VERSIONS_TIMEOUT, self.table.read(vec![key::versions()])).await;
+        let rows = match read.map_err(|_| Error::Unreachable("no answer in time".into())).flatten()
+        {
+            Ok(rows) => rows,
+            Err(error) => {
+                event!(PlatformUnreachable, service = "table", error:% = error);
+                return false;
+            }
+        };
+        let row = rows.into_iter().flatten().next();
+        if let Some(versions) = row.as_ref().and_then(store::decode_or_log) {
+            self.origins.set_versions(versions, self.clock.store_ms());
+        }
+        true
+    }
+
     /// Takes over the origins that an earlier start of this relay wrote, before they are replaced.
     async fn recover_own_origins(&self) -> Result<(), Error> {
         let rows = self.table.read(vec![key::origins(&self.name)]).await?;
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -20,7 +20,7 @@
     follower::Follower,
     front,
     job::{cleanup, key, row, store},
-    link,
+    link, listing,
     origin::archive,
     peers, quarantine,
     shared::{Phase, Readiness, Shared},
@@ -115,6 +115,8 @@
 ) {
     let directory = Directory::spawn(Directory::new(shared.clone(), grace_period));
     let sources = shared.dialect.sources().clone();
+    let list = sources.upstream_table.clone();
+    tokio::spawn(listing::confirm(shared.clone(), feed.clone(), list));
     for table in [sources.configuration_table, sources.upstream_table, key::FLEET.into()] {
         let follower = Follower::new(shared.clone(), feed.clone(), directory.clone(), table, apply);
         tokio::spawn(follower.run());
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -39,6 +39,8 @@
     pub refuse: bool,
     /// Leaves every call without a response and without any effect.
     pub silent: bool,
+    /// Leaves the calls that read this table without a response.
+    pub silent_table: Option<&'static str>,
     /// Answers every call with bytes that are no answer, until the caller closes the connection.
     pub endless: bool,
     /// Number of writes that take effect but get no response.
@@ -325,7 +327,13 @@
         }
         return Ok(answer);
     }
-    Ok(read(&shared, links.as_deref(), &head.uri).await)
+    let answer = read(&shared, links.as_deref(), &head.uri).await;
+    // The fault may have begun while the call waited for a change.
+    let silent_table = shared.state().faults.silent_table;
+    if silent_table.is_some_and(|table| is_about(&head.uri, table)) {
+        return pending::<Result<_, Infallible>>().await.map_err(|_| ReplyLost);
+    }
+    Ok(answer)
 }
 
 fn write(shared: &Shared, method: &Method, path: &str, body: &Bytes) -> Response<Full<Bytes>> {
@@ -359,6 +367,10 @@
     }
 }
 
+fn is_about(uri: &hyper::Uri, table: &str) -> bool {
+    query(uri.query().unwrap_or_default()).get("Table").is_some_and(|found| found == table)
+}
+
 async fn read(shared: &Shared, links: Option<&Links>, uri: &hyper::Uri) -> Response<Full<Bytes>> {
     let query = query(uri.query().unwrap_or_default());
     let text = |name: &str| query.get(name).cloned().unwrap_or_default();
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -208,6 +208,9 @@
     /// A new stream began with an event other than the first one, or an event of a stream has no id.
     /// Fields: `request`, `upstream`, `event` (its id, 0 without one), `events` before it.
     1211 Warn EventUnnumbered "event_unnumbered" "position of an event in its stream is not known",
+    /// The store did not confirm in time that this relay's list of upstreams is current. A stream that no
+    /// relay knows is not continued. Fields: `error`.
+    1212 Warn ListUnconfirmed "list_unconfirmed" "list of upstreams may be out of date",
     /// A response names another request, or names none on a connection that has carried others. The
     /// request may have run. Fields: `request`, `upstream`, `status` of the response, `requests` on the
     /// connection so far.
--- a/tests/relay_versions.rs
+++ b/tests/relay_versions.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cyclamengrade_standins::{
-    bridge::{Fault, Harness, Runner},
+    bridge::{Fault, Faults, Harness, Runner},
     client::Reply,
 };
 use googletest::prelude::*;
@@ -85,6 +85,40 @@
     verify_that!(resumed_after(&other), is_empty())
 }
 
+/// Guards against a relay whose list of upstreams is out of date, while the rest of the store answers it,
+/// and which takes the only version that it knows for that of a stream which no relay knows.
+#[gtest]
+#[tokio::test]
+async fn outdated_list() -> Result<()> {
+    let (mut harness, same, other) = start(2, LONG).await?;
+    harness.list(&same, 1).await?;
+    // The relay that begins the stream does not live to tell of it.
+    harness.kill_relay(0)?;
+    let silence = Faults { silent_table: Some("servers"), ..Faults::default() };
+    harness.store.set_faults(silence);
+    harness.store.put("servers", &other.id, &other.entry("model", "ready"));
+    for _ in 0..3 {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let reply = take_up(&harness, 1, "unknown", 5).await?;
+        expect_that!(reply.status, eq(503));
+    }
+    harness.store.set_faults(Faults::default());
+    harness.list(&other, 1).await?;
+    expect_that!(take_up(&harness, 1, "unknown", 5).await?.status, eq(503));
+    expect_that!(resumed_after(&same), is_empty());
+    verify_that!(resumed_after(&other), is_empty())
+}
+
+/// Guards against refusing a stream that no relay knows while there has been one version.
+#[gtest]
+#[tokio::test]
+async fn only_version() -> Result<()> {
+    let (harness, same, _other) = start(2, LONG).await?;
+    harness.list(&same, 1).await?;
+    let reply = take_up(&harness, 1, "unknown", 5).await?;
+    verify_that!(reply.text(), eq(&text(6..=LONG)))
+}
+
 /// Guards against losing the software version of a stream with the relay that began it.
 #[gtest]
 #[tokio::test]
