Answer the requests on connections that wait or were just accepted when a server stops

Requests that had been written on established connections were reset without an answer during a planned stop: the listener was dropped with the connections in its queue, and connections without a request yet were closed like idle ones. The relay and the daemon now accept what waits in the queue, and give a new connection half a second for its first request. The relay goes on accepting for half a second at most while connections keep coming.

A connection that arrives between the last accept and the close of the listener, some microseconds, is still reset.

--- a/components/caller/src/server.rs
+++ b/components/caller/src/server.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -30,6 +30,9 @@
 /// Smallest read buffer that hyper accepts for HTTP/1.1, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8_192;
 
+/// Time within which the first request on a connection arrives. Callers open a connection to send a request.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// Limits, timeouts and credentials of the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
@@ -113,12 +116,14 @@
     ) -> bool {
         let connections = GracefulShutdown::new();
         let mut shutdown = pin!(shutdown);
+        let mut accepted_at = Instant::now();
         loop {
             tokio::select! {
                 biased;
                 () = &mut shutdown => break,
                 accepted = listener.accept() => match accepted {
                     Ok((socket, caller)) => {
+                        accepted_at = Instant::now();
                         self.serve_connection(socket, caller.ip(), &connections);
                     }
                     Err(error) => {
@@ -128,8 +133,39 @@
                 },
             }
         }
-        drop(listener);
-        timeout(self.state.options.drain_timeout, connections.shutdown()).await.is_ok()
+        if self.accept_queued(listener, &connections) {
+            accepted_at = Instant::now();
+        }
+        let drained = async {
+            // A connection without a request yet would be closed, though its caller may have sent one.
+            sleep_until(accepted_at + FIRST_REQUEST_TIME).await;
+            connections.shutdown().await;
+        };
+        timeout(self.state.options.drain_timeout, drained).await.is_ok()
+    }
+
+    /// Accepts the connections that wait in the queue of the listener, which the system resets when the
+    /// listener is closed. Returns whether there were any.
+    fn accept_queued(&self, listener: TcpListener, connections: &GracefulShutdown) -> bool {
+        let mut has_accepted = false;
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!("cannot accept the last connections: {error}");
+                return false;
+            }
+        };
+        while let Ok((socket, caller)) = listener.accept() {
+            let socket = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
+            match socket {
+                Ok(socket) => {
+                    has_accepted = true;
+                    self.serve_connection(socket, caller.ip(), connections);
+                }
+                Err(error) => log::warn!("cannot accept a connection: {error}"),
+            }
+        }
+        has_accepted
     }
 
     fn serve_connection(&self, socket: TcpStream, caller: IpAddr, connections: &GracefulShutdown) {
--- a/components/relay/src/connection.rs
+++ b/components/relay/src/connection.rs
@@ -32,6 +32,9 @@
 
 mod watch;
 
+/// Time within which the first request on a connection arrives that was accepted before the relay drains.
+/// Callers open a connection to send a request, and may have done so.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -87,7 +90,11 @@
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(Stream::new(socket, watch.clone())), service);
-    let mut draining = pin!(draining);
+    let mut draining = pin!(async {
+        draining.await;
+        // A response says that the connection is closed after it.
+        let _ = timeout(FIRST_REQUEST_TIME, watch.wait_for_request()).await;
+    });
     let mut is_draining = false;
     let fault = loop {
         tokio::select! {
--- a/components/relay/src/connection/watch.rs
+++ b/components/relay/src/connection/watch.rs
@@ -11,7 +11,7 @@
 use cyclamengrade_control::relay::{framing::Framing, route::Limits};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    sync::Notify,
+    sync::{Notify, watch},
     time::{Instant, sleep_until},
 };
 
@@ -69,6 +69,8 @@
 pub struct Watch {
     state: Mutex<State>,
     changed: Notify,
+    /// Whether there has been a request.
+    has_request: watch::Sender<bool>,
 }
 
 /// Counts a request as in flight until dropped.
@@ -108,7 +110,14 @@
             is_ambiguous: false,
             is_unmarked: false,
         };
-        Arc::new(Self { state: Mutex::new(state), changed: Notify::new() })
+        let has_request = watch::Sender::new(false);
+        Arc::new(Self { state: Mutex::new(state), changed: Notify::new(), has_request })
+    }
+
+    /// Waits for the first request on the connection, or returns at once after it.
+    pub async fn wait_for_request(&self) {
+        // Cannot fail: the sender is a field of `self`.
+        let _ = self.has_request.subscribe().wait_for(|has_request| *has_request).await;
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
@@ -117,6 +126,7 @@
         state.in_flight += 1;
         state.is_flushed = false;
         drop(state);
+        self.has_request.send_replace(true);
         InFlight(self.clone())
     }
 
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -1,6 +1,11 @@
 //! HTTP servers for callers, for the readiness check and for metrics.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cyclamengrade_control::relay::route::{Kind, Route};
 use cyclamengrade_telemetry::{event, metrics::Handle};
@@ -15,6 +20,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -27,7 +33,12 @@
 mod jobs;
 
 /// `Retry-After` while this relay has not read a configuration.
-const NO_CONFIGURATION_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
+const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Time without a new connection after which a relay that stops closes its listener.
+const QUIET_TIME: Duration = Duration::from_millis(50);
+/// Longest time for which a relay that stops accepts connections while they keep coming, beyond the time
+/// in which the load balancer may open them.
+const MAX_ACCEPT_TIME: Duration = Duration::from_millis(500);
 
 /// HTTP server for callers.
 pub struct Server {
@@ -53,17 +64,48 @@
                     // connection already.
                     Err(error) => {
                         event!(InternalFault, error:% = error);
-                        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                        sleep(Duration::from_millis(10)).await;
                     }
                 },
                 Some(_) = connections.join_next() => {}
                 () = self.shared.wait_for_phase(Phase::Draining) => break,
             }
         }
-        drop(listener);
+        self.accept_queued(listener, &mut connections).await;
         while connections.join_next().await.is_some() {}
     }
 
+    /// Accepts the connections that wait in the queue of the listener, which the system resets when the
+    /// listener is closed. Their callers may have written requests.
+    async fn accept_queued(self: &Arc<Self>, listener: TcpListener, connections: &mut JoinSet<()>) {
+        let end = Instant::now() + MAX_ACCEPT_TIME;
+        while Instant::now() < end
+            && let Ok(accepted) = timeout(QUIET_TIME, listener.accept()).await
+        {
+            match accepted {
+                Ok((stream, _)) => drop(connections.spawn(self.clone().connection(stream))),
+                Err(error) => event!(InternalFault, error:% = error),
+            }
+        }
+        // Without the runtime, which may not know yet of the newest connections.
+        let rest = listener.into_std().map(|listener| {
+            std::iter::from_fn(move || listener.accept().ok())
+                .filter_map(|(stream, _)| {
+                    stream.set_nonblocking(true).ok()?;
+                    TcpStream::from_std(stream).ok()
+                })
+                .collect::<Vec<_>>()
+        });
+        match rest {
+            Ok(streams) => {
+                for stream in streams {
+                    connections.spawn(self.clone().connection(stream));
+                }
+            }
+            Err(error) => event!(InternalFault, error:% = error),
+        }
+    }
+
     async fn connection(self: Arc<Self>, stream: TcpStream) {
         let limits = self.shared.routes.load().limits;
         // If the option cannot be set, small responses are delayed, but not lost.
@@ -153,7 +195,7 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            sleep(Duration::from_millis(10)).await;
             continue;
         };
         let handler = handler.clone();
