Keep upstreams that said that they are leaving in the store

An upstream said in its responses that it is leaving while its entry did not, and was in use again after a restart of the relays: the mark lived in one process.

--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -226,9 +226,14 @@
         removed
     }
 
+    /// Returns the key of the upstream with this id, if it is listed.
+    pub fn key_of(&self, id: &str) -> Option<Key> {
+        self.by_id.get(id).copied()
+    }
+
     /// Returns the upstream with this id, if it is listed.
     pub fn upstream_of(&self, id: &str) -> Option<&Upstream> {
-        self.upstream(*self.by_id.get(id)?)
+        self.upstream(self.key_of(id)?)
     }
 
     /// Returns the upstream with this id if no byte of it has arrived for at least `silence`.
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -183,6 +183,7 @@
             self.shared.publish_origins();
         }
         self.shared.origins.upstreams_changed.notify_one();
+        self.shared.mark_leaving();
         self.shared.publish_places();
         self.shared.pool.close_idle(&removed);
         self.shared.batch_changed.notify_one();
@@ -204,6 +205,7 @@
             let listed: BTreeSet<&str> =
                 changes.rows.iter().map(|change| change.key.as_str()).collect();
             self.shared.members().retain(|name, _| listed.contains(key::member(name).as_str()));
+            self.shared.retain_leaving(|id| listed.contains(key::leaving(id).as_str()));
             // A job row that is newer than the snapshot was written after the snapshot began.
             self.shared.jobs().retain(|id, known| {
                 listed.contains(key::job(id).as_str()) || known.version > changes.version
@@ -219,6 +221,10 @@
                 }
                 Some(Subject::Member(name)) => self.apply_member(now, name, change),
                 Some(Subject::Job(id)) => self.apply_job(id, change),
+                Some(Subject::Leaving(id)) => {
+                    let row = decode::<row::Leaving>(change);
+                    self.shared.apply_leaving(id, change.version, row);
+                }
                 Some(Subject::Quarantine) => {
                     if let Some(row) = decode::<row::Quarantine>(change) {
                         self.shared.apply_quarantine(&row);
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -84,6 +84,7 @@
     pub fn record_leaving(&self) {
         let is_new = self.shared.selector().record_leaving(self.key);
         if is_new {
+            self.shared.hear_leaving(&self.upstream);
             self.shared.publish_places();
             self.shared.mark_all_dirty();
             event!(
--- a/components/relay/src/job/key.rs
+++ b/components/relay/src/job/key.rs
@@ -13,6 +13,8 @@
 /// Part of the fleet table with the rows of the relays.
 const MEMBERS: &str = "members";
 
+/// Part of the fleet table with the rows of upstreams that said that they are leaving.
+const LEAVING: &str = "leaving";
 /// Part of the fleet table with the row of the quarantine.
 const QUARANTINE: &str = "quarantine";
 
@@ -48,6 +50,11 @@
     format!("{FLEET}/{QUARANTINE}/parts")
 }
 
+/// Returns the key of the row of an upstream that said that it is leaving.
+pub fn leaving(upstream: &str) -> String {
+    format!("{FLEET}/{LEAVING}/{upstream}")
+}
+
 /// Returns the key of the row of a job.
 pub fn job(id: &str) -> String {
     format!("{FLEET}/{}/{id}", part(id))
@@ -99,6 +106,8 @@
     Member(&'a str),
     /// The job with this id.
     Job(&'a str),
+    /// The upstream with this id, which said that it is leaving.
+    Leaving(&'a str),
     /// The parts of prompts that are quarantined.
     Quarantine,
     /// The software versions of the deployments.
@@ -110,6 +119,7 @@
     let (part, name) = key.strip_prefix(FLEET)?.strip_prefix('/')?.split_once('/')?;
     match part {
         MEMBERS => Some(Subject::Member(name)),
+        LEAVING => Some(Subject::Leaving(name)),
         QUARANTINE => Some(Subject::Quarantine),
         VERSIONS => Some(Subject::Versions),
         part if part.starts_with("jobs-") => Some(Subject::Job(name)),
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -190,6 +190,13 @@
     }
 }
 
+/// Row of an upstream that said that it is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// Identifies the start of the upstream, if its entry states it.
+    pub born: Option<u64>,
+}
+
 /// Row with the text of an unfinished item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Partial {
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod follower;
 mod front;
 pub mod job;
+mod leaving;
 mod link;
 mod listing;
 mod memory;
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -20,7 +20,7 @@
     follower::Follower,
     front,
     job::{cleanup, key, row, store},
-    link, listing,
+    leaving, link, listing,
     origin::archive,
     peers, quarantine,
     shared::{Phase, Readiness, Shared},
@@ -150,6 +150,7 @@
     tokio::spawn(link::carrier::serve(shared.clone(), carrier));
     tokio::spawn(shared.clone().probe_lost_links());
     tokio::spawn(close_expired_connections(shared.clone()));
+    tokio::spawn(leaving::store_changes(shared.clone()));
     tokio::spawn(quarantine::store_changes(shared.clone()));
     tokio::spawn(archive::write_changes(shared.clone()));
     tokio::spawn(archive::watch_versions(shared.clone()));
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -28,8 +28,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, dialect::Dialect, job::row, link, listing::Listing, memory::Budget,
-    origin::Cache, pool::Pool, quarantine::Ledger, slots::Slots,
+    clock::Clock, dialect::Dialect, job::row, leaving::Leaving, link, listing::Listing,
+    memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, slots::Slots,
 };
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
@@ -124,6 +124,8 @@
     pub pool: Pool,
     /// Links to upstreams, and connections that are carried for other relays.
     pub link: link::State,
+    /// Upstreams that said that they are leaving.
+    pub leaving: Leaving,
     /// Whether the list of upstreams is current.
     pub listing: Listing,
     /// Memory of the process, in bytes.
@@ -196,6 +198,7 @@
             routes: ArcSwap::from_pointee(route::Table::default()),
             pool: Pool::default(),
             link: link::State::default(),
+            leaving: Leaving::default(),
             listing: Listing::default(),
             memory_bytes: u64::MAX,
             body_memory: Budget::new(u64::MAX),
