Open a connection for each call of a plain service in the daemon

A successful response that a service wrote once more, late, on a kept connection counted for the next call: nothing in a response of a plain service names its call. Comparing it with the earlier one does not help, since two calls may have the same answer. The cost is a connection for each call of an idempotent service; other calls had one before.

--- a/components/daemon/src/online/service.rs
+++ b/components/daemon/src/online/service.rs
@@ -193,9 +193,6 @@
         let client = self.shared.client.clone();
         let call = Arc::clone(&self.call);
         let address = dispatch.address;
-        // If the service closes an idle connection at the moment at which the request is sent, it
-        // is not known whether the request ran.
-        let new_connection = !self.idempotent;
         self.meter.record_attempt(self.attempts.len(), 0);
         let mut span = self.span.child("attempt");
         if span.is_sampled() {
@@ -209,7 +206,6 @@
                 content_type: call.content_type.as_deref(),
                 idempotency_key: call.idempotency_key.as_deref(),
                 traceparent: traceparent.as_deref(),
-                new_connection,
             };
             client.call_service(address, request).await
         });
--- a/components/upstream/src/client.rs
+++ b/components/upstream/src/client.rs
@@ -55,9 +55,6 @@
     pub idempotency_key: Option<&'a str>,
     /// Value of the header `traceparent` (W3C Trace Context) for this attempt.
     pub traceparent: Option<&'a str>,
-    /// Whether to open a new connection. An idle one may be closed by the service at the moment at
-    /// which the request is sent, which leaves unknown whether the request was executed.
-    pub new_connection: bool,
 }
 
 /// Complete response of a plain service, with any status.
@@ -155,6 +152,9 @@
     /// A response that ends with its connection, without a length or chunks, counts as complete only if
     /// the service accepts another connection: one that is killed closes its connections too.
     ///
+    /// Each call has a connection of its own. Nothing in a response names its call, so one that the service
+    /// writes once more would count for the next call on the connection.
+    ///
     /// The response has no timeout. Dropping the future closes the connection.
     pub async fn call_service(
         &self,
@@ -167,8 +167,7 @@
             with_optional_header(request, IDEMPOTENCY_KEY, service_request.idempotency_key);
         let request = with_optional_header(request, TRACEPARENT, service_request.traceparent);
         let request = with_body(address, request, service_request.body.clone())?;
-        let (response, connection) =
-            self.pool.send(address, request, service_request.new_connection).await?;
+        let (response, connection) = self.pool.send(address, request, true).await?;
         let status = response.status().as_u16();
         let content_type = response
             .headers()
@@ -176,8 +175,8 @@
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
         let has_marked_end = has_marked_end(&response);
-        let body =
-            read_body(address, response, connection, self.pool.options.max_body_bytes).await?;
+        let limit = self.pool.options.max_body_bytes;
+        let body = read_body(address, response, connection, limit, Reuse::Never).await?;
         if !has_marked_end {
             self.pool.confirm_alive(address).await?;
         }
@@ -207,7 +206,8 @@
             if !response.status().is_success() {
                 return Err(self.refusal(response, connection).await);
             }
-            read_body(address, response, connection, self.pool.options.max_body_bytes).await
+            let limit = self.pool.options.max_body_bytes;
+            read_body(address, response, connection, limit, Reuse::AfterSuccess).await
         };
         timeout(limit, response).await.unwrap_or_else(|_| {
             Err(Error::Broken {
@@ -224,7 +224,7 @@
         // The body only adds detail to the message; failing to read it does not change the error.
         let body = timeout(
             self.pool.options.call_timeout,
-            read_body(address, response, connection, MAX_ERROR_BODY_BYTES),
+            read_body(address, response, connection, MAX_ERROR_BODY_BYTES, Reuse::Never),
         )
         .await;
         let message = match body {
@@ -279,15 +279,23 @@
     }
 }
 
+/// Whether a connection is used again after a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reuse {
+    Never,
+    /// The upstream may write a refusal once more, and nothing in it would tell it from the answer to the
+    /// next request.
+    AfterSuccess,
+}
+
 /// Reads a whole response body of at most `limit` bytes. A successful response without a body fails if
-/// nothing marks its end: a head that ends early looks the same. Returns the connection to the pool after a
-/// successful response only: the upstream may write a refusal once more, and nothing in it would tell it
-/// from the answer to the next request.
+/// nothing marks its end: a head that ends early looks the same.
 async fn read_body(
     address: SocketAddr,
     response: Response<Incoming>,
     mut connection: PooledConnection,
     limit: usize,
+    reuse: Reuse,
 ) -> Result<Bytes, Error> {
     let is_success = response.status().is_success();
     let has_marked_end = has_marked_end(&response);
@@ -320,7 +328,7 @@
             execution: Execution::Started,
         });
     }
-    if is_success {
+    if is_success && reuse == Reuse::AfterSuccess {
         connection.release();
     }
     Ok(if rest.is_empty() { first } else { rest.freeze() })
--- a/components/upstream/src/pool.rs
+++ b/components/upstream/src/pool.rs
@@ -178,14 +178,13 @@
         self.lock_idle().retain(|(_, other), _| *other != address);
     }
 
-    /// Fails unless the upstream accepts another connection, which is kept for a later request.
+    /// Fails unless the upstream accepts another connection, which is closed again.
     pub(crate) async fn confirm_alive(&self, address: SocketAddr) -> Result<(), Error> {
-        let connection = self.connect(address).await.map_err(|error| Error::Broken {
+        let _connection = self.connect(address).await.map_err(|error| Error::Broken {
             address: address.to_string(),
             cause: format!("the response may be cut off: {error}"),
             execution: Execution::Started,
         })?;
-        self.put_idle(connection);
         Ok(())
     }
 
--- a/components/upstream/tests/calls.rs
+++ b/components/upstream/tests/calls.rs
@@ -282,24 +282,43 @@
 #[gtest]
 #[tokio::test]
 async fn new_connection() {
-    const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-    let script = vec![vec![vec![OK], vec![OK]], vec![vec![OK]], vec![vec![OK]]];
+    let event = http_chunk("data: {\"index\":0,\"text\":\"a\",\"finish_reason\":\"stop\"}\n\n");
+    let whole: &[u8] = [CHUNKED_HEAD, event, LAST_CHUNK].concat().leak();
+    let script = vec![vec![vec![whole], vec![whole]], vec![vec![whole]], vec![vec![whole]]];
     let (address, mut requests) = start_server(script, true).await;
     let client = client();
-    let body = Bytes::from_static(b"b");
-    let request = |new_connection| ServiceRequest {
+    let open = async |new_connection| {
+        let request = StreamRequest { new_connection, ..stream_request(0) };
+        let mut stream = client.open(address, request).await.unwrap();
+        let mut tokens = Vec::new();
+        while let Ok(Progress::Tokens) = stream.next(&mut tokens).await {}
+    };
+    open(false).await;
+    open(true).await;
+    client.close_idle(address);
+    open(false).await;
+    for connection in 0..3 {
+        expect_that!(requests.recv().await.unwrap().0, eq(connection));
+    }
+}
+
+/// Guards against a call of a plain service without what the service needs, and against one on a connection
+/// that has carried another.
+#[gtest]
+#[tokio::test]
+async fn service_connections() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let (address, mut requests) = start_server(vec![vec![vec![OK], vec![OK]]; 3], true).await;
+    let client = client();
+    let request = ServiceRequest {
         path: "/a?b=c",
-        body: &body,
+        body: &Bytes::from_static(b"b"),
         content_type: Some("text/plain"),
         idempotency_key: Some("k1"),
         traceparent: None,
-        new_connection,
     };
-    expect_that!(client.call_service(address, request(false)).await, ok(anything()));
-    expect_that!(client.call_service(address, request(true)).await, ok(anything()));
-    client.close_idle(address);
-    expect_that!(client.call_service(address, request(false)).await, ok(anything()));
     for connection in 0..3 {
+        expect_that!(client.call_service(address, request).await, ok(anything()));
         let (number, request) = requests.recv().await.unwrap();
         expect_that!(number, eq(connection));
         expect_that!(request, starts_with("POST /a?b=c HTTP/1.1"));
@@ -376,7 +395,6 @@
         content_type: None,
         idempotency_key: None,
         traceparent: None,
-        new_connection: false,
     };
     client().call_service(address, request).await.map(|response| response.body)
 }
@@ -452,7 +470,6 @@
         content_type: None,
         idempotency_key: None,
         traceparent: None,
-        new_connection: false,
     };
     expect_that!(client.call_service(address, request).await.unwrap().status, eq(503));
     expect_that!(client.call_service(address, request).await.unwrap().status, eq(200));
@@ -473,7 +490,6 @@
         content_type: None,
         idempotency_key: None,
         traceparent: None,
-        new_connection: false,
     };
     client.call_service(address, request).await.unwrap();
     let response = client.call_service(address, request).await;
