Count comments of an event stream as silence

A stalled upstream that sent a comment now and then held a resumable stream until its deadline, and the stream was cut off then: each comment restarted the time after which an upstream counts as silent. Only events restart it now. Bytes of an incomplete event never did; sound streams with pauses of more than a second end whole before and after.

relay_stalled::stalled_stream failed before and passes; stalled_item and slow_stream passed before, too.

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -107,16 +107,21 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the timeout for the next bytes of a response. The last attempt may take until the
-    /// deadline; an earlier one counts as silent after a shorter time, so that another upstream can
-    /// be tried.
+    /// Returns the timeout for the next bytes of a response, see [`Self::read_until`].
     pub fn read_timeout(&self) -> Duration {
+        let now = Instant::now();
+        self.read_until(now).saturating_duration_since(now)
+    }
+
+    /// Returns until when a response that has been quiet for some time may go on. The last attempt may
+    /// take until the deadline; an earlier one counts as silent after a shorter time, so that another
+    /// upstream can be tried.
+    pub fn read_until(&self, quiet_since: Instant) -> Instant {
         let after_failure =
             Attempts { possibly_run: self.attempts.possibly_run + 1, ..self.attempts };
-        let remaining = self.remaining();
         match after_failure.allows_attempt(&self.route) {
-            true => self.silence_timeout().min(remaining),
-            false => remaining,
+            true => (quiet_since + self.silence_timeout()).min(self.deadline),
+            false => self.deadline,
         }
     }
 
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -164,7 +164,8 @@
     let mut events = response.events();
     let mut timeout = FIRST_EVENT_TIMEOUT;
     loop {
-        match events.next(timeout).await {
+        let until = events.quiet_since() + timeout;
+        match events.next(until).await {
             Err(failure) => return End::Interrupted(failure).into(),
             Ok(Next::End) => {
                 events.finish(&shared.pool);
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -179,7 +179,7 @@
     /// Reads the body as an event stream.
     pub fn events(self) -> Events {
         let has_marked_end = self.has_marked_end();
-        Events { response: self, splitter: Splitter::default(), has_marked_end }
+        Events { response: self, splitter: Splitter::default(), has_marked_end, quiet_since: None }
     }
 }
 
@@ -201,6 +201,8 @@
     response: Response,
     splitter: Splitter,
     has_marked_end: bool,
+    /// Since when comments at most have arrived; `None` if the last event was none.
+    quiet_since: Option<Instant>,
 }
 
 /// Id of the first event of a stream.
@@ -227,25 +229,32 @@
 }
 
 impl Events {
-    /// Returns what follows in the stream. `timeout` limits the wait for a whole event; with zero, not
-    /// even an event that has arrived is returned.
+    /// Returns since when the stream has brought nothing but comments, which are no progress.
+    pub fn quiet_since(&mut self) -> Instant {
+        *self.quiet_since.get_or_insert_with(Instant::now)
+    }
+
+    /// Returns what follows in the stream. A whole event has to arrive before `until`; from then on, not
+    /// even one that has arrived is returned.
     ///
     /// # Errors
     ///
     /// Returns [`Failure::Silent`] after a timeout, and [`Failure::Broken`] if the connection
     /// fails, an event is too large, or the stream ends within an event.
-    pub async fn next(&mut self, timeout: Duration) -> Result<Next, Failure> {
-        if timeout.is_zero() {
+    pub async fn next(&mut self, until: Instant) -> Result<Next, Failure> {
+        if Instant::now() >= until {
             return Err(Failure::Silent);
         }
-        let until = time::Instant::now() + timeout;
         loop {
             if let Some(event) = self.splitter.next() {
+                if event.id.is_some() || event.has_data() {
+                    self.quiet_since = None;
+                }
                 return Ok(Next::Event(event));
             }
             let Response { body, check, .. } = &mut self.response;
             let frame = link::check_while(check.as_ref(), body.frame());
-            match time::timeout_at(until, frame).await {
+            match time::timeout_at(until.into(), frame).await {
                 Err(_) => return Err(Failure::Silent),
                 Ok(Some(Err(_))) => return Err(Failure::Broken),
                 Ok(Some(Ok(frame))) => {
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -226,7 +226,8 @@
         }
         let (status, headers) = (response.status, response.headers.clone());
         let mut events = response.events();
-        let first = match events.next(request.read_timeout()).await {
+        let until = request.read_until(events.quiet_since());
+        let first = match events.next(until).await {
             // A new stream has an event, so this one was cut off.
             Ok(Next::Closed) if last_event_id.is_none() => {
                 log_unmarked_end(&request, &flight, 0);
@@ -422,10 +423,11 @@
 
     /// Returns what follows in a stream, or `None` if the caller closed the connection.
     async fn next(&self, events: &mut Events) -> Option<Result<Next, Failure>> {
+        let until = self.request.read_until(events.quiet_since());
         tokio::select! {
             biased;
             () = self.sender.closed() => None,
-            next = events.next(self.request.read_timeout()) => Some(next),
+            next = events.next(until) => Some(next),
         }
     }
 
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -28,6 +28,10 @@
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 
+/// Time between two comments of a stalled stream.
+const COMMENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause of a slow stream.
+const PAUSE: Duration = Duration::from_millis(1_200);
 /// Bytes that an endless response sends at once.
 const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
 /// Time from a response to its repetition on an idle connection.
@@ -55,6 +59,10 @@
     /// Ends the head after the stamp, before what tells the type and the end of the body, and closes the
     /// connection.
     ShortHead,
+    /// Sends nothing but comments after this many events of a stream.
+    StallAfter(u64),
+    /// Pauses for more than a second after this many events of a stream, and goes on.
+    PauseAfter(u64),
     /// Leaves out the ids of the events, and breaks off after this many of them.
     OmitIds(u64),
     /// Leaves out the events of a new stream before this one.
@@ -658,6 +666,14 @@
                 }
                 return Ok(false);
             }
+            if let Some(Fault::StallAfter(count)) = fault
+                && event >= first + count
+            {
+                return write_comments(stream).await;
+            }
+            if fault == Some(Fault::PauseAfter(event - first)) {
+                sleep(PAUSE).await;
+            }
             if is_unframed {
                 stream.write_all(text.as_bytes()).await?;
                 continue;
@@ -762,6 +778,14 @@
     head
 }
 
+/// Writes comments until the caller closes the connection.
+async fn write_comments(stream: &mut TcpStream) -> io::Result<bool> {
+    loop {
+        stream.write_all(b"9\r\n: alive\n\n\r\n").await?;
+        sleep(COMMENT_INTERVAL).await;
+    }
+}
+
 async fn write_plain(
     stream: &mut TcpStream,
     status: &str,
