--- a/components/control/src/relay/monitor.rs
+++ b/components/control/src/relay/monitor.rs
@@ -31,6 +31,8 @@
     pub store_age: Duration,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Whether it has lost most of its links to upstreams.
+    pub cut_off: bool,
     /// Whether it asks the receiver, as a monitor, for the state of the other relays.
     pub wants_news: bool,
 }
@@ -46,6 +48,8 @@
     pub store_age: Duration,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Whether it has lost most of its links to upstreams.
+    pub cut_off: bool,
 }
 
 /// What is known of another relay.
@@ -63,6 +67,7 @@
     reported_at: Time,
     store_age: Duration,
     leaving: bool,
+    cut_off: bool,
     /// Whether a regular message to it has not been answered yet.
     awaits_answer: bool,
     /// Time of the first message since its last answer that it did not answer in time.
@@ -80,6 +85,7 @@
             reported_at: now,
             store_age: Duration::ZERO,
             leaving: false,
+            cut_off: false,
             awaits_answer: false,
             first_miss: None,
         }
@@ -94,6 +100,11 @@
         self.leaving
     }
 
+    /// Whether the relay has lost most of its links to upstreams.
+    pub const fn is_cut_off(&self) -> bool {
+        self.cut_off
+    }
+
     pub const fn store_age(&self) -> Duration {
         self.store_age
     }
@@ -112,6 +123,7 @@
             self.sequence = status.sequence;
             self.store_age = status.store_age;
             self.leaving |= status.leaving;
+            self.cut_off = status.cut_off;
             self.last_heard = now;
             self.reported_at = now;
         }
@@ -157,10 +169,12 @@
             0 => Duration::MAX,
             _ => now.since(self.reported_at),
         };
-        let is_well =
-            silence < REPORTED_SILENCE && self.store_age < REPORTED_STORE_AGE && !self.leaving;
-        let (relay, store_age, leaving) = (self.relay, self.store_age, self.leaving);
-        (!is_well).then_some(Exception { relay, silence, store_age, leaving })
+        let is_well = silence < REPORTED_SILENCE
+            && self.store_age < REPORTED_STORE_AGE
+            && !self.leaving
+            && !self.cut_off;
+        let Self { relay, store_age, leaving, cut_off, .. } = *self;
+        (!is_well).then_some(Exception { relay, silence, store_age, leaving, cut_off })
     }
 
     /// Records what this relay observes as a monitor itself.
@@ -191,6 +205,7 @@
             self.last_heard = heard;
             self.store_age = exception.map_or(Duration::ZERO, |exception| exception.store_age);
             self.leaving |= exception.is_some_and(|exception| exception.leaving);
+            self.cut_off = exception.is_some_and(|exception| exception.cut_off);
         }
         self.leaving && !was_leaving
     }
--- a/components/control/tests/relay_monitor.rs
+++ b/components/control/tests/relay_monitor.rs
@@ -24,6 +24,7 @@
         sequence,
         store_age: Duration::ZERO,
         leaving: false,
+        cut_off: false,
         wants_news: true,
     }
 }
@@ -78,6 +79,7 @@
         silence,
         store_age: Duration::ZERO,
         leaving: false,
+        cut_off: false,
     };
     health.record_news(Some(&silent(ms(1_900))), ROW, seen);
     expect_that!(health.is_responsive(seen, seen), is_false());
@@ -102,6 +104,7 @@
         silence: ms(5_000),
         store_age: Duration::ZERO,
         leaving: true,
+        cut_off: false,
     };
     expect_that!(health.record_news(Some(&silent), ROW - 1, NOW), is_false());
     expect_that!(health.is_leaving(), is_false());
@@ -178,3 +181,19 @@
         .map(|index| (0..1_000).filter(|number| shard::index(hash(*number), 3) == index).count());
     expect_that!(counts.min(), some(ge(250)));
 }
+
+/// Guards against a relay that is asked to carry connections though it has lost its own links, and against
+/// one that is never asked again.
+#[gtest]
+fn cut_off_relay() {
+    let mut observed = Health::new("vm-1", ROW, NOW);
+    observed.record_status(&Status { cut_off: true, ..status(1) }, NOW);
+    let exception = observed.exception(NOW);
+    expect_that!(exception.is_some_and(|exception| exception.cut_off), is_true());
+    let mut told = Health::new("vm-1", ROW, NOW);
+    told.record_news(exception.as_ref(), ROW, NOW);
+    expect_that!(told.is_cut_off(), is_true());
+    observed.record_status(&status(2), NOW + ms(500));
+    told.record_news(observed.exception(NOW + ms(500)).as_ref(), ROW, NOW + ms(500));
+    expect_that!(told.is_cut_off(), is_false());
+}
--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -208,6 +208,7 @@
         failed: sync.failed.into_iter().collect(),
         news: status.wants_news,
         limits: sync.limits.into_iter().map(encode_limit).collect(),
+        cut_off: status.cut_off,
     }
 }
 
@@ -234,6 +235,7 @@
         silence_ms: milliseconds(exception.silence),
         store_age_ms: milliseconds(exception.store_age),
         leaving: exception.leaving,
+        cut_off: exception.cut_off,
     }
 }
 
@@ -326,6 +328,7 @@
         sequence: sync.sequence,
         store_age: Duration::from_millis(sync.store_age_ms.into()),
         leaving: sync.leaving,
+        cut_off: sync.cut_off,
         wants_news: sync.news,
     };
     let pending: BTreeSet<Ticket> = sync.pending.into_iter().map(Ticket).collect();
@@ -341,6 +344,7 @@
         silence: Duration::from_millis(member.silence_ms.into()),
         store_age: Duration::from_millis(member.store_age_ms.into()),
         leaving: member.leaving,
+        cut_off: member.cut_off,
     }
 }
 
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -146,7 +146,8 @@
     /// Fails if there is none. Nothing was sent.
     pub async fn connect(&mut self, max: usize, request_id: &str) -> Result<Connection, Failure> {
         let Upstream { id, address, .. } = &self.upstream;
-        let acquired = self.shared.acquire_connection(id, *address, max, request_id).await;
+        let acquired =
+            self.shared.acquire_connection(id, *address, max, self.class, request_id).await;
         self.is_excused = match &acquired {
             Ok(connection) => connection.path != Path::Direct,
             Err(unavailable) => !unavailable.is_upstream_fault(),
--- a/components/relay/src/link.rs
+++ b/components/relay/src/link.rs
@@ -5,11 +5,15 @@
     io,
     net::SocketAddr,
     pin::pin,
-    sync::{Arc, Mutex, MutexGuard, atomic::AtomicUsize},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use cyclamengrade_control::relay::{
+    broker::Class,
     link::{Candidate, Carriers, Cause, Links, PROBE_PERIOD},
     selector::Upstream,
 };
@@ -45,7 +49,7 @@
 /// Time after which the next relay is asked while one has not answered.
 const NEXT_CARRIER_DELAY: Duration = Duration::from_millis(30);
 /// Largest number of relays that are asked to carry one connection.
-const MAX_CARRIERS: usize = 4;
+const MAX_CARRIERS: usize = 6;
 /// Relays that have to find an upstream unreachable before no further one is asked.
 const UNREACHABLE_VOTES: usize = 2;
 /// Silence of an upstream after which the link to it is checked. Longer than a busy upstream pauses
@@ -53,8 +57,10 @@
 const SILENCE: Duration = Duration::from_millis(250);
 /// Largest number of links that are checked because another one was lost.
 const MAX_CHECKS: usize = 16;
-/// Largest number of links that are probed at once.
-const MAX_PROBES: usize = 16;
+/// Largest number of links that are probed in a period while none is back.
+const MAX_PROBES: usize = 4;
+/// The same once one is back.
+const MAX_PROBES_AFTER_RETURN: usize = 16;
 
 /// State of the links to upstreams, and of the connections that are carried for other relays.
 #[derive(Default)]
@@ -63,6 +69,8 @@
     carriers: Mutex<Carriers>,
     /// Wakes the task that probes lost links.
     lost: Notify,
+    /// Whether a lost link was back since the last probes.
+    has_restored: AtomicBool,
     /// Number of connections that this relay carries for others.
     carried: AtomicUsize,
 }
@@ -124,17 +132,18 @@
         self: &Arc<Self>,
         id: &str,
         address: SocketAddr,
+        class: Class,
     ) -> Result<Transport, Unreachable> {
         let open = async {
             let failure = self.links().failure(id);
             match failure {
-                None => self.open_direct(id, address).await,
-                Some(cause) => self.open_carried(id, address, cause).await,
+                None => self.open_direct(id, address, class).await,
+                Some(cause) => self.open_carried(id, address, class, cause).await,
             }
         };
         let opened = timeout(OPEN_TIMEOUT, open).await;
         opened.unwrap_or(Err(NotCarried { unreachable_votes: 0 })).map_err(|not_carried| {
-            let is_cut_off = self.links().is_cut_off(self.clock.now());
+            let is_cut_off = self.is_cut_off();
             let is_upstream_fault = !is_cut_off || not_carried.unreachable_votes > 0;
             Unreachable { is_upstream_fault }
         })
@@ -145,6 +154,11 @@
         lock(&self.link.links)
     }
 
+    /// Whether this relay has lost most of its links to upstreams.
+    pub fn is_cut_off(&self) -> bool {
+        self.links().is_cut_off(self.clock.now())
+    }
+
     /// Whether the link to an upstream is lost that another relay reaches.
     pub fn has_lost_link(&self, id: &str) -> bool {
         self.links().is_lost(id)
@@ -156,15 +170,16 @@
         self: &Arc<Self>,
         id: &str,
         address: SocketAddr,
+        class: Class,
     ) -> Result<Transport, NotCarried> {
         let mut direct = Box::pin(self.clone().connect(id.to_owned(), address));
         if let Ok(connected) = timeout(CARRY_DELAY, &mut direct).await {
             return match connected {
                 Ok(stream) => Ok(Transport::Direct(stream)),
-                Err(_) => self.carry(id).await,
+                Err(_) => self.carry(id, class).await,
             };
         }
-        let mut carried = pin!(self.carry(id));
+        let mut carried = pin!(self.carry(id, class));
         tokio::select! {
             biased;
             connected = &mut direct => match connected {
@@ -193,9 +208,10 @@
         self: &Arc<Self>,
         id: &str,
         address: SocketAddr,
+        class: Class,
         cause: Cause,
     ) -> Result<Transport, NotCarried> {
-        match self.carry(id).await {
+        match self.carry(id, class).await {
             // A refusal takes no time, and the upstream may have returned.
             Err(not_carried) if cause == Cause::Refused => {
                 let direct = self.clone().connect(id.to_owned(), address).await;
@@ -239,6 +255,7 @@
     fn record_reached(&self, id: &str) {
         let restored = self.links().record_reached(id, self.clock.now());
         if let Some(elapsed) = restored {
+            self.link.has_restored.store(true, Ordering::Relaxed);
             event!(LinkRestored, upstream:% = id, elapsed_ms = elapsed.as_millis() as u64);
             self.record_lost_count();
             self.pool.close_idle_carried(id);
@@ -266,7 +283,7 @@
     }
 
     /// Asks other relays to carry a connection, one after the other, until one does.
-    async fn carry(self: &Arc<Self>, id: &str) -> Result<Transport, NotCarried> {
+    async fn carry(self: &Arc<Self>, id: &str, class: Class) -> Result<Transport, NotCarried> {
         let start = Instant::now();
         let mut carriers = self.carriers().into_iter();
         let mut asked = FuturesUnordered::new();
@@ -277,7 +294,7 @@
             let has_next = next.is_some();
             if let Some((name, address)) = next {
                 waiting.insert(name.clone());
-                asked.push(async move { (Tunnel::open(address, id).await, name) });
+                asked.push(async move { (Tunnel::open(address, id, class).await, name) });
             }
             if asked.is_empty() {
                 counter!(RELAY_CARRIED_CONNECTIONS, "outcome" => "declined").increment(1);
@@ -321,11 +338,11 @@
         let now = self.clock.now();
         let seen = self.last_news();
         let members = self.members();
-        let responsive =
-            members.iter().filter(|(_, member)| member.health.is_responsive(now, seen));
-        let candidates: Vec<Candidate<'_>> = responsive
-            .map(|(name, member)| Candidate { name, capacity: member.capacity })
-            .collect();
+        let suitable = members.iter().filter(|(_, member)| {
+            member.health.is_responsive(now, seen) && !member.health.is_cut_off()
+        });
+        let candidates: Vec<Candidate<'_>> =
+            suitable.map(|(name, member)| Candidate { name, capacity: member.capacity }).collect();
         let chosen = lock(&self.link.carriers).choose(&candidates, MAX_CARRIERS, now, rand::random);
         let with_address = |name: String| {
             let address = members.get(&name)?.address;
@@ -357,7 +374,11 @@
                 self.link.lost.notified().await;
             }
             sleep(PROBE_PERIOD / 2).await;
-            let due = self.links().begin_probes(MAX_PROBES, self.clock.now());
+            let max = match self.link.has_restored.swap(false, Ordering::Relaxed) {
+                true => MAX_PROBES_AFTER_RETURN,
+                false => MAX_PROBES,
+            };
+            let due = self.links().begin_probes(max, self.clock.now());
             for id in due {
                 let upstream = self.selector().upstream_of(&id).cloned();
                 match upstream {
--- a/components/relay/src/link/carrier.rs
+++ b/components/relay/src/link/carrier.rs
@@ -7,12 +7,13 @@
 };
 
 use bytes::BytesMut;
+use cyclamengrade_control::relay::broker::Class;
 use cyclamengrade_telemetry::{event, metrics::RELAY_CARRIED_CONNECTIONS};
 use http_body_util::BodyExt;
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics::counter;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -23,19 +24,21 @@
 
 use crate::{
     body::{Body, Chunk},
-    link::tunnel::{BUFFER_BYTES, PATH, UPSTREAM},
+    link::tunnel::{BATCH, BUFFER_BYTES, PATH, UPSTREAM},
     online::{empty, header_text},
     shared::{Phase, Shared},
 };
 
 /// Connections that a relay carries for each core that it may use.
-const CARRIED_PER_CORE: u32 = 400;
+const CARRIED_PER_CORE: u32 = 1_000;
 /// Memory that one carried connection may use: the buffers of both of its connections.
 const CARRIED_BYTES: u64 = 4 * BUFFER_BYTES as u64;
 /// Share of the memory of the process that carried connections may use together.
 const MEMORY_DIVISOR: u64 = 16;
 /// Bytes that are read from an upstream at once.
 const READ_BYTES: usize = 4 << 10;
+/// Timeout for the request on a connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which the listener is tried again when the process is out of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
@@ -75,10 +78,15 @@
 struct Carried(Arc<Shared>);
 
 impl Carried {
-    fn begin(shared: &Arc<Shared>) -> Option<Self> {
+    fn begin(shared: &Arc<Shared>, class: Class) -> Option<Self> {
         let count = shared.link.carried.fetch_add(1, Ordering::Relaxed);
         let carried = Self(shared.clone());
-        (count < shared.max_carried()).then_some(carried)
+        let max = match class {
+            Class::Online => shared.max_carried(),
+            // The rest is left for requests whose callers wait.
+            Class::Batch => shared.max_carried() / 2,
+        };
+        (count < max).then_some(carried)
     }
 }
 
@@ -125,6 +133,8 @@
             });
             // The other relay notices an error of the connection itself.
             let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
                 .max_buf_size(BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
@@ -137,7 +147,11 @@
         return empty(StatusCode::NOT_FOUND);
     }
     let id = header_text(request.headers(), &UPSTREAM).unwrap_or_default().to_owned();
-    match open(shared, &id).await {
+    let class = match request.headers().contains_key(&BATCH) {
+        true => Class::Batch,
+        false => Class::Online,
+    };
+    match open(shared, &id, class).await {
         Ok((carried, upstream)) => {
             counter!(RELAY_CARRIED_CONNECTIONS, "outcome" => "carried").increment(1);
             let (sender, body) = Body::stream();
@@ -156,12 +170,16 @@
 }
 
 /// Opens a connection of this relay's own, never one that a further relay carries.
-async fn open(shared: &Arc<Shared>, id: &str) -> Result<(Carried, TcpStream), Decline> {
+async fn open(
+    shared: &Arc<Shared>,
+    id: &str,
+    class: Class,
+) -> Result<(Carried, TcpStream), Decline> {
     if *shared.phase.borrow() != Phase::Running {
         return Err(Decline::Stopping);
     }
-    let carried = Carried::begin(shared).ok_or(Decline::Full)?;
-    if shared.links().is_cut_off(shared.clock.now()) {
+    let carried = Carried::begin(shared, class).ok_or(Decline::Full)?;
+    if shared.is_cut_off() {
         return Err(Decline::CutOff);
     }
     if shared.links().failure(id).is_some() {
--- a/components/relay/src/link/tunnel.rs
+++ b/components/relay/src/link/tunnel.rs
@@ -13,6 +13,7 @@
 };
 
 use bytes::{Buf, Bytes};
+use cyclamengrade_control::relay::broker::Class;
 use hyper::{
     Method, Request, StatusCode, Uri,
     body::{Body as _, Incoming},
@@ -34,6 +35,8 @@
 pub const PATH: &str = "/v1/upstream-connection";
 /// Header of that request with the id of the upstream.
 pub const UPSTREAM: HeaderName = HeaderName::from_static("x-upstream");
+/// Header of that request that is present if the connection is for a batch item.
+pub const BATCH: HeaderName = HeaderName::from_static("x-batch");
 /// Limit on the bytes of a connection between two relays that wait in the process.
 pub const BUFFER_BYTES: usize = 16 << 10;
 /// Timeout for the answer of another relay, which opens a connection.
@@ -76,12 +79,12 @@
     /// # Errors
     ///
     /// Returns why the relay does not carry the connection.
-    pub async fn open(address: SocketAddr, upstream: &str) -> Result<Self, Decline> {
-        let opened = timeout(ANSWER_TIMEOUT, Self::request(address, upstream)).await;
+    pub async fn open(address: SocketAddr, upstream: &str, class: Class) -> Result<Self, Decline> {
+        let opened = timeout(ANSWER_TIMEOUT, Self::request(address, upstream, class)).await;
         opened.unwrap_or(Err(Decline::Silent))
     }
 
-    async fn request(address: SocketAddr, upstream: &str) -> Result<Self, Decline> {
+    async fn request(address: SocketAddr, upstream: &str, class: Class) -> Result<Self, Decline> {
         let stream = TcpStream::connect(address).await.map_err(|_| Decline::Silent)?;
         // Without the option, small requests are delayed, but not lost.
         let _ = stream.set_nodelay(true);
@@ -95,7 +98,7 @@
             let _ = connection.await;
         }));
         let (outgoing, body) = Body::stream();
-        let request = head(address, upstream, body).ok_or(Decline::Busy)?;
+        let request = head(address, upstream, class, body).ok_or(Decline::Busy)?;
         let response = sender.send_request(request).await.map_err(|_| Decline::Silent)?;
         match response.status() {
             StatusCode::OK => Ok(Self {
@@ -110,13 +113,16 @@
     }
 }
 
-fn head(address: SocketAddr, upstream: &str, body: Body) -> Option<Request<Body>> {
+fn head(address: SocketAddr, upstream: &str, class: Class, body: Body) -> Option<Request<Body>> {
     let mut request = Request::new(body);
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(PATH);
     let host = HeaderValue::from_str(&address.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     request.headers_mut().insert(UPSTREAM, HeaderValue::from_str(upstream).ok()?);
+    if class == Class::Batch {
+        request.headers_mut().insert(BATCH, HeaderValue::from_static("1"));
+    }
     Some(request)
 }
 
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -77,6 +77,7 @@
             sequence: shared.next_sequence(),
             store_age: shared.store_age(),
             leaving: *shared.phase.borrow() >= Phase::Leaving,
+            cut_off: shared.is_cut_off(),
             wants_news: monitors.contains(&address),
         };
         shared.send(address, Content::Sync(status, sync));
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use cyclamengrade_control::relay::{response::History, selector::Upstream};
+use cyclamengrade_control::relay::{broker::Class, response::History, selector::Upstream};
 use cyclamengrade_telemetry::metrics::RELAY_CONNECTIONS_OPENED;
 use http_body_util::Full;
 use hyper::{
@@ -38,6 +38,9 @@
 /// Time before the end of the idle timeout from which a connection is no longer reused, so that
 /// no request is sent while the upstream closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Idle timeout of a connection that another relay carries, with `IDLE_MARGIN`. That relay carries only so
+/// many.
+const CARRIED_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for which a connection has to stay open before its upstream counts as reachable. The listener of
 /// a process that is being killed may outlive it on a busy vm, so this is no proof that the upstream lives.
 const REACHABLE_TIME: Duration = Duration::from_millis(10);
@@ -143,6 +146,7 @@
         id: &str,
         address: SocketAddr,
         max: usize,
+        class: Class,
         request_id: &str,
     ) -> Result<Connection, Unavailable> {
         if let Some(connection) = self.pool.reuse(id, request_id) {
@@ -156,7 +160,7 @@
             }
             None => return Err(Unavailable::Limit),
         };
-        self.open_connection(permit, address).await
+        self.open_connection(permit, address, class).await
     }
 
     /// Opens a connection for a single request.
@@ -171,7 +175,7 @@
         max: usize,
     ) -> Result<Connection, Unavailable> {
         let permit = self.pool.acquire_permit(id, max).ok_or(Unavailable::Limit)?;
-        self.open_connection(permit, address).await
+        self.open_connection(permit, address, Class::Online).await
     }
 
     /// Whether an upstream accepts a connection and keeps it open, which is then kept for reuse. An
@@ -181,7 +185,8 @@
         // At the limit, the other connections to the upstream are open.
         let permit = self.pool.acquire_permit(id, self.max_connections(deployment));
         let Some(permit) = permit else { return true };
-        let Ok(connection) = self.open_connection(permit, *address).await else { return false };
+        let opened = self.open_connection(permit, *address, Class::Online).await;
+        let Ok(connection) = opened else { return false };
         sleep(REACHABLE_TIME).await;
         if connection.sender.is_closed() {
             return false;
@@ -204,8 +209,9 @@
         self: &Arc<Self>,
         permit: Permit,
         address: SocketAddr,
+        class: Class,
     ) -> Result<Connection, Unavailable> {
-        let opened = self.open_transport(&permit.id, address).await;
+        let opened = self.open_transport(&permit.id, address, class).await;
         let connection = match opened.map_err(Unavailable::Unreachable)? {
             Transport::Direct(stream) => handshake(permit, Path::Direct, stream).await,
             Transport::Carried(tunnel, name) => {
@@ -298,6 +304,10 @@
     }
 
     fn keep(&self, connection: Connection, timeout: Duration) {
+        let timeout = match connection.path {
+            Path::Direct => timeout,
+            Path::Carried(_) => timeout.min(CARRIED_IDLE_TIMEOUT),
+        };
         let expires = Instant::now() + timeout.saturating_sub(IDLE_MARGIN);
         let id = connection.permit.id.clone();
         lock(&self.idle).entry(id).or_default().push(Idle { connection, expires });
--- a/components/standins/src/bridge/plan.rs
+++ b/components/standins/src/bridge/plan.rs
@@ -4,7 +4,7 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::index::sample};
 
-use crate::bridge::{Fault, Faults};
+use crate::bridge::{Cut, Fault, Faults};
 
 /// Size of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +53,8 @@
     /// The same for the runner of plain responses.
     Service(Fault),
     Store(Faults),
+    /// Cuts the connections of relays to all runners, or lets them go on.
+    Cut(Vec<usize>, Cut),
     /// Discards the history of the store and writes a new version of the configuration.
     Configure,
 }
@@ -80,9 +82,11 @@
     Listing,
     /// Upstreams of one software version leave while those of the other one join, and back.
     Rollout,
+    /// Relays lose their links to all upstreams.
+    Cut,
 }
 
-/// All disturbances, with the share of each.
+/// All disturbances but cuts of links, with the share of each.
 const SHARES: [(Disturbance, u32); 19] = [
     (Disturbance::Kill, 8),
     (Disturbance::KillMany, 3),
@@ -126,6 +130,15 @@
             let pause = planner.time(20..400);
             planner.now += pause;
         }
+        // Of another generator, so that the rest of the plan of a seed stays what it was.
+        planner.random = StdRng::seed_from_u64(!seed);
+        planner.now = planner.time(0..2_000);
+        while planner.now < end {
+            *disturbances.entry(Disturbance::Cut).or_default() += 1;
+            planner.add(Disturbance::Cut);
+            let pause = planner.time(500..4_000);
+            planner.now += pause;
+        }
         let mut steps = planner.steps;
         steps.retain(|(at, _)| *at < end);
         steps.sort_by_key(|(at, _)| *at);
@@ -251,9 +264,20 @@
                 self.step(Duration::ZERO, Step::List(vec![runner], state));
             }
             Disturbance::Rollout => self.rollout(),
+            Disturbance::Cut => self.cut(),
         }
     }
 
+    /// Cuts the links of one relay, of several or of all.
+    fn cut(&mut self) {
+        let share = [1, 2, self.size.relays][self.random.random_range(0..3)];
+        let relays = self.relays(share);
+        let cut = [Cut::Hang, Cut::Refuse, Cut::Reset][self.random.random_range(0..3)];
+        self.step(Duration::ZERO, Step::Cut(relays.clone(), cut));
+        let duration = self.time(100..4_000);
+        self.step(duration, Step::Cut(relays, Cut::None));
+    }
+
     fn kill(&mut self, relays: Vec<usize>) {
         self.step(Duration::ZERO, Step::Kill(relays.clone()));
         let down = self.time(20..1_500);
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -23,7 +23,9 @@
 };
 
 use cyclamengrade_standins::{
-    bridge::{Callers, Contradiction, Faults, Harness, Plan, Promise, Record, Runner, Size, Step},
+    bridge::{
+        Callers, Contradiction, Cut, Faults, Harness, Plan, Promise, Record, Runner, Size, Step,
+    },
     fleet::{Error, binary},
 };
 use googletest::prelude::*;
@@ -209,6 +211,11 @@
             Step::Upstream(runner, faults) => self.runner(*runner).queue_faults(faults),
             Step::Service(fault) => self.harness.plain.queue_faults(&[*fault]),
             Step::Store(faults) => self.harness.store.set_faults(*faults),
+            Step::Cut(relays, cut) => {
+                for number in self.numbers(relays) {
+                    self.harness.cut_links(number, *cut);
+                }
+            }
             Step::Configure => {
                 self.harness.store.discard_history();
                 self.harness.configure(json!([]));
@@ -284,6 +291,7 @@
     async fn heal(&mut self) -> Result<()> {
         let all: Vec<usize> = (0..self.relays.len()).collect();
         self.apply(&Step::Store(Faults::default()))?;
+        self.apply(&Step::Cut(all.clone(), Cut::None))?;
         self.apply(&Step::List((0..self.harness.runners.len()).collect(), "ready"))?;
         block_in_place(|| self.apply(&Step::Resume(all.clone())))?;
         self.apply(&Step::Start(all))?;
