--- a/tests/relay_stranded.rs
+++ b/tests/relay_stranded.rs
@@ -83,3 +83,104 @@
 async fn most_relays() -> Result<()> {
     check_cut(Cut::Hang, &[0, 1, 2]).await
 }
+
+/// Events of a stream that runs for about a second.
+const LONG: u64 = 120;
+
+fn text(events: u64) -> String {
+    (1..=events).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect()
+}
+
+/// Returns the number of the relay that carries the newest connection of the first one.
+fn carrier(harness: &Harness) -> Option<usize> {
+    let lines = harness.events(0, "connection_carried");
+    lines.last()?["member"].as_str()?.strip_prefix("vm-")?.parse().ok()
+}
+
+/// Starts three relays, of which the first one has lost its links and is served by the others.
+async fn start_cut() -> Result<Harness> {
+    let harness = Harness::start_linked(3).await?;
+    harness.cut_links(0, Cut::Refuse);
+    harness
+        .eventually("another relay carries connections", async || {
+            let reply = harness.stream(0, "stream", "first", 1).await.ok()?;
+            (reply.status == 200 && carrier(&harness).is_some()).then_some(())
+        })
+        .await?;
+    Ok(harness)
+}
+
+/// Begins a stream at the relay without links, and disturbs the relay that carries it. Returns the text, or
+/// `None` if the response is not complete.
+async fn disturb(
+    harness: &mut Harness,
+    route: &str,
+    disturb: impl FnOnce(&mut Harness, usize) -> Result<()>,
+) -> Result<Option<String>> {
+    let call = harness.call(0, route, route).with_header("token-counts", format!("10,{LONG}"));
+    let client = cyclamengrade_standins::client::Client::new();
+    let stream = tokio::spawn(async move { client.send(call).await });
+    sleep(Duration::from_millis(300)).await;
+    let carrier = carrier(harness).or_fail()?;
+    disturb(harness, carrier)?;
+    Ok(stream.await?.ok().filter(|reply| reply.status == 200).map(|reply| reply.text()))
+}
+
+/// Guards against events that are missing or repeated, and against a part of a stream that looks complete,
+/// when the relay that carries its connection is killed. Nothing but their close marks the ends of the
+/// upstreams' responses.
+#[gtest]
+#[tokio::test]
+async fn killed_carrier() -> Result<()> {
+    for (route, expected) in [("stream", Some(text(LONG))), ("once", None)] {
+        let mut harness = start_cut().await?;
+        harness.runners.iter().for_each(|runner| runner.omit_framing());
+        let got = disturb(&mut harness, route, |harness, carrier| Ok(harness.kill_relay(carrier)?));
+        expect_that!(got.await?, eq(&expected), "{route}");
+    }
+    Ok(())
+}
+
+/// Guards against a planned stop of the relay that carries a connection which cuts off what runs on it.
+#[gtest]
+#[tokio::test]
+async fn stopped_carrier() -> Result<()> {
+    let mut harness = start_cut().await?;
+    let got =
+        disturb(&mut harness, "once", |harness, carrier| Ok(harness.terminate_relay(carrier)?));
+    expect_that!(got.await?, some(eq(&text(LONG))));
+    let runs = harness.runners.iter().flat_map(|runner| runner.runs());
+    verify_that!(runs.filter(|run| run.id == "once").count(), eq(1))
+}
+
+/// Guards against a stream that waits for a relay that is suspended, and against one that goes on twice.
+#[gtest]
+#[tokio::test]
+async fn suspended_carrier() -> Result<()> {
+    let mut harness = start_cut().await?;
+    let got = disturb(&mut harness, "stream", |harness, carrier| Ok(harness.pause_relay(carrier)?));
+    verify_that!(got.await?, some(eq(&text(LONG))))
+}
+
+/// Guards against a request that waits for its deadline though no relay can help, and against a false "not
+/// run".
+#[gtest]
+#[tokio::test]
+async fn no_carrier() -> Result<()> {
+    let harness = Harness::start_linked(2).await?;
+    for relay in 0..2 {
+        harness.cut_links(relay, Cut::Hang);
+    }
+    sleep(CONTACT_TIME).await;
+    for route in ["safe", "unsafe"] {
+        let mut statuses = Vec::new();
+        let begin = std::time::Instant::now();
+        for number in 0..8 {
+            let reply = harness.send(harness.call(0, route, &format!("{route}-{number}"))).await?;
+            statuses.push(reply.status);
+        }
+        expect_that!(statuses, each(eq(&503)), "{route}");
+        expect_that!(begin.elapsed(), lt(Duration::from_secs(8)), "{route}");
+    }
+    verify_that!(harness.plain.runs(), is_empty())
+}
