Probe quiet connections to upstreams and between relays by keep-alive

A connection whose other end is gone without a word stayed open in the pool, and at a relay that carries it. No TCP_USER_TIMEOUT is set, by this code or by the libraries in use: it would replace the number of probes, and requests have deadlines.

--- a/components/relay/src/link.rs
+++ b/components/relay/src/link.rs
@@ -23,6 +23,7 @@
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use metrics::{counter, gauge};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     sync::Notify,
@@ -62,6 +63,14 @@
 /// The same once one is back.
 const MAX_PROBES_AFTER_RETURN: usize = 16;
 
+/// Quiet time of a connection before the first keep-alive probe. An upstream may be silent for a second and go
+/// on.
+const KEEP_ALIVE_TIME: Duration = Duration::from_secs(3);
+/// Time between two keep-alive probes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Keep-alive probes without an answer after which a connection is closed.
+const KEEP_ALIVE_PROBES: u32 = 3;
+
 /// State of the links to upstreams, and of the connections that are carried for other relays.
 #[derive(Default)]
 pub struct State {
@@ -96,6 +105,20 @@
     unreachable_votes: usize,
 }
 
+/// Sets the options of a connection to an upstream or between two relays.
+///
+/// Keep-alive probes close a connection whose other end is gone without a word. `TCP_USER_TIMEOUT` stays
+/// unset: it would replace the number of probes, and what is sent has deadlines of its own.
+fn set_options(stream: &TcpStream) {
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_TIME)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_PROBES);
+    // Without the options, small messages are delayed, and a dead connection is found by timeouts.
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_keepalive(&keep_alive);
+}
+
 /// Checks the link of this relay to an upstream while a response on it does not go on.
 #[derive(Clone)]
 pub struct Check {
@@ -228,8 +251,7 @@
             Ok(connected) => connected,
             Err(elapsed) => Err(elapsed.into()),
         };
-        // Without the option, small requests are delayed, but not lost.
-        let error = match connected.inspect(|stream| drop(stream.set_nodelay(true))) {
+        let error = match connected.inspect(set_options) {
             Ok(stream) => {
                 self.record_reached(&id);
                 return Ok(stream);
--- a/components/relay/src/link/carrier.rs
+++ b/components/relay/src/link/carrier.rs
@@ -24,7 +24,10 @@
 
 use crate::{
     body::{Body, Chunk},
-    link::tunnel::{BATCH, BUFFER_BYTES, PATH, UPSTREAM},
+    link::{
+        set_options,
+        tunnel::{BATCH, BUFFER_BYTES, PATH, UPSTREAM},
+    },
     online::{empty, header_text},
     shared::{Phase, Shared},
 };
@@ -123,8 +126,7 @@
                 continue;
             }
         };
-        // Without the option, small responses are delayed, but not lost.
-        let _ = stream.set_nodelay(true);
+        set_options(&stream);
         let shared = shared.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
--- a/components/relay/src/link/tunnel.rs
+++ b/components/relay/src/link/tunnel.rs
@@ -29,7 +29,10 @@
 };
 use tokio_util::sync::PollSender;
 
-use crate::body::{Body, Chunk};
+use crate::{
+    body::{Body, Chunk},
+    link::set_options,
+};
 
 /// Path of the request to carry a connection.
 pub const PATH: &str = "/v1/upstream-connection";
@@ -86,8 +89,7 @@
 
     async fn request(address: SocketAddr, upstream: &str, class: Class) -> Result<Self, Decline> {
         let stream = TcpStream::connect(address).await.map_err(|_| Decline::Silent)?;
-        // Without the option, small requests are delayed, but not lost.
-        let _ = stream.set_nodelay(true);
+        set_options(&stream);
         let (mut sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
