Close connections in use on a lost link only after a second attempt without a byte

An upstream that is silent for a second and goes on could look like a lost link: the connection of this relay times out while another relay, asked a little later, gets through. What ran there on sound connections was cut. Idle connections are still closed at once.

--- a/components/relay/src/link.rs
+++ b/components/relay/src/link.rs
@@ -290,16 +290,32 @@
         let Some(cause) = confirmed else { return };
         event!(LinkLost, upstream:% = id, cause:% = cause.name());
         self.record_lost_count();
-        self.selector().clear_suspicion(id, self.clock.now());
         if cause == Cause::Timeout {
-            // Nothing arrives on its open connections either.
-            self.pool.abort_direct(id);
+            // Nothing arrives on its idle connections either.
+            self.pool.close_idle_direct(id);
+            tokio::spawn(self.clone().abort_silent(id.to_owned()));
         }
         for other in self.pool.direct_ids().into_iter().take(MAX_CHECKS) {
             self.check_link(&other);
         }
     }
 
+    /// Closes the connections in use to an upstream on a lost link, unless it has sent something by the end
+    /// of another attempt to reach it. It may have been silent for a short time only.
+    async fn abort_silent(self: Arc<Self>, id: String) {
+        let upstream = self.selector().upstream_of(&id).cloned();
+        let Some(upstream) = upstream else { return };
+        if self.clone().connect(id.clone(), upstream.address).await.is_ok() {
+            return;
+        }
+        let now = self.clock.now();
+        let is_silent = self.selector().silent_upstream(&id, SILENCE, now).is_some();
+        if is_silent {
+            self.selector().clear_suspicion(&id, now);
+            self.pool.abort_direct(&id);
+        }
+    }
+
     fn record_lost_count(&self) {
         gauge!(RELAY_LINKS_LOST).set(self.links().lost_count() as f64);
     }
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -344,6 +344,13 @@
         }
     }
 
+    /// Closes this relay's own idle connections to an upstream.
+    pub fn close_idle_direct(&self, id: &str) {
+        if let Some(list) = lock(&self.idle).get_mut(id) {
+            list.retain(|idle| idle.connection.path != Path::Direct);
+        }
+    }
+
     /// Closes the idle connections that are carried by these relays.
     pub fn close_idle_via(&self, is_closed: impl Fn(&str) -> bool) {
         for list in lock(&self.idle).values_mut() {
--- a/tests/relay_stranded.rs
+++ b/tests/relay_stranded.rs
@@ -184,3 +184,24 @@
     }
     verify_that!(harness.plain.runs(), is_empty())
 }
+
+/// Guards against cutting what runs at an upstream that is silent for a second, on the links of one relay or
+/// of all, and goes on.
+#[gtest]
+#[tokio::test]
+async fn short_silence() -> Result<()> {
+    for cut in [vec![0], vec![0, 1, 2]] {
+        let harness = Harness::start_linked(3).await?;
+        let call =
+            harness.call(0, "once", "once").with_header("token-counts", format!("10,{LONG}"));
+        let client = cyclamengrade_standins::client::Client::new();
+        let stream = tokio::spawn(async move { client.send(call).await });
+        sleep(Duration::from_millis(300)).await;
+        cut.iter().for_each(|relay| harness.cut_links(*relay, Cut::Hang));
+        // Shorter than the time after which a link counts as lost if only one relay has no answer.
+        sleep(Duration::from_millis(if cut.len() == 1 { 600 } else { 1_200 })).await;
+        cut.iter().for_each(|relay| harness.cut_links(*relay, Cut::None));
+        expect_that!(stream.await??.text(), eq(&text(LONG)), "{cut:?}");
+    }
+    Ok(())
+}
