Forget the links to upstreams that are gone, and count responses as signs of a sound link

What is known of links grew with each start of an upstream, and a relay that lost one link while it only used open connections took itself for cut off. Found by reading; relay_link::kept_connections tests the second.

--- a/components/control/src/relay/link.rs
+++ b/components/control/src/relay/link.rs
@@ -11,7 +11,7 @@
 pub const PROBE_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two checks of the link to an upstream that is silent.
 const CHECK_PERIOD: Duration = Duration::from_secs(2);
-/// Time for which a connection shows that the link to an upstream is sound.
+/// Time for which a connection or a response shows that the link to an upstream is sound.
 const REACHED_TIME: Duration = Duration::from_secs(3);
 /// Time for which a relay that carried a connection is preferred.
 const CARRIER_TIME: Duration = Duration::from_secs(3);
@@ -51,7 +51,7 @@
 #[derive(Debug, Default)]
 pub struct Links {
     lost: BTreeMap<String, Lost>,
-    /// Times of the last connections.
+    /// Times of the last connections and responses.
     reached: BTreeMap<String, Time>,
     /// Times of the last checks.
     checked: BTreeMap<String, Time>,
@@ -66,6 +66,13 @@
         lost.is_confirmed.then(|| now.since(lost.since))
     }
 
+    /// Records that a response began on an open connection, which says nothing of new connections.
+    pub fn record_response(&mut self, id: &str, now: Time) {
+        if !self.lost.contains_key(id) {
+            self.reached.insert(id.to_owned(), now);
+        }
+    }
+
     /// Records that a connection could not be opened.
     pub fn record_lost(&mut self, id: &str, cause: Cause, now: Time) {
         self.reached.remove(id);
--- a/components/control/tests/relay_link.rs
+++ b/components/control/tests/relay_link.rs
@@ -47,6 +47,20 @@
     verify_that!(few.is_cut_off(later), eq(true))
 }
 
+/// Guards against a relay that takes itself for cut off after the loss of one link, since it opens no new
+/// connections to the others.
+#[gtest]
+fn kept_connections() -> Result<()> {
+    let mut links = links(&["a", "b"], &["c"], &["c"]);
+    let later = START + Duration::from_secs(30);
+    links.record_response("a", later);
+    links.record_response("b", later);
+    expect_that!(links.is_cut_off(later), eq(false));
+    // Open connections to it may live on.
+    links.record_response("c", later);
+    verify_that!(links.is_lost("c"), eq(true))
+}
+
 /// Guards against a link that stays lost after a connection was opened on it, and against reports of its
 /// return without one of its loss.
 #[gtest]
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -186,6 +186,7 @@
         self.shared.mark_leaving();
         self.shared.publish_places();
         self.shared.pool.close_idle(&removed);
+        self.shared.forget_links(&removed);
         self.shared.batch_changed.notify_one();
     }
 
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -72,6 +72,9 @@
     /// Records that bytes of the response arrived.
     pub fn record_bytes(&mut self) {
         let now = self.shared.clock.now();
+        if !self.responded && !self.is_excused {
+            self.shared.record_response(&self.upstream.id);
+        }
         let mut selector = self.shared.selector();
         selector.record_bytes(self.key, now);
         if !self.responded {
--- a/components/relay/src/link.rs
+++ b/components/relay/src/link.rs
@@ -182,6 +182,19 @@
         self.links().is_cut_off(self.clock.now())
     }
 
+    /// Records that a response began on a connection of this relay's own.
+    pub fn record_response(&self, id: &str) {
+        self.links().record_response(id, self.clock.now());
+    }
+
+    /// Forgets the links to upstreams that are no longer listed.
+    pub fn forget_links(&self, ids: &[String]) {
+        let mut links = self.links();
+        ids.iter().for_each(|id| links.forget(id));
+        drop(links);
+        self.record_lost_count();
+    }
+
     /// Whether the link to an upstream is lost that another relay reaches.
     pub fn has_lost_link(&self, id: &str) -> bool {
         self.links().is_lost(id)
