Count the chunks that wait for a slow caller towards the memory of carried connections

It reads 2 KiB at once now, counts 128 KiB, and an eighth of the memory may go to carried connections; the limit of connections on the small vms stays about the same.

--- a/components/relay/src/body.rs
+++ b/components/relay/src/body.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 
 /// Chunks of a stream that are buffered for a slow caller.
-const MAX_BUFFERED_CHUNKS: usize = 32;
+pub const MAX_BUFFERED_CHUNKS: usize = 32;
 
 /// the response stream was truncated before its last event
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
--- a/components/relay/src/link/carrier.rs
+++ b/components/relay/src/link/carrier.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    body::{Body, Chunk},
+    body::{Body, Chunk, MAX_BUFFERED_CHUNKS},
     link::{
         set_options,
         tunnel::{BATCH, BUFFER_BYTES, PATH, UPSTREAM},
@@ -34,12 +34,13 @@
 
 /// Connections that a relay carries for each core that it may use.
 const CARRIED_PER_CORE: u32 = 1_000;
-/// Memory that one carried connection may use: the buffers of both of its connections.
-const CARRIED_BYTES: u64 = 4 * BUFFER_BYTES as u64;
-/// Share of the memory of the process that carried connections may use together.
-const MEMORY_DIVISOR: u64 = 16;
-/// Bytes that are read from an upstream at once.
-const READ_BYTES: usize = 4 << 10;
+/// Memory that one carried connection may use: the buffers of both of its connections, and what waits for a
+/// slow caller.
+const CARRIED_BYTES: usize = 4 * BUFFER_BYTES + MAX_BUFFERED_CHUNKS * READ_BYTES;
+/// The memory for carried connections is the memory of the process divided by this number.
+const MEMORY_DIVISOR: u64 = 8;
+/// Largest number of bytes that are read from an upstream at once.
+const READ_BYTES: usize = 2 << 10;
 /// Timeout for the request on a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which the listener is tried again when the process is out of file descriptors.
@@ -103,7 +104,7 @@
     /// Returns how many connections this relay carries for others. Its own callers come first.
     fn max_carried(&self) -> usize {
         let by_processor = u64::from(self.capacity()) * u64::from(CARRIED_PER_CORE) / 1_000;
-        let by_memory = self.memory_bytes / MEMORY_DIVISOR / CARRIED_BYTES;
+        let by_memory = self.memory_bytes / MEMORY_DIVISOR / CARRIED_BYTES as u64;
         usize::try_from(by_processor.min(by_memory).max(1)).unwrap_or(usize::MAX)
     }
 
@@ -197,12 +198,11 @@
 async fn carry(upstream: TcpStream, incoming: Incoming, sender: Sender<Chunk>) {
     let (mut from_upstream, to_upstream) = upstream.into_split();
     let receive = async {
-        let mut buffer = BytesMut::new();
         loop {
-            buffer.reserve(READ_BYTES);
+            let mut buffer = BytesMut::with_capacity(READ_BYTES);
             let chunk = match from_upstream.read_buf(&mut buffer).await {
                 Ok(0) => Chunk::End,
-                Ok(_) => Chunk::Data(buffer.split().freeze()),
+                Ok(_) => Chunk::Data(buffer.freeze()),
                 // The response is truncated, like the connection.
                 Err(_) => return,
             };
