Send enough streams at once for some to begin at the upstream with the fault

relay_faults::resumed_stream failed once, since no stream was resumed: four streams, one after the other, may all begin at the upstream without the fault, because brokers prefer open connections (from reading; the failure itself was not seen again). Twelve at once exceed the slots of one upstream.

--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -1,6 +1,7 @@
 //! Tests of upstream faults: which requests are retried or resumed, and what the caller is told.
 
 use cyclamengrade_standins::bridge::{Fault, Harness, Run};
+use futures_util::future::join_all;
 use googletest::prelude::*;
 
 /// Returns the runs of all runners, ordered by runner.
@@ -22,11 +23,13 @@
 async fn resumed_stream() -> Result<()> {
     let harness = Harness::start(1).await?;
     harness.runners[0].queue_faults(&[Fault::CutAfter(3)]);
-    for id in ["s-1", "s-2", "s-3", "s-4"] {
-        let reply = harness.stream(0, "stream", id, 8).await?;
+    // More at once than the slots of one runner, so that some begin at the one with the fault.
+    let ids: Vec<String> = (0..12).map(|number| format!("s-{number}")).collect();
+    let replies = join_all(ids.iter().map(|id| harness.stream(0, "stream", id, 8))).await;
+    for (id, reply) in ids.iter().zip(replies) {
         let events: String =
             (1..=8).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect();
-        expect_that!(reply.text(), eq(&events), "{id}");
+        expect_that!(reply?.text(), eq(&events), "{id}");
     }
     let resumed: Vec<_> = all_runs(&harness).into_iter().filter_map(|run| run.after).collect();
     verify_that!(resumed, elements_are![eq(&3)])
