--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # be compiled. This checks that Python is there and can read them.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -c 'import ast, sys; [ast.parse(open(path).read(), path) for path in sys.argv[1:]]' lib/standin.py [1-5]/case.py
+python3 -c 'import ast, sys; [ast.parse(open(path).read(), path) for path in sys.argv[1:]]' lib/*.py [1-5]/case.py
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -96,6 +96,8 @@
         self.rows = {}
         self.history = []
         self.version = 0
+        # Version up to which the history is forgotten.
+        self.compacted = 0
         self.blobs = {}
         self.changed = asyncio.Condition()
         self.origin = time.monotonic()
@@ -246,6 +248,8 @@
 
     async def feed(self, query):
         table, after = query["Table"], int(query["After"])
+        if after < self.compacted:
+            return self.json({}, "410 Gone")
         until = time.monotonic() + int(query.get("WaitMs", "0")) / 1000.0
 
         def newer():
