--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -633,14 +633,15 @@
 
 
 def main(folder, case):
-    """Runs a case, `async case(harness) -> bool (whether the rule held)`, and exits as the review asks."""
+    """Runs a case, `async case(harness) -> bool (whether the rule held)`. Exits with 0 if it held, 10 if it
+    was broken, and 2 if the case could not run; `run_case.sh` turns this into what the review asks for."""
 
     async def run():
         harness = Harness(folder)
         try:
             held = await asyncio.wait_for(case(harness), 110)
             harness.record("verdict:", "the rule held" if held else "the rule was broken")
-            return 0 if held else 1
+            return 0 if held else 10
         except Exception as error:  # Any error means that the case could not run.
             harness.record("the case could not run:", type(error).__name__, error)
             return 2
