Show that restarted runners are shunned for good after a refusing store

Cause: a relay keeps the id of a leaving upstream without its start, and stores the next start as leaving when its retry comes after the return of the list. The store of the scripts can refuse single machines.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -108,6 +108,16 @@
         self.server = await asyncio.start_server(self.serve, ip, 0, limit=1 << 24)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
+    async def serve_machine(self, ip, is_refused):
+        """Returns a further address, for one machine, at which every call is refused with 503 while
+        `is_refused()` holds."""
+
+        async def serve(reader, writer):
+            await self.serve(reader, writer, is_refused)
+
+        server = await asyncio.start_server(serve, ip, 0, limit=1 << 24)
+        return "%s:%d" % server.sockets[0].getsockname()[:2]
+
     def now_ms(self):
         return (time.monotonic() - self.origin) * 1000.0 + 50_000
 
@@ -151,7 +161,7 @@
             row["Value"] = value
         return row
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, is_refused=lambda: False):
         try:
             while True:
                 request = await read_message(reader)
@@ -159,7 +169,7 @@
                     return
                 method, target, _ = request.first.split(" ")
                 kind = method + " " + urlsplit(target).path
-                fault = self.fault(kind, target, request.body)
+                fault = "refuse" if is_refused() else self.fault(kind, target, request.body)
                 if fault == "refuse":
                     writer.write(response("503 Service Unavailable"))
                     await writer.drain()
@@ -173,6 +183,9 @@
                     )
                     return
                 answer = await self.answer(method, target, request.body)
+                if is_refused():
+                    # A call that waited for changes.
+                    answer = response("503 Service Unavailable")
                 if fault == "lost":
                     return
                 writer.write(answer)
@@ -539,11 +552,10 @@
         self.runners.append(runner)
         return runner
 
-    async def add_relay(self, **options):
+    async def add_relay(self, store=None, **options):
         number = len(self.relays)
-        relay = Relay(
-            self.record, self.temporary, number, f"{self.net}.{number + 1}", self.store.address, **options
-        )
+        store = store or self.store.address
+        relay = Relay(self.record, self.temporary, number, f"{self.net}.{number + 1}", store, **options)
         self.relays.append(relay)
         await relay.start()
         return relay
