Ask all relays through the store when most of them are silent

Cause: a monitor that hears nothing from most of the others ignores its own observation, since it may be cut off, and nothing else could correct it. The silence of the others then never grows: they stay owners, brokers and monitors. The rows of dead relays are never deleted, so relays lost one after the other, and a relay that starts beside such rows, end the same way.

Change: a relay in doubt writes a row in the store, and every relay answers by writing its own row again. Who neither answers nor is heard from is gone. One that answers keeps its jobs, but is no broker. Relays that are gone no longer count for majorities, connections, ranks and spacing, and their rows are deleted after a minute.

Ruled out: trusting one's own silence, which gives all jobs to the small side of a cut; heartbeats in the store, 92 writes a second at 460 relays.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -20,6 +20,7 @@
 pub mod registry;
 pub mod response;
 pub mod results;
+pub mod roll_call;
 pub mod route;
 pub mod selector;
 pub mod shard;
--- a/components/control/src/relay/monitor.rs
+++ b/components/control/src/relay/monitor.rs
@@ -19,6 +19,14 @@
 const UNRESPONSIVE_TIME: Duration = Duration::from_millis(250);
 /// Time after which a relay that did not answer is tried again.
 const RETRY_PERIOD: Duration = Duration::from_secs(2);
+/// Silence after which a relay no longer counts as one of the fleet. Many times the spread with which
+/// the relays on the other side of a cut fall silent, so that a cut never passes for single losses.
+const ABSENCE_TIME: Duration = Duration::from_secs(10);
+/// Silence after which a relay is absent that does not answer roll calls, because it runs an older build.
+const UNANSWERED_TIME: Duration = Duration::from_secs(10);
+/// Time for which a write to the store shows that a silent relay is alive. Longer than the time between
+/// two roll calls in a fleet of hundreds of relays.
+const STORE_SIGN_TIME: Duration = Duration::from_secs(15);
 
 /// State that a relay reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +80,25 @@
     awaits_answer: bool,
     /// Time of the first message since its last answer that it did not answer in time.
     first_miss: Option<Time>,
+    /// Whether it answers roll calls, which older builds do not.
+    answers_calls: bool,
+    /// Newest version of its row in the store; it writes the row again to answer a roll call.
+    newest_row: u64,
+    /// Until when it counts as alive although it is silent, because of a write to the store.
+    alive_until: Option<Time>,
+    /// Whether it did not answer a roll call and has not been heard from since.
+    is_missing: bool,
+}
+
+/// Sign of life of a relay after a roll call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Its messages arrive.
+    Heard,
+    /// Only its writes to the store arrive, or it runs a build that does not answer roll calls.
+    Unreachable,
+    /// It is gone.
+    Missing,
 }
 
 impl Health {
@@ -88,9 +115,18 @@
             cut_off: false,
             awaits_answer: false,
             first_miss: None,
+            answers_calls: false,
+            newest_row: row_version,
+            alive_until: None,
+            is_missing: false,
         }
     }
 
+    /// Sets whether the relay answers roll calls.
+    pub fn with_answers(self, answers_calls: bool) -> Self {
+        Self { answers_calls, ..self }
+    }
+
     /// Returns the hash of the relay's name.
     pub const fn relay(&self) -> u32 {
         self.relay
@@ -126,6 +162,7 @@
             self.cut_off = status.cut_off;
             self.last_heard = now;
             self.reported_at = now;
+            self.is_missing = false;
         }
         is_new
     }
@@ -149,6 +186,69 @@
         self.awaits_answer = false;
         self.first_miss = None;
         self.last_heard = now;
+        self.is_missing = false;
+    }
+
+    /// Returns the newest version of its row.
+    pub const fn newest_row(&self) -> u64 {
+        self.newest_row
+    }
+
+    /// Whether a recent write to the store shows that the relay is alive although it was silent.
+    pub fn has_store_sign(&self, now: Time) -> bool {
+        self.alive_until.is_some_and(|until| now <= until)
+    }
+
+    /// Whether the relay is gone, by the last news of the time `seen`. An absent relay does not count as
+    /// one of the fleet.
+    pub fn is_absent(&self, now: Time, seen: Time) -> bool {
+        !self.has_store_sign(now) && (self.is_missing || self.silence(seen) > ABSENCE_TIME)
+    }
+
+    /// Whether the relay counts as dead, by the last news of the time `seen`, and no write to the store
+    /// says otherwise.
+    fn seems_dead(&self, now: Time, seen: Time) -> bool {
+        !self.has_store_sign(now) && (self.is_missing || self.silence(seen) > PEER_TIMEOUT)
+    }
+
+    /// Records that the relay wrote its row again, which is then of this version.
+    pub fn record_row(&mut self, version: u64, now: Time, seen: Time) {
+        self.newest_row = self.newest_row.max(version);
+        if self.seems_dead(now, seen) {
+            self.alive_until = Some(now + STORE_SIGN_TIME);
+        }
+    }
+
+    /// Records that the relay became the owner of a job. Only a relay of an older build shows by this
+    /// that it is alive; the write of one that has died may take effect later, and others answer roll
+    /// calls.
+    pub fn record_ownership(&mut self, now: Time, seen: Time) {
+        if !self.answers_calls && self.seems_dead(now, seen) {
+            self.alive_until = Some(now + STORE_SIGN_TIME);
+        }
+    }
+
+    /// Records that a roll call, whose row has the version `call`, is over.
+    pub fn close_call(&mut self, call: u64, now: Time) -> Presence {
+        self.record_own_observation();
+        let silence = now.since(self.last_heard);
+        if silence <= PEER_TIMEOUT {
+            return Presence::Heard;
+        }
+        let until = match (self.newest_row > call, self.answers_calls) {
+            (true, _) => now + STORE_SIGN_TIME,
+            // The write by which a relay of an older build became the owner of a job counts as well.
+            (false, false) => self.last_heard + UNANSWERED_TIME,
+            (false, true) => Time::default(),
+        };
+        self.alive_until = self.alive_until.max(Some(until));
+        match self.has_store_sign(now) {
+            true => Presence::Unreachable,
+            false => {
+                self.is_missing = true;
+                Presence::Missing
+            }
+        }
     }
 
     /// Whether the relay may serve others as a broker or monitor, by the answers that this relay gets
@@ -202,6 +302,7 @@
         let was_leaving = self.leaving;
         let heard = now - exception.map_or(Duration::ZERO, |exception| exception.silence);
         if heard >= self.last_heard {
+            self.is_missing &= heard == self.last_heard;
             self.last_heard = heard;
             self.store_age = exception.map_or(Duration::ZERO, |exception| exception.store_age);
             self.leaving |= exception.is_some_and(|exception| exception.leaving);
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -28,7 +28,7 @@
         key::{self, Subject},
         row,
     },
-    shared::{Job, Member, Shared},
+    shared::{Job, Member, OwnRow, Shared},
 };
 
 /// Longest logged reason for which a row cannot be used, in characters.
@@ -215,13 +215,14 @@
         for change in &changes.rows {
             match key::subject(&change.key) {
                 Some(Subject::Member(name)) if name == self.shared.name => {
-                    // A deleted or malformed row counts as the row of another start, so that this
-                    // relay writes its own row again.
-                    let row = decode::<row::Member>(change);
-                    self.shared.set_own_row_incarnation(Some(row.map_or(0, |row| row.incarnation)));
+                    let incarnation = decode::<row::Member>(change).map(|row| row.incarnation);
+                    self.shared.set_own_row(OwnRow { version: change.version, incarnation });
+                }
+                Some(Subject::Member(name)) => self.apply_member(now, name, change, is_snapshot),
+                Some(Subject::Job(id)) => self.apply_job(now, id, change, is_snapshot),
+                Some(Subject::RollCall) => {
+                    self.shared.record_roll_call(change.version, is_snapshot);
                 }
-                Some(Subject::Member(name)) => self.apply_member(now, name, change),
-                Some(Subject::Job(id)) => self.apply_job(id, change),
                 Some(Subject::Leaving(id)) => {
                     let row = decode::<row::Leaving>(change);
                     self.shared.apply_leaving(id, change.version, row);
@@ -245,19 +246,27 @@
             .send_if_modified(|readiness| !std::mem::replace(&mut readiness.fleet, true));
     }
 
-    fn apply_member(&self, now: Time, name: &str, change: &Change) {
+    fn apply_member(&self, now: Time, name: &str, change: &Change, is_snapshot: bool) {
+        let seen = self.shared.last_news();
         let mut members = self.shared.members();
         match decode::<row::Member>(change) {
             Some(row) => {
-                let known = members.get(name).map(|member| member.incarnation);
-                if known != Some(row.incarnation) {
+                let known = members.get_mut(name);
+                let known = known.filter(|member| member.incarnation == row.incarnation);
+                if let Some(member) = known {
+                    // Rows of a snapshot may have been written long ago.
+                    if !is_snapshot {
+                        member.health.record_row(change.version, now, seen);
+                    }
+                } else {
                     event!(MemberJoined, member:% = name, incarnation = row.incarnation);
                     let member = Member {
                         address: row.address,
                         incarnation: row.incarnation,
                         capacity: row.capacity,
                         joined_ms: row.joined_ms,
-                        health: Health::new(name, change.version, now),
+                        health: Health::new(name, change.version, now)
+                            .with_answers(row.answers_calls),
                     };
                     members.insert(name.to_owned(), member);
                 }
@@ -270,7 +279,7 @@
         }
     }
 
-    fn apply_job(&self, id: &str, change: &Change) {
+    fn apply_job(&self, now: Time, id: &str, change: &Change, is_snapshot: bool) {
         let mut jobs = self.shared.jobs();
         if jobs.get(id).is_some_and(|known| known.version > change.version) {
             return;
@@ -280,6 +289,10 @@
                 if row.state == row::State::Ended {
                     event!(JobEnded, job:% = id);
                 }
+                let owner = jobs.get(id).and_then(|known| known.row.owner.as_ref());
+                if !is_snapshot && owner != row.owner.as_ref() {
+                    self.record_ownership(now, row.owner.as_ref());
+                }
                 jobs.insert(id.to_owned(), Job { version: change.version, row });
             }
             None => {
@@ -290,6 +303,19 @@
     }
 }
 
+impl Directory {
+    /// Records that a relay became the owner of a job.
+    fn record_ownership(&self, now: Time, owner: Option<&row::Owner>) {
+        let Some(owner) = owner else { return };
+        let seen = self.shared.last_news();
+        let mut members = self.shared.members();
+        let member = members.get_mut(&owner.name);
+        if let Some(member) = member.filter(|member| member.incarnation == owner.incarnation) {
+            member.health.record_ownership(now, seen);
+        }
+    }
+}
+
 impl Message<Update> for Directory {
     type Reply = ();
 
--- a/components/relay/src/job/key.rs
+++ b/components/relay/src/job/key.rs
@@ -18,6 +18,14 @@
 /// Part of the fleet table with the row of the quarantine.
 const QUARANTINE: &str = "quarantine";
 
+/// Part of the fleet table with the row of the newest roll call.
+const ROLL_CALLS: &str = "rollcalls";
+
+/// Returns the key of the row of the newest roll call.
+pub fn roll_call() -> String {
+    format!("{FLEET}/{ROLL_CALLS}/newest")
+}
+
 /// Returns the key of the row of a relay.
 pub fn member(name: &str) -> String {
     format!("{FLEET}/{MEMBERS}/{name}")
@@ -112,6 +120,8 @@
     Quarantine,
     /// The software versions of the deployments.
     Versions,
+    /// The newest roll call.
+    RollCall,
 }
 
 /// Returns the subject of a row of the fleet table, or `None` if relays do not write such a key.
@@ -122,6 +132,7 @@
         LEAVING => Some(Subject::Leaving(name)),
         QUARANTINE => Some(Subject::Quarantine),
         VERSIONS => Some(Subject::Versions),
+        ROLL_CALLS => Some(Subject::RollCall),
         part if part.starts_with("jobs-") => Some(Subject::Job(name)),
         _ => None,
     }
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -27,6 +27,16 @@
     /// When the relay joined, on the store's clock in milliseconds.
     #[serde(default)]
     pub joined_ms: u64,
+    /// Whether it answers roll calls, which builds before them do not.
+    #[serde(default)]
+    pub answers_calls: bool,
+}
+
+/// Row of a roll call. Its version identifies the call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RollCall {
+    /// Name of the relay that asks.
+    pub by: String,
 }
 
 const fn default_capacity() -> u32 {
--- a/components/relay/src/leaving.rs
+++ b/components/relay/src/leaving.rs
@@ -57,9 +57,9 @@
             return;
         }
         let rank = {
-            let members = self.members();
+            let members = self.present_members();
             let own = hash::stable(&[&self.name, &upstream.id]);
-            members.keys().filter(|name| hash::stable(&[name, &upstream.id]) < own).count()
+            members.iter().filter(|name| hash::stable(&[name, &upstream.id]) < own).count()
         };
         let delay = STORE_DELAY + RANK_DELAY * u32::try_from(rank.min(MAX_RANK)).unwrap_or(0);
         lock(&self.leaving.heard).insert(upstream.id.clone(), self.clock.now() + delay);
@@ -131,7 +131,7 @@
     /// Returns the rows whose upstreams are gone and that this relay is to delete.
     fn outdated_leaving(&self) -> Vec<(String, u64)> {
         let now = self.clock.now();
-        let members: Vec<String> = self.members().keys().cloned().collect();
+        let members = self.present_members();
         let is_first = |id: &str| {
             let own = hash::stable(&[&self.name, id]);
             members.iter().all(|name| hash::stable(&[name, id]) >= own)
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod peers;
 mod pool;
 mod quarantine;
+mod roll_call;
 mod run;
 mod shared;
 mod slots;
--- a/components/relay/src/link.rs
+++ b/components/relay/src/link.rs
@@ -453,8 +453,11 @@
     /// Closes the idle connections that relays carry which are shutting down or gone.
     pub fn close_unusable_carried(&self) {
         let usable: BTreeSet<String> = {
+            let (now, seen) = (self.clock.now(), self.last_news());
             let members = self.members();
-            let staying = members.iter().filter(|(_, member)| !member.health.is_leaving());
+            let staying = members.iter().filter(|(_, member)| {
+                !member.health.is_leaving() && !member.health.is_absent(now, seen)
+            });
             staying.map(|(name, _)| name.clone()).collect()
         };
         self.pool.close_idle_via(|name| !usable.contains(name));
--- a/components/relay/src/origin.rs
+++ b/components/relay/src/origin.rs
@@ -263,9 +263,14 @@
             return Some((software, Source::Own));
         }
         let relays: BTreeSet<SocketAddr> = {
+            let present = self.present_members();
             let members = self.members();
-            let names = stream.keepers(members.keys().map(String::as_str), ASKED);
-            names.iter().map(|name| members[*name].address).collect()
+            let names = stream.keepers(present.iter().map(String::as_str), ASKED);
+            names
+                .iter()
+                .filter_map(|name| members.get(*name))
+                .map(|member| member.address)
+                .collect()
         };
         if let Some(software) = Query::new(self, stream).run(relays).await {
             return Some((software, Source::Peer));
--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -245,7 +245,7 @@
             Ok(()) => {
                 is_recovered = true;
                 archive.written.send_replace(change);
-                let relays = shared.members().len() as u32 + 1;
+                let relays = shared.relay_count() as u32;
                 let share = Duration::from_secs(1) * relays / FLEET_WRITES_PER_S;
                 sleep(share.max(MIN_WRITE_PERIOD)).await;
             }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -3,7 +3,10 @@
 use std::{future::Future, path::PathBuf, sync::Arc, thread, time::Duration};
 
 use cyclamengrade_peer::slots::Socket;
-use cyclamengrade_platform::{Feed, Objects, Table, table::Transaction};
+use cyclamengrade_platform::{
+    Feed, Objects, Table,
+    table::{Commit, Transaction},
+};
 use cyclamengrade_settings::Relay as Settings;
 use cyclamengrade_telemetry::{event, metrics};
 use kameo::prelude::Spawn;
@@ -22,7 +25,7 @@
     job::{cleanup, key, row, store},
     leaving, link, listing,
     origin::archive,
-    peers, quarantine,
+    peers, quarantine, roll_call,
     shared::{Phase, Readiness, Shared},
     stop,
 };
@@ -151,6 +154,7 @@
     tokio::spawn(shared.clone().probe_lost_links());
     tokio::spawn(close_expired_connections(shared.clone()));
     tokio::spawn(leaving::store_changes(shared.clone()));
+    tokio::spawn(roll_call::run(shared.clone()));
     tokio::spawn(quarantine::store_changes(shared.clone()));
     tokio::spawn(archive::write_changes(shared.clone()));
     tokio::spawn(archive::watch_versions(shared.clone()));
@@ -175,8 +179,8 @@
     }
 }
 
-/// Writes the row of this relay to the store, and writes it again when it was replaced. A delayed
-/// write of an earlier start may replace it.
+/// Writes the row of this relay to the store, and writes it again when it was replaced and to answer
+/// roll calls. A delayed write of an earlier start may replace it.
 async fn maintain_row(shared: Arc<Shared>, settings: Settings) {
     // The clock of the store is known once one of its tables was read.
     let mut readiness = shared.readiness.subscribe();
@@ -189,23 +193,33 @@
         incarnation: shared.incarnation,
         capacity: shared.capacity(),
         joined_ms,
+        answers_calls: true,
     };
     let Ok(value) = store::encode(&row) else { return };
     let mut is_written = false;
+    let mut written_version = 0;
     while *shared.phase.borrow() == Phase::Running {
         if !is_written {
             let write = Transaction::new().with_write(key::member(&shared.name), value.clone());
             match shared.table.commit(write).await {
-                Ok(_) => {
+                Ok(commit) => {
                     shared.record_store_contact();
                     is_written = true;
+                    if let Commit::Done { versions } = commit {
+                        written_version = versions.first().copied().unwrap_or(written_version);
+                    }
                 }
                 Err(error) => event!(PlatformUnreachable, service = "table", error:% = error),
             }
         }
         sleep(ROW_CHECK_PERIOD).await;
-        if is_written && let Some(own) = shared.own_row_incarnation() {
-            is_written = own == shared.incarnation;
+        if is_written && let Some(own) = shared.own_row() {
+            // A row that was deleted or cannot be read is written again, too.
+            is_written = own.incarnation == Some(shared.incarnation);
+            if let Some(delay) = shared.pending_answer(own.version.max(written_version)) {
+                sleep(delay).await;
+                is_written = false;
+            }
         }
     }
 }
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -29,7 +29,7 @@
 
 use crate::{
     clock::Clock, dialect::Dialect, job::row, leaving::Leaving, link, listing::Listing,
-    memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, slots::Slots,
+    memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, roll_call, slots::Slots,
 };
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
@@ -89,15 +89,27 @@
 impl Member {
     /// Returns the state of the member according to news of the time `seen`. `connected` is the time
     /// since this relay regained contact with the store.
-    fn peer(&self, seen: Time, connected: Duration) -> Peer {
+    fn peer(&self, now: Time, seen: Time, connected: Duration) -> Peer {
+        let (incarnation, leaving) = (self.incarnation, self.health.is_leaving());
+        if self.health.has_store_sign(now) {
+            let (silence, store_disconnection) = (Duration::ZERO, Duration::ZERO);
+            return Peer { incarnation, silence, store_disconnection, leaving };
+        }
         let silence = self.health.silence(seen);
         let store_disconnection =
             owner::store_disconnection(self.health.store_age(), silence, connected);
-        let leaving = self.health.is_leaving();
-        Peer { incarnation: self.incarnation, silence, store_disconnection, leaving }
+        Peer { incarnation, silence, store_disconnection, leaving }
     }
 }
 
+/// The row of this relay in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnRow {
+    pub version: u64,
+    /// Incarnation in the row; `None` if the row was deleted or cannot be read.
+    pub incarnation: Option<u64>,
+}
+
 /// Row of a batch job with its version in the store.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -165,8 +177,10 @@
     members: Mutex<BTreeMap<String, Member>>,
     /// Rows of the jobs as this relay last read them, by job id.
     jobs: Mutex<BTreeMap<String, Job>>,
-    /// Incarnation in this relay's own row; `None` before the feed has delivered the row.
-    own_row_incarnation: Mutex<Option<u64>>,
+    /// This relay's own row as the feed last delivered it.
+    own_row: Mutex<Option<OwnRow>>,
+    /// Roll calls, see [`roll_call`].
+    pub(crate) roll_calls: roll_call::State,
     /// Version up to which the feed has delivered the fleet table.
     fleet_version: AtomicU64,
     /// Time of the last answer of the feed of the fleet table, in microseconds of the monotonic
@@ -219,7 +233,8 @@
             selector: Mutex::new(Selector::new(data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
-            own_row_incarnation: Mutex::default(),
+            own_row: Mutex::default(),
+            roll_calls: roll_call::State::default(),
             fleet_version: AtomicU64::new(0),
             last_fleet_answer: AtomicU64::new(0),
             reserved_tokens: Mutex::default(),
@@ -329,26 +344,49 @@
         self.observe(now);
         let seen = self.last_news();
         let members = self.members();
-        members.iter().map(|(name, member)| (name.clone(), member.peer(seen, connected))).collect()
+        let state = |member: &Member| member.peer(now, seen, connected);
+        members.iter().map(|(name, member)| (name.clone(), state(member))).collect()
     }
 
     /// Records what this relay observes if it is a monitor. Its own observation is ignored when it
-    /// hears nothing from most relays of a larger fleet, because then it is more likely cut off.
-    fn observe(&self, now: Time) {
+    /// hears nothing from most relays of a larger fleet, because then it is more likely cut off;
+    /// [`Self::tick_roll_call`] asks the store then. Returns whether it is ignored.
+    pub(crate) fn observe(&self, now: Time) -> bool {
         let monitors = self.servers(MONITOR_KEY, MONITORS, now);
         if !monitors.iter().any(|(name, _)| *name == self.name) {
-            return;
+            return false;
         }
+        let seen = self.last_news();
         let mut members = self.members();
-        let silent =
-            members.values().filter(|member| member.health.own_silence(now) > owner::PEER_TIMEOUT);
-        if members.len() < MONITORS || silent.count() * 2 <= members.len() {
-            for member in members.values_mut() {
-                member.health.record_own_observation();
-            }
-            drop(members);
-            self.record_news(now);
+        let present = || members.values().filter(|member| !member.health.is_absent(now, seen));
+        let (present, silent) = (
+            present().count(),
+            present().filter(|member| member.health.own_silence(now) > owner::PEER_TIMEOUT).count(),
+        );
+        if present >= MONITORS && silent * 2 > present {
+            return true;
+        }
+        for member in members.values_mut() {
+            member.health.record_own_observation();
         }
+        drop(members);
+        self.record_news(now);
+        false
+    }
+
+    /// Returns the names of the other relays, without those that are gone.
+    pub fn present_members(&self) -> Vec<String> {
+        let (now, seen) = (self.clock.now(), self.last_news());
+        let members = self.members();
+        let present = members.iter().filter(|(_, member)| !member.health.is_absent(now, seen));
+        present.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the number of relays, with this one and without those that are gone.
+    pub fn relay_count(&self) -> usize {
+        let (now, seen) = (self.clock.now(), self.last_news());
+        let members = self.members();
+        members.values().filter(|member| !member.health.is_absent(now, seen)).count() + 1
     }
 
     /// Identifies this start of this relay.
@@ -366,15 +404,15 @@
         row::Owner { name: self.name.clone(), incarnation: self.incarnation }
     }
 
-    /// Returns the incarnation in this relay's own row as the feed last delivered it, or `None`
-    /// before the feed has delivered the row.
-    pub fn own_row_incarnation(&self) -> Option<u64> {
-        *lock(&self.own_row_incarnation)
+    /// Returns this relay's own row as the feed last delivered it, or `None` before the feed has
+    /// delivered the row.
+    pub fn own_row(&self) -> Option<OwnRow> {
+        *lock(&self.own_row)
     }
 
-    /// Records the incarnation in this relay's own row.
-    pub fn set_own_row_incarnation(&self, incarnation: Option<u64>) {
-        *lock(&self.own_row_incarnation) = incarnation;
+    /// Records this relay's own row.
+    pub fn set_own_row(&self, row: OwnRow) {
+        *lock(&self.own_row) = Some(row);
     }
 
     /// Returns the version up to which the feed has delivered the fleet table. A job row with a
@@ -409,7 +447,7 @@
 
     /// Returns the time for which this relay has been connected to the store without an outage; zero
     /// during one.
-    fn store_connection_time(&self, now: Time) -> Duration {
+    pub(crate) fn store_connection_time(&self, now: Time) -> Duration {
         if self.store_age() > OUTAGE_THRESHOLD {
             return Duration::ZERO;
         }
@@ -437,8 +475,7 @@
     pub fn max_connections(&self, deployment: &str) -> usize {
         let routes = self.routes.load();
         let limit = routes.deployments.get(deployment).and_then(|found| found.max_connections);
-        let relays = self.members().len() + 1;
-        limit.map_or(usize::MAX, |limit| (limit / relays).max(1))
+        limit.map_or(usize::MAX, |limit| (limit / self.relay_count()).max(1))
     }
 }
 
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -266,6 +266,14 @@
     /// This relay was asked to carry a connection to an upstream for another one, and declined. Fields:
     /// `upstream`, `reason` (`stopping`, `full`, `cut off`, `unknown upstream` or `unreachable`).
     1235 Info CarryDeclined "carry_declined" "connection is not carried for another relay",
+    /// This relay has no news of the others or hears nothing from most of them, and asks them through
+    /// the store whether they are alive. Fields: `members` (the other relays that it knows).
+    1236 Warn RollCalled "roll_called" "relays are asked through the store whether they are alive",
+    /// The time for the answers to a roll call is over. Fields: `unreachable` (relays that are alive but
+    /// whose messages do not arrive), `missing` (those that are gone).
+    1237 Warn RollCallClosed "roll_call_closed" "roll call of the relays is over",
+    /// Another relay neither answered a roll call nor sent a message. Fields: `member`.
+    1238 Warn MemberMissing "member_missing" "relay is gone",
 
     /// A batch job was stored. Fields: `job`, `items`, `elapsed_ms`.
     1240 Info JobStored "job_stored" "batch job was stored",
