Keep what is known of an upstream with its start

Cause: a relay that heard that an upstream leaves kept its id without the start that had said so, and stored the mark for whatever start was listed when the store answered again.

Change: the mark holds the start. The same cause on related paths: a new start gets a new key in the selector, so that late responses are recorded for none; brokers forget suspensions and limits with the start; idle connections and lost links are forgotten; connections of a later start are not aborted. Marks that the entry does not confirm within ten seconds are taken back, which corrects rows of older builds.

--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -66,6 +66,8 @@
     pub software: Software,
     /// Whether it accepts no new work.
     pub leaving: bool,
+    /// Differs for each start of the upstream.
+    pub start: u64,
 }
 
 /// Slots in use at an upstream.
@@ -126,7 +128,19 @@
 
     /// Replaces the list of upstreams.
     pub fn set_places(&mut self, places: impl IntoIterator<Item = Place>) {
+        let former = std::mem::take(&mut self.places);
         self.places = places.into_iter().map(|place| (place.upstream, place)).collect();
+        let started = former.values().filter(|former| {
+            self.places.get(&former.upstream).is_some_and(|place| place.start != former.start)
+        });
+        for upstream in started.map(|place| place.upstream) {
+            // The failures and the limit of the earlier start say nothing about this one.
+            self.suspensions.retain(|id| id != upstream);
+            self.limits.retain(|id| id != upstream);
+            for client in self.clients.values_mut() {
+                client.failed.remove(&upstream);
+            }
+        }
         self.by_shard.clear();
         for place in self.places.values() {
             self.by_shard.entry(place.shard).or_default().push(place.upstream);
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -78,6 +78,21 @@
     pub fn software(&self) -> Software {
         Software::new(&self.deployment, &self.version)
     }
+
+    /// Returns a hash that differs for each start of the upstream.
+    fn start(&self) -> u64 {
+        let born = self.born.map(|born| born.to_string()).unwrap_or_default();
+        hash::stable(&[&self.address.to_string(), &self.version, &born])
+    }
+
+    /// Whether this is the same start as another one with the same id. What is known of one start says
+    /// nothing about the next.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.born == other.born
+            && self.address == other.address
+            && self.deployment == other.deployment
+            && self.version == other.version
+    }
 }
 
 struct Entry {
@@ -177,10 +192,16 @@
         }
     }
 
-    /// Replaces the list of upstreams. Returns the ids of the upstreams that were removed.
+    /// Replaces the list of upstreams. Returns the ids of those that were removed or started again. A new
+    /// start has another key, so that what arrives late from the earlier one is not recorded for it.
     pub fn set_upstreams(&mut self, upstreams: &BTreeMap<String, Upstream>) -> Vec<String> {
+        let is_gone = |(id, key): &(&String, &Key)| {
+            let known = self.entries.get(**key);
+            let listed = upstreams.get(*id);
+            !known.zip(listed).is_some_and(|(known, listed)| known.upstream.is_same_start(listed))
+        };
         let removed: Vec<String> =
-            self.by_id.keys().filter(|id| !upstreams.contains_key(*id)).cloned().collect();
+            self.by_id.iter().filter(is_gone).map(|(id, _)| id.clone()).collect();
         for id in &removed {
             if let Some(key) = self.by_id.remove(id) {
                 self.entries.remove(key);
@@ -188,17 +209,7 @@
         }
         for (id, upstream) in upstreams {
             match self.by_id.get(id).and_then(|key| self.entries.get_mut(*key)) {
-                Some(entry) => {
-                    if entry.upstream.born != upstream.born {
-                        // What is known of the earlier start says nothing about this one.
-                        entry.failures = 0;
-                        entry.ejected_until = Time::default();
-                        entry.announced_leaving = false;
-                        entry.limit = Limit::default();
-                    }
-                    entry.upstream = upstream.clone();
-                    entry.software = upstream.software();
-                }
+                Some(entry) => entry.upstream = upstream.clone(),
                 None => {
                     let key = self.entries.insert(Entry {
                         upstream: upstream.clone(),
@@ -306,6 +317,7 @@
                     data_centre: shard::name_id(&entry.upstream.data_centre),
                     software: entry.software,
                     leaving: entry.is_leaving(),
+                    start: entry.upstream.start(),
                 });
             }
         }
@@ -403,6 +415,13 @@
         entry.is_some_and(|entry| !std::mem::replace(&mut entry.announced_leaving, true))
     }
 
+    /// Forgets that an upstream said that it is leaving. Its next response says whether it still is.
+    /// Returns whether that was known.
+    pub fn clear_leaving(&mut self, key: Key) -> bool {
+        let entry = self.entries.get_mut(key);
+        entry.is_some_and(|entry| std::mem::replace(&mut entry.announced_leaving, false))
+    }
+
     /// Records news of the limit of an upstream. Returns whether its rate changed.
     pub fn record_limit(&mut self, key: Key, news: Limit) -> bool {
         self.entries.get_mut(key).is_some_and(|entry| entry.limit.update(news))
--- a/components/control/tests/relay_limit.rs
+++ b/components/control/tests/relay_limit.rs
@@ -35,6 +35,7 @@
         data_centre: 1,
         software: Software(1),
         leaving: false,
+        start: 0,
     }));
     broker
 }
@@ -248,3 +249,21 @@
     }
     expect_that!(Rate::parse("1e30"), some(eq(Rate(u32::MAX))));
 }
+
+/// Guards against a limit of one start of an upstream that holds for the next start under its id.
+#[gtest]
+fn new_start() {
+    let mut broker = broker(1);
+    broker.sync(NOW, Holder(1), limited(&[0], Duration::ZERO));
+    expect_that!(broker.limits(NOW).len(), eq(1));
+    broker.set_places([Place {
+        upstream: 0,
+        shard: SHARD,
+        slots: SLOTS,
+        data_centre: 1,
+        software: Software(1),
+        leaving: false,
+        start: 7,
+    }]);
+    expect_that!(broker.limits(NOW).len(), eq(0));
+}
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -135,11 +135,8 @@
     /// again under its id, also with other software.
     pub fn is_same_start(&self) -> bool {
         let selector = self.shared.selector();
-        selector.upstream(self.key).is_none_or(|listed| {
-            listed.born == self.upstream.born
-                && listed.address == self.upstream.address
-                && listed.software() == self.upstream.software()
-        })
+        let listed = selector.upstream_of(&self.upstream.id);
+        listed.is_none_or(|listed| listed.is_same_start(&self.upstream))
     }
 
     /// Returns a connection for the request with this id.
--- a/components/relay/src/leaving.rs
+++ b/components/relay/src/leaving.rs
@@ -8,7 +8,10 @@
 };
 
 use cyclamengrade_control::{hash, relay::selector::Upstream, time::Time};
-use cyclamengrade_platform::{Error, table::Transaction};
+use cyclamengrade_platform::{
+    Error,
+    table::{Commit, Transaction},
+};
 use cyclamengrade_telemetry::event;
 use tokio::{sync::Notify, time::timeout};
 
@@ -27,6 +30,10 @@
 /// Time for which an upstream is not listed before its row is deleted. An entry may return after an outage
 /// of the store.
 const DELETE_DELAY: Duration = Duration::from_secs(10);
+/// Time after which a mark is taken back of an upstream whose entry still does not say that it is leaving.
+/// If it is, its next response says so again. Most upstreams that are leaving are gone by then; a mark of one
+/// that stays was stored by an older build for a later start of it.
+const MARK_TIME: Duration = Duration::from_secs(10);
 /// Time after which a write that failed is tried again.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time between two checks while there are such upstreams.
@@ -37,15 +44,25 @@
 struct Stored {
     version: u64,
     born: Option<u64>,
+    /// When this relay read the row.
+    marked_at: Time,
     /// When it was last listed.
     listed_at: Time,
 }
 
+/// A start of an upstream that said that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    born: Option<u64>,
+    /// Time from which this relay stores it.
+    store_at: Time,
+}
+
 /// Upstreams that said that they are leaving.
 #[derive(Debug, Default)]
 pub struct Leaving {
-    /// Those that this relay heard of itself, with the time from which it stores them.
-    heard: Mutex<BTreeMap<String, Time>>,
+    /// Those that this relay heard of itself.
+    heard: Mutex<BTreeMap<String, Heard>>,
     stored: Mutex<BTreeMap<String, Stored>>,
     changed: Notify,
 }
@@ -62,25 +79,46 @@
             members.iter().filter(|name| hash::stable(&[name, &upstream.id]) < own).count()
         };
         let delay = STORE_DELAY + RANK_DELAY * u32::try_from(rank.min(MAX_RANK)).unwrap_or(0);
-        lock(&self.leaving.heard).insert(upstream.id.clone(), self.clock.now() + delay);
+        let heard = Heard { born: upstream.born, store_at: self.clock.now() + delay };
+        lock(&self.leaving.heard).insert(upstream.id.clone(), heard);
         self.leaving.changed.notify_one();
     }
 
     /// Takes over what the store says of an upstream; `row` is `None` if its row was deleted.
     pub fn apply_leaving(&self, id: &str, version: u64, row: Option<row::Leaving>) {
-        let listed_at = self.clock.now();
-        let mut stored = lock(&self.leaving.stored);
+        let now = self.clock.now();
         match row {
             Some(row) => {
-                stored.insert(id.to_owned(), Stored { version, born: row.born, listed_at });
+                let stored = Stored { version, born: row.born, marked_at: now, listed_at: now };
+                lock(&self.leaving.stored).insert(id.to_owned(), stored);
+                self.mark_leaving();
             }
             None => {
-                stored.remove(id);
+                let former = lock(&self.leaving.stored).remove(id);
+                if let Some(former) = former {
+                    self.clear_mark(id, former.born);
+                }
             }
         }
-        drop(stored);
         self.leaving.changed.notify_one();
-        self.mark_leaving();
+    }
+
+    /// Uses an upstream again whose mark was taken back, unless another start of it is listed by now.
+    fn clear_mark(&self, id: &str, born: Option<u64>) {
+        let is_changed = {
+            let mut selector = self.selector();
+            let key = selector.key_of(id);
+            let key = key.filter(|key| {
+                selector.upstream(*key).is_some_and(|upstream| upstream.born == born)
+            });
+            key.is_some_and(|key| selector.clear_leaving(key))
+        };
+        if is_changed {
+            event!(LeavingTakenBack, upstream:% = id);
+            self.publish_places();
+            self.mark_all_dirty();
+            self.batch_changed.notify_one();
+        }
     }
 
     /// Forgets the upstreams whose rows are not in a snapshot of the store.
@@ -107,28 +145,31 @@
         }
     }
 
-    /// Returns the upstreams that are to be stored now, and forgets those whose entries say that they are
-    /// leaving or are gone.
-    fn due_leaving(&self) -> Vec<Upstream> {
+    /// Returns the upstreams that are to be stored now, with the versions of their rows, and forgets those
+    /// whose entries say that they are leaving or are gone, or that have started again since.
+    fn due_leaving(&self) -> Vec<(Upstream, u64)> {
         let now = self.clock.now();
         let stored = lock(&self.leaving.stored);
         let selector = self.selector();
         let mut due = Vec::new();
-        lock(&self.leaving.heard).retain(|id, at| {
+        lock(&self.leaving.heard).retain(|id, heard| {
             let Some(upstream) = selector.upstream_of(id) else { return false };
-            let is_known = stored.get(id).is_some_and(|stored| stored.born == upstream.born);
-            if upstream.leaving || is_known {
+            let known = stored.get(id);
+            // A row of a later start is not replaced.
+            let is_known = known.is_some_and(|known| known.born >= heard.born);
+            if upstream.born != heard.born || upstream.leaving || is_known {
                 return false;
             }
-            if *at <= now {
-                due.push(upstream.clone());
+            if heard.store_at <= now {
+                due.push((upstream.clone(), known.map_or(0, |known| known.version)));
             }
             true
         });
         due
     }
 
-    /// Returns the rows whose upstreams are gone and that this relay is to delete.
+    /// Returns the rows that this relay is to delete: those whose upstreams are gone, or stay without saying
+    /// so in their entries.
     fn outdated_leaving(&self) -> Vec<(String, u64)> {
         let now = self.clock.now();
         let members = self.present_members();
@@ -141,11 +182,17 @@
         let mut outdated = Vec::new();
         for (id, stored) in stored.iter_mut() {
             let upstream = selector.upstream_of(id);
-            if upstream.is_some_and(|upstream| upstream.born == stored.born) {
+            let start = upstream.filter(|upstream| upstream.born == stored.born);
+            if start.is_some() {
                 stored.listed_at = now;
-            } else if now.since(stored.listed_at) >= DELETE_DELAY && is_first(id) {
+            }
+            let is_outdated = match start {
+                Some(upstream) => !upstream.leaving && now.since(stored.marked_at) >= MARK_TIME,
+                None => now.since(stored.listed_at) >= DELETE_DELAY,
+            };
+            if is_outdated && is_first(id) {
                 // The next attempt follows after the same delay.
-                stored.listed_at = now;
+                (stored.listed_at, stored.marked_at) = (now, now);
                 outdated.push((id.clone(), stored.version));
             }
         }
@@ -156,10 +203,14 @@
         !lock(&self.leaving.heard).is_empty() || !lock(&self.leaving.stored).is_empty()
     }
 
-    async fn store_leaving(&self, upstream: &Upstream) -> Result<(), Error> {
+    /// Stores an upstream, unless its row is of another version than `version`. Returns whether it is
+    /// stored.
+    async fn store_leaving(&self, upstream: &Upstream, version: u64) -> Result<bool, Error> {
         let key = key::leaving(&upstream.id);
         let value = store::encode(&row::Leaving { born: upstream.born })?;
-        self.table.commit(Transaction::new().with_write(key, value)).await.map(|_| ())
+        let write = Transaction::new().with_condition(key.clone(), version).with_write(key, value);
+        let commit = self.table.commit(write).await?;
+        Ok(matches!(commit, Commit::Done { .. }))
     }
 
     async fn delete_leaving(&self, id: &str, version: u64) -> Result<(), Error> {
@@ -178,13 +229,22 @@
         }
         // A change may be due at once; the check only reads the memory.
         let _ = timeout(CHECK_PERIOD, shared.leaving.changed.notified()).await;
-        for upstream in shared.due_leaving() {
-            match shared.store_leaving(&upstream).await {
-                Ok(()) => drop(lock(&shared.leaving.heard).remove(&upstream.id)),
-                Err(error) => {
-                    event!(PlatformUnreachable, service = "table", error:% = error);
-                    let retry_at = shared.clock.now() + RETRY_DELAY;
-                    lock(&shared.leaving.heard).insert(upstream.id, retry_at);
+        for (upstream, version) in shared.due_leaving() {
+            let is_stored = shared.store_leaving(&upstream, version).await;
+            if let Err(error) = &is_stored {
+                event!(PlatformUnreachable, service = "table", error:% = error);
+            }
+            let retry_at = shared.clock.now() + RETRY_DELAY;
+            let mut heard = lock(&shared.leaving.heard);
+            match is_stored {
+                Ok(true) => {
+                    heard.remove(&upstream.id);
+                }
+                // After a conflict, the feed brings what another relay stored.
+                Ok(false) | Err(_) => {
+                    if let Some(heard) = heard.get_mut(&upstream.id) {
+                        heard.store_at = retry_at;
+                    }
                 }
             }
         }
--- a/components/relay/src/link.rs
+++ b/components/relay/src/link.rs
@@ -322,8 +322,9 @@
             return;
         }
         let now = self.clock.now();
-        let is_silent = self.selector().silent_upstream(&id, SILENCE, now).is_some();
-        if is_silent {
+        let silent = self.selector().silent_upstream(&id, SILENCE, now);
+        // A new start of the upstream may have been listed meanwhile.
+        if silent.is_some_and(|silent| silent.is_same_start(&upstream)) {
             self.selector().clear_suspicion(&id, now);
             self.pool.abort_direct(&id);
         }
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -350,6 +350,11 @@
         self.state().early_closes.clone()
     }
 
+    /// Ceases to say that this runner is leaving, as its next start does.
+    pub fn stay(&self) {
+        self.state().is_leaving = false;
+    }
+
     /// Says in all further responses that this runner is leaving. Its entry stays as it is.
     pub fn announce_leaving(&self) {
         self.state().is_leaving = true;
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -274,6 +274,9 @@
     1237 Warn RollCallClosed "roll_call_closed" "roll call of the relays is over",
     /// Another relay neither answered a roll call nor sent a message. Fields: `member`.
     1238 Warn MemberMissing "member_missing" "relay is gone",
+    /// The store no longer says that an upstream is leaving, which stays listed. It is used again until
+    /// one of its responses says so. Fields: `upstream`.
+    1239 Info LeavingTakenBack "leaving_taken_back" "upstream is no longer taken for leaving",
 
     /// A batch job was stored. Fields: `job`, `items`, `elapsed_ms`.
     1240 Info JobStored "job_stored" "batch job was stored",
--- a/tests/relay_left.rs
+++ b/tests/relay_left.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use cyclamengrade_standins::bridge::Harness;
+use cyclamengrade_standins::bridge::{Faults, Harness, Runner};
+use futures_util::future::join_all;
 use googletest::prelude::*;
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 const STREAMS: usize = 12;
@@ -70,3 +72,67 @@
     sleep(Duration::from_secs(3)).await;
     verify_that!(harness.store.keys("fleet").contains(&runner.id), eq(false))
 }
+
+/// Returns the entry of a start of a runner.
+fn entry(runner: &Runner, born: u64) -> Value {
+    let mut entry = runner.entry("model", "ready");
+    entry["born"] = json!(born);
+    entry
+}
+
+/// Guards against a mark of one start of an upstream that is stored for the next one under its id, because
+/// the store refused the write while the upstream was restarted. All relays would shun the new start for
+/// good.
+#[gtest]
+#[tokio::test]
+async fn restarted_upstream() -> Result<()> {
+    let harness = Harness::start(3).await?;
+    for runner in &harness.runners {
+        harness.store.put("servers", &runner.id, &entry(runner, 1));
+    }
+    sleep(Duration::from_millis(500)).await;
+    for (number, runner) in harness.runners.iter().enumerate() {
+        harness.store.set_faults(Faults { refuse: true, ..Faults::default() });
+        runner.announce_leaving();
+        send(&harness, &format!("leaving-{number}")).await?;
+        sleep(Duration::from_secs(1)).await;
+        runner.stay();
+        harness.store.put("servers", &runner.id, &entry(runner, 2));
+        harness.store.set_faults(Faults::default());
+        // Longer than the time between two attempts to store a mark.
+        sleep(Duration::from_secs(4)).await;
+    }
+    for runner in &harness.runners {
+        let mark = harness.store.value("fleet", "leaving", &runner.id);
+        expect_that!(mark, not(some(eq(&json!({"born": 2})))), "{}", runner.id);
+    }
+    let before: Vec<usize> = harness.runners.iter().map(|runner| runner.runs().len()).collect();
+    // More streams than one runner has slots.
+    let streams = (0..STREAMS).map(async |number| {
+        harness.stream(number % 3, "stream", &format!("after-{number}"), 100).await
+    });
+    for reply in join_all(streams).await {
+        expect_that!(reply?.status, eq(200));
+    }
+    for (runner, before) in harness.runners.iter().zip(before) {
+        expect_that!(runner.runs().len(), gt(before), "{}", runner.id);
+    }
+    Ok(())
+}
+
+/// Guards against marks of sound upstreams, which an older build stored, that stay in the store for good.
+#[gtest]
+#[tokio::test]
+async fn wrong_mark() -> Result<()> {
+    let harness = Harness::start(3).await?;
+    for runner in &harness.runners {
+        harness.store.put("servers", &runner.id, &entry(runner, 1));
+        let mark = json!({"born": 1}).to_string();
+        harness.store.put_row("fleet", "leaving", &runner.id, mark.as_bytes());
+    }
+    sleep(Duration::from_millis(500)).await;
+    let (job, status) = harness.submit(0, "marked", 4, 4).await?;
+    expect_that!(status, eq(202));
+    let results = harness.await_results(1, &job).await?;
+    verify_that!(Harness::complete_items(&results, 4).len(), eq(4))
+}
