Give up the items of a job whose route was removed

Cause: the dispatcher skipped items without a route with every pass, and did not tell an ended route from a configuration that is not read yet or older than the job.

Change: the row of a job states the version of the configuration that had its route. A relay with one at least as new and without a batch route gives the waiting items up after 3 s, 10 s for rows of older builds; runs go on. Related: a takeover without a route no longer counts one failure as the limit, changes of the limit reach loaded jobs, a longer prefix of another kind does not shadow the batch route, and items that are given up are logged.

--- a/components/control/src/relay/job.rs
+++ b/components/control/src/relay/job.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Sets the failures after which an item is abandoned, from its next failure on; zero counts as one.
+    pub fn set_max_failures(&mut self, max_failures: u32) {
+        self.max_failures = max_failures.max(1);
+    }
+
     /// Sets the failures of an item that an earlier owner stored.
     pub fn with_failures(mut self, item: usize, count: u32) -> Self {
         self.failures.insert(item, count);
--- a/components/control/src/relay/results.rs
+++ b/components/control/src/relay/results.rs
@@ -87,6 +87,11 @@
         state.is_some()
     }
 
+    /// Sets the failures after which an item is abandoned, see [`Progress::set_max_failures`].
+    pub fn set_max_failures(&mut self, max_failures: u32) {
+        self.progress.set_max_failures(max_failures);
+    }
+
     /// Abandons every waiting item and returns their number.
     pub fn abandon_waiting(&mut self) -> usize {
         let items = self.progress.abandon_waiting();
--- a/components/control/src/relay/route.rs
+++ b/components/control/src/relay/route.rs
@@ -198,12 +198,23 @@
     /// Returns the route of the host with the longest prefix of the path. Ignores a port after the
     /// host, and the case of the host.
     pub fn find(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
+        self.matching(host, path).next()
+    }
+
+    /// Returns the batch route of a job that was submitted to this path. A route of another kind with a
+    /// longer prefix takes new requests, but neither runs nor ends the jobs of the batch route.
+    pub fn find_batch(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
+        self.matching(host, path).find(|route| route.kind == Kind::Batch)
+    }
+
+    /// Returns the routes of the host whose prefixes begin the path, the longest prefix first.
+    fn matching(&self, host: &str, path: &str) -> impl Iterator<Item = &std::sync::Arc<Route>> {
         let host = match host.rsplit_once(':') {
             Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
             _ => host,
         };
-        let routes = self.routes.get(&host.to_ascii_lowercase())?;
-        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+        let routes = self.routes.get(&host.to_ascii_lowercase());
+        routes.into_iter().flatten().filter(move |route| path.starts_with(&route.path_prefix))
     }
 
     /// Whether no configuration has been read yet.
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -42,6 +42,12 @@
 const SAVE_PERIOD: Duration = Duration::from_secs(2);
 /// Smallest number of new events for which an unfinished text is saved: about one second of a run.
 pub(super) const MIN_UNSAVED_EVENTS: u64 = 30;
+/// Time for which the items of a job wait for its route to come back. A route that is moved may be missing
+/// from one version of the configuration.
+const ROUTE_PATIENCE: Duration = Duration::from_secs(3);
+/// The same for a job that does not state the configuration with its route: this relay may not have read
+/// that one yet.
+const UNDATED_ROUTE_PATIENCE: Duration = Duration::from_secs(10);
 /// Delay before the retry of an item that failed at its upstream.
 const FAILED_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -119,7 +125,8 @@
         outcomes: &[Option<row::Outcome>],
         failures: &BTreeMap<usize, u32>,
     ) -> Owned {
-        let max_failures = self.route(&job.row).map_or(1, |route| route.max_attempts);
+        // Without a route nothing runs, and the passes set the limit once there is one.
+        let max_failures = self.route(&job.row).map_or(u32::MAX, |route| route.max_attempts);
         Owned::new(job, items, max_failures, outcomes, failures)
     }
 
@@ -149,7 +156,7 @@
     }
 
     pub(super) fn route(&self, job: &row::Job) -> Option<Arc<Route>> {
-        self.shared.routes.load().find(&job.host, &job.path).cloned()
+        self.shared.routes.load().find_batch(&job.host, &job.path).cloned()
     }
 
     /// Runs the passes of the dispatcher until the relay stops.
@@ -165,6 +172,7 @@
             self.release_lost();
             self.preempt();
             self.abandon_expired();
+            self.abandon_unrouted();
             // While the relay drains, jobs that cannot be handed over continue here.
             self.start_items();
             if phase == Phase::Running && saved.elapsed() >= SAVE_PERIOD {
@@ -231,7 +239,7 @@
             if now < owned.job.row.expires_ms || !owned.is_open() {
                 continue;
             }
-            if owned.results.abandon_waiting() > 0 {
+            if abandon_waiting(id, owned, "its retention period is over") {
                 expired.push(id.clone());
             }
         }
@@ -240,6 +248,38 @@
         }
     }
 
+    /// Abandons the waiting items of jobs whose route was removed and has not come back. Runs go on. A
+    /// configuration that is older than the job says nothing about its route.
+    fn abandon_unrouted(self: &Arc<Self>) {
+        let now = self.shared.clock.now();
+        let routes = self.shared.routes.load();
+        let mut ended = Vec::new();
+        for (id, owned) in self.jobs().iter_mut().filter(|(_, owned)| owned.is_open()) {
+            let row = &owned.job.row;
+            if let Some(route) = routes.find_batch(&row.host, &row.path) {
+                owned.unrouted_since = None;
+                owned.results.set_max_failures(route.max_attempts);
+                continue;
+            }
+            if routes.is_empty() || routes.version < row.configuration {
+                continue;
+            }
+            let patience = match row.configuration {
+                0 => UNDATED_ROUTE_PATIENCE,
+                _ => ROUTE_PATIENCE,
+            };
+            owned.unrouted_since.get_or_insert(now);
+            if owned.unrouted_time(now) >= patience
+                && abandon_waiting(id, owned, "its route was removed")
+            {
+                ended.push(id.clone());
+            }
+        }
+        for id in ended {
+            self.commit(&id);
+        }
+    }
+
     /// Requests slots for the waiting items, and starts those whose slots were granted.
     fn start_items(self: &Arc<Self>) {
         let waiting = self.waiting_items();
@@ -459,6 +499,16 @@
     }
 }
 
+/// Abandons the waiting items of a job. Returns whether there were any.
+fn abandon_waiting(id: &str, owned: &mut Owned, cause: &str) -> bool {
+    let count = owned.results.abandon_waiting();
+    if count > 0 {
+        counter!(RELAY_ITEMS, "outcome" => "abandoned").increment(count as u64);
+        event!(ItemsAbandoned, job:% = id, items = count, cause:% = cause);
+    }
+    count > 0
+}
+
 fn priority((now_ms, estimate): (u64, Estimate), owned: &Owned, item: usize) -> Priority {
     Priority::new(now_ms, owned.job.row.due_ms, estimate.remaining(owned.events(item)))
 }
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -76,6 +76,7 @@
         expires_ms: after(route.retention),
         state: row::State::Open,
         owner: is_running.then(|| shared.as_owner()),
+        configuration: shared.routes.load().version,
     };
     let loading = dispatcher.begin_loading(&id);
     match store::accept(shared, &id, body.bytes.clone(), &job).await {
--- a/components/relay/src/job/reservation.rs
+++ b/components/relay/src/job/reservation.rs
@@ -34,7 +34,7 @@
         let jobs = self.jobs();
         let open = jobs.values().filter(|job| job.row.state == row::State::Open);
         let of_route = open.filter(|job| {
-            let found = routes.find(&job.row.host, &job.row.path);
+            let found = routes.find_batch(&job.row.host, &job.row.path);
             found.is_some_and(|found| found.name == route.name)
         });
         of_route.map(|job| job.row.tokens).fold(0, u64::saturating_add)
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -86,6 +86,10 @@
     pub state: State,
     /// Owner of the job; `None` after its last owner has handed it over.
     pub owner: Option<Owner>,
+    /// Version of the configuration that had the route of the job when it was accepted. Zero after a
+    /// relay of a build without this field has written the row.
+    #[serde(default)]
+    pub configuration: u64,
 }
 
 impl Job {
--- a/components/relay/tests/job_schedules.rs
+++ b/components/relay/tests/job_schedules.rs
@@ -216,6 +216,7 @@
             expires_ms: 0,
             state: State::Open,
             owner,
+            configuration: 1,
         };
         let mut submission = Submission::default();
         self.responses.submissions += 1;
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -167,6 +167,15 @@
 
     /// Writes a new version of the configuration with the default routes and `extra_routes`.
     pub fn configure(&mut self, extra_routes: Value) {
+        self.write_configuration(extra_routes, &[]);
+    }
+
+    /// Writes a new version of the configuration with the default routes except for those with these names.
+    pub fn configure_without(&mut self, names: &[&str]) {
+        self.write_configuration(json!([]), names);
+    }
+
+    fn write_configuration(&mut self, extra_routes: Value, omitted: &[&str]) {
         self.version += 3;
         let route = |name: &str, kind: &str, service: &str| {
             json!({
@@ -184,6 +193,7 @@
             route("batch", "batch", "model"),
             route("brief", "batch", "model"),
         ];
+        routes.retain(|route| !omitted.iter().any(|name| route["Name"] == *name));
         routes.extend(extra_routes.as_array().cloned().unwrap_or_default());
         let services = json!([
             {"Name": "model", "HealthPath": "/healthz", "MaxConns": 100},
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -312,6 +312,8 @@
     /// The text of a batch item was discarded, because no upstream of the software version that began
     /// it can continue it. Fields: `job`, `item`, `events` of the text.
     1254 Info ItemRestarted "item_restarted" "batch item starts again",
+    /// The waiting items of a batch job were given up. Fields: `job`, `items` (their number), `cause`.
+    1256 Warn ItemsAbandoned "items_abandoned" "waiting items of a batch job were given up",
 
     /// The settings were reloaded on a signal. Fields: `restart_needed` (whether any setting other
     /// than the log level and the shutdown times changed and takes effect only after a restart).
