Refuse requests in a planned stop that may outlast the relay

Callers saw: requests that came late in the grace time of a relay, on open connections, were passed on and cut without an answer when it exited.

Cause: a stopping relay served requests with their full time limits, whatever time it had left, and answered nothing that was still in flight at its end.

Change: streams and requests that cannot be repeated are accepted only if their time limits fit once the load balancer has turned away; others, and before that all, if the average time fits twice. The rest gets 503 at once. Plain requests in flight 0.2 s before the end get 504, or 503 if they did not run.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -24,4 +24,5 @@
 pub mod route;
 pub mod selector;
 pub mod shard;
+pub mod stop;
 pub mod submission;
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -513,6 +513,11 @@
         self.by_deployment.get(deployment).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the average time that online requests of a deployment take.
+    pub fn service_time(&self, deployment: &str) -> Duration {
+        self.latencies.get(deployment).copied().unwrap_or_default().service
+    }
+
     /// Returns the time in which an online request has to be sent to its upstream, so that its first
     /// byte arrives within `time_left`.
     pub fn start_within(&self, deployment: &str, time_left: Duration) -> Duration {
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeSet,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -31,6 +34,21 @@
 /// events.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Whether a request may have run, for an answer that does not wait for its attempts.
+#[derive(Clone, Debug, Default)]
+pub struct Dispatch(Arc<AtomicBool>);
+
+impl Dispatch {
+    /// Records that the request is sent to an upstream or to the store.
+    pub fn record(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    pub fn may_have_run(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// An online request and its attempts so far.
 pub struct Request {
     shared: Arc<Shared>,
@@ -53,6 +71,7 @@
     tried: BTreeSet<Key>,
     /// Memory reserved for the body.
     _memory: Option<Reservation>,
+    dispatch: Dispatch,
 }
 
 /// Why a request ends without a response of an upstream.
@@ -94,9 +113,15 @@
             parts,
             tried,
             _memory: None,
+            dispatch: Dispatch::default(),
         }
     }
 
+    /// Sets where the request records that it may have run.
+    pub fn with_dispatch(self, dispatch: Dispatch) -> Self {
+        Self { dispatch, ..self }
+    }
+
     /// Holds the memory reserved for the body until the request is dropped.
     pub fn with_memory(self, memory: Reservation) -> Self {
         Self { _memory: Some(memory), ..self }
@@ -181,6 +206,7 @@
             max_connections: self.shared.max_connections(&flight.upstream.deployment),
         };
         let names = self.shared.dialect.headers();
+        self.dispatch.record();
         let response = exchange::send(flight, names, &self.outgoing, options).await?;
         flight.record_bytes();
         Ok(response)
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -13,6 +13,7 @@
     Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, HOST, HeaderValue},
+    http::request::Parts,
     server::conn::http1,
     service::service_fn,
 };
@@ -24,6 +25,7 @@
 };
 
 use crate::{
+    attempt::Dispatch,
     batch::Dispatcher,
     body::Body,
     connection, online,
@@ -115,24 +117,26 @@
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Response<Body> {
-        let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let mut response =
-            match self.shared.dialect.job_call(&head.method, &head.uri, &head.headers) {
-                Some(call) => jobs::handle(&self.shared, &self.dispatcher, call).await,
-                None => match self.route(&head) {
-                    Err(status) if status == StatusCode::SERVICE_UNAVAILABLE => {
-                        online::unavailable(NO_CONFIGURATION_RETRY_AFTER)
-                    }
-                    Err(status) => online::empty(status),
-                    Ok(route) if route.kind == Kind::Batch => {
-                        jobs::submit(&self.shared, &self.dispatcher, route, head, body).await
-                    }
-                    Ok(route) => {
-                        online::serve(self.shared.clone(), route, head, body, arrived).await
-                    }
-                },
-            };
+        let names = self.shared.dialect.headers();
+        let id =
+            online::header_text(&head.headers, &names.request_id).unwrap_or_default().to_owned();
+        let dispatch = Dispatch::default();
+        let mut response = tokio::select! {
+            biased;
+            response = self.handle(head, body, &dispatch) => response,
+            () = self.shared.wait_for_final_answers() => {
+                let status = match dispatch.may_have_run() {
+                    true => StatusCode::GATEWAY_TIMEOUT,
+                    false => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                event!(RequestCutShort, request:% = id, status = status.as_u16());
+                match dispatch.may_have_run() {
+                    true => online::empty(status),
+                    false => online::unavailable(online::MIN_RETRY_AFTER),
+                }
+            }
+        };
         if *self.shared.phase.borrow() >= Phase::Leaving {
             response
                 .headers_mut()
@@ -141,7 +145,29 @@
         response
     }
 
-    fn route(&self, head: &hyper::http::request::Parts) -> Result<Arc<Route>, StatusCode> {
+    async fn handle(&self, head: Parts, body: Incoming, dispatch: &Dispatch) -> Response<Body> {
+        let arrived = Instant::now();
+        if let Some(call) = self.shared.dialect.job_call(&head.method, &head.uri, &head.headers) {
+            dispatch.record();
+            return jobs::handle(&self.shared, &self.dispatcher, call).await;
+        }
+        match self.route(&head) {
+            Err(status) if status == StatusCode::SERVICE_UNAVAILABLE => {
+                online::unavailable(NO_CONFIGURATION_RETRY_AFTER)
+            }
+            Err(status) => online::empty(status),
+            Ok(route) if route.kind == Kind::Batch => {
+                dispatch.record();
+                jobs::submit(&self.shared, &self.dispatcher, route, head, body).await
+            }
+            Ok(route) => {
+                let shared = self.shared.clone();
+                online::serve(shared, route, head, body, arrived, dispatch.clone()).await
+            }
+        }
+    }
+
+    fn route(&self, head: &Parts) -> Result<Arc<Route>, StatusCode> {
         let routes = self.shared.routes.load();
         if routes.is_empty() {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -27,7 +27,7 @@
 use tokio::{sync::mpsc::Sender, time::timeout};
 
 use crate::{
-    attempt::{self, Request},
+    attempt::{self, Dispatch, Request},
     body::{Body, Chunk},
     dialect::Headers,
     events::Event,
@@ -40,7 +40,7 @@
 
 /// Shortest time that `Retry-After` states. It is also stated if a request is refused for another
 /// reason than the load of the upstreams.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest time that `Retry-After` states.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -95,12 +95,19 @@
     head: Parts,
     body: Incoming,
     arrived: Instant,
+    dispatch: Dispatch,
 ) -> Response<Body> {
     let names = shared.dialect.headers();
     let id = header_text(&head.headers, &names.request_id).unwrap_or_default().to_owned();
     let timeout = header_text(&head.headers, &names.deadline_ms)
         .and_then(|value| value.parse().ok())
         .map_or(route.timeout, |ms| Duration::from_millis(ms).min(route.timeout));
+    if !shared.accepts(&route, shared.clock.now() + timeout) {
+        log_declined(&id, &route, "this relay stops before the request has certainly ended");
+        return unavailable(MIN_RETRY_AFTER);
+    }
+    let left = shared.answer_by().map(|answer_by| answer_by.since(shared.clock.now()));
+    let timeout = left.map_or(timeout, |left| timeout.min(left));
     let deadline = arrived + timeout;
     let limits = shared.routes.load().limits;
     let body = match read_body(&shared.body_memory, body, &limits, timeout).await {
@@ -121,7 +128,8 @@
     let Buffered { bytes: body, memory } = body;
     let outgoing = Outgoing { method: head.method, uri: origin_form(&head.uri), headers, body, id };
     let request = Request::new(shared.clone(), route.clone(), outgoing, arrived, deadline)
-        .with_memory(memory);
+        .with_memory(memory)
+        .with_dispatch(dispatch);
     match route.kind {
         Kind::Stream => serve_stream(shared, request).await,
         Kind::Safe | Kind::Unsafe | Kind::Batch => serve_single(request).await,
@@ -625,6 +633,21 @@
     unavailable(retry_after)
 }
 
+/// Logs and counts a request that is refused before its first attempt.
+fn log_declined(id: &str, route: &Route, reason: &str) {
+    event!(
+        RequestDeclined,
+        request:% = id,
+        route:% = route.name,
+        reason:% = reason,
+        granted = false,
+        load_permille = 0,
+        wait_ms = 0,
+        retry_after_ms = MIN_RETRY_AFTER.as_millis() as u64
+    );
+    counter!(RELAY_REQUESTS, "kind" => route.kind.name(), "outcome" => "refused").increment(1);
+}
+
 /// Returns a response which says that the request did not run and when to retry it.
 pub fn unavailable(retry_after: Duration) -> Response<Body> {
     refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after)
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -20,12 +20,16 @@
         registry::OUTAGE_THRESHOLD,
         route,
         selector::Selector,
+        stop::Stop,
     },
     time::Time,
 };
 use cyclamengrade_peer::slots::Content;
 use cyclamengrade_platform::{Objects, Table};
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time::sleep,
+};
 
 use crate::{
     clock::Clock, dialect::Dialect, job::row, leaving::Leaving, link, listing::Listing,
@@ -162,6 +166,8 @@
     pub batch_changed: Notify,
     /// Phase of this relay.
     pub phase: watch::Sender<Phase>,
+    /// Times of the planned stop, once one was asked for.
+    stop: watch::Sender<Option<Stop>>,
     /// Which tables of the store have been read.
     pub readiness: watch::Sender<Readiness>,
     /// Time of the last answer of the store, in microseconds of the monotonic clock.
@@ -225,6 +231,7 @@
             last_news: AtomicU64::new(0),
             batch_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
+            stop: watch::Sender::default(),
             readiness: watch::Sender::new(Readiness::default()),
             last_store_contact: AtomicU64::new(0),
             store_connected_since: AtomicU64::new(0),
@@ -459,6 +466,37 @@
         self.clock.now().since(Time(self.last_store_contact.load(Ordering::Relaxed)))
     }
 
+    /// Begins a planned stop.
+    pub fn begin_stop(&self, stop: Stop) {
+        self.stop.send_replace(Some(stop));
+        self.phase.send_replace(Phase::Leaving);
+    }
+
+    /// Whether a request on a route that may take until `deadline` is accepted: there is no planned stop,
+    /// or the request fits into the time that is left.
+    pub fn accepts(&self, route: &route::Route, deadline: Time) -> bool {
+        let Some(stop) = *self.stop.borrow() else { return true };
+        let average = {
+            let selector = self.selector();
+            route.deployments().map(|name| selector.service_time(name)).max().unwrap_or_default()
+        };
+        stop.accepts(self.clock.now(), route.kind, deadline, average)
+    }
+
+    /// Returns the time at which requests in flight get their final answers, during a planned stop.
+    pub fn answer_by(&self) -> Option<Time> {
+        self.stop.borrow().map(|stop| stop.answer_by)
+    }
+
+    /// Waits until the requests in flight have to get their final answers because of a planned stop.
+    pub async fn wait_for_final_answers(&self) {
+        // Cannot fail: the sender is a field of `self`.
+        let _ = self.stop.subscribe().wait_for(Option::is_some).await;
+        if let Some(answer_by) = self.answer_by() {
+            sleep(answer_by.since(self.clock.now())).await;
+        }
+    }
+
     /// Waits until this relay has reached a phase or a later one.
     pub async fn wait_for_phase(&self, wanted: Phase) {
         // Cannot fail: the sender is a field of `self`.
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use cyclamengrade_control::relay::stop::Stop;
 use cyclamengrade_platform::table::Transaction;
 use cyclamengrade_settings::Relay as Settings;
 use cyclamengrade_telemetry::{event, logs};
@@ -24,13 +25,15 @@
 /// Time before the end of the grace time at which the relay stops waiting for requests, so that it
 /// exits before it is killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time before that at which the requests in flight get their final answers, so that these are written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Timeout for the removal of this relay's row from the store.
 const REMOVAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Waits for a termination signal, then shuts down in phases.
 ///
 /// New connections are accepted while the load balancer may still open them. After that, the
-/// requests in flight are finished.
+/// requests in flight are finished. Those that take too long get a final answer before the process ends.
 ///
 /// # Errors
 ///
@@ -56,9 +59,14 @@
     }
     let times = settings.stop;
     let requested_at = Instant::now();
-    let end = requested_at + times.grace().saturating_sub(EXIT_MARGIN);
+    let stopped_after = times.grace().saturating_sub(EXIT_MARGIN);
+    let end = requested_at + stopped_after;
     event!(Leaving, daemon:% = shared.name);
-    shared.phase.send_replace(Phase::Leaving);
+    let now = shared.clock.now();
+    shared.begin_stop(Stop {
+        leave_at: now + times.leave(),
+        answer_by: now + stopped_after.saturating_sub(ANSWER_MARGIN),
+    });
     shared.mark_all_dirty();
     // The handover runs concurrently. Without the store, it may take longer than the grace time.
     let handover = tokio::spawn(async move { dispatcher.hand_over().await });
@@ -68,7 +76,7 @@
     }
     event!(DrainStarted);
     shared.phase.send_replace(Phase::Draining);
-    // Requests that are still in flight at the end of the grace time are cut off.
+    // Streams that are still in flight at the end of the grace time are cut off.
     let _ = timeout_at(end, &mut server).await;
     // Other relays learn that this one stops and close what it carries for them.
     let _ = timeout_at(end, shared.wait_until_none_carried()).await;
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -215,6 +215,9 @@
     /// request may have run. Fields: `request`, `upstream`, `status` of the response, `requests` on the
     /// connection so far.
     1214 Warn ResponseUntied "response_untied" "response may belong to another request",
+    /// A request was still in flight at the end of a planned stop and got its final answer. Fields:
+    /// `request`, `status` (503 if it did not run).
+    1215 Warn RequestCutShort "request_cut_short" "request was answered because the relay stops",
 
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "change feed of a table cannot be read",
