Bound the memory of events that wait for slow callers

Callers saw: with upstreams that send large events without end, the relay's memory passes the limit of its vm, which ends the requests of all its callers.

Cause: what waits for a caller was bounded to 32 chunks of any size, over all callers by nothing, and the deadline did not end a wait for the caller.

Passing an event on ends with the deadline of the request.

--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -161,7 +161,7 @@
             return end.into();
         }
     }
-    let mut events = response.events();
+    let mut events = response.events(flight.event_memory());
     let mut timeout = FIRST_EVENT_TIMEOUT;
     loop {
         let until = events.quiet_since() + timeout;
--- a/components/relay/src/events.rs
+++ b/components/relay/src/events.rs
@@ -1,6 +1,6 @@
 //! Parser of event streams (WHATWG HTML, section "Server-sent events").
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Limit on the bytes that are buffered until an event is complete. A relay reads from hundreds of
 /// upstreams at once.
@@ -58,7 +58,9 @@
     pub fn next(&mut self) -> Option<Event> {
         let end = self.find_end()?;
         self.scanned = 0;
-        let raw = self.buffer.split_to(end).freeze();
+        // A copy, so that an event that waits for its caller does not hold the whole buffer.
+        let raw = Bytes::copy_from_slice(&self.buffer[..end]);
+        self.buffer.advance(end);
         let id = lines(&raw)
             .filter_map(|line| field(line, b"id"))
             .next_back()
@@ -66,6 +68,11 @@
         Some(Event { id, raw })
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer holds an incomplete event, once [`Self::next`] has returned `None`.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -25,7 +25,7 @@
     events::{Event, Splitter},
     flight::Flight,
     link,
-    memory::Reservation,
+    memory::{Budget, Reservation},
     pool::{Connection, Pool},
 };
 
@@ -44,6 +44,9 @@
 /// Limit on the size of a response body that is buffered.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Bytes of a stream that are buffered without reserving memory for them.
+const MAX_UNRESERVED_BUFFER_BYTES: usize = 16 << 10;
+
 /// Timeout of a request that shows whether an upstream lives.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -176,10 +179,18 @@
         Ok(Collected { status, headers, body: bytes.freeze(), has_marked_end, _memory: memory })
     }
 
-    /// Reads the body as an event stream.
-    pub fn events(self) -> Events {
+    /// Reads the body as an event stream. `budget` limits the memory of all large events that are
+    /// incomplete.
+    pub fn events(self, budget: &Budget) -> Events {
         let has_marked_end = self.has_marked_end();
-        Events { response: self, splitter: Splitter::default(), has_marked_end, quiet_since: None }
+        Events {
+            response: self,
+            splitter: Splitter::default(),
+            has_marked_end,
+            quiet_since: None,
+            budget: budget.clone(),
+            memory: None,
+        }
     }
 }
 
@@ -203,6 +214,9 @@
     has_marked_end: bool,
     /// Since when comments at most have arrived; `None` if the last event was none.
     quiet_since: Option<Instant>,
+    budget: Budget,
+    /// Memory reserved for the bytes that have not been returned yet, if they are many.
+    memory: Option<Reservation>,
 }
 
 /// Id of the first event of a stream.
@@ -246,6 +260,9 @@
             return Err(Failure::Silent);
         }
         loop {
+            if time::timeout_at(until.into(), self.reserve()).await.is_err() {
+                return Err(Failure::Silent);
+            }
             if let Some(event) = self.splitter.next() {
                 if event.id.is_some() || event.has_data() {
                     self.quiet_since = None;
@@ -271,6 +288,20 @@
         }
     }
 
+    /// Reserves memory for the bytes that have not been returned yet, and waits until there is some.
+    async fn reserve(&mut self) {
+        let bytes = self.splitter.len();
+        if bytes <= MAX_UNRESERVED_BUFFER_BYTES {
+            self.memory = None;
+            return;
+        }
+        if !self.memory.as_mut().is_some_and(|memory| memory.grow_to(bytes)) {
+            // What is reserved already is free for others while this stream waits.
+            self.memory = None;
+            self.memory = Some(self.budget.acquire(bytes).await);
+        }
+    }
+
     /// Returns the connection to the pool, after the last event.
     pub fn finish(self, pool: &Pool) {
         pool.release(self.response.connection, &self.response.headers);
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -188,6 +188,11 @@
         &self.shared.response_memory
     }
 
+    /// Returns the memory for large events.
+    pub fn event_memory(&self) -> &Budget {
+        &self.shared.event_memory
+    }
+
     /// Returns the connections to upstreams.
     pub fn pool(&self) -> &Pool {
         &self.shared.pool
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -21,7 +21,7 @@
 mod leaving;
 mod link;
 mod listing;
-mod memory;
+pub mod memory;
 mod native;
 mod online;
 mod origin;
--- a/components/relay/src/link/carrier.rs
+++ b/components/relay/src/link/carrier.rs
@@ -206,7 +206,7 @@
                 // The response is truncated, like the connection.
                 Err(_) => return,
             };
-            let is_end = chunk == Chunk::End;
+            let is_end = matches!(chunk, Chunk::End);
             if sender.send(chunk).await.is_err() || is_end {
                 return;
             }
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -24,11 +24,14 @@
     http::request::Parts,
 };
 use metrics::{counter, histogram};
-use tokio::{sync::mpsc::Sender, time::timeout};
+use tokio::{
+    sync::mpsc::Sender,
+    time::{timeout, timeout_at},
+};
 
 use crate::{
     attempt::{self, Dispatch, Request},
-    body::{Body, Chunk},
+    body::{Body, Chunk, EventBudget},
     dialect::Headers,
     events::Event,
     exchange::{self, Collected, Events, Next, Outgoing},
@@ -233,7 +236,7 @@
             }
         }
         let (status, headers) = (response.status, response.headers.clone());
-        let mut events = response.events();
+        let mut events = response.events(flight.event_memory());
         let until = request.read_until(events.quiet_since());
         let first = match events.next(until).await {
             // A new stream has an event, so this one was cut off.
@@ -262,6 +265,7 @@
                 let mut forwarder = Forwarder {
                     request,
                     sender,
+                    waiting: EventBudget::new(shared.event_memory.clone()),
                     last_event_id,
                     is_numbered: true,
                     events_sent: 0,
@@ -319,6 +323,8 @@
 struct Forwarder {
     request: Request,
     sender: Sender<Chunk>,
+    /// Memory for the events that wait for the caller.
+    waiting: EventBudget,
     /// Id of the last event that the caller has.
     last_event_id: Option<u64>,
     /// Whether `last_event_id` is the position in the stream; it is not after an event without an id.
@@ -417,8 +423,8 @@
                 }
                 None => {}
             }
-            if self.sender.send(Chunk::Data(event.raw)).await.is_err() {
-                return Forwarded::CallerLeft;
+            if let Err(forwarded) = self.send(event.raw).await {
+                return forwarded;
             }
             self.events_sent += 1;
             self.ending.record_event();
@@ -429,6 +435,20 @@
         }
     }
 
+    /// Passes an event on to the caller, who may be slow, before the deadline.
+    async fn send(&self, event: Bytes) -> Result<(), Forwarded> {
+        let sent = async { self.sender.send(self.waiting.reserve(event).await).await };
+        tokio::select! {
+            biased;
+            () = self.sender.closed() => Err(Forwarded::CallerLeft),
+            sent = timeout_at(self.request.deadline.into(), sent) => match sent {
+                Ok(Ok(())) => Ok(()),
+                Ok(Err(_)) => Err(Forwarded::CallerLeft),
+                Err(_) => Err(Forwarded::Failed(Failure::Silent)),
+            },
+        }
+    }
+
     /// Returns what follows in a stream, or `None` if the caller closed the connection.
     async fn next(&self, events: &mut Events) -> Option<Result<Next, Failure>> {
         let until = self.request.read_until(events.quiet_since());
@@ -476,7 +496,7 @@
         if !(response.status.is_success() && response.is_event_stream()) {
             return Ok(None);
         }
-        let mut events = response.events();
+        let mut events = response.events(flight.event_memory());
         let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
         if matches!(next, Ok(Next::Event(_))) {
             // The upstream had closed the connection early.
@@ -501,7 +521,7 @@
             let (next_flight, response) = sent.map_err(End::Failed)?;
             if response.status.is_success() && response.is_event_stream() {
                 self.log_resumed(&next_flight);
-                let mut events = response.events();
+                let mut events = response.events(next_flight.event_memory());
                 let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
                 return Ok(Run { flight: next_flight, events, next });
             }
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -41,6 +41,8 @@
 const BODY_MEMORY_DIVISOR: u64 = 4;
 /// The memory for responses that are collected is the memory of the process divided by this number.
 const RESPONSE_MEMORY_DIVISOR: u64 = 8;
+/// The memory for events that wait for their callers is the memory of the process divided by this number.
+const EVENT_MEMORY_DIVISOR: u64 = 8;
 
 /// Number of relays that observe the liveness of all.
 pub const MONITORS: usize = 3;
@@ -150,6 +152,8 @@
     pub body_memory: Budget,
     /// Memory for response bodies that are collected before they are forwarded.
     pub response_memory: Budget,
+    /// Memory for large events of streams that are incomplete or wait for their callers.
+    pub event_memory: Budget,
     /// Data centre of the vm.
     pub data_centre: String,
     /// Slots that this relay holds and requests for slots.
@@ -223,6 +227,7 @@
             memory_bytes: u64::MAX,
             body_memory: Budget::new(u64::MAX),
             response_memory: Budget::new(u64::MAX),
+            event_memory: Budget::new(u64::MAX),
             data_centre: data_centre.to_owned(),
             slots: Slots::default(),
             broker: Mutex::default(),
@@ -248,12 +253,13 @@
         }
     }
 
-    /// Limits the memory for request and response bodies to shares of `bytes`, the memory of the process.
+    /// Limits the memory for request and response bodies and for events to shares of `bytes`, the memory of the process.
     pub fn with_memory(self, bytes: u64) -> Self {
         Self {
             memory_bytes: bytes,
             body_memory: Budget::new(bytes / BODY_MEMORY_DIVISOR),
             response_memory: Budget::new(bytes / RESPONSE_MEMORY_DIVISOR),
+            event_memory: Budget::new(bytes / EVENT_MEMORY_DIVISOR),
             ..self
         }
     }
--- a/components/relay/tests/slow_caller.rs
+++ b/components/relay/tests/slow_caller.rs
@@ -8,14 +8,15 @@
 use bytes::Bytes;
 use cyclamengrade_control::relay::route::Limits;
 use cyclamengrade_relay::{
-    body::{Body, Chunk},
+    body::{Body, Chunk, EventBudget},
     connection,
+    memory::Budget,
 };
 use googletest::prelude::*;
 use hyper::{Request, Response, body::Incoming, header::CONTENT_LENGTH};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex},
-    sync::mpsc::unbounded_channel,
+    sync::mpsc::{Sender, unbounded_channel},
     time::{sleep, timeout},
 };
 
@@ -132,3 +133,55 @@
     timeout(IDLE_TIMEOUT * 3, events).await?;
     Ok(())
 }
+
+/// Size of a large event.
+const LARGE_BYTES: usize = 60 << 10;
+/// Most memory for the events of one caller: two of the largest events.
+const CALLER_BYTES: usize = 256 << 10;
+/// Memory for the events of all callers.
+const ALL_BYTES: usize = 1 << 20;
+
+/// Passes large events to a caller that takes none, and returns their number.
+async fn fill(budget: &EventBudget, sender: &Sender<Chunk>) -> usize {
+    let mut events = 0;
+    let event = || Bytes::from(vec![b'x'; LARGE_BYTES]);
+    let send = async || sender.send(budget.reserve(event()).await).await;
+    while let Ok(Ok(())) = timeout(Duration::from_millis(50), send()).await {
+        events += 1;
+    }
+    events
+}
+
+/// Guards against large events that fill the memory while their callers do not read: as many as fit into a
+/// number of events, whatever their size.
+#[gtest]
+#[tokio::test]
+async fn large_events() -> Result<()> {
+    let all = Budget::new(ALL_BYTES as u64);
+    let (mut events, mut bodies) = (0, Vec::new());
+    for _ in 0..8 {
+        let (sender, body) = Body::stream();
+        let count = fill(&EventBudget::new(all.clone()), &sender).await;
+        expect_that!(count * LARGE_BYTES, le(CALLER_BYTES));
+        events += count;
+        bodies.push((sender, body));
+    }
+    expect_that!(events * LARGE_BYTES, le(ALL_BYTES));
+    // What the caller takes makes room.
+    drop(bodies);
+    let (sender, _body) = Body::stream();
+    verify_that!(fill(&EventBudget::new(all), &sender).await, gt(0))
+}
+
+/// Guards against small events that wait for the memory that large ones of other callers hold.
+#[gtest]
+#[tokio::test]
+async fn small_events() -> Result<()> {
+    let all = Budget::new(64 << 10);
+    let (large, _large_body) = Body::stream();
+    fill(&EventBudget::new(all.clone()), &large).await;
+    let (sender, _body) = Body::stream();
+    let budget = EventBudget::new(all);
+    let send = async { sender.send(budget.reserve(Bytes::from_static(b"id: 1\n\n")).await).await };
+    verify_that!(timeout(Duration::from_millis(50), send).await?, ok(anything()))
+}
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -34,6 +34,8 @@
 const PAUSE: Duration = Duration::from_millis(1_200);
 /// Bytes that an endless response sends at once.
 const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
+/// Bytes of the data of a large event.
+const LARGE_EVENT_BYTES: usize = 60 << 10;
 /// Time from a response to its repetition on an idle connection.
 const IDLE_REPEAT_DELAY: Duration = Duration::from_millis(30);
 /// Time between two writes of an endless response that is slow.
@@ -184,6 +186,8 @@
     SlowEvent,
     /// In complete events of a stream.
     Events,
+    /// In complete events of a stream that are near the limit on one event.
+    LargeEvents,
 }
 
 /// Record of a request that ran.
@@ -605,7 +609,7 @@
             Endless::Event | Endless::SlowEvent => {
                 "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: "
             }
-            Endless::Events => "Content-Type: text/event-stream\r\n\r\n",
+            Endless::Events | Endless::LargeEvents => "Content-Type: text/event-stream\r\n\r\n",
         };
         stream.write_all(head.as_bytes()).await?;
         let mut event = 0;
@@ -618,9 +622,13 @@
                     stream.write_all(b"xx").await?;
                     sleep(ENDLESS_INTERVAL).await;
                 }
-                Endless::Events => {
+                Endless::Events | Endless::LargeEvents => {
                     event += 1;
-                    let data = "x".repeat(ENDLESS_CHUNK_BYTES);
+                    let bytes = match place {
+                        Endless::LargeEvents => LARGE_EVENT_BYTES,
+                        _ => ENDLESS_CHUNK_BYTES,
+                    };
+                    let data = "x".repeat(bytes);
                     let text = format!("id: {event}\ndata: {data}\n\n");
                     stream.write_all(text.as_bytes()).await?;
                 }
--- a/tests/relay_endless.rs
+++ b/tests/relay_endless.rs
@@ -7,7 +7,11 @@
     client::{Call, Client, Reply},
 };
 use googletest::prelude::*;
-use tokio::time::sleep;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpSocket, TcpStream},
+    time::sleep,
+};
 
 /// Memory of the smallest vm that runs a relay, in bytes.
 const MEMORY: u64 = 88 << 20;
@@ -140,3 +144,48 @@
         .await?;
     Ok(())
 }
+
+/// Runners of the test with callers that do not read, and their slots together.
+const RUNNERS: usize = 6;
+const SLOTS: usize = 8 * RUNNERS;
+
+/// Sends a request for a stream and reads nothing of the response.
+async fn leave_unread(harness: &Harness, id: &str) -> Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    // The system holds little for a caller that does not read.
+    socket.set_recv_buffer_size(4 << 10)?;
+    let mut stream = socket.connect(harness.address(0)).await?;
+    let head = format!(
+        "POST /once/path HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: {id}\r\n\
+         Deadline-Ms: 4000\r\nModel: m\r\nToken-Counts: 10,3\r\nContent-Length: 4\r\n\r\nbody"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    Ok(stream)
+}
+
+/// Guards against large events without end that wait for callers who do not read, fill the memory, and keep
+/// the slots of the upstreams beyond the deadlines of their requests.
+#[gtest]
+#[tokio::test]
+async fn unread_events() -> Result<()> {
+    let mut harness = Harness::start(1).await?;
+    for number in 2..RUNNERS {
+        let runner = harness.add_runner(&format!("m-{}", number + 1), "v1", "a").await?;
+        harness.list(&runner, 0).await?;
+    }
+    for runner in &harness.runners {
+        runner.queue_faults(&[Fault::Endless(Endless::LargeEvents); SLOTS]);
+    }
+    let mut callers = Vec::new();
+    for number in 0..SLOTS {
+        callers.push(leave_unread(&harness, &format!("u-{number}")).await?);
+    }
+    sleep(ANSWER_WITHIN / 2).await;
+    let reply = harness.send(harness.call(0, "safe", "sound")).await?;
+    expect_that!(reply.status, eq(200));
+    sleep(ANSWER_WITHIN / 2).await;
+    expect_that!(harness.peak_memory(0), some(lt(MEMORY)));
+    let ended = ["stream_broken", "request_declined", "request_ended"];
+    let ended = ended.iter().map(|name| harness.events(0, name).len());
+    verify_that!(ended.sum::<usize>(), ge(SLOTS))
+}
