Play the loss of nearly all relays, releases, a missing route and older builds in the soak

SOAK_OLDER names an older build, which relays run at every other start.

A relay that was suspended counts half a second at most towards the time without a route, since it may not have read the newest configuration.

--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -48,6 +48,8 @@
 /// The same for a job that does not state the configuration with its route: this relay may not have read
 /// that one yet.
 const UNDATED_ROUTE_PATIENCE: Duration = Duration::from_secs(10);
+/// Longest time that one pass adds to the time without a route.
+const MAX_UNROUTED_STEP: Duration = Duration::from_millis(500);
 /// Delay before the retry of an item that failed at its upstream.
 const FAILED_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -162,6 +164,7 @@
     /// Runs the passes of the dispatcher until the relay stops.
     pub async fn run(self: Arc<Self>) {
         let mut saved = Instant::now();
+        let mut passed = Instant::now();
         loop {
             // A pass runs after a change and when the interval is over.
             let _ = timeout(MAX_PASS_INTERVAL, self.shared.batch_changed.notified()).await;
@@ -172,7 +175,10 @@
             self.release_lost();
             self.preempt();
             self.abandon_expired();
-            self.abandon_unrouted();
+            // A process that was suspended may not have read the newest configuration yet.
+            let step = passed.elapsed().min(MAX_UNROUTED_STEP);
+            passed = Instant::now();
+            self.abandon_unrouted(step);
             // While the relay drains, jobs that cannot be handed over continue here.
             self.start_items();
             if phase == Phase::Running && saved.elapsed() >= SAVE_PERIOD {
@@ -249,15 +255,15 @@
     }
 
     /// Abandons the waiting items of jobs whose route was removed and has not come back. Runs go on. A
-    /// configuration that is older than the job says nothing about its route.
-    fn abandon_unrouted(self: &Arc<Self>) {
-        let now = self.shared.clock.now();
+    /// configuration that is older than the job says nothing about its route. `step` is the time since the
+    /// last call.
+    fn abandon_unrouted(self: &Arc<Self>, step: Duration) {
         let routes = self.shared.routes.load();
         let mut ended = Vec::new();
         for (id, owned) in self.jobs().iter_mut().filter(|(_, owned)| owned.is_open()) {
             let row = &owned.job.row;
             if let Some(route) = routes.find_batch(&row.host, &row.path) {
-                owned.unrouted_since = None;
+                owned.unrouted = Duration::ZERO;
                 owned.results.set_max_failures(route.max_attempts);
                 continue;
             }
@@ -268,10 +274,8 @@
                 0 => UNDATED_ROUTE_PATIENCE,
                 _ => ROUTE_PATIENCE,
             };
-            owned.unrouted_since.get_or_insert(now);
-            if owned.unrouted_time(now) >= patience
-                && abandon_waiting(id, owned, "its route was removed")
-            {
+            owned.unrouted += step;
+            if owned.unrouted >= patience && abandon_waiting(id, owned, "its route was removed") {
                 ended.push(id.clone());
             }
         }
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -69,8 +69,8 @@
     pub committing: bool,
     /// Whether the job is being handed over. No item starts during a handover.
     pub is_handing_over: bool,
-    /// Since when the configuration has no route for the job.
-    pub unrouted_since: Option<Time>,
+    /// Time for which the configuration has had no route for the job.
+    pub unrouted: Duration,
 }
 
 impl Owned {
@@ -99,7 +99,7 @@
             save_requested: false,
             committing: false,
             is_handing_over: false,
-            unrouted_since: None,
+            unrouted: Duration::ZERO,
         }
     }
 
@@ -115,11 +115,6 @@
         }
     }
 
-    /// Returns the time for which the configuration has had no route for the job.
-    pub fn unrouted_time(&self, now: Time) -> Duration {
-        self.unrouted_since.map_or(Duration::ZERO, |since| now.since(since))
-    }
-
     /// Whether items may still run.
     pub fn is_open(&self) -> bool {
         self.job.row.state == row::State::Open
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -95,6 +95,8 @@
     pub retention_s: u64,
     relays: Vec<Relay>,
     program: PathBuf,
+    /// Program of an older build, which relays run at every other start.
+    older_program: Option<PathBuf>,
     client: Client,
     folder: PathBuf,
     host: IpAddr,
@@ -132,6 +134,20 @@
         relays: usize,
         program: PathBuf,
         is_linked: bool,
+    ) -> Result<Self, Error> {
+        Self::start_mixed(relays, program, None, is_linked).await
+    }
+
+    /// The same, with relays that run another program at every other start.
+    ///
+    /// # Errors
+    ///
+    /// A process does not start or does not become ready in time.
+    pub async fn start_mixed(
+        relays: usize,
+        program: PathBuf,
+        older_program: Option<PathBuf>,
+        is_linked: bool,
     ) -> Result<Self, Error> {
         let host = loopback_address();
         let store = Store::start(host).await?;
@@ -149,6 +165,7 @@
             retention_s: 60,
             relays: Vec::new(),
             program,
+            older_program,
             client: Client::new(),
             folder,
             host,
@@ -324,7 +341,12 @@
         }
         relay.starts += 1;
         let arguments = ["relay".as_ref(), relay.settings.as_os_str()];
-        relay.process = Some(Process::start_program(&self.program, arguments, &relay.log)?);
+        // The first relay begins with this build, the second one with the older one.
+        let program = match &self.older_program {
+            Some(older) if (number + relay.starts).is_multiple_of(2) => older,
+            _ => &self.program,
+        };
+        relay.process = Some(Process::start_program(program, arguments, &relay.log)?);
         Ok(())
     }
 
--- a/components/standins/src/bridge/plan.rs
+++ b/components/standins/src/bridge/plan.rs
@@ -4,7 +4,7 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::index::sample};
 
-use crate::bridge::{Cut, Fault, Faults};
+use crate::bridge::{Cut, Endless, Fault, Faults};
 
 /// Size of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +57,12 @@
     Cut(Vec<usize>, Cut),
     /// Discards the history of the store and writes a new version of the configuration.
     Configure,
+    /// Writes a version of the configuration without the batch route.
+    RemoveRoute,
+    /// Lets a runner say that it is leaving.
+    Leave(usize),
+    /// Starts a runner again under its id, and lists the new start.
+    Restart(usize),
 }
 
 /// What a plan does to the system, in one or several steps.
@@ -84,8 +90,20 @@
     Rollout,
     /// Relays lose their links to all upstreams.
     Cut,
+    /// All relays but one are lost for seconds.
+    KillMost,
+    /// The batch route is missing from one version of the configuration.
+    MissingRoute,
+    /// An upstream leaves and starts again while the store refuses.
+    Release,
+    /// An upstream sends an event without end.
+    Endless,
 }
 
+/// Disturbances that are added to the plan of a seed by a generator of their own.
+const ADDED: [Disturbance; 4] =
+    [Disturbance::KillMost, Disturbance::MissingRoute, Disturbance::Release, Disturbance::Endless];
+
 /// All disturbances but cuts of links, with the share of each.
 const SHARES: [(Disturbance, u32); 19] = [
     (Disturbance::Kill, 8),
@@ -139,6 +157,15 @@
             let pause = planner.time(500..4_000);
             planner.now += pause;
         }
+        planner.random = StdRng::seed_from_u64(seed.rotate_left(32));
+        planner.now = planner.time(0..4_000);
+        while planner.now < end {
+            let disturbance = ADDED[planner.random.random_range(0..ADDED.len())];
+            *disturbances.entry(disturbance).or_default() += 1;
+            planner.add(disturbance);
+            let pause = planner.time(1_000..5_000);
+            planner.now += pause;
+        }
         let mut steps = planner.steps;
         steps.retain(|(at, _)| *at < end);
         steps.sort_by_key(|(at, _)| *at);
@@ -265,6 +292,31 @@
             }
             Disturbance::Rollout => self.rollout(),
             Disturbance::Cut => self.cut(),
+            Disturbance::KillMost => {
+                let left = self.relay();
+                let lost: Vec<usize> =
+                    (0..self.size.relays).filter(|relay| *relay != left).collect();
+                self.step(Duration::ZERO, Step::Kill(lost.clone()));
+                let down = self.time(2_000..8_000);
+                self.step(down, Step::Start(lost));
+            }
+            Disturbance::MissingRoute => {
+                self.step(Duration::ZERO, Step::RemoveRoute);
+                let back = self.time(50..1_500);
+                self.step(back, Step::Configure);
+            }
+            Disturbance::Release => {
+                let runner = self.runner();
+                self.step(Duration::ZERO, Step::Leave(runner));
+                self.store(Faults { refuse: true, ..Faults::default() });
+                let restarted = self.time(100..1_500);
+                self.step(restarted, Step::Restart(runner));
+            }
+            Disturbance::Endless => {
+                let runner = self.runner();
+                let fault = Fault::Endless(Endless::Event);
+                self.step(Duration::ZERO, Step::Upstream(runner, vec![fault]));
+            }
         }
     }
 
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -213,6 +213,8 @@
     runs: Vec<Run>,
     connections: usize,
     is_leaving: bool,
+    /// Number of starts before this one, which the entry states after the first.
+    restarts: u64,
     /// Whether responses have neither length nor chunks and end with their connections.
     is_unframed: bool,
     /// Whether the data of events names the version.
@@ -289,10 +291,23 @@
 
     /// Returns the value of its row in the store's `servers` table.
     pub fn entry(&self, service: &str, state: &str) -> Value {
-        json!({
+        let mut entry = json!({
             "Service": service, "Address": self.address, "Zone": self.data_centre, "Version": self.version, "Slots": 8,
             "State": state, "ColdLeftMs": 0, "CallSeq": 0
-        })
+        });
+        let restarts = self.state().restarts;
+        if restarts > 0 {
+            entry["born"] = json!(restarts);
+        }
+        entry
+    }
+
+    /// Crashes and starts again under the same id, as another start that is not leaving.
+    pub fn restart(&self) {
+        self.crash();
+        let mut state = self.state();
+        state.restarts += 1;
+        state.is_leaving = false;
     }
 
     /// Queues faults for the next responses, one fault for each response in this order.
