Call the roll only after a doubt that lasts for a second

A relay that was suspended has old news for a moment and would ask all others to write their rows, which each relay then reads. The messages that wait for it end the doubt within a second.

--- a/components/control/src/relay/roll_call.rs
+++ b/components/control/src/relay/roll_call.rs
@@ -21,6 +21,9 @@
 const ANSWER_TIME: Duration = Duration::from_secs(3);
 /// Further time for each relay, since the store takes 200 writes of one part in a second.
 const ANSWER_SPACING: Duration = Duration::from_millis(10);
+/// Time for which a doubt lasts before a call. The messages that wait for a process which was suspended end
+/// most doubts sooner.
+const DOUBT_TIME: Duration = Duration::from_secs(1);
 /// Longest time that one tick counts for. A process that was suspended has not read the answers yet.
 const MAX_STEP: Duration = Duration::from_millis(500);
 
@@ -56,6 +59,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RollCall {
     open: Option<Open>,
+    /// Time for which the doubt has lasted; `None` without one.
+    doubt: Option<Duration>,
     written_at: Option<Time>,
     closed_at: Option<Time>,
     ticked_at: Time,
@@ -73,8 +78,11 @@
         if !view.is_store_current {
             // Answers may be lost or late.
             self.open = None;
+            self.doubt = None;
             return None;
         }
+        let lasted = self.doubt.map_or(Duration::ZERO, |doubt| doubt + step);
+        self.doubt = view.is_doubtful.then_some(lasted);
         if let Some(open) = &mut self.open {
             open.waited += step;
             let version = open.version;
@@ -87,7 +95,7 @@
         }
         let is_recent =
             |time: Option<Time>, period| time.is_some_and(|time| now.since(time) < period);
-        if !view.is_doubtful
+        if self.doubt.is_none_or(|doubt| doubt < DOUBT_TIME)
             || is_recent(self.closed_at, CALL_PERIOD)
             || is_recent(self.written_at, DELIVERY_TIMEOUT)
         {
