Log pauses of the relay and what a broken stream could have been resumed with

The log of a cut stream does not tell whether its upstream was silent, the relay had no processor time, or no upstream of its version was left. Event 1201 states the running time of the relay and how long nothing arrived from the upstream, event 1204 the choices that were left, event 1216 a pause of the relay, and event 200 the time for reading a configuration.

--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -22,6 +22,7 @@
 pub mod results;
 pub mod roll_call;
 pub mod route;
+pub mod running;
 pub mod selector;
 pub mod shard;
 pub mod stop;
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -253,6 +253,27 @@
         (now.since(entry.last_byte) >= silence).then(|| entry.upstream.clone())
     }
 
+    /// Returns the time for which nothing has arrived from an upstream, or `None` if nothing ever has.
+    pub fn quiet_time(&self, key: Key, now: Time) -> Option<Duration> {
+        let entry = self.entries.get(key)?;
+        (entry.last_byte != Time::default()).then(|| now.since(entry.last_byte))
+    }
+
+    /// Returns how many upstreams of a deployment accept new work and, if it is given, have this software,
+    /// and how many of them may be down.
+    pub fn choices(
+        &self,
+        deployment: &str,
+        software: Option<Software>,
+        now: Time,
+    ) -> (usize, usize) {
+        let suspects = self.accepting(deployment, software).filter(|key| {
+            let entry = &self.entries[*key];
+            Self::is_suspect(entry, now)
+        });
+        (self.accepting(deployment, software).count(), suspects.count())
+    }
+
     /// Forgets the failures and the silence of an upstream that another relay reaches, since the link of
     /// this one caused them.
     pub fn clear_suspicion(&mut self, id: &str, now: Time) {
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -236,6 +236,8 @@
             upstream:% = flight.upstream.id,
             failure:% = failure.name(),
             elapsed_ms = self.shared.clock.now().since(flight.started).as_millis() as u64,
+            running_ms = flight.running_time().as_millis() as u64,
+            quiet_ms = flight.quiet_time().as_millis() as u64,
             events = events,
             prompt:% = self.shared.dialect.shared_parts(&self.outgoing.headers).join(","),
             parts:% = format_parts(&self.parts)
@@ -254,6 +256,25 @@
         }
     }
 
+    /// Logs that the stream cannot be resumed after `events` events.
+    pub fn log_broken(&self, cause: &str, events: u64) {
+        let deployment = self.shared.deployment(&self.route, self.software).unwrap_or_default();
+        let now = self.shared.clock.now();
+        let (accepting, avoided) = self.shared.selector().choices(deployment, self.software, now);
+        event!(
+            StreamBroken,
+            request:% = self.outgoing.id,
+            route:% = self.route.name,
+            cause:% = cause,
+            events = events,
+            elapsed_ms = self.arrived.elapsed().as_millis() as u64,
+            left_ms = self.remaining().as_millis() as u64,
+            accepting = accepting,
+            avoided = avoided,
+            tried = self.tried.len()
+        );
+    }
+
     fn log_send(&self, flight: &Flight, resume_after: Option<u64>, placement: Placement) {
         let names = self.shared.dialect.headers();
         let header = |name| header_text(&self.outgoing.headers, name).unwrap_or_default();
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -89,6 +89,8 @@
                 upstream:% = flight.upstream.id,
                 failure:% = failure.name(),
                 elapsed_ms = shared.clock.now().since(flight.started).as_millis() as u64,
+                running_ms = flight.running_time().as_millis() as u64,
+                quiet_ms = flight.quiet_time().as_millis() as u64,
                 events = lock(&transcript).last.unwrap_or(0),
                 prompt:% = shared.dialect.shared_parts(&outgoing.headers).join(","),
                 parts:% = format_parts(&shared.parts(&outgoing.headers))
--- a/components/relay/src/clock.rs
+++ b/components/relay/src/clock.rs
@@ -1,11 +1,25 @@
-//! The monotonic clock of the process, and an estimate of the store's clock.
+//! The monotonic clock of the process, the time for which it has run, and an estimate of the store's clock.
 
 use std::{
-    sync::atomic::{AtomicI64, Ordering},
-    time::Instant,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicI64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
-use cyclamengrade_control::time::Time;
+use cyclamengrade_control::{
+    relay::running::{Stopwatch, TICK_PERIOD},
+    time::Time,
+};
+use cyclamengrade_telemetry::{event, metrics::RELAY_PAUSE_SECONDS};
+use metrics::histogram;
+use tokio::time::sleep;
+
+use crate::shared::{Shared, lock};
+
+/// Time before the start of the process at which the monotonic clock has its origin.
+const ORIGIN: Duration = Duration::from_secs(60);
 
 /// Offset that marks the store's clock as unknown.
 const UNKNOWN_OFFSET: i64 = i64::MIN;
@@ -19,17 +33,27 @@
     start: Instant,
     /// Difference between the store's clock and the monotonic clock, in milliseconds.
     store_offset_ms: AtomicI64,
+    running: Mutex<Stopwatch>,
 }
 
 impl Clock {
     pub fn new() -> Self {
-        Self { start: Instant::now(), store_offset_ms: AtomicI64::new(UNKNOWN_OFFSET) }
+        Self {
+            start: Instant::now(),
+            store_offset_ms: AtomicI64::new(UNKNOWN_OFFSET),
+            running: Mutex::new(Stopwatch::new(Time::default() + ORIGIN)),
+        }
     }
 
     /// Returns the monotonic time. Its origin is one minute before the start, so that times before
     /// the start can be expressed.
     pub fn now(&self) -> Time {
-        Time(self.start.elapsed().as_micros() as u64 + 60_000_000)
+        Time::default() + ORIGIN + self.start.elapsed()
+    }
+
+    /// Returns the time for which this process has run, see [`Stopwatch`], with the origin of [`Self::now`].
+    pub fn running(&self) -> Time {
+        lock(&self.running).read(self.now())
     }
 
     /// Sets the store's clock from an answer of the store. A time that no clock reaches is ignored.
@@ -49,3 +73,15 @@
         }
     }
 }
+
+/// Measures the running time of this process, and logs its pauses, until the process ends.
+pub async fn watch_pauses(shared: Arc<Shared>) {
+    loop {
+        sleep(TICK_PERIOD).await;
+        let pause = lock(&shared.clock.running).tick(shared.clock.now());
+        if !pause.is_zero() {
+            event!(RelayPaused, pause_ms = pause.as_millis() as u64);
+            histogram!(RELAY_PAUSE_SECONDS).record(pause.as_secs_f64());
+        }
+    }
+}
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -93,6 +93,7 @@
                 log_malformed(&change);
                 continue;
             };
+            let begin = self.shared.clock.now();
             match self.shared.dialect.configuration(value) {
                 Err(error) => log_unusable(key, change.version, &error),
                 Ok(table) if table.version <= self.shared.routes.load().version => {}
@@ -100,7 +101,8 @@
                     event!(
                         ConfigurationInForce,
                         revision = table.version,
-                        row_version = change.version
+                        row_version = change.version,
+                        elapsed_ms = self.shared.clock.now().since(begin).as_millis() as u64
                     );
                     self.shared.routes.store(Arc::new(table));
                     self.shared.batch_changed.notify_one();
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -36,6 +36,8 @@
     pub upstream: Upstream,
     /// When the request was sent.
     pub started: Time,
+    /// The same in running time.
+    started_running: Time,
     /// Whether a byte of the response has arrived.
     responded: bool,
     /// What the request has in common with others, see [`Part`].
@@ -198,6 +200,19 @@
         &self.shared.pool
     }
 
+    /// Returns the part of the time since the request was sent in which this relay ran.
+    pub fn running_time(&self) -> Duration {
+        self.shared.clock.running().since(self.started_running)
+    }
+
+    /// Returns the time for which nothing has arrived from the upstream, of any request; at most the time
+    /// since this one was sent.
+    pub fn quiet_time(&self) -> Duration {
+        let now = self.shared.clock.now();
+        let elapsed = now.since(self.started);
+        self.shared.selector().quiet_time(self.key, now).unwrap_or(elapsed).min(elapsed)
+    }
+
     /// Records that the complete response arrived.
     pub fn record_success(&self) {
         counter!(RELAY_ATTEMPTS, "outcome" => "ok").increment(1);
@@ -392,6 +407,7 @@
             ticket,
             upstream,
             started,
+            started_running: self.clock.running(),
             responded: false,
             parts: [].into(),
             has_answered: false,
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -563,14 +563,7 @@
             attempt::Error::AttemptsExhausted(failure) => failure.name(),
             attempt::Error::DeadlineExceeded => "deadline exceeded",
         };
-        event!(
-            StreamBroken,
-            request:% = self.request.outgoing.id,
-            route:% = self.request.route.name,
-            cause:% = cause,
-            events = self.events_sent,
-            elapsed_ms = self.request.arrived.elapsed().as_millis() as u64
-        );
+        self.request.log_broken(cause, self.events_sent);
         counter!(RELAY_REQUESTS, "kind" => self.request.route.kind.name(), "outcome" => "broken")
             .increment(1);
     }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -18,6 +18,7 @@
 use crate::{
     Error,
     batch::Dispatcher,
+    clock,
     dialect::Dialect,
     directory::{Directory, Sweep},
     follower::Follower,
@@ -143,6 +144,7 @@
     let dispatcher = Dispatcher::new(shared.clone());
     let front = Arc::new(front::Server::new(shared.clone(), dispatcher.clone()));
     let listener = front::bind(settings.listen).await?;
+    tokio::spawn(clock::watch_pauses(shared.clone()));
     tokio::spawn(front::ready(shared.clone(), front::bind(settings.ready_listen).await?));
     tokio::spawn(front::metrics(metrics, front::bind(settings.metrics_listen).await?));
     tokio::spawn(maintain_row(shared.clone(), settings.clone()));
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -64,7 +64,7 @@
     106 Error InternalFault "internal_fault" "a component of the daemon failed",
 
     /// A configuration revision took effect at this daemon. Fields: `revision`, `digest`; a relay
-    /// logs `row_version` instead of the digest.
+    /// logs `row_version` instead of the digest, and `elapsed_ms` for reading the configuration.
     200 Info ConfigurationInForce "configuration_in_force" "configuration revision took effect",
     /// A submitted configuration was refused. Fields: `reason`, `author`, `change_id`.
     201 Warn ConfigurationRefused "configuration_refused" "configuration was refused",
@@ -168,7 +168,8 @@
     /// a broker chose the upstream), `load_permille` of the upstreams according to the broker,
     /// `wait_ms` for the choice, `configuration`.
     1200 Info RequestSent "request_sent" "request was sent to an upstream",
-    /// An attempt of a relay failed. Fields: `request`, `upstream`, `failure`, `elapsed_ms`,
+    /// An attempt of a relay failed. Fields: `request`, `upstream`, `failure`, `elapsed_ms`, `running_ms`
+    /// (the part of it in which the relay ran), `quiet_ms` since anything arrived from the upstream,
     /// `events`, `prompt` (ids of the parts of its prompt that other requests may share), `parts`
     /// (hashes of these and of the request, as in event 1227).
     1201 Info AttemptFailed "attempt_failed" "attempt at an upstream failed",
@@ -180,7 +181,9 @@
     /// when no byte of an answer arrived), `elapsed_ms`.
     1203 Info RequestEnded "request_ended" "request ended",
     /// A stream of a relay was cut off after its response head had been sent. Fields: `request`,
-    /// `route`, `cause`, `events`, `elapsed_ms`.
+    /// `route`, `cause`, `events`, `elapsed_ms`, `left_ms` until its deadline, `accepting` (upstreams that
+    /// accept work and have the stream's software), `avoided` (those of them from which the relay expects no
+    /// answer) and `tried` (those at which an attempt failed).
     1204 Warn StreamBroken "stream_broken" "stream was cut off and cannot be resumed",
     /// The caller closed its connection before the answer was complete. Fields: `request`,
     /// `events`.
@@ -218,6 +221,9 @@
     /// A request was still in flight at the end of a planned stop and got its final answer. Fields:
     /// `request`, `status` (503 if it did not run).
     1215 Warn RequestCutShort "request_cut_short" "request was answered because the relay stops",
+    /// The relay got no processor time, for example because its vm was suspended. What it waits for may
+    /// have arrived meanwhile. Fields: `pause_ms`.
+    1216 Warn RelayPaused "relay_paused" "relay got no processor time",
 
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "change feed of a table cannot be read",
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -128,6 +128,8 @@
          because no broker answered.",
     RELAY_CONNECTIONS_OPENED "relay_connections_opened_total" Counter Count ""
         "Connections that a relay opened to upstreams.",
+    RELAY_PAUSE_SECONDS "relay_pause_seconds" Histogram Seconds ""
+        "Times for which a relay got no processor time, beyond those that a quota explains.",
     RELAY_LINKS_LOST "relay_links_lost" Gauge Count ""
         "Upstreams that other relays reach and this one does not.",
     RELAY_CARRIED_CONNECTIONS "relay_carried_connections_total" Counter Count "outcome"
