Reproduce streams of sound upstreams that are cut

Six tests in relay_quiet play upstreams that are silent for longer than the silence timeout and go on, and a relay that is stopped for 1.2 s. Streams end without their last event after 0.8 s of silence, requests at the only upstream of a service get 502, and 16 batch items take 48 runs.

--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -63,8 +63,11 @@
     ShortHead,
     /// Sends nothing but comments after this many events of a stream.
     StallAfter(u64),
-    /// Pauses for more than a second after this many events of a stream, and goes on.
+    /// Pauses for more than a second after this many events of a stream, or before a plain response, and
+    /// goes on.
     PauseAfter(u64),
+    /// The same, for a given time.
+    QuietAfter(u64, Duration),
     /// Leaves out the ids of the events, and breaks off after this many of them.
     OmitIds(u64),
     /// Leaves out the events of a new stream before this one.
@@ -577,6 +580,11 @@
             _ => {}
         }
         let Some(events) = request.events() else {
+            match fault {
+                Some(Fault::PauseAfter(_)) => sleep(PAUSE).await,
+                Some(Fault::QuietAfter(_, pause)) => sleep(pause).await,
+                _ => {}
+            }
             let body = format!("answer to {}", String::from_utf8_lossy(&request.body));
             if self.is_unframed(fault) {
                 let end = if fault.is_some() { body.len() / 2 } else { body.len() };
@@ -699,8 +707,12 @@
             {
                 return write_comments(stream).await;
             }
-            if fault == Some(Fault::PauseAfter(event - first)) {
-                sleep(PAUSE).await;
+            match fault {
+                Some(Fault::PauseAfter(count)) if event == first + count => sleep(PAUSE).await,
+                Some(Fault::QuietAfter(count, pause)) if event == first + count => {
+                    sleep(pause).await;
+                }
+                _ => {}
             }
             if is_unframed {
                 stream.write_all(text.as_bytes()).await?;
--- /dev/null
+++ b/tests/relay_quiet.rs
@@ -0,0 +1,157 @@
+//! Responses of sound upstreams that are quiet for longer than the silence timeout and go on.
+
+use std::time::{Duration, Instant};
+
+use cyclamengrade_standins::{
+    bridge::{Fault, Harness, Runner},
+    client::Reply,
+    fleet::Error,
+};
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+/// Slots of each upstream.
+const SLOTS: usize = 8;
+/// Events of each stream.
+const EVENTS: u64 = 40;
+/// Longer than the silence timeout, and shorter than callers wait for the next event.
+const QUIET: Duration = Duration::from_millis(1_500);
+/// Longer than a batch item is silent before another upstream is sought.
+const LONG_QUIET: Duration = Duration::from_millis(2_500);
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+fn text(events: u64) -> String {
+    (1..=events).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect()
+}
+
+/// Lets the next responses of an upstream be quiet after their tenth event.
+fn quieten(runner: &Runner, responses: usize, quiet: Duration) {
+    runner.queue_faults(&vec![Fault::QuietAfter(10, quiet); responses]);
+}
+
+/// Requests streams at the same time and reads them to their ends. Returns those without a whole answer.
+async fn incomplete(harness: &Harness, count: usize) -> Vec<String> {
+    let streams = (0..count).map(async |number| {
+        let id = format!("s-{number}");
+        let reply = harness.stream(number % harness.relays(), "stream", &id, EVENTS).await;
+        match reply {
+            Ok(Reply { status: 200, .. }) => {
+                let is_whole = reply.is_ok_and(|reply| reply.text() == text(EVENTS));
+                (!is_whole).then(|| format!("{id}: another text"))
+            }
+            Ok(reply) => Some(format!("{id}: status {}", reply.status)),
+            Err(error) => Some(format!("{id}: {error}")),
+        }
+    });
+    join_all(streams).await.into_iter().flatten().collect()
+}
+
+fn runs(harness: &Harness) -> usize {
+    harness.runners.iter().map(|runner| runner.runs().len()).sum()
+}
+
+/// Guards against a stream that is cut because its upstream is quiet and no other one has a free slot.
+#[gtest]
+#[tokio::test]
+async fn full_upstreams() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.runners.iter().for_each(|runner| quieten(runner, 2 * SLOTS, QUIET));
+    expect_that!(incomplete(&harness, 2 * SLOTS).await, is_empty());
+    verify_that!(runs(&harness), eq(2 * SLOTS))
+}
+
+/// Guards against a stream that is cut because its upstream is quiet and no other one has its software
+/// version, as around a release.
+#[gtest]
+#[tokio::test]
+async fn last_version() -> Result<()> {
+    let mut harness = Harness::start(1).await?;
+    let newer = harness.add_runner("m-3", "v2", "a").await?;
+    harness.list(&newer, 0).await?;
+    let older = harness.runners[1].clone();
+    harness.unlist(&older, 0).await?;
+    let streams = async {
+        quieten(&harness.runners[0], SLOTS, QUIET);
+        let replies = (0..4).map(async |number| {
+            let id = format!("s-{number}");
+            let reply = harness.stream(0, "stream", &id, EVENTS).await;
+            reply.err().map(|error| format!("{id}: {error}"))
+        });
+        join_all(replies).await.into_iter().flatten().collect::<Vec<_>>()
+    };
+    expect_that!(streams.await, is_empty());
+    // Otherwise no stream was at the older version.
+    verify_that!(harness.runners[0].runs(), not(is_empty()))
+}
+
+/// Guards against streams that are cut or run again because the relay itself got no processor time, and
+/// takes that for silence of its upstreams.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_relay() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for round in 0..4 {
+        let pause = async {
+            sleep(Duration::from_millis(100)).await;
+            harness.pause_relay(0)?;
+            sleep(Duration::from_millis(1_200)).await;
+            harness.resume_relay(0)?;
+            std::result::Result::<(), Error>::Ok(())
+        };
+        let before = runs(&harness);
+        let (incomplete, paused) = tokio::join!(incomplete(&harness, 6), pause);
+        paused?;
+        expect_that!(incomplete, is_empty(), "round {round}");
+        expect_that!(runs(&harness) - before, eq(6), "round {round}");
+    }
+    Ok(())
+}
+
+/// Guards against a request that is given up at the only upstream of its service, which answers slowly.
+#[gtest]
+#[tokio::test]
+async fn slow_service() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.plain.queue_faults(&[Fault::QuietAfter(0, QUIET); 8]);
+    let replies = (0..4).map(async |number| {
+        let reply = harness.send(harness.call(0, "safe", &format!("p-{number}"))).await;
+        reply.map(|reply| reply.status).unwrap_or(0)
+    });
+    expect_that!(join_all(replies).await, each(eq(&200)));
+    verify_that!(harness.plain.runs().len(), eq(4))
+}
+
+/// Guards against batch items that start over and over, because upstreams that are all full are quiet in
+/// each run.
+#[gtest]
+#[tokio::test]
+async fn quiet_items() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.runners.iter().for_each(|runner| quieten(runner, 2 * SLOTS, LONG_QUIET));
+    let (job, status) = harness.submit(0, "j-1", 2 * SLOTS, 30).await?;
+    expect_that!(status, eq(202));
+    let results = harness.await_results(0, &job).await?;
+    expect_that!(Harness::complete_items(&results, 30), len(eq(2 * SLOTS)));
+    verify_that!(runs(&harness), eq(2 * SLOTS))
+}
+
+/// Guards against a caller that waits beyond the deadline for an upstream which never goes on, while no
+/// other one has a free slot.
+#[gtest]
+#[tokio::test]
+async fn deadline_met() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.runners.iter().for_each(|runner| quieten(runner, 2 * SLOTS, DEADLINE * 3));
+    harness.plain.queue_faults(&[Fault::Silent; 2]);
+    let begin = Instant::now();
+    let plain = async {
+        let reply = harness.send(harness.call(0, "safe", "p-1")).await;
+        reply.map(|reply| reply.status).unwrap_or(0)
+    };
+    let (incomplete, status) = tokio::join!(incomplete(&harness, 2 * SLOTS), plain);
+    expect_that!(incomplete, len(eq(2 * SLOTS)));
+    expect_that!(status, eq(504));
+    verify_that!(begin.elapsed(), lt(DEADLINE + Duration::from_millis(500)))
+}
