Judge upstreams in running time, and use silent ones when no other is left

Callers were refused, and streams cut, while upstreams had free slots. A relay does not use an upstream from which nothing arrived for 600 ms. When the relay itself gets no processor time, that holds for all of them at once, since it has not read what arrived; when all have paused, none is left.

The selector measures silence and ejections in running time, as do the timeouts of new connections.

Not a limit on the share of ejected upstreams: half of a service may be in a data centre that is cut off, and requests that are sent there are late.

--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -95,6 +95,15 @@
     }
 }
 
+/// Why an upstream may be down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Suspicion {
+    /// Nothing arrived from it for a time. It may have paused, as a loaded upstream does, and go on.
+    Silent,
+    /// A connection or a response failed.
+    Failed,
+}
+
 struct Entry {
     upstream: Upstream,
     software: Software,
@@ -106,6 +115,8 @@
     /// Failures since the last byte from the upstream, without [`Failure::NotRun`].
     failures: u32,
     ejected_until: Time,
+    /// Why it was last ejected.
+    ejected_for: Suspicion,
     /// Whether a response of this start of the upstream said that it is leaving.
     announced_leaving: bool,
     /// Limit on the requests that this start of the upstream takes from all relays.
@@ -128,6 +139,15 @@
         let since = self.busy_since.map(|start| start.max(self.last_byte));
         since.is_some_and(|since| now.since(since) > STALL_TIMEOUT)
     }
+
+    /// Returns why the upstream may be down, unless nothing says so.
+    fn suspicion(&self, now: Time) -> Option<Suspicion> {
+        match () {
+            () if self.ejected_until > now => Some(self.ejected_for),
+            () if self.is_stalled(now) => Some(Suspicion::Silent),
+            () => None,
+        }
+    }
 }
 
 /// Moving averages of the latencies of one deployment.
@@ -166,6 +186,9 @@
 }
 
 /// The upstreams that this relay may use, with its own requests and the failures there.
+///
+/// Failures and silence are judged in running time, see [`Stopwatch`](crate::relay::running::Stopwatch): the
+/// pauses of this relay are no silence of the upstreams. The ages of limits and refusals are in monotonic time.
 pub struct Selector {
     data_centre: String,
     entries: SlotMap<Key, Entry>,
@@ -219,6 +242,7 @@
                         own: 0,
                         failures: 0,
                         ejected_until: Time::default(),
+                        ejected_for: Suspicion::Failed,
                         announced_leaving: false,
                         limit: Limit::default(),
                         last_byte: Time::default(),
@@ -267,11 +291,8 @@
         software: Option<Software>,
         now: Time,
     ) -> (usize, usize) {
-        let suspects = self.accepting(deployment, software).filter(|key| {
-            let entry = &self.entries[*key];
-            Self::is_suspect(entry, now)
-        });
-        (self.accepting(deployment, software).count(), suspects.count())
+        let accepting = self.accepting(deployment, software).count();
+        (accepting, accepting - self.sound(deployment, software, now).count())
     }
 
     /// Forgets the failures and the silence of an upstream that another relay reaches, since the link of
@@ -287,11 +308,20 @@
         self.entries.get(key).map(|entry| &entry.upstream)
     }
 
-    /// Returns the key of an upstream that may be used for new work, from its identifier in messages.
-    pub fn usable_key(&self, short_id: u32, now: Time) -> Option<Key> {
+    /// Returns the key of an upstream that may be used for new work, from its identifier in messages. One that
+    /// is silent may be used if all upstreams of its deployment are that accept work and, if it is given, have
+    /// this software.
+    pub fn usable_key(&self, short_id: u32, software: Option<Software>, now: Time) -> Option<Key> {
         let key = *self.by_short_id.get(&short_id)?;
         let entry = self.entries.get(key)?;
-        (!entry.is_leaving() && !Self::is_suspect(entry, now)).then_some(key)
+        let deployment = &entry.upstream.deployment;
+        let is_usable = !entry.is_leaving()
+            && match entry.suspicion(now) {
+                None => true,
+                Some(Suspicion::Silent) => !self.has_sound(deployment, software, now),
+                Some(Suspicion::Failed) => false,
+            };
+        is_usable.then_some(key)
     }
 
     /// Returns the identifier of an upstream in messages.
@@ -403,13 +433,56 @@
         let avoided = self
             .entries
             .values()
-            .filter(|entry| entry.announced_leaving || Self::is_suspect(entry, now));
+            .filter(|entry| entry.announced_leaving || entry.suspicion(now).is_some());
         avoided.map(|entry| entry.short_id).collect()
     }
 
-    /// Whether an upstream may be down: this relay has ejected it, or it is stalled.
-    fn is_suspect(entry: &Entry, now: Time) -> bool {
-        entry.ejected_until > now || entry.is_stalled(now)
+    /// Returns the upstreams of a deployment that a request is not to be sent to: those in `tried`, and those
+    /// that this relay does not use.
+    ///
+    /// When no other one accepts work and, if it is given, has this software, those that are merely silent are
+    /// used: a pause of all upstreams is no reason to refuse what they can still run.
+    pub fn avoided_by(
+        &self,
+        deployment: &str,
+        software: Option<Software>,
+        tried: &BTreeSet<Key>,
+        now: Time,
+    ) -> BTreeSet<u32> {
+        let sound: BTreeSet<Key> = self.sound(deployment, software, now).collect();
+        let has_sound = sound.iter().any(|key| !tried.contains(key));
+        let is_avoided = |key: &Key| {
+            let entry = &self.entries[*key];
+            let is_suspect = match entry.suspicion(now) {
+                None => false,
+                Some(Suspicion::Silent) => has_sound,
+                Some(Suspicion::Failed) => true,
+            };
+            tried.contains(key) || entry.announced_leaving || is_suspect
+        };
+        let avoided = self.keys(deployment).iter().filter(|key| is_avoided(key));
+        avoided.map(|key| self.entries[*key].short_id).collect()
+    }
+
+    /// Returns the upstreams of a deployment that accept new work and of which nothing says that they may be
+    /// down, of one version of the software if it is given.
+    pub fn sound(
+        &self,
+        deployment: &str,
+        software: Option<Software>,
+        now: Time,
+    ) -> impl Iterator<Item = Key> {
+        let accepting = self.accepting(deployment, software);
+        accepting.filter(move |key| self.entries[*key].suspicion(now).is_none())
+    }
+
+    fn has_sound(&self, deployment: &str, software: Option<Software>, now: Time) -> bool {
+        self.sound(deployment, software, now).next().is_some()
+    }
+
+    /// Whether nothing says that an upstream may be down.
+    pub fn is_sound(&self, key: Key, now: Time) -> bool {
+        self.entries.get(key).is_some_and(|entry| entry.suspicion(now).is_none())
     }
 
     /// Records that a request is sent to an upstream. [`Self::record_end`] must follow.
@@ -527,6 +600,10 @@
             Failure::Misdirected => MAX_EJECTION,
         };
         entry.ejected_until = now + ejection;
+        entry.ejected_for = match failure {
+            Failure::Silent => Suspicion::Silent,
+            _ => Suspicion::Failed,
+        };
         Some(ejection)
     }
 
@@ -566,10 +643,7 @@
             |key: &Key| !tried.contains(key) && self.entries[*key].limit.rate.is_none();
         let accepting: Vec<Key> =
             self.accepting(deployment, software).filter(is_eligible).collect();
-        let sound = accepting.iter().copied().filter(|key| {
-            let entry = &self.entries[*key];
-            !Self::is_suspect(entry, now)
-        });
+        let sound = accepting.iter().copied().filter(|key| self.is_sound(*key, now));
         let sound: Vec<Key> = sound.collect();
         let pool = if sound.is_empty() { &accepting } else { &sound };
         let picked = points.map(|point| {
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -259,7 +259,7 @@
     /// Logs that the stream cannot be resumed after `events` events.
     pub fn log_broken(&self, cause: &str, events: u64) {
         let deployment = self.shared.deployment(&self.route, self.software).unwrap_or_default();
-        let now = self.shared.clock.now();
+        let now = self.shared.clock.running();
         let (accepting, avoided) = self.shared.selector().choices(deployment, self.software, now);
         event!(
             StreamBroken,
--- a/components/relay/src/clock.rs
+++ b/components/relay/src/clock.rs
@@ -1,6 +1,7 @@
 //! The monotonic clock of the process, the time for which it has run, and an estimate of the store's clock.
 
 use std::{
+    pin::pin,
     sync::{
         Arc, Mutex,
         atomic::{AtomicI64, Ordering},
@@ -14,7 +15,7 @@
 };
 use cyclamengrade_telemetry::{event, metrics::RELAY_PAUSE_SECONDS};
 use metrics::histogram;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::shared::{Shared, lock};
 
@@ -56,6 +57,20 @@
         lock(&self.running).read(self.now())
     }
 
+    /// Waits for a future for at most `limit` of running time. Returns `None` after that.
+    pub async fn timeout<T>(&self, limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+        let mut future = pin!(future);
+        let begin = self.running();
+        loop {
+            let left = limit.saturating_sub(self.running().since(begin));
+            match timeout(left, &mut future).await {
+                Ok(output) => return Some(output),
+                Err(_) if left.is_zero() => return None,
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Sets the store's clock from an answer of the store. A time that no clock reaches is ignored.
     pub fn record_store_time(&self, store_ms: u64) {
         if store_ms > MAX_STORE_MS {
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -73,15 +73,15 @@
 
     /// Records that bytes of the response arrived.
     pub fn record_bytes(&mut self) {
-        let now = self.shared.clock.now();
         if !self.responded && !self.is_excused {
             self.shared.record_response(&self.upstream.id);
         }
+        let clock = &self.shared.clock;
         let mut selector = self.shared.selector();
-        selector.record_bytes(self.key, now);
+        selector.record_bytes(self.key, clock.running());
         if !self.responded {
             self.responded = true;
-            selector.record_response_time(self.key, now.since(self.started));
+            selector.record_response_time(self.key, clock.now().since(self.started));
         }
     }
 
@@ -126,7 +126,8 @@
     pub fn may_repeat(&self) -> bool {
         let is_usable = {
             let selector = self.shared.selector();
-            let usable = selector.usable_key(selector.short_id(self.key), self.shared.clock.now());
+            let (id, software) = (selector.short_id(self.key), self.upstream.software());
+            let usable = selector.usable_key(id, Some(software), self.shared.clock.running());
             let is_limited = selector.limit(self.key).is_some_and(|limit| limit.rate.is_some());
             usable == Some(self.key) && !is_limited
         };
@@ -208,8 +209,8 @@
     /// Returns the time for which nothing has arrived from the upstream, of any request; at most the time
     /// since this one was sent.
     pub fn quiet_time(&self) -> Duration {
-        let now = self.shared.clock.now();
-        let elapsed = now.since(self.started);
+        let now = self.shared.clock.running();
+        let elapsed = now.since(self.started_running);
         self.shared.selector().quiet_time(self.key, now).unwrap_or(elapsed).min(elapsed)
     }
 
@@ -281,7 +282,7 @@
 
     /// Records a failure of an upstream, and ejects it for a time if it caused the failure.
     pub fn record_upstream_failure(&self, key: Key, id: &str, failure: Failure) {
-        let ejection = self.selector().record_failure(key, failure, self.clock.now());
+        let ejection = self.selector().record_failure(key, failure, self.clock.running());
         if let Some(ejection) = ejection {
             self.mark_all_dirty();
             event!(
@@ -311,8 +312,7 @@
         let begin = self.clock.now();
         let need = {
             let selector = self.selector();
-            let mut avoid = selector.avoided(begin);
-            avoid.extend(tried.iter().map(|key| selector.short_id(*key)));
+            let avoid = selector.avoided_by(deployment, software, tried, self.clock.running());
             let start_within = selector.start_within(deployment, time_left);
             let shards = selector.shards(deployment, software);
             Need { shards, start_within, avoid, software }
@@ -323,7 +323,8 @@
         match outcome {
             Outcome::Granted { ticket, upstream, load } => {
                 let placement = Placement { granted: true, load, elapsed };
-                let key = self.selector().usable_key(upstream, now);
+                let running = self.clock.running();
+                let key = self.selector().usable_key(upstream, software, running);
                 let flight = key
                     .filter(|key| !tried.contains(key))
                     .and_then(|key| self.flight(key, Class::Online, ticket, now))
@@ -359,7 +360,8 @@
         let now = self.clock.now();
         let placement = Placement { granted: false, load: Load::default(), elapsed };
         let points = [rand::random(), rand::random()];
-        let choice = self.selector().choose(deployment, software, tried, now, points);
+        let running = self.clock.running();
+        let choice = self.selector().choose(deployment, software, tried, running, points);
         let placed = match choice {
             Choice::Send(key) => self.selector().place(key).map(|place| (key, place)),
             Choice::Refuse(_) => None,
@@ -381,7 +383,7 @@
     /// the slot, if the upstream cannot be used.
     pub fn acquire_batch(self: &Arc<Self>, ticket: Ticket, upstream: u32) -> Option<Flight> {
         let now = self.clock.now();
-        let key = self.selector().usable_key(upstream, now);
+        let key = self.selector().usable_key(upstream, None, self.clock.running());
         let flight = key.and_then(|key| self.flight(key, Class::Batch, ticket, now));
         if flight.is_none() {
             self.give_back_slot(ticket);
@@ -396,9 +398,10 @@
         ticket: Ticket,
         started: Time,
     ) -> Option<Flight> {
+        let running = self.clock.running();
         let mut selector = self.selector();
         let upstream = selector.upstream(key).cloned()?;
-        selector.record_start(key, started);
+        selector.record_start(key, running);
         let shared = self.clone();
         Some(Flight {
             shared,
@@ -407,7 +410,7 @@
             ticket,
             upstream,
             started,
-            started_running: self.clock.running(),
+            started_running: running,
             responded: false,
             parts: [].into(),
             has_answered: false,
--- a/components/relay/src/link.rs
+++ b/components/relay/src/link.rs
@@ -164,7 +164,7 @@
                 Some(cause) => self.open_carried(id, address, class, cause).await,
             }
         };
-        let opened = timeout(OPEN_TIMEOUT, open).await;
+        let opened = self.clock.timeout(OPEN_TIMEOUT, open).await;
         opened.unwrap_or(Err(NotCarried { unreachable_votes: 0 })).map_err(|not_carried| {
             let is_cut_off = self.is_cut_off();
             let is_upstream_fault = !is_cut_off || not_carried.unreachable_votes > 0;
@@ -260,10 +260,8 @@
     /// Opens a connection of this relay's own, and records what that says of the link.
     async fn connect(self: Arc<Self>, id: String, address: SocketAddr) -> Result<TcpStream, Cause> {
         let start = Instant::now();
-        let connected = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(connected) => connected,
-            Err(elapsed) => Err(elapsed.into()),
-        };
+        let connecting = self.clock.timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let connected = connecting.await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
         let error = match connected.inspect(set_options) {
             Ok(stream) => {
                 self.record_reached(&id);
@@ -321,11 +319,11 @@
         if self.clone().connect(id.clone(), upstream.address).await.is_ok() {
             return;
         }
-        let now = self.clock.now();
-        let silent = self.selector().silent_upstream(&id, SILENCE, now);
+        let running = self.clock.running();
+        let silent = self.selector().silent_upstream(&id, SILENCE, running);
         // A new start of the upstream may have been listed meanwhile.
         if silent.is_some_and(|silent| silent.is_same_start(&upstream)) {
-            self.selector().clear_suspicion(&id, now);
+            self.selector().clear_suspicion(&id, running);
             self.pool.abort_direct(&id);
         }
     }
@@ -406,10 +404,9 @@
     /// Checks the link to an upstream that is silent, unless this was done a short time ago. A relay does
     /// not learn otherwise that nothing arrives on its open connections any more.
     pub fn check_link(self: &Arc<Self>, id: &str) {
-        let now = self.clock.now();
-        let upstream = self.selector().silent_upstream(id, SILENCE, now);
+        let upstream = self.selector().silent_upstream(id, SILENCE, self.clock.running());
         let Some(upstream) = upstream else { return };
-        if !self.links().begin_check(id, now) {
+        if !self.links().begin_check(id, self.clock.now()) {
             return;
         }
         let shared = self.clone();
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -450,7 +450,7 @@
         let now = self.clock.now();
         let (failed, limits) = {
             let selector = self.selector();
-            (selector.avoided(now), selector.limits(now))
+            (selector.avoided(self.clock.running()), selector.limits(now))
         };
         self.update_shards();
         let mut in_use: BTreeSet<u32> = {
