Give up an attempt only for another upstream that is ready

Callers lost streams that their upstreams went on with and ended. A relay dropped a run after 0.8 s without an event and only then asked for a slot elsewhere; with all slots taken, or none at an upstream of the stream's version, event 1204 followed event 1201 within a millisecond. Plain requests at the only upstream of a service ended as 502, and batch items began over and over. Under overload the dropped runs took further slots.

After the silence timeout a request now goes on and another upstream is sought meanwhile. The run ends only when a broker has granted a slot at an upstream that nothing speaks against and a connection to it is open; what arrives first decides. Without one, or with the last attempt, the wait ends at the deadline. Silence is measured in running time, so that a relay that was stopped reads what has arrived first. Batch items do the same with their own slots. A broker is not taken for silent by a relay whose timer fired late.

Not a longer timeout: it delays the change to another upstream where one is free, and cuts at the next longer pause. Not a second run beside the first: it would double the load in an overload and exceed the attempts of a route.

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeSet,
+    future::pending,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -17,6 +18,7 @@
     selector::Key,
 };
 use cyclamengrade_telemetry::event;
+use tokio::time::sleep;
 
 use crate::{
     exchange::{self, Options, Outgoing, Response},
@@ -28,6 +30,8 @@
     slots::Placement,
 };
 
+/// Time between two searches for another upstream while one is silent.
+const SEEK_PERIOD: Duration = Duration::from_millis(100);
 /// Silence timeout as a multiple of the larger of the route's latency and gap objectives.
 const SILENCE_FACTOR: u32 = 2;
 /// Shortest silence timeout. It is several times the pause that a slow upstream makes between two
@@ -54,7 +58,7 @@
     shared: Arc<Shared>,
     pub route: Arc<Route>,
     /// The request as it is sent to upstreams.
-    pub outgoing: Outgoing,
+    pub outgoing: Arc<Outgoing>,
     /// When the request arrived from the caller.
     pub arrived: Instant,
     /// When the caller or the route times out, whichever is earlier.
@@ -69,6 +73,8 @@
     parts: Arc<[Part]>,
     /// Upstreams at which an attempt failed.
     tried: BTreeSet<Key>,
+    /// Where the next attempt goes, which replaces one that was silent.
+    successor: Option<(Flight, Placement)>,
     /// Memory reserved for the body.
     _memory: Option<Reservation>,
     dispatch: Dispatch,
@@ -104,7 +110,7 @@
         Self {
             shared,
             route,
-            outgoing,
+            outgoing: Arc::new(outgoing),
             arrived,
             deadline,
             time_to_first_byte: None,
@@ -112,6 +118,7 @@
             software: None,
             parts,
             tried,
+            successor: None,
             _memory: None,
             dispatch: Dispatch::default(),
         }
@@ -132,25 +139,74 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the timeout for the next bytes of a response, see [`Self::read_until`].
-    pub fn read_timeout(&self) -> Duration {
-        let now = Instant::now();
-        self.read_until(now).saturating_duration_since(now)
+    /// Waits for what an upstream sends next. An attempt that is silent goes on until another upstream has a
+    /// slot and a connection for the request, since most upstreams that are silent have only paused. The next
+    /// attempt goes there. Without another upstream, or with the last attempt, the wait ends at the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `next` does, and with [`Failure::Silent`] if there is another upstream.
+    pub async fn watch<T>(
+        &mut self,
+        flight: &Flight,
+        next: impl Future<Output = Result<T, Failure>>,
+    ) -> Result<T, Failure> {
+        let successor = tokio::select! {
+            biased;
+            output = next => return output,
+            successor = self.seek_successor(flight) => successor,
+        };
+        self.successor = Some(successor);
+        Err(Failure::Silent)
     }
 
-    /// Returns until when a response that has been quiet for some time may go on. The last attempt may
-    /// take until the deadline; an earlier one counts as silent after a shorter time, so that another
-    /// upstream can be tried.
-    pub fn read_until(&self, quiet_since: Instant) -> Instant {
+    /// Waits until an attempt is silent and another upstream is ready for the request.
+    async fn seek_successor(&self, flight: &Flight) -> (Flight, Placement) {
         let after_failure =
             Attempts { possibly_run: self.attempts.possibly_run + 1, ..self.attempts };
-        match after_failure.allows_attempt(&self.route) {
-            true => (quiet_since + self.silence_timeout()).min(self.deadline),
-            false => self.deadline,
+        if !after_failure.allows_attempt(&self.route) {
+            return pending().await;
+        }
+        flight.silence(self.silence_timeout()).await;
+        event!(
+            AttemptSilent,
+            request:% = self.outgoing.id,
+            upstream:% = flight.upstream.id,
+            quiet_ms = flight.quiet_time().as_millis() as u64
+        );
+        let mut excluded = self.tried.clone();
+        excluded.insert(flight.key);
+        loop {
+            // Boxed, because few of the many waits for events get here.
+            if let Some(successor) = Box::pin(self.find_successor(&mut excluded)).await {
+                return successor;
+            }
+            sleep(SEEK_PERIOD).await;
+            flight.silence(self.silence_timeout()).await;
+        }
+    }
+
+    /// Chooses another upstream and opens a connection for the request. Adds the upstream to `excluded` if
+    /// that fails.
+    async fn find_successor(&self, excluded: &mut BTreeSet<Key>) -> Option<(Flight, Placement)> {
+        let software = self.software;
+        let deployment = self.shared.deployment(&self.route, software)?;
+        let left = self.remaining();
+        let (mut flight, placement) =
+            self.shared.acquire_better(deployment, software, excluded, left).await?;
+        let max = self.shared.max_connections(&flight.upstream.deployment);
+        match flight.reserve_connection(max, &self.outgoing.id).await {
+            Ok(()) => Some((flight, placement)),
+            Err(failure) => {
+                flight.record_failure(failure);
+                excluded.insert(flight.key);
+                None
+            }
         }
     }
 
-    /// Returns the time without bytes after which an attempt that can be repeated counts as silent.
+    /// Returns the time without bytes after which another upstream is sought for a request that can be
+    /// repeated.
     fn silence_timeout(&self) -> Duration {
         (self.route.latency_objective.max(self.route.gap_objective) * SILENCE_FACTOR)
             .max(MIN_SILENCE_TIMEOUT)
@@ -181,7 +237,10 @@
                 return Err(Error::DeadlineExceeded);
             }
             self.check_quarantine()?;
-            let (flight, placement) = self.choose_upstream().await?;
+            let (flight, placement) = match self.successor.take() {
+                Some(successor) => successor,
+                None => self.choose_upstream().await?,
+            };
             // The part may have been quarantined while the request waited.
             self.check_quarantine()?;
             let mut flight = flight.with_parts(self.parts.clone());
@@ -195,19 +254,19 @@
 
     /// Sends the request to the upstream of a flight.
     pub async fn send_to(
-        &self,
+        &mut self,
         flight: &mut Flight,
         resume_after: Option<u64>,
     ) -> Result<Response, Failure> {
-        let options = Options {
-            deadline: Some(self.deadline),
-            resume_after,
-            timeout: self.read_timeout(),
-            max_connections: self.shared.max_connections(&flight.upstream.deployment),
-        };
-        let names = self.shared.dialect.headers();
+        let max = self.shared.max_connections(&flight.upstream.deployment);
+        let connection = flight.connect(max, &self.outgoing.id).await?;
+        let (deadline, timeout) = (Some(self.deadline), self.remaining());
+        let options = Options { deadline, resume_after, timeout };
         self.dispatch.record();
-        let response = exchange::send(flight, names, &self.outgoing, options).await?;
+        let (shared, outgoing) = (self.shared.clone(), self.outgoing.clone());
+        let names = shared.dialect.headers();
+        let sending = exchange::send(flight, connection, names, &outgoing, options);
+        let response = self.watch(flight, sending).await?;
         flight.record_bytes();
         Ok(response)
     }
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -295,7 +295,8 @@
             let ticket = pending.map(|pending| pending.ticket);
             let software = self.check_text(&key.0, item);
             if let Some(upstream) = ticket.and_then(|ticket| self.shared.take_granted(ticket)) {
-                let flight = ticket.and_then(|ticket| self.shared.acquire_batch(ticket, upstream));
+                let flight =
+                    ticket.and_then(|ticket| self.shared.acquire_batch(ticket, upstream, software));
                 if let Some(flight) = flight.filter(|flight| flight.suits(software)) {
                     self.start_item(&key.0, item, flight);
                     continue;
@@ -419,10 +420,12 @@
             version:% = flight.upstream.version,
             after = lock(&transcript).last.unwrap_or(0)
         );
+        let urgency = priority(self.priority_inputs(), owned, item).into();
         let (dispatcher, id) = (self.clone(), id.to_owned());
         let task = tokio::spawn(async move {
-            let end = item::run(dispatcher.shared.clone(), outgoing, flight, transcript).await;
-            dispatcher.finish_run(&id, item, end);
+            let shared = dispatcher.shared.clone();
+            let (end, next) = item::run(shared, outgoing, flight, transcript, urgency).await;
+            dispatcher.finish_run(&id, item, end, next);
         });
         let (started, events_before) = (self.shared.clock.now(), owned.events(item));
         owned.runs.insert(
@@ -431,8 +434,8 @@
         );
     }
 
-    /// Records the end of a run, unless the run was aborted in the meantime.
-    fn finish_run(self: &Arc<Self>, id: &str, item: usize, end: End) {
+    /// Records the end of a run, unless the run was aborted in the meantime. `next` is where the item goes on.
+    fn finish_run(self: &Arc<Self>, id: &str, item: usize, end: End, next: Option<Flight>) {
         let now = self.shared.clock.now();
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
@@ -464,8 +467,12 @@
             }
             End::Interrupted(_) => {
                 counter!(RELAY_ITEMS, "outcome" => "interrupted").increment(1);
+                let may_start = owned.is_open() && !owned.is_handing_over;
                 drop(jobs);
                 self.record_failure(id, item, RunFailure::Interrupted, INTERRUPTED_RETRY_DELAY);
+                if let Some(next) = next.filter(|_| may_start) {
+                    self.start_item(id, item, next);
+                }
             }
         }
         self.shared.batch_changed.notify_one();
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -6,7 +6,9 @@
     time::{Duration, Instant},
 };
 
-use cyclamengrade_control::relay::{ending::Ending, failure::Failure, job::RunFailure};
+use cyclamengrade_control::relay::{
+    broker::Urgency, ending::Ending, failure::Failure, job::RunFailure,
+};
 use cyclamengrade_telemetry::event;
 use hyper::{
     HeaderMap, Method, StatusCode, Uri,
@@ -22,11 +24,16 @@
     shared::{Shared, lock},
 };
 
-/// Timeout of the first event of a run. The item may wait in a queue of the upstream.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout of each further event of a run. It is many times the pause that a slow upstream makes
-/// between two events.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Silence before the first event of a run after which another upstream is sought. The item may wait in a
+/// queue of the upstream.
+const FIRST_EVENT_SILENCE: Duration = Duration::from_secs(3);
+/// Silence before each further event after which another upstream is sought. It is many times the pause that
+/// a slow upstream makes between two events.
+const EVENT_SILENCE: Duration = Duration::from_millis(1_500);
+/// Longest silence of a run for which there is no other upstream.
+const MAX_SILENCE: Duration = Duration::from_secs(30);
+/// Timeout of a response that is no event stream.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Longest text of an item: the size of a page of results.
 const MAX_TEXT_BYTES: usize = 1 << 20;
@@ -62,19 +69,60 @@
     })
 }
 
-/// Runs an item, resuming after the last event of its transcript.
+/// Search for another upstream while a run is silent.
+struct Search {
+    urgency: Urgency,
+    found: Option<Flight>,
+}
+
+impl Search {
+    /// Waits for what the upstream of a run sends next. A run that is silent for `limit` goes on until another
+    /// upstream has a slot for the item.
+    async fn watch<T>(
+        &mut self,
+        shared: &Arc<Shared>,
+        flight: &Flight,
+        transcript: &Mutex<Transcript>,
+        limit: Duration,
+        next: impl Future<Output = Result<T, Failure>>,
+    ) -> Result<T, Failure> {
+        let seek = async {
+            flight.silence(limit).await;
+            let software = lock(transcript).software;
+            Box::pin(shared.await_better(flight, software, self.urgency)).await
+        };
+        let found = tokio::select! {
+            biased;
+            output = next => return output,
+            found = seek => found,
+        };
+        self.found = Some(found);
+        Err(Failure::Silent)
+    }
+}
+
+/// Runs an item, resuming after the last event of its transcript. Also returns where the next run goes, if
+/// this one was given up for another upstream.
 pub async fn run(
     shared: Arc<Shared>,
     outgoing: Outgoing,
     mut flight: Flight,
     transcript: Arc<Mutex<Transcript>>,
-) -> End {
-    let mut ending = Ending::default();
-    let mut read = run_once(&shared, &outgoing, &mut flight, &transcript, &mut ending).await;
+    urgency: Urgency,
+) -> (End, Option<Flight>) {
+    let mut run = Run {
+        shared: &shared,
+        outgoing: &outgoing,
+        transcript: &transcript,
+        ending: Ending::default(),
+        search: Search { urgency, found: None },
+    };
+    let mut read = run.once(&mut flight).await;
     if read == Read::Closed && flight.may_repeat() {
         // The upstream tells by a run after the last event whether the text is complete.
-        read = run_once(&shared, &outgoing, &mut flight, &transcript, &mut ending).await;
+        read = run.once(&mut flight).await;
     }
+    let found = run.search.found;
     let end = match read {
         Read::Closed => End::Interrupted(Failure::Broken),
         Read::Ended(end) => end,
@@ -98,7 +146,7 @@
         }
         End::Failed(_) => {}
     }
-    end
+    (end, found)
 }
 
 /// What one response to the request of an item brought.
@@ -115,107 +163,110 @@
     }
 }
 
-/// Sends the request of an item, to be resumed after the last event of its transcript, and reads the
-/// response.
-async fn run_once(
-    shared: &Shared,
-    outgoing: &Outgoing,
-    flight: &mut Flight,
-    transcript: &Mutex<Transcript>,
-    ending: &mut Ending,
-) -> Read {
-    let options = Options {
-        deadline: None,
-        resume_after: lock(transcript).last,
-        timeout: FIRST_EVENT_TIMEOUT,
-        max_connections: shared.max_connections(&flight.upstream.deployment),
-    };
-    match exchange::send(flight, shared.dialect.headers(), outgoing, options).await {
-        Ok(response) => {
-            flight.record_bytes();
-            read(shared, &outgoing.id, response, flight, transcript, ending).await
-        }
-        Err(failure) => End::Interrupted(failure).into(),
-    }
+/// A run of an item, in one or two responses of one upstream.
+struct Run<'a> {
+    shared: &'a Arc<Shared>,
+    outgoing: &'a Outgoing,
+    transcript: &'a Mutex<Transcript>,
+    ending: Ending,
+    search: Search,
 }
 
-/// Reads the response to a run and appends its events to the transcript.
-async fn read(
-    shared: &Shared,
-    id: &str,
-    response: Response,
-    flight: &mut Flight,
-    transcript: &Mutex<Transcript>,
-    ending: &mut Ending,
-) -> Read {
-    match response.status {
-        StatusCode::OK if response.is_event_stream() => {}
-        status => {
-            let deadline = Instant::now() + FIRST_EVENT_TIMEOUT;
-            let end = match response.collect(flight, EVENT_TIMEOUT, deadline).await {
-                Err(failure) => End::Interrupted(failure),
-                Ok(_) => match status {
-                    StatusCode::UNPROCESSABLE_ENTITY => End::Failed(RunFailure::Impossible),
-                    StatusCode::INTERNAL_SERVER_ERROR => End::Failed(RunFailure::Failed),
-                    _ => End::Interrupted(Failure::NotRun),
-                },
-            };
-            return end.into();
-        }
-    }
-    let mut events = response.events(flight.event_memory());
-    let mut timeout = FIRST_EVENT_TIMEOUT;
-    loop {
-        let until = events.quiet_since() + timeout;
-        match events.next(until).await {
+impl Run<'_> {
+    /// Sends the request of the item, to be resumed after the last event of its transcript, and reads the
+    /// response.
+    async fn once(&mut self, flight: &mut Flight) -> Read {
+        let Self { shared, outgoing, transcript, search, .. } = self;
+        let resume_after = lock(transcript).last;
+        let options = Options { deadline: None, resume_after, timeout: MAX_SILENCE };
+        let max = shared.max_connections(&flight.upstream.deployment);
+        let connection = match flight.connect(max, &outgoing.id).await {
+            Ok(connection) => connection,
             Err(failure) => return End::Interrupted(failure).into(),
-            Ok(Next::End) => {
-                events.finish(&shared.pool);
-                return End::Completed.into();
+        };
+        let names = shared.dialect.headers();
+        let sending = exchange::send(flight, connection, names, outgoing, options);
+        match search.watch(shared, flight, transcript, FIRST_EVENT_SILENCE, sending).await {
+            Ok(response) => {
+                flight.record_bytes();
+                self.read(response, flight).await
             }
-            Ok(Next::Closed) => {
-                drop(events);
-                let is_confirmed = ending.record_close();
-                let (count, has_event) = {
-                    let transcript = lock(transcript);
-                    (transcript.events, transcript.last.is_some())
+            Err(failure) => End::Interrupted(failure).into(),
+        }
+    }
+
+    /// Reads the response to the run and appends its events to the transcript.
+    async fn read(&mut self, response: Response, flight: &mut Flight) -> Read {
+        let Self { shared, outgoing, transcript, ending, search } = self;
+        match response.status {
+            StatusCode::OK if response.is_event_stream() => {}
+            status => {
+                let deadline = Instant::now() + RESPONSE_TIMEOUT;
+                let end = match response.collect(flight, deadline).await {
+                    Err(failure) => End::Interrupted(failure),
+                    Ok(_) => match status {
+                        StatusCode::UNPROCESSABLE_ENTITY => End::Failed(RunFailure::Impossible),
+                        StatusCode::INTERNAL_SERVER_ERROR => End::Failed(RunFailure::Failed),
+                        _ => End::Interrupted(Failure::NotRun),
+                    },
                 };
-                event!(
-                    ResponseUnmarked,
-                    request:% = id,
-                    upstream:% = flight.upstream.id,
-                    events = count
-                );
-                if !(is_confirmed && has_event) {
-                    return Read::Closed;
-                }
-                if exchange::is_alive(flight).await {
+                return end.into();
+            }
+        }
+        let mut events = response.events(flight.event_memory());
+        let mut silence = FIRST_EVENT_SILENCE;
+        loop {
+            let next = events.next(flight, Instant::now() + MAX_SILENCE);
+            match search.watch(shared, flight, transcript, silence, next).await {
+                Err(failure) => return End::Interrupted(failure).into(),
+                Ok(Next::End) => {
+                    events.finish(&shared.pool);
                     return End::Completed.into();
                 }
-                return End::Interrupted(Failure::Broken).into();
-            }
-            Ok(Next::Event(event)) => {
-                flight.record_answer();
-                timeout = EVENT_TIMEOUT;
-                let mut transcript = lock(transcript);
-                let (Some(id), Some(data)) = (event.id, event.data()) else {
-                    return End::Interrupted(Failure::Broken).into();
-                };
-                if exchange::breaks_order(transcript.last, id) {
+                Ok(Next::Closed) => {
+                    drop(events);
+                    let is_confirmed = ending.record_close();
+                    let (count, has_event) = {
+                        let transcript = lock(transcript);
+                        (transcript.events, transcript.last.is_some())
+                    };
+                    event!(
+                        ResponseUnmarked,
+                        request:% = outgoing.id,
+                        upstream:% = flight.upstream.id,
+                        events = count
+                    );
+                    if !(is_confirmed && has_event) {
+                        return Read::Closed;
+                    }
+                    if exchange::is_alive(flight).await {
+                        return End::Completed.into();
+                    }
                     return End::Interrupted(Failure::Broken).into();
                 }
-                match transcript.last {
-                    Some(_) => transcript.text.push('\n'),
-                    None => transcript.software = Some(flight.upstream.software()),
-                }
-                transcript.last = Some(id);
-                transcript.events += 1;
-                ending.record_event();
-                transcript.text.push_str(&data);
-                if transcript.text.len() > MAX_TEXT_BYTES {
-                    // No item has such a text; none of it can be trusted.
-                    *transcript = Transcript::default();
-                    return End::Interrupted(Failure::Broken).into();
+                Ok(Next::Event(event)) => {
+                    flight.record_answer();
+                    silence = EVENT_SILENCE;
+                    let mut transcript = lock(transcript);
+                    let (Some(id), Some(data)) = (event.id, event.data()) else {
+                        return End::Interrupted(Failure::Broken).into();
+                    };
+                    if exchange::breaks_order(transcript.last, id) {
+                        return End::Interrupted(Failure::Broken).into();
+                    }
+                    match transcript.last {
+                        Some(_) => transcript.text.push('\n'),
+                        None => transcript.software = Some(flight.upstream.software()),
+                    }
+                    transcript.last = Some(id);
+                    transcript.events += 1;
+                    ending.record_event();
+                    transcript.text.push_str(&data);
+                    if transcript.text.len() > MAX_TEXT_BYTES {
+                        // No item has such a text; none of it can be trusted.
+                        *transcript = Transcript::default();
+                        return End::Interrupted(Failure::Broken).into();
+                    }
                 }
             }
         }
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -47,6 +47,8 @@
 /// Bytes of a stream that are buffered without reserving memory for them.
 const MAX_UNRESERVED_BUFFER_BYTES: usize = 16 << 10;
 
+/// Timeout for the body of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a request that shows whether an upstream lives.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -90,8 +92,6 @@
     pub resume_after: Option<u64>,
     /// Timeout for the head of the response.
     pub timeout: Duration,
-    /// Limit on the open connections to the upstream.
-    pub max_connections: usize,
 }
 
 /// A response whose body is still arriving.
@@ -125,32 +125,26 @@
             .is_some_and(|value| value.starts_with("text/event-stream"))
     }
 
-    /// Reads the rest of the body and returns the connection to the pool. `timeout` limits the wait
-    /// for each part of the body, and `deadline` the whole.
+    /// Reads the rest of the body until `deadline` and returns the connection to the pool.
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Silent`] after a timeout or the deadline, and [`Failure::Broken`] if the
+    /// Returns [`Failure::Silent`] after the deadline, and [`Failure::Broken`] if the
     /// connection fails, the body is longer than [`MAX_RESPONSE_BYTES`], the responses that are being
     /// read need more memory together than there is for them, or nothing but the close of the
     /// connection marks the end of the body and the upstream does not answer any more or the response
     /// is a successful one without a body.
-    pub async fn collect(
-        self,
-        flight: &Flight,
-        timeout: Duration,
-        deadline: Instant,
-    ) -> Result<Collected, Failure> {
+    pub async fn collect(self, flight: &Flight, deadline: Instant) -> Result<Collected, Failure> {
         let has_marked_end = self.has_marked_end();
         let Self { status, headers, mut body, connection, .. } = self;
         let mut memory = flight.response_memory().reserve().ok_or(Failure::Broken)?;
         let mut bytes = BytesMut::new();
         loop {
-            let until = deadline.min(Instant::now() + timeout);
-            match time::timeout_at(until.into(), body.frame()).await {
+            match time::timeout_at(deadline.into(), body.frame()).await {
                 Err(_) => return Err(Failure::Silent),
                 Ok(Some(Err(_))) => return Err(Failure::Broken),
                 Ok(Some(Ok(frame))) => {
+                    flight.record_progress();
                     if let Ok(data) = frame.into_data() {
                         bytes.extend_from_slice(&data);
                     }
@@ -187,7 +181,7 @@
             response: self,
             splitter: Splitter::default(),
             has_marked_end,
-            quiet_since: None,
+            is_quiet: false,
             budget: budget.clone(),
             memory: None,
         }
@@ -212,8 +206,8 @@
     response: Response,
     splitter: Splitter,
     has_marked_end: bool,
-    /// Since when comments at most have arrived; `None` if the last event was none.
-    quiet_since: Option<Instant>,
+    /// Whether the last event was a comment, which is no progress of the stream.
+    is_quiet: bool,
     budget: Budget,
     /// Memory reserved for the bytes that have not been returned yet, if they are many.
     memory: Option<Reservation>,
@@ -243,19 +237,18 @@
 }
 
 impl Events {
-    /// Returns since when the stream has brought nothing but comments, which are no progress.
-    pub fn quiet_since(&mut self) -> Instant {
-        *self.quiet_since.get_or_insert_with(Instant::now)
-    }
-
-    /// Returns what follows in the stream. A whole event has to arrive before `until`; from then on, not
+    /// Returns what follows in the stream. The wait for progress begins now unless comments at most have
+    /// arrived since it began, see [`Flight::silence`]. A whole event has to arrive before `until`; from then on, not
     /// even one that has arrived is returned.
     ///
     /// # Errors
     ///
     /// Returns [`Failure::Silent`] after a timeout, and [`Failure::Broken`] if the connection
     /// fails, an event is too large, or the stream ends within an event.
-    pub async fn next(&mut self, until: Instant) -> Result<Next, Failure> {
+    pub async fn next(&mut self, flight: &Flight, until: Instant) -> Result<Next, Failure> {
+        if !self.is_quiet {
+            flight.record_progress();
+        }
         if Instant::now() >= until {
             return Err(Failure::Silent);
         }
@@ -264,9 +257,7 @@
                 return Err(Failure::Silent);
             }
             if let Some(event) = self.splitter.next() {
-                if event.id.is_some() || event.has_data() {
-                    self.quiet_since = None;
-                }
+                self.is_quiet = event.id.is_none() && !event.has_data();
                 return Ok(Next::Event(event));
             }
             let Response { body, check, .. } = &mut self.response;
@@ -308,19 +299,20 @@
     }
 }
 
-/// Sends a request to an upstream and waits for the head of the response.
+/// Sends a request on a connection to an upstream and waits for the head of the response.
 ///
 /// # Errors
 ///
 /// Fails if the request could not be sent, if the upstream did not run it, or if there was no valid
 /// response.
 pub async fn send(
-    flight: &mut Flight,
+    flight: &Flight,
+    mut connection: Connection,
     names: &Headers,
     outgoing: &Outgoing,
     options: Options,
 ) -> Result<Response, Failure> {
-    let mut connection = flight.connect(options.max_connections, &outgoing.id).await?;
+    flight.record_progress();
     let request = request(names, &flight.upstream, outgoing, options).ok_or(Failure::NotSent)?;
     flight.set_sent(true);
     connection.history.record(&outgoing.id);
@@ -342,7 +334,7 @@
         };
     let (head, body) = response.into_parts();
     let response = Response { status: head.status, headers: head.headers, body, connection, check };
-    validate(flight, names, outgoing, response, options.timeout).await
+    validate(flight, names, outgoing, response).await
 }
 
 /// Records what a response of an upstream says of it.
@@ -431,7 +423,6 @@
     names: &Headers,
     outgoing: &Outgoing,
     response: Response,
-    timeout: Duration,
 ) -> Result<Response, Failure> {
     let Response { status, headers, connection, .. } = &response;
     let ids = headers.get_all(&names.request_id);
@@ -456,7 +447,7 @@
             let is_refusal = !failure.may_have_run();
             // The body is read only so that the connection can be reused.
             if is_refusal && tie.allows_reuse() && response.has_marked_end() {
-                let _ = response.collect(flight, timeout, Instant::now() + timeout).await;
+                let _ = response.collect(flight, Instant::now() + REFUSAL_TIMEOUT).await;
             }
             Err(failure)
         }
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -1,6 +1,13 @@
 //! Requests in flight to upstreams, and how they get their upstreams.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use cyclamengrade_control::{
     relay::{
@@ -15,6 +22,7 @@
 };
 use cyclamengrade_telemetry::{event, metrics::RELAY_ATTEMPTS};
 use metrics::counter;
+use tokio::time::sleep;
 
 use crate::{
     dialect::Headers,
@@ -45,7 +53,12 @@
     /// Whether the upstream has begun to answer.
     has_answered: bool,
     /// Whether the request may have reached the upstream.
-    is_sent: bool,
+    is_sent: AtomicBool,
+    /// Running time at which the response last went on, or since when this relay waits for it, in
+    /// microseconds.
+    progress: AtomicU64,
+    /// Connection that was opened before the request gets it.
+    reserved: Option<Connection>,
     /// Whether a failure to connect, a broken connection or silence may be due to a link and not to
     /// the upstream.
     is_excused: bool,
@@ -59,8 +72,25 @@
     }
 
     /// Records whether the request may have reached the upstream.
-    pub fn set_sent(&mut self, is_sent: bool) {
-        self.is_sent = is_sent;
+    pub fn set_sent(&self, is_sent: bool) {
+        self.is_sent.store(is_sent, Ordering::Relaxed);
+    }
+
+    /// Records that the response went on, or that this relay begins to wait for it.
+    pub fn record_progress(&self) {
+        self.progress.store(self.shared.clock.running().0, Ordering::Relaxed);
+    }
+
+    /// Waits until the response has not gone on for `limit` of running time.
+    pub async fn silence(&self, limit: Duration) {
+        loop {
+            let progress = Time(self.progress.load(Ordering::Relaxed));
+            let silence = self.shared.clock.running().since(progress);
+            match limit.checked_sub(silence) {
+                Some(left) if !left.is_zero() => sleep(left).await,
+                _ => return,
+            }
+        }
     }
 
     /// Records that an event of the response, or all of it, arrived.
@@ -142,12 +172,29 @@
         listed.is_none_or(|listed| listed.is_same_start(&self.upstream))
     }
 
+    /// Opens a connection for the request with this id, which [`Self::connect`] returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none. Nothing was sent.
+    pub async fn reserve_connection(
+        &mut self,
+        max: usize,
+        request_id: &str,
+    ) -> Result<(), Failure> {
+        self.reserved = Some(self.connect(max, request_id).await?);
+        Ok(())
+    }
+
     /// Returns a connection for the request with this id.
     ///
     /// # Errors
     ///
     /// Fails if there is none. Nothing was sent.
     pub async fn connect(&mut self, max: usize, request_id: &str) -> Result<Connection, Failure> {
+        if let Some(reserved) = self.reserved.take() {
+            return Ok(reserved);
+        }
         let Upstream { id, address, .. } = &self.upstream;
         let acquired =
             self.shared.acquire_connection(id, *address, max, self.class, request_id).await;
@@ -206,8 +253,8 @@
         self.shared.clock.running().since(self.started_running)
     }
 
-    /// Returns the time for which nothing has arrived from the upstream, of any request; at most the time
-    /// since this one was sent.
+    /// Returns the running time for which nothing has arrived from the upstream, of any request; at most the
+    /// time since this one was sent.
     pub fn quiet_time(&self) -> Duration {
         let now = self.shared.clock.running();
         let elapsed = now.since(self.started_running);
@@ -240,7 +287,7 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         self.shared.selector().record_end(self.key);
-        match self.is_sent {
+        match self.is_sent.load(Ordering::Relaxed) {
             true => self.shared.release_slot(self.ticket),
             false => self.shared.give_back_slot(self.ticket),
         }
@@ -310,14 +357,7 @@
         time_left: Duration,
     ) -> Result<(Flight, Placement), (Duration, Placement)> {
         let begin = self.clock.now();
-        let need = {
-            let selector = self.selector();
-            let avoid = selector.avoided_by(deployment, software, tried, self.clock.running());
-            let start_within = selector.start_within(deployment, time_left);
-            let shards = selector.shards(deployment, software);
-            Need { shards, start_within, avoid, software }
-        };
-        let outcome = self.ask_slot(&need).await;
+        let outcome = self.ask_slot(&self.need(deployment, software, tried, time_left)).await;
         let now = self.clock.now();
         let elapsed = now.since(begin);
         match outcome {
@@ -349,6 +389,23 @@
         }
     }
 
+    /// Returns what an online request needs of its slot.
+    pub(crate) fn need(
+        &self,
+        deployment: &str,
+        software: Option<Software>,
+        tried: &BTreeSet<Key>,
+        time_left: Duration,
+    ) -> Need {
+        let selector = self.selector();
+        Need {
+            shards: selector.shards(deployment, software),
+            start_within: selector.start_within(deployment, time_left),
+            avoid: selector.avoided_by(deployment, software, tried, self.clock.running()),
+            software,
+        }
+    }
+
     /// Chooses an upstream without a broker.
     fn place_alone(
         self: &Arc<Self>,
@@ -381,9 +438,14 @@
 
     /// Begins the run of a batch item with a slot that was granted to it. Returns `None`, and frees
     /// the slot, if the upstream cannot be used.
-    pub fn acquire_batch(self: &Arc<Self>, ticket: Ticket, upstream: u32) -> Option<Flight> {
-        let now = self.clock.now();
-        let key = self.selector().usable_key(upstream, None, self.clock.running());
+    pub fn acquire_batch(
+        self: &Arc<Self>,
+        ticket: Ticket,
+        upstream: u32,
+        software: Option<Software>,
+    ) -> Option<Flight> {
+        let (now, running) = (self.clock.now(), self.clock.running());
+        let key = self.selector().usable_key(upstream, software, running);
         let flight = key.and_then(|key| self.flight(key, Class::Batch, ticket, now));
         if flight.is_none() {
             self.give_back_slot(ticket);
@@ -391,7 +453,7 @@
         flight
     }
 
-    fn flight(
+    pub(crate) fn flight(
         self: &Arc<Self>,
         key: Key,
         class: Class,
@@ -414,7 +476,9 @@
             responded: false,
             parts: [].into(),
             has_answered: false,
-            is_sent: false,
+            is_sent: AtomicBool::new(false),
+            progress: AtomicU64::new(running.0),
+            reserved: None,
             is_excused: false,
         })
     }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod shared;
 mod slots;
 mod stop;
+mod successor;
 
 pub use crate::{
     error::Error,
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -152,7 +152,8 @@
             Ok(sent) => sent,
             Err(error) => return error_response(&request, error),
         };
-        match response.collect(&flight, request.read_timeout(), request.deadline).await {
+        let collecting = response.collect(&flight, request.deadline);
+        match request.watch(&flight, collecting).await {
             Ok(response) => {
                 flight.record_answer();
                 flight.record_success();
@@ -220,7 +221,8 @@
             Err(error) => return error_response(&request, error),
         };
         if !(response.status.is_success() && response.is_event_stream()) {
-            match response.collect(&flight, request.read_timeout(), request.deadline).await {
+            let collecting = response.collect(&flight, request.deadline);
+            match request.watch(&flight, collecting).await {
                 Ok(response) => {
                     let will_retry =
                         is_upstream_error(response.status) && prepare_retry(&mut request, &flight);
@@ -237,8 +239,8 @@
         }
         let (status, headers) = (response.status, response.headers.clone());
         let mut events = response.events(flight.event_memory());
-        let until = request.read_until(events.quiet_since());
-        let first = match events.next(until).await {
+        let deadline = request.deadline;
+        let first = match request.watch(&flight, events.next(&flight, deadline)).await {
             // A new stream has an event, so this one was cut off.
             Ok(Next::Closed) if last_event_id.is_none() => {
                 log_unmarked_end(&request, &flight, 0);
@@ -428,7 +430,7 @@
             }
             self.events_sent += 1;
             self.ending.record_event();
-            match self.next(&mut run.events).await {
+            match self.next(&run.flight, &mut run.events).await {
                 Some(next) => run.next = next,
                 None => return Forwarded::CallerLeft,
             }
@@ -450,12 +452,16 @@
     }
 
     /// Returns what follows in a stream, or `None` if the caller closed the connection.
-    async fn next(&self, events: &mut Events) -> Option<Result<Next, Failure>> {
-        let until = self.request.read_until(events.quiet_since());
+    async fn next(
+        &mut self,
+        flight: &Flight,
+        events: &mut Events,
+    ) -> Option<Result<Next, Failure>> {
+        let next = events.next(flight, self.request.deadline);
         tokio::select! {
             biased;
             () = self.sender.closed() => None,
-            next = events.next(until) => Some(next),
+            next = self.request.watch(flight, next) => Some(next),
         }
     }
 
@@ -497,7 +503,7 @@
             return Ok(None);
         }
         let mut events = response.events(flight.event_memory());
-        let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
+        let next = self.next(flight, &mut events).await.ok_or(End::CallerLeft)?;
         if matches!(next, Ok(Next::Event(_))) {
             // The upstream had closed the connection early.
             self.record_failure(flight, Failure::Broken)?;
@@ -522,7 +528,7 @@
             if response.status.is_success() && response.is_event_stream() {
                 self.log_resumed(&next_flight);
                 let mut events = response.events(next_flight.event_memory());
-                let next = self.next(&mut events).await.ok_or(End::CallerLeft)?;
+                let next = self.next(&next_flight, &mut events).await.ok_or(End::CallerLeft)?;
                 return Ok(Run { flight: next_flight, events, next });
             }
             // The response is an error of this upstream and no part of the stream.
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -153,12 +153,23 @@
 }
 
 /// Withdraws a request for a slot that is dropped before its answer was used.
-struct Guard {
+pub(crate) struct Guard {
     shared: Arc<Shared>,
     ticket: Ticket,
     is_done: bool,
 }
 
+impl Guard {
+    pub(crate) const fn new(shared: Arc<Shared>, ticket: Ticket) -> Self {
+        Self { shared, ticket, is_done: false }
+    }
+
+    /// Keeps the slot, which another value frees.
+    pub(crate) fn finish(mut self) {
+        self.is_done = true;
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         if !self.is_done {
@@ -192,7 +203,7 @@
         need: &Need,
     ) -> Outcome {
         let (ticket, mut answers) = self.open_ticket(shard);
-        let mut guard = Guard { shared: self.clone(), ticket, is_done: false };
+        let guard = Guard::new(self.clone(), ticket);
         let ask = Ask {
             ticket,
             shard,
@@ -207,9 +218,10 @@
         self.send_ask(&ask, begin);
         loop {
             let limit = if is_queued { REPEAT_PERIOD } else { ANSWER_TIMEOUT };
+            let waits_since = self.clock.now();
             match timeout(limit, answers.recv()).await {
                 Ok(Some(Answer::Granted { upstream, load, .. })) => {
-                    guard.is_done = true;
+                    guard.finish();
                     return Outcome::Granted { ticket, upstream, load };
                 }
                 Ok(Some(Answer::Refused { load, .. })) => return Outcome::Refused(load),
@@ -220,6 +232,8 @@
                     let left = start_within.saturating_sub(self.clock.now().since(begin));
                     self.send_ask(&Ask { start_within: left, ..ask.clone() }, self.clock.now());
                 }
+                // This relay got no processor time, and has not read what arrived meanwhile.
+                Err(_) if self.clock.now().since(waits_since) > limit * 2 => {}
                 Ok(None) | Err(_) => {
                     self.record_silence(shard);
                     return Outcome::Unanswered;
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -224,6 +224,9 @@
     /// The relay got no processor time, for example because its vm was suspended. What it waits for may
     /// have arrived meanwhile. Fields: `pause_ms`.
     1216 Warn RelayPaused "relay_paused" "relay got no processor time",
+    /// An attempt at an upstream is silent, and another upstream is sought for the request, which goes on
+    /// until there is one. Fields: `request`, `upstream`, `quiet_ms` since anything arrived from the upstream.
+    1217 Info AttemptSilent "attempt_silent" "upstream of an attempt is silent, and another one is sought",
 
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
     1220 Warn FeedLost "feed_lost" "change feed of a table cannot be read",
