--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -30,8 +30,9 @@
 /// Silence before each further event after which another upstream is sought. It is many times the pause that
 /// a slow upstream makes between two events.
 const EVENT_SILENCE: Duration = Duration::from_millis(1_500);
-/// Longest silence of a run for which there is no other upstream.
-const MAX_SILENCE: Duration = Duration::from_secs(30);
+/// Longest silence of a run for which there is no other upstream. By then, keep-alive probes have closed a
+/// connection whose other end is gone, and a run that still hangs hangs by itself.
+const MAX_SILENCE: Duration = Duration::from_secs(6);
 /// Timeout of a response that is no event stream.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 
