Keep a stream until its deadline when the upstream that was to take it over refuses

- The next upstream may refuse the request, be at its limit or break off.
A stream of which the caller has a part now asks for a slot again until its deadline, also at upstreams where earlier attempts failed, and refusals do not use up its attempts (refused_successor).
- A stream without event ids cannot be resumed, and is not given up for being silent (unnumbered_events).
- A silent batch item goes on only where its route leads now (moved_item), and is given up when its upstream is no longer listed and nobody can continue its text (hung_item).
- A late timer is excused once for each request for a slot.
- The search outlasts comments, does not go on for quarantined requests, and does not exclude upstreams for good.
Event 1216 is written for pauses from 250 ms on.

--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -309,16 +309,22 @@
     }
 
     /// Returns the key of an upstream that may be used for new work, from its identifier in messages. One that
-    /// is silent may be used if all upstreams of its deployment are that accept work and, if it is given, have
-    /// this software.
-    pub fn usable_key(&self, short_id: u32, software: Option<Software>, now: Time) -> Option<Key> {
+    /// is silent may be used if all upstreams of its deployment are that accept work, are not in `tried` and,
+    /// if it is given, have this software.
+    pub fn usable_key(
+        &self,
+        short_id: u32,
+        software: Option<Software>,
+        tried: &BTreeSet<Key>,
+        now: Time,
+    ) -> Option<Key> {
         let key = *self.by_short_id.get(&short_id)?;
         let entry = self.entries.get(key)?;
         let deployment = &entry.upstream.deployment;
         let is_usable = !entry.is_leaving()
             && match entry.suspicion(now) {
                 None => true,
-                Some(Suspicion::Silent) => !self.has_sound(deployment, software, now),
+                Some(Suspicion::Silent) => !self.has_sound(deployment, software, tried, now),
                 Some(Suspicion::Failed) => false,
             };
         is_usable.then_some(key)
@@ -449,8 +455,7 @@
         tried: &BTreeSet<Key>,
         now: Time,
     ) -> BTreeSet<u32> {
-        let sound: BTreeSet<Key> = self.sound(deployment, software, now).collect();
-        let has_sound = sound.iter().any(|key| !tried.contains(key));
+        let has_sound = self.has_sound(deployment, software, tried, now);
         let is_avoided = |key: &Key| {
             let entry = &self.entries[*key];
             let is_suspect = match entry.suspicion(now) {
@@ -476,8 +481,15 @@
         accepting.filter(move |key| self.entries[*key].suspicion(now).is_none())
     }
 
-    fn has_sound(&self, deployment: &str, software: Option<Software>, now: Time) -> bool {
-        self.sound(deployment, software, now).next().is_some()
+    /// Whether there is such an upstream that is not in `tried`.
+    pub fn has_sound(
+        &self,
+        deployment: &str,
+        software: Option<Software>,
+        tried: &BTreeSet<Key>,
+        now: Time,
+    ) -> bool {
+        self.sound(deployment, software, now).any(|key| !tried.contains(&key))
     }
 
     /// Whether nothing says that an upstream may be down.
@@ -599,11 +611,12 @@
             // The upstream is no longer at this address. The list of upstreams will be updated.
             Failure::Misdirected => MAX_EJECTION,
         };
-        entry.ejected_until = now + ejection;
         entry.ejected_for = match failure {
-            Failure::Silent => Suspicion::Silent,
+            Failure::Silent if entry.ejected_until <= now => Suspicion::Silent,
+            Failure::Silent => entry.ejected_for,
             _ => Suspicion::Failed,
         };
+        entry.ejected_until = now + ejection;
         Some(ejection)
     }
 
--- a/components/control/tests/relay_selector.rs
+++ b/components/control/tests/relay_selector.rs
@@ -73,12 +73,15 @@
     expect_that!(selector.record_leaving(key), is_false());
     selector.set_upstreams(&upstreams(2));
     expect_that!(chosen(&selector, NOW), not(contains(eq(&id))));
-    expect_that!(selector.usable_key(short_id(&id), None, NOW), none());
+    expect_that!(selector.usable_key(short_id(&id), None, &BTreeSet::new(), NOW), none());
     expect_that!(selector.avoided(NOW), elements_are![eq(&short_id(&id))]);
     let mut reborn = upstreams(2);
     reborn.get_mut(&id).or_fail()?.born = Some(7);
     selector.set_upstreams(&reborn);
-    expect_that!(selector.usable_key(short_id(&id), None, NOW), some(not(eq(key))));
+    expect_that!(
+        selector.usable_key(short_id(&id), None, &BTreeSet::new(), NOW),
+        some(not(eq(key)))
+    );
     verify_that!(chosen(&selector, NOW), contains(eq(&id)))
 }
 
@@ -97,7 +100,7 @@
     selector.record_failure(key, Failure::NotSent, later);
     let rate = Rate::parse("1").or_fail()?;
     selector.record_limit(key, Limit { rate: Some(rate), known_at: later });
-    let next = selector.usable_key(short_id("u0"), None, later).or_fail()?;
+    let next = selector.usable_key(short_id("u0"), None, &BTreeSet::new(), later).or_fail()?;
     expect_that!(selector.limit(next).or_fail()?.rate, none());
     selector.record_end(key);
     verify_that!(chosen(&selector, later), contains(eq("u0")))
@@ -206,7 +209,7 @@
         some(ge(Duration::from_secs(2)))
     );
     let later = now + Duration::from_millis(500);
-    verify_that!(selector.usable_key(short_id("u0"), None, later), none())
+    verify_that!(selector.usable_key(short_id("u0"), None, &BTreeSet::new(), later), none())
 }
 
 /// Guards against callers that are told to retry while an overload of some seconds is likely to
@@ -235,16 +238,21 @@
     keys.iter().for_each(|key| selector.record_start(*key, NOW));
     let later = NOW + STALL;
     expect_that!(selector.avoided_by("chat", None, &untried, later), is_empty());
-    expect_that!(selector.usable_key(short_id("u0"), None, later), some(eq(keys[0])));
+    expect_that!(
+        selector.usable_key(short_id("u0"), None, &BTreeSet::new(), later),
+        some(eq(keys[0]))
+    );
     // One that is sound is better than the silent one.
     selector.record_bytes(keys[1], later);
     let avoided = selector.avoided_by("chat", None, &untried, later);
     expect_that!(avoided, elements_are![eq(&short_id("u0"))]);
-    expect_that!(selector.usable_key(short_id("u0"), None, later), none());
+    expect_that!(selector.usable_key(short_id("u0"), None, &BTreeSet::new(), later), none());
     // Unless the request was there already.
     let tried = BTreeSet::from([keys[1]]);
     let avoided = selector.avoided_by("chat", None, &tried, later);
-    verify_that!(avoided, elements_are![eq(&short_id("u1"))])
+    expect_that!(avoided, elements_are![eq(&short_id("u1"))]);
+    let usable = selector.usable_key(short_id("u0"), None, &tried, later);
+    verify_that!(usable, some(eq(keys[0])))
 }
 
 /// Guards against requests to upstreams that refuse connections, because no other one is left.
@@ -257,7 +265,7 @@
     }
     let avoided = selector.avoided_by("chat", None, &BTreeSet::new(), NOW);
     expect_that!(avoided, len(eq(2)));
-    verify_that!(selector.usable_key(short_id("u0"), None, NOW), none())
+    verify_that!(selector.usable_key(short_id("u0"), None, &BTreeSet::new(), NOW), none())
 }
 
 /// Guards against a stream that is lost around a release, because the only upstream of its version is silent
@@ -273,7 +281,10 @@
     let (untried, later) = (BTreeSet::new(), NOW + STALL);
     let software = Some(listed["u0"].software());
     expect_that!(selector.avoided_by("chat", software, &untried, later), is_empty());
-    expect_that!(selector.usable_key(short_id("u0"), software, later), some(eq(key)));
+    expect_that!(
+        selector.usable_key(short_id("u0"), software, &BTreeSet::new(), later),
+        some(eq(key))
+    );
     let avoided = selector.avoided_by("chat", None, &untried, later);
     verify_that!(avoided, elements_are![eq(&short_id("u0"))])
 }
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    future::pending,
+    pin::{Pin, pin},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -38,6 +38,9 @@
 /// events.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Search for an upstream that takes over from a silent one.
+type Search = Pin<Box<dyn Future<Output = (Flight, Placement)> + Send + Sync>>;
+
 /// Whether a request may have run, for an answer that does not wait for its attempts.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatch(Arc<AtomicBool>);
@@ -75,6 +78,10 @@
     tried: BTreeSet<Key>,
     /// Where the next attempt goes, which replaces one that was silent.
     successor: Option<(Flight, Placement)>,
+    /// Search for such an upstream while the current attempt is silent.
+    search: Option<Search>,
+    /// Whether the caller has got a part of the answer.
+    is_underway: bool,
     /// Memory reserved for the body.
     _memory: Option<Reservation>,
     dispatch: Dispatch,
@@ -119,6 +126,8 @@
             parts,
             tried,
             successor: None,
+            search: None,
+            is_underway: false,
             _memory: None,
             dispatch: Dispatch::default(),
         }
@@ -134,6 +143,11 @@
         Self { _memory: Some(memory), ..self }
     }
 
+    /// Records that the caller has got a part of the answer.
+    pub const fn record_underway(&mut self) {
+        self.is_underway = true;
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -151,58 +165,67 @@
         flight: &Flight,
         next: impl Future<Output = Result<T, Failure>>,
     ) -> Result<T, Failure> {
+        let after_failure =
+            Attempts { possibly_run: self.attempts.possibly_run + 1, ..self.attempts };
+        if !after_failure.allows_attempt(&self.route) {
+            return next.await;
+        }
+        let mut next = pin!(next);
+        tokio::select! {
+            biased;
+            output = &mut next => return output,
+            () = flight.silence(self.silence_timeout()) => {}
+        }
+        if self.search.is_none() {
+            event!(
+                AttemptSilent,
+                request:% = self.outgoing.id,
+                upstream:% = flight.upstream.id,
+                quiet_ms = flight.quiet_time().as_millis() as u64
+            );
+        }
+        let search = self.search.take().unwrap_or_else(|| self.begin_search(flight));
         let successor = tokio::select! {
             biased;
-            output = next => return output,
-            successor = self.seek_successor(flight) => successor,
+            output = &mut next => return output,
+            successor = self.search.insert(search) => successor,
         };
+        self.search = None;
         self.successor = Some(successor);
         Err(Failure::Silent)
     }
 
-    /// Waits until an attempt is silent and another upstream is ready for the request.
-    async fn seek_successor(&self, flight: &Flight) -> (Flight, Placement) {
-        let after_failure =
-            Attempts { possibly_run: self.attempts.possibly_run + 1, ..self.attempts };
-        if !after_failure.allows_attempt(&self.route) {
-            return pending().await;
-        }
-        flight.silence(self.silence_timeout()).await;
-        event!(
-            AttemptSilent,
-            request:% = self.outgoing.id,
-            upstream:% = flight.upstream.id,
-            quiet_ms = flight.quiet_time().as_millis() as u64
-        );
-        let mut excluded = self.tried.clone();
-        excluded.insert(flight.key);
-        loop {
-            // Boxed, because few of the many waits for events get here.
-            if let Some(successor) = Box::pin(self.find_successor(&mut excluded)).await {
-                return successor;
-            }
-            sleep(SEEK_PERIOD).await;
-            flight.silence(self.silence_timeout()).await;
-        }
+    /// Ends the search for another upstream, since the attempt goes on.
+    pub fn end_search(&mut self) {
+        self.search = None;
     }
 
-    /// Chooses another upstream and opens a connection for the request. Adds the upstream to `excluded` if
-    /// that fails.
-    async fn find_successor(&self, excluded: &mut BTreeSet<Key>) -> Option<(Flight, Placement)> {
-        let software = self.software;
-        let deployment = self.shared.deployment(&self.route, software)?;
-        let left = self.remaining();
-        let (mut flight, placement) =
-            self.shared.acquire_better(deployment, software, excluded, left).await?;
-        let max = self.shared.max_connections(&flight.upstream.deployment);
-        match flight.reserve_connection(max, &self.outgoing.id).await {
-            Ok(()) => Some((flight, placement)),
-            Err(failure) => {
-                flight.record_failure(failure);
-                excluded.insert(flight.key);
-                None
+    /// Begins the search for an upstream that takes over from the one of a flight. It outlasts comments, which
+    /// are no progress.
+    fn begin_search(&self, flight: &Flight) -> Search {
+        let mut excluded = self.tried.clone();
+        excluded.insert(flight.key);
+        let (shared, route) = (self.shared.clone(), self.route.clone());
+        let (software, parts) = (self.software, self.parts.clone());
+        let (deadline, id) = (self.deadline, self.outgoing.id.clone());
+        Box::pin(async move {
+            loop {
+                let is_allowed = shared.quarantine_left(&parts).is_none();
+                let deployment = shared.deployment(&route, software).filter(|_| is_allowed);
+                if let Some(deployment) = deployment {
+                    let left = deadline.saturating_duration_since(Instant::now());
+                    let found = shared.acquire_better(deployment, software, &excluded, left).await;
+                    if let Some((mut flight, placement)) = found {
+                        let max = shared.max_connections(&flight.upstream.deployment);
+                        match flight.reserve_connection(max, &id).await {
+                            Ok(()) => return (flight, placement),
+                            Err(failure) => flight.record_failure(failure),
+                        }
+                    }
+                }
+                sleep(SEEK_PERIOD).await;
             }
-        }
+        })
     }
 
     /// Returns the time without bytes after which another upstream is sought for a request that can be
@@ -239,7 +262,17 @@
             self.check_quarantine()?;
             let (flight, placement) = match self.successor.take() {
                 Some(successor) => successor,
-                None => self.choose_upstream().await?,
+                None => match self.choose_upstream().await {
+                    Ok(placed) => placed,
+                    // The caller would lose what it has. The refusal is an estimate, and the upstreams at which
+                    // earlier attempts failed may serve again; their ejections space the attempts.
+                    Err(Error::Refused(..)) if self.is_underway => {
+                        self.tried.clear();
+                        sleep(SEEK_PERIOD).await;
+                        continue;
+                    }
+                    Err(error) => return Err(error),
+                },
             };
             // The part may have been quarantined while the request waited.
             self.check_quarantine()?;
@@ -247,7 +280,13 @@
             self.log_send(&flight, resume_after, placement);
             match self.send_to(&mut flight, resume_after).await {
                 Ok(response) => return Ok((flight, response)),
-                Err(failure) => self.record_failure(&flight, failure, 0)?,
+                Err(failure) => {
+                    self.record_failure(&flight, failure, 0)?;
+                    if self.is_underway && !failure.may_have_run() {
+                        self.attempts.not_run = 0;
+                        sleep(SEEK_PERIOD).await;
+                    }
+                }
             }
         }
     }
@@ -301,6 +340,7 @@
             prompt:% = self.shared.dialect.shared_parts(&self.outgoing.headers).join(","),
             parts:% = format_parts(&self.parts)
         );
+        self.search = None;
         let is_past_deadline = self.remaining().is_zero();
         // Silence until the deadline is not a failure of the upstream.
         if !(is_past_deadline && failure == Failure::Silent) {
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -422,9 +422,11 @@
         );
         let urgency = priority(self.priority_inputs(), owned, item).into();
         let (dispatcher, id) = (self.clone(), id.to_owned());
+        let row = owned.job.row.clone();
         let task = tokio::spawn(async move {
             let shared = dispatcher.shared.clone();
-            let (end, next) = item::run(shared, outgoing, flight, transcript, urgency).await;
+            let route = || dispatcher.route(&row);
+            let (end, next) = item::run(shared, outgoing, flight, transcript, urgency, route).await;
             dispatcher.finish_run(&id, item, end, next);
         });
         let (started, events_before) = (self.shared.clock.now(), owned.events(item));
@@ -467,10 +469,16 @@
             }
             End::Interrupted(_) => {
                 counter!(RELAY_ITEMS, "outcome" => "interrupted").increment(1);
+                let is_routed = |next: &Flight| {
+                    let route = self.route(&owned.job.row);
+                    let deployment = &next.upstream.deployment;
+                    route.is_some_and(|route| route.deployments().any(|name| name == deployment))
+                };
                 let may_start = owned.is_open() && !owned.is_handing_over;
+                let next = next.filter(|next| may_start && is_routed(next));
                 drop(jobs);
                 self.record_failure(id, item, RunFailure::Interrupted, INTERRUPTED_RETRY_DELAY);
-                if let Some(next) = next.filter(|_| may_start) {
+                if let Some(next) = next {
                     self.start_item(id, item, next);
                 }
             }
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -7,7 +7,7 @@
 };
 
 use cyclamengrade_control::relay::{
-    broker::Urgency, ending::Ending, failure::Failure, job::RunFailure,
+    broker::Urgency, ending::Ending, failure::Failure, job::RunFailure, route::Route,
 };
 use cyclamengrade_telemetry::event;
 use hyper::{
@@ -71,12 +71,14 @@
 }
 
 /// Search for another upstream while a run is silent.
-struct Search {
+struct Search<R> {
     urgency: Urgency,
+    /// Returns the route of the item's job that is in force.
+    route: R,
     found: Option<Flight>,
 }
 
-impl Search {
+impl<R: Fn() -> Option<Arc<Route>>> Search<R> {
     /// Waits for what the upstream of a run sends next. A run that is silent for `limit` goes on until another
     /// upstream has a slot for the item.
     async fn watch<T>(
@@ -90,19 +92,20 @@
         let seek = async {
             flight.silence(limit).await;
             let software = lock(transcript).software;
-            Box::pin(shared.await_better(flight, software, self.urgency)).await
+            Box::pin(shared.await_better(flight, software, self.urgency, &self.route)).await
         };
         let found = tokio::select! {
             biased;
             output = next => return output,
             found = seek => found,
         };
-        self.found = Some(found);
+        self.found = found;
         Err(Failure::Silent)
     }
 }
 
-/// Runs an item, resuming after the last event of its transcript. Also returns where the next run goes, if
+/// Runs an item, resuming after the last event of its transcript. `route` returns the route of its job that is
+/// in force. Also returns where the next run goes, if
 /// this one was given up for another upstream.
 pub async fn run(
     shared: Arc<Shared>,
@@ -110,13 +113,14 @@
     mut flight: Flight,
     transcript: Arc<Mutex<Transcript>>,
     urgency: Urgency,
+    route: impl Fn() -> Option<Arc<Route>>,
 ) -> (End, Option<Flight>) {
     let mut run = Run {
         shared: &shared,
         outgoing: &outgoing,
         transcript: &transcript,
         ending: Ending::default(),
-        search: Search { urgency, found: None },
+        search: Search { urgency, route, found: None },
     };
     let mut read = run.once(&mut flight).await;
     if read == Read::Closed && flight.may_repeat() {
@@ -165,15 +169,15 @@
 }
 
 /// A run of an item, in one or two responses of one upstream.
-struct Run<'a> {
+struct Run<'a, R> {
     shared: &'a Arc<Shared>,
     outgoing: &'a Outgoing,
     transcript: &'a Mutex<Transcript>,
     ending: Ending,
-    search: Search,
+    search: Search<R>,
 }
 
-impl Run<'_> {
+impl<R: Fn() -> Option<Arc<Route>>> Run<'_, R> {
     /// Sends the request of the item, to be resumed after the last event of its transcript, and reads the
     /// response.
     async fn once(&mut self, flight: &mut Flight) -> Read {
--- a/components/relay/src/clock.rs
+++ b/components/relay/src/clock.rs
@@ -19,6 +19,8 @@
 
 use crate::shared::{Shared, lock};
 
+/// Shortest pause that is logged. Shorter ones are frequent on a busy vm.
+const MIN_LOGGED_PAUSE: Duration = Duration::from_millis(250);
 /// Time before the start of the process at which the monotonic clock has its origin.
 const ORIGIN: Duration = Duration::from_secs(60);
 
@@ -94,8 +96,10 @@
     loop {
         sleep(TICK_PERIOD).await;
         let pause = lock(&shared.clock.running).tick(shared.clock.now());
-        if !pause.is_zero() {
+        if pause >= MIN_LOGGED_PAUSE {
             event!(RelayPaused, pause_ms = pause.as_millis() as u64);
+        }
+        if !pause.is_zero() {
             histogram!(RELAY_PAUSE_SECONDS).record(pause.as_secs_f64());
         }
     }
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -237,6 +237,11 @@
 }
 
 impl Events {
+    /// Whether comments at most have arrived since the stream last made progress.
+    pub const fn is_quiet(&self) -> bool {
+        self.is_quiet
+    }
+
     /// Returns what follows in the stream. The wait for progress begins now unless comments at most have
     /// arrived since it began, see [`Flight::silence`]. A whole event has to arrive before `until`; from then on, not
     /// even one that has arrived is returned.
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -86,10 +86,11 @@
         loop {
             let progress = Time(self.progress.load(Ordering::Relaxed));
             let silence = self.shared.clock.running().since(progress);
-            match limit.checked_sub(silence) {
-                Some(left) if !left.is_zero() => sleep(left).await,
-                _ => return,
+            let left = limit.saturating_sub(silence);
+            if left.is_zero() {
+                return;
             }
+            sleep(left).await;
         }
     }
 
@@ -157,7 +158,8 @@
         let is_usable = {
             let selector = self.shared.selector();
             let (id, software) = (selector.short_id(self.key), self.upstream.software());
-            let usable = selector.usable_key(id, Some(software), self.shared.clock.running());
+            let (tried, running) = (BTreeSet::new(), self.shared.clock.running());
+            let usable = selector.usable_key(id, Some(software), &tried, running);
             let is_limited = selector.limit(self.key).is_some_and(|limit| limit.rate.is_some());
             usable == Some(self.key) && !is_limited
         };
@@ -364,7 +366,7 @@
             Outcome::Granted { ticket, upstream, load } => {
                 let placement = Placement { granted: true, load, elapsed };
                 let running = self.clock.running();
-                let key = self.selector().usable_key(upstream, software, running);
+                let key = self.selector().usable_key(upstream, software, tried, running);
                 let flight = key
                     .filter(|key| !tried.contains(key))
                     .and_then(|key| self.flight(key, Class::Online, ticket, now))
@@ -445,7 +447,7 @@
         software: Option<Software>,
     ) -> Option<Flight> {
         let (now, running) = (self.clock.now(), self.clock.running());
-        let key = self.selector().usable_key(upstream, software, running);
+        let key = self.selector().usable_key(upstream, software, &BTreeSet::new(), running);
         let flight = key.and_then(|key| self.flight(key, Class::Batch, ticket, now));
         if flight.is_none() {
             self.give_back_slot(ticket);
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -258,6 +258,7 @@
             Ok(first) => {
                 flight.record_answer();
                 record_first_byte(&mut request);
+                request.record_underway();
                 request.software = Some(flight.upstream.software());
                 if let Some(stream) = stream.filter(|_| request.route.resumable) {
                     let lifetime = origin_lifetime(&request, names);
@@ -457,11 +458,22 @@
         flight: &Flight,
         events: &mut Events,
     ) -> Option<Result<Next, Failure>> {
+        if !events.is_quiet() {
+            self.request.end_search();
+        }
         let next = events.next(flight, self.request.deadline);
+        let is_numbered = self.is_numbered;
+        let next = async {
+            match is_numbered {
+                true => self.request.watch(flight, next).await,
+                // Another upstream could not resume the stream.
+                false => next.await,
+            }
+        };
         tokio::select! {
             biased;
             () = self.sender.closed() => None,
-            next = self.request.watch(flight, next) => Some(next),
+            next = next => Some(next),
         }
     }
 
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -215,6 +215,7 @@
         };
         let begin = self.clock.now();
         let mut is_queued = false;
+        let mut was_late = false;
         self.send_ask(&ask, begin);
         loop {
             let limit = if is_queued { REPEAT_PERIOD } else { ANSWER_TIMEOUT };
@@ -232,8 +233,13 @@
                     let left = start_within.saturating_sub(self.clock.now().since(begin));
                     self.send_ask(&Ask { start_within: left, ..ask.clone() }, self.clock.now());
                 }
-                // This relay got no processor time, and has not read what arrived meanwhile.
-                Err(_) if self.clock.now().since(waits_since) > limit * 2 => {}
+                // This relay got no processor time, and has not read what arrived meanwhile. Only one delay
+                // is excused, since a relay that is always late has to learn of a silent broker as well.
+                Err(_) if !was_late && self.clock.now().since(waits_since) > limit * 2 => {
+                    was_late = true;
+                    let left = start_within.saturating_sub(self.clock.now().since(begin));
+                    self.send_ask(&Ask { start_within: left, ..ask.clone() }, self.clock.now());
+                }
                 Ok(None) | Err(_) => {
                     self.record_silence(shard);
                     return Outcome::Unanswered;
--- a/components/relay/src/successor.rs
+++ b/components/relay/src/successor.rs
@@ -8,6 +8,7 @@
 use cyclamengrade_control::relay::{
     broker::{Class, Urgency},
     origin::Software,
+    route::Route,
     selector::Key,
 };
 use tokio::time::sleep;
@@ -49,21 +50,29 @@
         flight.map(|flight| (flight, placement))
     }
 
-    /// Waits until a batch item that still runs at an upstream gets a slot of another one.
+    /// Waits until a batch item that still runs at an upstream gets a slot of another one. `route` returns the
+    /// route of its job that is in force. Returns `None` if the upstream is no longer listed and no other one
+    /// can continue the text of the item.
     pub async fn await_better(
         self: &Arc<Self>,
         silent: &Flight,
         software: Option<Software>,
         urgency: Urgency,
-    ) -> Flight {
+        route: impl Fn() -> Option<Arc<Route>>,
+    ) -> Option<Flight> {
         let excluded = BTreeSet::from([silent.key]);
-        let deployment = &silent.upstream.deployment;
         loop {
-            if self.has_better(deployment, software, &excluded)
-                && let Some(flight) =
-                    self.seek_batch(deployment, software, &excluded, urgency).await
-            {
-                return flight;
+            let route = route();
+            let deployment = route.as_ref().and_then(|route| self.deployment(route, software));
+            match deployment {
+                Some(deployment) => {
+                    let found = self.seek_batch(deployment, software, &excluded, urgency).await;
+                    if found.is_some() {
+                        return found;
+                    }
+                }
+                None if self.selector().upstream(silent.key).is_none() => return None,
+                None => {}
             }
             sleep(BATCH_SEEK_PERIOD).await;
         }
@@ -78,6 +87,9 @@
         excluded: &BTreeSet<Key>,
         urgency: Urgency,
     ) -> Option<Flight> {
+        if !self.has_better(deployment, software, excluded) {
+            return None;
+        }
         let shards = self.selector().shards(deployment, software);
         let ticket = self.want_slot(&shards, urgency, software)?;
         let guard = Guard::new(self.clone(), ticket);
@@ -101,8 +113,7 @@
         software: Option<Software>,
         excluded: &BTreeSet<Key>,
     ) -> bool {
-        let (selector, running) = (self.selector(), self.clock.running());
-        selector.sound(deployment, software, running).any(|key| !excluded.contains(&key))
+        self.selector().has_sound(deployment, software, excluded, self.clock.running())
     }
 
     /// Returns the key of an upstream that was granted, if it is better than those in `excluded`.
@@ -113,7 +124,7 @@
         excluded: &BTreeSet<Key>,
     ) -> Option<Key> {
         let (selector, running) = (self.selector(), self.clock.running());
-        let key = selector.usable_key(upstream, software, running)?;
+        let key = selector.usable_key(upstream, software, excluded, running)?;
         let suits = software.is_none_or(|software| {
             selector.upstream(key).is_some_and(|upstream| upstream.software() == software)
         });
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -192,6 +192,11 @@
         self.write_configuration(json!([]), names);
     }
 
+    /// Writes a new version of the configuration in which a default route is replaced by `route`.
+    pub fn configure_route(&mut self, name: &str, route: &Value) {
+        self.write_configuration(json!([route]), &[name]);
+    }
+
     fn write_configuration(&mut self, extra_routes: Value, omitted: &[&str]) {
         self.version += 3;
         let route = |name: &str, kind: &str, service: &str| {
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -84,6 +84,8 @@
     Impossible,
     /// Sends bytes that are no answer until the caller closes the connection.
     Endless(Endless),
+    /// Leaves out the ids of the events, and pauses like `PauseAfter` after this many of them.
+    PauseUnnumbered(u64),
     /// Sends a response and writes it once more on the same connection.
     Repeated(Repeated),
 }
@@ -708,7 +710,11 @@
                 return write_comments(stream).await;
             }
             match fault {
-                Some(Fault::PauseAfter(count)) if event == first + count => sleep(PAUSE).await,
+                Some(Fault::PauseAfter(count) | Fault::PauseUnnumbered(count))
+                    if event == first + count =>
+                {
+                    sleep(PAUSE).await;
+                }
                 Some(Fault::QuietAfter(count, pause)) if event == first + count => {
                     sleep(pause).await;
                 }
@@ -741,7 +747,7 @@
             version => format!("event: {version}\n"),
         };
         let id = match fault {
-            Some(Fault::OmitIds(_)) => String::new(),
+            Some(Fault::OmitIds(_) | Fault::PauseUnnumbered(_)) => String::new(),
             _ => format!("id: {number}\n"),
         };
         let suffix = match self.state().names_version {
--- a/tests/relay_quiet.rs
+++ b/tests/relay_quiet.rs
@@ -9,7 +9,8 @@
 };
 use futures_util::future::join_all;
 use googletest::prelude::*;
-use tokio::time::sleep;
+use serde_json::json;
+use tokio::time::{sleep, timeout};
 
 /// Slots of each upstream.
 const SLOTS: usize = 8;
@@ -155,3 +156,114 @@
     expect_that!(status, eq(504));
     verify_that!(begin.elapsed(), lt(DEADLINE + Duration::from_millis(500)))
 }
+
+/// Guards against a stream that is cut because the upstream which was to take it over refuses it, while the
+/// one that was given up goes on to serve.
+#[gtest]
+#[tokio::test]
+async fn refused_successor() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    let other = harness.runners[1].clone();
+    harness.unlist(&other, 0).await?;
+    quieten(&harness.runners[0], 1, QUIET);
+    let listing = async {
+        sleep(Duration::from_millis(150)).await;
+        other.queue_faults(&[Fault::NotRun; 40]);
+        harness.list(&other, 0).await
+    };
+    let (incomplete, listed) = tokio::join!(incomplete(&harness, 1), listing);
+    listed?;
+    expect_that!(incomplete, is_empty());
+    // Otherwise no other upstream was to take it over.
+    verify_that!(harness.events(0, "attempt_failed"), not(is_empty()))
+}
+
+/// Guards against a quiet stream that is given up although it cannot be resumed without the ids of its events.
+#[gtest]
+#[tokio::test]
+async fn unnumbered_events() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.runners.iter().for_each(|runner| runner.queue_faults(&[Fault::PauseUnnumbered(10)]));
+    let reply = harness.stream(0, "stream", "s-1", EVENTS).await?;
+    verify_that!(reply.text().matches("data: ").count(), eq(EVENTS as usize))
+}
+
+/// Guards against a silent batch item that starts again at a service to which its route no longer leads.
+#[gtest]
+#[tokio::test]
+async fn moved_item() -> Result<()> {
+    let mut harness = Harness::start(1).await?;
+    let (silent, other) = (harness.runners[0].clone(), harness.runners[1].clone());
+    harness.unlist(&other, 0).await?;
+    quieten(&silent, 1, DEADLINE * 5);
+    let (_, status) = harness.submit(0, "j-1", 1, 30).await?;
+    expect_that!(status, eq(202));
+    sleep(Duration::from_millis(500)).await;
+    harness.configure_route(
+        "batch",
+        &json!({
+            "Name": "batch", "Host": "calls.example", "PathPrefix": "/batch/", "Kind": "batch",
+            "TimeoutMs": 5_000, "TargetLatencyMs": 400, "Priority": 0, "MaxAttempts": 2,
+            "Service": "plain", "CompletionTargetMs": 18_000, "RetentionS": 60
+        }),
+    );
+    sleep(Duration::from_millis(500)).await;
+    harness.list(&other, 0).await?;
+    sleep(Duration::from_secs(7)).await;
+    expect_that!(silent.runs(), len(eq(1)));
+    verify_that!(other.runs(), is_empty())
+}
+
+/// Guards against a batch item that waits for an upstream which hangs and is gone from the list, because no
+/// other one has the software that began its text.
+#[gtest]
+#[tokio::test]
+async fn hung_item() -> Result<()> {
+    let mut harness = Harness::start(1).await?;
+    let newer = harness.add_runner("m-3", "v2", "a").await?;
+    let (hung, other) = (harness.runners[0].clone(), harness.runners[1].clone());
+    harness.unlist(&other, 0).await?;
+    quieten(&hung, 1, DEADLINE * 20);
+    let (job, status) = harness.submit(0, "j-1", 1, 30).await?;
+    expect_that!(status, eq(202));
+    let begin = Instant::now();
+    sleep(Duration::from_millis(500)).await;
+    harness.list(&newer, 0).await?;
+    harness.unlist(&hung, 0).await?;
+    harness.await_results(0, &job).await?;
+    expect_that!(newer.runs(), len(eq(1)));
+    // As long as a run whose upstream is still listed may be silent.
+    verify_that!(begin.elapsed(), lt(Duration::from_secs(6)))
+}
+
+/// Guards against requests that get no answer, because a relay which is short of processor time takes the
+/// silence of a broker for its own pause each time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starved_relay() -> Result<()> {
+    let harness = Harness::start(2).await?;
+    harness.pause_relay(1)?;
+    let requests = join_all((0..16).map(async |number| {
+        let call = harness.call(0, "safe", &format!("p-{number}"));
+        timeout(DEADLINE * 2, harness.send(call)).await.is_ok_and(|reply| reply.is_ok())
+    }));
+    let starve = async {
+        loop {
+            let stopped = harness.pause_relay(0);
+            sleep(Duration::from_millis(92)).await;
+            let resumed = harness.resume_relay(0);
+            if stopped.and(resumed).is_err() {
+                return;
+            }
+            sleep(Duration::from_millis(8)).await;
+        }
+    };
+    let answered = tokio::select! {
+        answered = requests => answered,
+        () = starve => Vec::new(),
+    };
+    harness.resume_relay(0)?;
+    harness.resume_relay(1)?;
+    expect_that!(answered, len(eq(16)));
+    verify_that!(answered, each(eq(&true)))
+}
