Ask again for a slot only where an upstream is left that did not break off

Upstreams that broke off stay excluded, and a stream ends at once when no other one accepts work, so that its caller can go on at another relay.

--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -410,6 +410,16 @@
         self.accepting(deployment, software).next().is_some()
     }
 
+    /// Whether an upstream that is not in `excluded` does.
+    pub fn accepts_beside(
+        &self,
+        deployment: &str,
+        software: Option<Software>,
+        excluded: &BTreeSet<Key>,
+    ) -> bool {
+        self.accepting(deployment, software).any(|key| !excluded.contains(&key))
+    }
+
     /// Returns the software of all upstreams.
     pub fn software(&self) -> BTreeSet<Software> {
         self.entries.values().map(|entry| entry.software).collect()
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -34,6 +34,9 @@
 const SEEK_PERIOD: Duration = Duration::from_millis(100);
 /// Silence timeout as a multiple of the larger of the route's latency and gap objectives.
 const SILENCE_FACTOR: u32 = 2;
+/// Silence of a stream as a multiple of its timeout, while its upstream sends to other requests. It has most
+/// likely paused this one, and what runs elsewhere from its last event on takes a slot and a prefill.
+const HEARD_FACTOR: u32 = 2;
 /// Shortest silence timeout. It is several times the pause that a slow upstream makes between two
 /// events.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -76,6 +79,8 @@
     parts: Arc<[Part]>,
     /// Upstreams at which an attempt failed.
     tried: BTreeSet<Key>,
+    /// Those of them that broke off an attempt or are not at their addresses.
+    broken: BTreeSet<Key>,
     /// Where the next attempt goes, which replaces one that was silent.
     successor: Option<(Flight, Placement)>,
     /// Search for such an upstream while the current attempt is silent.
@@ -125,6 +130,7 @@
             software: None,
             parts,
             tried,
+            broken: BTreeSet::new(),
             successor: None,
             search: None,
             is_underway: false,
@@ -170,11 +176,19 @@
         if !after_failure.allows_attempt(&self.route) {
             return next.await;
         }
+        let limit = self.silence_timeout();
+        let is_underway = self.is_underway;
+        let silence = async {
+            flight.silence(limit).await;
+            if is_underway && flight.quiet_time() < limit {
+                flight.silence(limit * HEARD_FACTOR).await;
+            }
+        };
         let mut next = pin!(next);
         tokio::select! {
             biased;
             output = &mut next => return output,
-            () = flight.silence(self.silence_timeout()) => {}
+            () = silence => {}
         }
         if self.search.is_none() {
             event!(
@@ -264,10 +278,10 @@
                 Some(successor) => successor,
                 None => match self.choose_upstream().await {
                     Ok(placed) => placed,
-                    // The caller would lose what it has. The refusal is an estimate, and the upstreams at which
-                    // earlier attempts failed may serve again; their ejections space the attempts.
-                    Err(Error::Refused(..)) if self.is_underway => {
-                        self.tried.clear();
+                    // The caller would lose what it has. The refusal is an estimate, and upstreams that were
+                    // silent or full may serve again.
+                    Err(Error::Refused(..)) if self.is_underway && self.has_other() => {
+                        self.tried.clone_from(&self.broken);
                         sleep(SEEK_PERIOD).await;
                         continue;
                     }
@@ -291,6 +305,14 @@
         }
     }
 
+    /// Whether an upstream accepts work that did not break off the request.
+    fn has_other(&self) -> bool {
+        let deployment = self.shared.deployment(&self.route, self.software);
+        deployment.is_some_and(|deployment| {
+            self.shared.selector().accepts_beside(deployment, self.software, &self.broken)
+        })
+    }
+
     /// Sends the request to the upstream of a flight.
     pub async fn send_to(
         &mut self,
@@ -348,6 +370,9 @@
         }
         self.attempts.record_failure(failure);
         self.tried.insert(flight.key);
+        if matches!(failure, Failure::Broken | Failure::Misdirected) {
+            self.broken.insert(flight.key);
+        }
         match () {
             () if is_past_deadline => Err(Error::DeadlineExceeded),
             () if self.attempts.allows_attempt(&self.route) => Ok(()),
