Confirm the list before the close of a connection ends a response

What callers saw: a relay froze for 2 s while an upstream was killed and started again under its id.

Cause: exchange::is_alive lets the upstream answer a request without an id, which the next start does as well, and tells the two apart by the relay's own copy of the list, which is as old as the freeze.

Change: each answer of the feed of the list says until when the next one is due and how long this process had been paused before the call began. While no pause came since and the answer is in time, the list is followed, and nothing else is asked. Without a confirmation the response counts as cut.

Ruled out: a confirmation for each such response (up to 3 in 100 answers, in calm times as well); `born` asked of the upstream (a request without an id gets 400 without it, the report is priced and not said of all services); a second connection to the upstream during each run.

Limits: while the store does not answer, sound responses of this kind count as cut. A pause that stops the monotonic clock, too, is not seen. A start that answers before its entry is stored is not told apart.

Tests: unseen_restart, unseen_body, unknown_restart, paused_relay and calm_store in relay_closed. The stand-in gets Fault::HangAfter for half a body that is held until a crash.

--- a/components/relay/src/clock.rs
+++ b/components/relay/src/clock.rs
@@ -57,6 +57,14 @@
         lock(&self.running).read(self.now())
     }
 
+    /// Returns the time since the start for which this process has not run. It grows with each pause.
+    pub fn paused(&self) -> Duration {
+        let running = lock(&self.running);
+        // Not before the last tick.
+        let now = self.now();
+        now.since(running.read(now))
+    }
+
     /// Waits for a future for at most `limit` of running time. Returns `None` after that.
     pub async fn timeout<T>(&self, limit: Duration, future: impl Future<Output = T>) -> Option<T> {
         let mut future = pin!(future);
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -28,6 +28,7 @@
         key::{self, Subject},
         row,
     },
+    listing::Follow,
     shared::{Job, Member, OwnRow, Shared},
 };
 
@@ -42,10 +43,14 @@
     pub is_snapshot: bool,
     /// Time between the previous answer of the store and this one.
     pub silence: Duration,
+    pub follow: Follow,
 }
 
 /// The list of upstreams has not changed up to a version of the store.
-pub struct Unchanged(pub u64);
+pub struct Unchanged {
+    pub version: u64,
+    pub follow: Follow,
+}
 
 /// Removes the upstreams whose entries expired in an outage of the store and did not return within
 /// the grace period.
@@ -79,9 +84,9 @@
         if update.table == sources.configuration_table {
             self.apply_configuration(&sources.configuration_key, update.changes);
         } else if update.table == sources.upstream_table {
-            let version = update.changes.version;
+            let (version, follow) = (update.changes.version, update.follow);
             self.apply_upstreams(now, update);
-            self.shared.listing.record_applied(version);
+            self.shared.listing.record_applied(version, follow);
         } else {
             self.apply_fleet(now, update);
         }
@@ -116,7 +121,7 @@
     }
 
     fn apply_upstreams(&mut self, now: Time, update: Update) {
-        let Update { changes, is_snapshot, table, silence } = update;
+        let Update { changes, is_snapshot, table, silence, .. } = update;
         self.registry.record_store_answer(now, silence);
         if is_snapshot {
             let listed: BTreeSet<&str> =
@@ -330,7 +335,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: Unchanged, _: &mut Context<Self, ()>) {
-        self.shared.listing.record_applied(message.0);
+        self.shared.listing.record_applied(message.version, message.follow);
     }
 }
 
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -358,12 +358,15 @@
     }
 }
 
-/// Whether an upstream lives: it answers a request without an id, which it does not run. The vm of a
-/// process that was killed may still accept connections while it closes others.
+/// Whether the start of the upstream that ran a request still lives: it answers, and no other start of it
+/// is listed. The next start answers as well, and may have begun while this relay was paused or cut off.
 pub async fn is_alive(flight: &Flight) -> bool {
-    if !flight.is_same_start() {
-        return false;
-    }
+    flight.is_same_start() && answers(flight).await && flight.is_surely_same_start().await
+}
+
+/// Whether an upstream answers a request without an id, which it does not run. The vm of a process that
+/// was killed may still accept connections while it closes others.
+async fn answers(flight: &Flight) -> bool {
     let Some(mut connection) = flight.open_connection().await else { return false };
     let Some(request) = liveness_request(&flight.upstream, flight.headers()) else { return false };
     let response = connection.sender.send_request(request);
@@ -373,7 +376,6 @@
         Ok(Ok(response)) => {
             response.status() != StatusCode::MISDIRECTED_REQUEST
                 && !response.headers().contains_key(&flight.headers().leaving)
-                && flight.is_same_start()
         }
         Ok(Err(_)) | Err(_) => false,
     }
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -172,6 +172,13 @@
         listed.is_none_or(|listed| listed.is_same_start(&self.upstream))
     }
 
+    /// The same, by a list that is certainly current. The store is asked only if the list is not followed.
+    pub async fn is_surely_same_start(&self) -> bool {
+        let is_current =
+            self.shared.is_listing_followed() || self.shared.is_listing_current().await;
+        is_current && self.is_same_start()
+    }
+
     /// Opens a connection for the request with this id, which [`Self::connect`] returns.
     ///
     /// # Errors
--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -13,6 +13,7 @@
 use crate::{
     directory::{Directory, Unchanged, Update},
     job::key,
+    listing::Follow,
     shared::Shared,
 };
 
@@ -91,6 +92,7 @@
     /// Follows the table until the process ends.
     pub async fn run(mut self) {
         loop {
+            let paused = self.shared.clock.paused();
             let (result, is_snapshot) = match self.version {
                 None => (self.snapshot().await, true),
                 Some(version) => (self.changes(version).await, false),
@@ -98,7 +100,8 @@
             match result {
                 Ok(changes) => {
                     let has_rows = !changes.rows.is_empty();
-                    self.apply(changes, is_snapshot).await;
+                    let until = self.shared.clock.now() + self.wait + ANSWER_MARGIN;
+                    self.apply(changes, is_snapshot, Follow { paused, until }).await;
                     if has_rows && self.table == key::FLEET {
                         sleep(self.coalescing_delay()).await;
                     }
@@ -136,7 +139,7 @@
         timeout(self.wait + ANSWER_MARGIN, call).await.unwrap_or_else(|_| Err(timeout_error()))
     }
 
-    async fn apply(&mut self, changes: Changes, is_snapshot: bool) {
+    async fn apply(&mut self, changes: Changes, is_snapshot: bool, follow: Follow) {
         if let Some(since) = self.lost_since.take() {
             event!(
                 FeedBack,
@@ -154,18 +157,26 @@
         self.shared.clock.record_store_time(changes.clock_ms);
         self.version = Some(changes.version.max(self.version.unwrap_or(0)));
         if changes.rows.is_empty() && !is_snapshot && silence < self.wait + ANSWER_MARGIN {
-            if self.table == self.shared.dialect.sources().upstream_table {
+            if self.is_listing() {
                 // Fails only if the directory actor has stopped, which the control thread logs.
-                let _ = self.directory.tell(Unchanged(changes.version)).await;
+                let _ = self.directory.tell(Unchanged { version: changes.version, follow }).await;
             }
             return;
         }
-        let update = Update { table: self.table.clone(), changes, is_snapshot, silence };
+        let update = Update { table: self.table.clone(), changes, is_snapshot, silence, follow };
         // Fails only if the directory actor has stopped, which the control thread logs.
         let _ = self.directory.tell(update).await;
     }
 
+    /// Whether the table holds the upstreams.
+    fn is_listing(&self) -> bool {
+        self.table == self.shared.dialect.sources().upstream_table
+    }
+
     fn record_failure(&mut self, error: &Error) {
+        if self.is_listing() {
+            self.shared.listing.record_loss();
+        }
         if self.lost_since.is_none() {
             self.lost_since = Some(Instant::now());
             event!(
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -4,7 +4,7 @@
 
 use std::{
     collections::HashMap,
-    future::poll_fn,
+    future::{pending, poll_fn},
     io,
     net::{self, IpAddr, Shutdown, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -58,6 +58,9 @@
     CloseCoded(u64),
     /// The same as `CloseAfter`, and crashes at that moment.
     KilledAfter(u64),
+    /// Sends neither length nor chunks, and nothing after this many events, or after half of a plain body,
+    /// until the runner crashes.
+    HangAfter(u64),
     /// Ends the head after the stamp, before what tells the type and the end of the body, and closes the
     /// connection.
     ShortHead,
@@ -590,8 +593,10 @@
                 let end = if fault.is_some() { body.len() / 2 } else { body.len() };
                 let head = unframed_head("200 OK", &headers);
                 stream.write_all(format!("{head}\r\n{}", &body[..end]).as_bytes()).await?;
-                if matches!(fault, Some(Fault::KilledAfter(_))) {
-                    self.crash();
+                match fault {
+                    Some(Fault::KilledAfter(_)) => self.crash(),
+                    Some(Fault::HangAfter(_)) => pending().await,
+                    _ => {}
                 }
                 return Ok(false);
             }
@@ -702,6 +707,11 @@
                 }
                 return Ok(false);
             }
+            if let Some(Fault::HangAfter(count)) = fault
+                && event >= first + count
+            {
+                return pending().await;
+            }
             if let Some(Fault::StallAfter(count)) = fault
                 && event >= first + count
             {
@@ -754,7 +764,12 @@
     /// Whether a successful response has neither length nor chunks.
     fn is_unframed(&self, fault: Option<Fault>) -> bool {
         match fault {
-            Some(Fault::CloseAfter(_) | Fault::CloseCoded(_) | Fault::KilledAfter(_)) => true,
+            Some(
+                Fault::CloseAfter(_)
+                | Fault::CloseCoded(_)
+                | Fault::KilledAfter(_)
+                | Fault::HangAfter(_),
+            ) => true,
             Some(_) => false,
             None => self.state().is_unframed,
         }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -212,7 +212,8 @@
     /// Fields: `request`, `upstream`, `event` (its id, 0 without one), `events` before it.
     1211 Warn EventUnnumbered "event_unnumbered" "position of an event in its stream is not known",
     /// The store did not confirm in time that this relay's list of upstreams is current. A stream that no
-    /// relay knows is not continued. Fields: `error`.
+    /// relay knows is not continued, and a response whose end only the close of its connection marks counts
+    /// as cut. Fields: `error`.
     1212 Warn ListUnconfirmed "list_unconfirmed" "list of upstreams may be out of date",
     /// A response names another request, or names none on a connection that has carried others. The
     /// request may have run. Fields: `request`, `upstream`, `status` of the response, `requests` on the
--- a/tests/relay_closed.rs
+++ b/tests/relay_closed.rs
@@ -3,10 +3,16 @@
 use std::time::Duration;
 
 use cyclamengrade_standins::{
-    bridge::{Fault, Harness},
+    bridge::{Fault, Faults, Harness, Run, Runner},
     client::{Client, Reply},
 };
 use googletest::prelude::*;
+use tokio::time::sleep;
+
+/// Longer than an upstream takes to start again, and than a call for changes of the list waits.
+const PAUSE: Duration = Duration::from_millis(1_700);
+/// Time from the crash of an upstream until its next start is listed.
+const RELIST_DELAY: Duration = Duration::from_millis(1_300);
 
 /// Returns the text of the first events of a stream.
 fn events(count: u64) -> String {
@@ -232,3 +238,117 @@
     }
     Ok(())
 }
+
+/// Pauses the relay, and lets an upstream start again and be listed meanwhile.
+async fn restart_unseen(harness: &Harness, runner: &Runner, service: &str) -> Result<()> {
+    harness.pause_relay(0)?;
+    runner.restart();
+    sleep(RELIST_DELAY).await;
+    harness.store.put("servers", &runner.id, &runner.entry(service, "ready"));
+    sleep(PAUSE - RELIST_DELAY).await;
+    harness.resume_relay(0)?;
+    Ok(())
+}
+
+/// Requests a stream that cannot be resumed, and pauses its relay after four events. If `restarts`, its
+/// upstream starts again meanwhile. Returns the text, and whether the response is complete.
+async fn read_paused(harness: &Harness, id: &str, restarts: bool) -> Result<(String, bool)> {
+    let call = harness.call(0, "once", id).with_header("token-counts", "10,40");
+    let mut response = Client::new().open(call).await?;
+    let mut text = String::new();
+    while text != events(4) {
+        text += &response.next_event().await?.or_fail()?;
+    }
+    let is_serving = |run: &Run| run.id == id;
+    let mut runners = harness.runners.iter();
+    let serving = runners.find(|runner| runner.runs().iter().any(is_serving)).or_fail()?;
+    if restarts {
+        restart_unseen(harness, serving, "model").await?;
+    } else {
+        harness.pause_relay(0)?;
+        sleep(PAUSE).await;
+        harness.resume_relay(0)?;
+    }
+    loop {
+        match response.next_event().await {
+            Ok(Some(event)) => text += &event,
+            Ok(None) => return Ok((text, true)),
+            Err(_) => return Ok((text, false)),
+        }
+    }
+}
+
+/// Guards against a cut stream that ends as complete, because its upstream has started again while the
+/// relay was paused, and the relay does not know the next start yet.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unseen_restart() -> Result<()> {
+    let harness = start_unframed().await?;
+    for round in 0..3 {
+        let (text, is_complete) = read_paused(&harness, &format!("s-{round}"), true).await?;
+        expect_that!(text, not(eq(&events(40))), "round {round}");
+        expect_that!(is_complete, eq(false), "round {round}: {text}");
+    }
+    Ok(())
+}
+
+/// Guards against half of a plain body that is passed on as all of it, because its upstream has started
+/// again while the relay was paused.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unseen_body() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    for round in 0..3 {
+        harness.plain.queue_faults(&[Fault::HangAfter(0)]);
+        let restart = async {
+            let runs = async || (harness.plain.runs().len() > round).then_some(());
+            harness.eventually("the request runs", runs).await?;
+            restart_unseen(&harness, &harness.plain, "plain").await
+        };
+        let call = harness.call(0, "unsafe", &format!("r-{round}"));
+        let (reply, restarted) = tokio::join!(harness.send(call), restart);
+        restarted?;
+        expect_that!(reply?.status, eq(502), "round {round}");
+    }
+    Ok(())
+}
+
+/// Guards against a cut stream that ends as complete, because its upstream has started again while the
+/// relay was paused, and the store does not say so.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_restart() -> Result<()> {
+    let harness = start_unframed().await?;
+    harness.store.set_faults(Faults { silent_table: Some("servers"), ..Faults::default() });
+    let (text, is_complete) = read_paused(&harness, "s-1", true).await?;
+    expect_that!(is_complete, eq(false), "{text}");
+    Ok(())
+}
+
+/// Guards against a whole stream that counts as cut because its relay was paused.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_relay() -> Result<()> {
+    let harness = start_unframed().await?;
+    for round in 0..3 {
+        let (text, is_complete) = read_paused(&harness, &format!("s-{round}"), false).await?;
+        expect_that!(text, eq(&events(40)), "round {round}");
+        expect_that!(is_complete, eq(true), "round {round}");
+    }
+    Ok(())
+}
+
+/// Guards against a call to the store for each response without a marked end.
+#[gtest]
+#[tokio::test]
+async fn calm_store() -> Result<()> {
+    const RESPONSES: u64 = 60;
+    let harness = start_unframed().await?;
+    let calls = harness.store.calls();
+    for number in 0..RESPONSES {
+        let reply = harness.send(harness.call(0, "unsafe", &format!("r-{number}"))).await?;
+        expect_that!(reply.status, eq(200));
+    }
+    // The relay's own calls go on.
+    verify_that!(harness.store.calls() - calls, lt(RESPONSES / 3))
+}
