Judge other relays only by messages that were read

Jobs ran their items twice. In a fleet of up to three relays, a relay that got no processor time for longer than 1.5 s took over most of the jobs of the others when it went on, although both had reported to it all the time. Their runs were dropped, and others started. In larger fleets a guard ignores the silence of most relays at once.

The timer of the traffic thread fires before the control thread has read the messages that came meanwhile, and the silence of the others was measured up to now. It is now measured up to the last time at which the socket had nothing to read. The system is asked for that, since the runtime may not know of new messages yet. The same holds while the control thread is busy, for example with a large configuration.

The same false silence makes a relay choose itself as the broker of all shards; that is read, not run. Ruled out: a wait after each pause, which a vm with little processor time would never end. Messages stay as they are.

--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -79,7 +79,7 @@
 /// A bound UDP socket that sends and receives messages.
 pub struct Socket {
     receiver: UdpSocket,
-    /// Handle of the same socket for sending without waiting.
+    /// Handle of the same socket for sending and reading without waiting.
     sender: std::net::UdpSocket,
 }
 
@@ -110,6 +110,24 @@
         self.sender.send_to(&encode(message).encode_to_vec(), to).is_ok()
     }
 
+    /// Returns the next well-formed message that has arrived, without waiting. Asks the system, since the
+    /// runtime may not know yet of what came while the process was stopped.
+    pub fn try_receive(&self, buffer: &mut Vec<u8>) -> Option<(SocketAddr, Message)> {
+        buffer.resize(MAX_DATAGRAM_BYTES, 0);
+        loop {
+            let (length, from) = match self.sender.recv_from(buffer) {
+                Ok(received) => received,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
+                // As in `receive`.
+                Err(_) => continue,
+            };
+            let message = wire::SlotMessage::decode(&buffer[..length]).ok();
+            if let Some(message) = message.and_then(decode) {
+                return Some((from, message));
+            }
+        }
+    }
+
     /// Waits for the next well-formed message and ignores malformed ones.
     pub async fn receive(&self, buffer: &mut Vec<u8>) -> (SocketAddr, Message) {
         buffer.resize(MAX_DATAGRAM_BYTES, 0);
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -17,7 +17,10 @@
 };
 use cyclamengrade_peer::slots::{Ack, Content, Message, Socket};
 use cyclamengrade_telemetry::event;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::consume_budget,
+    time::{sleep, timeout},
+};
 
 use crate::shared::{MONITOR_KEY, MONITORS, Phase, Shared};
 
@@ -93,7 +96,18 @@
     loop {
         let is_busy = shared.broker_state().has_waiting();
         let limit = if is_busy { BUSY_TICK } else { IDLE_TICK };
-        if let Ok((from, message)) = timeout(limit, socket.receive(&mut buffer)).await {
+        let now = shared.clock.now();
+        let received = match socket.try_receive(&mut buffer) {
+            Some(received) => {
+                consume_budget().await;
+                Some(received)
+            }
+            None => {
+                shared.record_heard(now);
+                timeout(limit, socket.receive(&mut buffer)).await.ok()
+            }
+        };
+        if let Some((from, message)) = received {
             server.handle(from, message);
         }
         let now = shared.clock.now();
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -166,6 +166,8 @@
     joined_ms: AtomicU64,
     /// Time of the last news of the other relays' state, in microseconds of the monotonic clock.
     last_news: AtomicU64,
+    /// Up to when this relay has read what the others sent.
+    heard_until: AtomicU64,
     /// Wakes the dispatcher of batch items after a change that may start or stop one.
     pub batch_changed: Notify,
     /// Phase of this relay.
@@ -234,6 +236,7 @@
             peer: OnceLock::new(),
             joined_ms: AtomicU64::new(u64::MAX),
             last_news: AtomicU64::new(0),
+            heard_until: AtomicU64::new(0),
             batch_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
             stop: watch::Sender::default(),
@@ -336,7 +339,12 @@
 
     /// Records that a monitor told the state of the other relays.
     pub fn record_news(&self, now: Time) {
-        self.last_news.store(now.0, Ordering::Relaxed);
+        self.last_news.fetch_max(now.0, Ordering::Relaxed);
+    }
+
+    /// Records that this relay has read all messages that had arrived at `now`.
+    pub fn record_heard(&self, now: Time) {
+        self.heard_until.store(now.0, Ordering::Relaxed);
     }
 
     /// Returns the time of the last news of the other relays' state.
@@ -369,12 +377,16 @@
         if !monitors.iter().any(|(name, _)| *name == self.name) {
             return false;
         }
+        // Messages that came while this process was stopped wait to be read.
+        let heard = Time(self.heard_until.load(Ordering::Relaxed));
         let seen = self.last_news();
         let mut members = self.members();
         let present = || members.values().filter(|member| !member.health.is_absent(now, seen));
         let (present, silent) = (
             present().count(),
-            present().filter(|member| member.health.own_silence(now) > owner::PEER_TIMEOUT).count(),
+            present()
+                .filter(|member| member.health.own_silence(heard) > owner::PEER_TIMEOUT)
+                .count(),
         );
         if present >= MONITORS && silent * 2 > present {
             return true;
@@ -383,7 +395,7 @@
             member.health.record_own_observation();
         }
         drop(members);
-        self.record_news(now);
+        self.record_news(heard);
         false
     }
 
