--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -115,12 +115,8 @@
     pub fn try_receive(&self, buffer: &mut Vec<u8>) -> Option<(SocketAddr, Message)> {
         buffer.resize(MAX_DATAGRAM_BYTES, 0);
         loop {
-            let (length, from) = match self.sender.recv_from(buffer) {
-                Ok(received) => received,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
-                // As in `receive`.
-                Err(_) => continue,
-            };
+            // An error lasts for one call, and `receive` goes on after it.
+            let (length, from) = self.sender.recv_from(buffer).ok()?;
             let message = wire::SlotMessage::decode(&buffer[..length]).ok();
             if let Some(message) = message.and_then(decode) {
                 return Some((from, message));
