Do not end a request that was given up for an upstream which refuses it

A request whose silent run was given up before its first event ended with 502 when the granted upstream was full, and refusals from before the first event counted towards the limit on refusals of the stream (seeds 4, 12 and 25).

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -85,7 +85,7 @@
     successor: Option<(Flight, Placement)>,
     /// Search for such an upstream while the current attempt is silent.
     search: Option<Search>,
-    /// Whether the caller has got a part of the answer.
+    /// Whether the caller has got a part of the answer, or a run was given up for another upstream.
     is_underway: bool,
     /// Memory reserved for the body.
     _memory: Option<Reservation>,
@@ -149,9 +149,11 @@
         Self { _memory: Some(memory), ..self }
     }
 
-    /// Records that the caller has got a part of the answer.
+    /// Records that the caller has got a part of the answer, or that a run was given up. From then on,
+    /// refusals do not end the request.
     pub const fn record_underway(&mut self) {
         self.is_underway = true;
+        self.attempts.not_run = 0;
     }
 
     /// Returns the time until the deadline.
@@ -177,7 +179,7 @@
             return next.await;
         }
         let limit = self.silence_timeout();
-        let is_underway = self.is_underway;
+        let is_underway = self.time_to_first_byte.is_some();
         let silence = async {
             flight.silence(limit).await;
             if is_underway && flight.quiet_time() < limit {
@@ -206,6 +208,7 @@
         };
         self.search = None;
         self.successor = Some(successor);
+        self.record_underway();
         Err(Failure::Silent)
     }
 
