Play quiet and full upstreams and stopped relays in the soak

Plan::quiet has nothing that fails: upstreams are quiet for 0.5 to 3 s in streams, plain responses and batch runs; callers of streams are 1.2 times the slots, which the stand-ins enforce with 503 and Not-Run; relays are stopped for 0.8 to 2 s, several at a time, or run 20 of each 100 ms; the configuration moves the streams to another service and back, upstreams drain, and versions are rolled out. Two promises are new: Whole, a response is not cut and no other status than 503 comes before 7/10 of the deadline; Deadline, the final answer comes within 0.5 s after the deadline, without the time for which the relay was stopped. Runs that relays drop before their time limits are counted.

A stand-in with slots notices at once that a run was dropped. Upstreams that mark no end of a response are left out: they are the subject of the other plan. A queue of the stand-in is left out as well: PROTOCOL.md lets a runner answer 503 when it is full.

--- a/components/standins/src/bridge/caller.rs
+++ b/components/standins/src/bridge/caller.rs
@@ -7,7 +7,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -17,13 +17,21 @@
 };
 
 use crate::{
-    bridge::{HOST, Job, Runner},
-    client::{Call, Client},
+    bridge::{HOST, Job, Profile, Runner, Size},
+    client::{Call, Client, Reply},
 };
 
 const DEADLINE_MS: u64 = 5_000;
 /// Longer than the deadline, by which a relay has to respond.
 const CALL_TIMEOUT: Duration = Duration::from_secs(7);
+/// The same, where relays are stopped.
+const STOPPED_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after the deadline by which the last byte of an answer has arrived.
+const DEADLINE_SLACK: Duration = Duration::from_millis(500);
+/// Time of a request within which a sound upstream's response is not given up: 7/10 of the deadline.
+const WHOLE_TIME: Duration = Duration::from_millis(DEADLINE_MS / 10 * 7);
+/// Callers of streams for each caller of other routes where upstreams are full.
+const STREAM_SHARE: usize = 3;
 /// Events of each batch item.
 pub const ITEM_EVENTS: u64 = 30;
 /// Requests for one stream, including those that continue it.
@@ -48,6 +56,10 @@
     Once,
     /// Every item of an accepted job is listed once, with all of its text.
     Item,
+    /// The response of an upstream that nothing befalls arrives whole, unless most of its time has passed.
+    Whole,
+    /// Every request has its final answer when its deadline has passed.
+    Deadline,
 }
 
 /// Evidence that a promise was broken.
@@ -65,12 +77,60 @@
     }
 }
 
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Outcome {
+    Answered,
+    Refused,
+    /// Another status than a success or a refusal.
+    Status(u16),
+    Broken(String),
+}
+
+/// A request and what became of it.
+#[derive(Debug)]
+struct Exchange {
+    id: String,
+    relay: SocketAddr,
+    begin: Instant,
+    end: Instant,
+    outcome: Outcome,
+}
+
+/// Times in which relays were stopped.
+#[derive(Debug, Default)]
+pub struct Stops(Vec<(SocketAddr, Instant, Option<Instant>)>);
+
+impl Stops {
+    /// Notes that a relay is stopped, unless it is.
+    pub fn begin(&mut self, relay: SocketAddr) {
+        if !self.0.iter().any(|(stopped, _, end)| *stopped == relay && end.is_none()) {
+            self.0.push((relay, Instant::now(), None));
+        }
+    }
+
+    pub fn end(&mut self, relay: SocketAddr) {
+        let open = self.0.iter_mut().filter(|(stopped, _, end)| *stopped == relay && end.is_none());
+        open.for_each(|(_, _, end)| *end = Some(Instant::now()));
+    }
+
+    /// Returns for how long a relay was stopped between two moments.
+    fn time(&self, relay: SocketAddr, begin: Instant, end: Instant) -> Duration {
+        let stops = self.0.iter().filter(|(stopped, ..)| *stopped == relay);
+        let times = stops.map(|(_, from, to)| {
+            to.unwrap_or(end).min(end).saturating_duration_since((*from).max(begin))
+        });
+        times.sum()
+    }
+}
+
 /// What the callers saw.
 #[derive(Debug, Default)]
 pub struct Record {
     pub refused: BTreeSet<String>,
     /// Requests that may run at most once, and whether they were answered.
     once: BTreeMap<String, bool>,
+    exchanges: Vec<Exchange>,
     contradictions: Vec<Contradiction>,
     /// Streams that were read to their end.
     pub streams: u64,
@@ -107,6 +167,38 @@
         });
         seen.cloned().chain(refused).chain(once).collect()
     }
+
+    /// Returns the promises that were broken although nothing failed while the callers used the relays.
+    pub fn quiet_contradictions<'a>(
+        &self,
+        runners: impl Iterator<Item = &'a Runner> + Clone,
+        stops: &Stops,
+    ) -> Vec<Contradiction> {
+        let mut contradictions = Vec::new();
+        for Exchange { id, relay, begin, end, outcome } in &self.exchanges {
+            let time = *end - *begin;
+            let stopped = stops.time(*relay, *begin, *end);
+            let mut note = |promise| {
+                let mut text = format!("{relay}: {outcome:?} after {time:?}, stopped {stopped:?}");
+                for runner in runners.clone() {
+                    for run in runner.runs().iter().filter(|run| run.id == *id) {
+                        let after = |at: Instant| at.saturating_duration_since(*begin);
+                        let (start, end) = (after(run.started), run.ended);
+                        let end = end.map(|(at, end)| (after(at), end));
+                        text += &format!("; {} ran it from {start:?} to {end:?}", runner.id);
+                    }
+                }
+                contradictions.push(Contradiction::new(promise, id, text));
+            };
+            if time > Duration::from_millis(DEADLINE_MS) + DEADLINE_SLACK + stopped {
+                note(Promise::Deadline);
+            }
+            if matches!(outcome, Outcome::Status(_) | Outcome::Broken(_)) && time < WHOLE_TIME {
+                note(Promise::Whole);
+            }
+        }
+        contradictions
+    }
 }
 
 /// State that all callers share.
@@ -136,16 +228,25 @@
 
 impl Callers {
     /// Starts callers whose choices follow from `seed`.
-    pub fn start(count: usize, seed: u64, addresses: Vec<SocketAddr>) -> Self {
+    pub fn start(profile: Profile, size: Size, seed: u64, addresses: Vec<SocketAddr>) -> Self {
         let shared = Arc::new(Shared { addresses: Mutex::new(addresses), ..Shared::default() });
         let start = |number| {
             let caller = Caller {
                 client: Client::new(),
                 shared: shared.clone(),
                 random: StdRng::seed_from_u64(seed * 1_000 + number),
+                uses: match profile {
+                    Profile::Faulty => Uses::All,
+                    Profile::Quiet if number < size.callers as u64 => Uses::Streams,
+                    Profile::Quiet => Uses::Others,
+                },
             };
             tokio::spawn(caller.run())
         };
+        let count = match profile {
+            Profile::Faulty => size.callers,
+            Profile::Quiet => size.callers + size.callers.div_ceil(STREAM_SHARE),
+        };
         let tasks = (0..count as u64).map(start).collect();
         Self { shared, tasks }
     }
@@ -202,7 +303,18 @@
     }
 }
 
+/// Routes that a caller uses.
+#[derive(Clone, Copy)]
+enum Uses {
+    All,
+    /// Online requests of streams alone.
+    Streams,
+    /// Plain requests and jobs.
+    Others,
+}
+
 struct Caller {
+    uses: Uses,
     client: Client,
     shared: Arc<Shared>,
     random: StdRng,
@@ -211,7 +323,12 @@
 impl Caller {
     async fn run(mut self) {
         while !self.shared.is_stopped.load(Ordering::Relaxed) {
-            match self.random.random_range(0..20) {
+            let choices = match self.uses {
+                Uses::All => 0..20,
+                Uses::Streams => 0..12,
+                Uses::Others => 12..20,
+            };
+            match self.random.random_range(choices) {
                 0..10 => self.stream("stream", STREAM_REQUESTS).await,
                 10..12 => self.stream("once", 1).await,
                 12..18 => self.single().await,
@@ -241,7 +358,19 @@
             .with_header("request-id", id)
             .with_header("deadline-ms", DEADLINE_MS.to_string())
             .with_body(id.to_owned())
-            .with_timeout(CALL_TIMEOUT)
+            .with_timeout(self.timeout())
+    }
+
+    const fn timeout(&self) -> Duration {
+        match self.uses {
+            Uses::All => CALL_TIMEOUT,
+            Uses::Streams | Uses::Others => STOPPED_TIMEOUT,
+        }
+    }
+
+    fn record(&self, id: &str, relay: SocketAddr, begin: Instant, outcome: Outcome) {
+        let (id, end) = (id.to_owned(), Instant::now());
+        self.shared.record().exchanges.push(Exchange { id, relay, begin, end, outcome });
     }
 
     fn note(&self, promise: Promise, id: &str, text: String) {
@@ -284,12 +413,25 @@
         if route == "once" {
             self.shared.record().once.insert(id.to_owned(), false);
         }
-        let Ok(mut response) = self.client.open(call).await else { return false };
-        if response.status == 503 {
-            self.shared.record().refused.insert(id.to_owned());
-        }
-        if response.status != 200 {
-            return false;
+        let (relay, begin) = (call.address(), Instant::now());
+        let mut response = match self.client.open(call).await {
+            Ok(response) => response,
+            Err(error) => {
+                self.record(id, relay, begin, Outcome::Broken(error.to_string()));
+                return false;
+            }
+        };
+        match response.status {
+            200 => {}
+            503 => {
+                self.shared.record().refused.insert(id.to_owned());
+                self.record(id, relay, begin, Outcome::Refused);
+                return false;
+            }
+            status => {
+                self.record(id, relay, begin, Outcome::Status(status));
+                return false;
+            }
         }
         loop {
             match response.next_event().await {
@@ -300,10 +442,15 @@
                     }
                 }
                 Ok(None) => {
+                    self.record(id, relay, begin, Outcome::Answered);
                     self.end(route, stream, id);
                     return true;
                 }
-                Err(_) => return false,
+                Err(error) => {
+                    let text = format!("{error} after event {}", stream.last);
+                    self.record(id, relay, begin, Outcome::Broken(text));
+                    return false;
+                }
             }
         }
     }
@@ -333,7 +480,7 @@
             self.shared.record().once.insert(id.clone(), false);
         }
         let call = self.call(route, &id);
-        let Ok(reply) = self.client.send(call).await else { return };
+        let Some(reply) = self.send(&id, call, 200).await else { return };
         match reply.status {
             503 => _ = self.shared.record().refused.insert(id),
             200 if reply.text() != format!("answer to {id}") => {
@@ -344,13 +491,33 @@
         }
     }
 
+    /// Sends a plain request, whose answer has the status `success`.
+    async fn send(&self, id: &str, call: Call, success: u16) -> Option<Reply> {
+        let (relay, begin) = (call.address(), Instant::now());
+        match self.client.send(call).await {
+            Ok(reply) => {
+                let outcome = match reply.status {
+                    status if status == success => Outcome::Answered,
+                    503 => Outcome::Refused,
+                    status => Outcome::Status(status),
+                };
+                self.record(id, relay, begin, outcome);
+                Some(reply)
+            }
+            Err(error) => {
+                self.record(id, relay, begin, Outcome::Broken(error.to_string()));
+                None
+            }
+        }
+    }
+
     async fn submit(&mut self) {
         let job = Job::new(&self.id(), self.random.random_range(1..6));
         let call = job
             .submission(self.address(), "batch", ITEM_EVENTS)
             .with_header("deadline-ms", DEADLINE_MS.to_string())
-            .with_timeout(CALL_TIMEOUT);
-        let Ok(reply) = self.client.send(call).await else { return };
+            .with_timeout(self.timeout());
+        let Some(reply) = self.send(&job.id, call, 202).await else { return };
         match reply.status {
             202 => self.shared.record().jobs.push(job),
             503 => self.shared.record().refused.extend(job.items),
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -93,6 +93,8 @@
     /// Time from the submission of a job until its items may be abandoned, in seconds; routes have it
     /// from the next configuration on.
     pub retention_s: u64,
+    /// Service of the resumable streams, from the next configuration on.
+    pub stream_service: &'static str,
     relays: Vec<Relay>,
     program: PathBuf,
     /// Program of an older build, which relays run at every other start.
@@ -163,6 +165,7 @@
             runners,
             plain,
             retention_s: 60,
+            stream_service: "model",
             relays: Vec::new(),
             program,
             older_program,
@@ -203,7 +206,7 @@
             })
         };
         let mut routes = vec![
-            route("stream", "stream", "model"),
+            route("stream", "stream", self.stream_service),
             route("once", "stream", "model"),
             route("safe", "safe", "plain"),
             route("unsafe", "unsafe", "plain"),
@@ -214,6 +217,7 @@
         routes.extend(extra_routes.as_array().cloned().unwrap_or_default());
         let services = json!([
             {"Name": "model", "HealthPath": "/healthz", "MaxConns": 100},
+            {"Name": "other", "HealthPath": "/healthz", "MaxConns": 100},
             {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100}
         ]);
         let limits = json!({
--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -6,15 +6,17 @@
 mod links;
 mod listing;
 mod plan;
+mod run;
 mod runner;
 mod store;
 
 use self::harness::HOST;
 pub use self::{
-    caller::{Callers, Contradiction, ITEM_EVENTS, Promise, Record},
+    caller::{Callers, Contradiction, ITEM_EVENTS, Promise, Record, Stops},
     harness::{Harness, Job},
     links::{Cut, Links},
-    plan::{Disturbance, Plan, Size, Step},
-    runner::{Answer, Endless, Fault, Mark, Moment, Naming, Repeated, Run, Runner},
+    plan::{Disturbance, Plan, Profile, Size, Step},
+    run::{End, Run},
+    runner::{Answer, Endless, Fault, Mark, Moment, Naming, Repeated, Runner},
     store::{Faults, Store},
 };
--- a/components/standins/src/bridge/plan.rs
+++ b/components/standins/src/bridge/plan.rs
@@ -17,7 +17,30 @@
     pub seconds: u64,
 }
 
+/// Whether anything fails in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Profile {
+    /// Processes and connections fail, and upstreams answer wrongly.
+    Faulty,
+    /// Nothing fails: upstreams are quiet and full, relays get no processor time, and the configuration changes.
+    Quiet,
+}
+
 impl Size {
+    /// Upstreams of the service that a plan moves the streams to.
+    pub const OTHERS: usize = 4;
+
+    /// Returns the service of an upstream, of which those after `runners` are of the other one.
+    pub const fn service(self, runner: usize) -> &'static str {
+        if runner < self.runners { "model" } else { "other" }
+    }
+
+    /// Returns the slots of each upstream under which the callers are a load of about 1.2.
+    pub const fn slots(self) -> usize {
+        let slots = self.callers * 5 / (self.runners * 6);
+        if slots == 0 { 1 } else { slots }
+    }
+
     /// Returns the software version of a runner.
     pub const fn version(runner: usize) -> &'static str {
         if (runner / 2).is_multiple_of(2) { "v1" } else { "v2" }
@@ -59,6 +82,8 @@
     Configure,
     /// Writes a version of the configuration without the batch route.
     RemoveRoute,
+    /// Moves the streams to a service with a new version of the configuration.
+    Move(&'static str),
     /// Lets a runner say that it is leaving.
     Leave(usize),
     /// Starts a runner again under its id, and lists the new start.
@@ -98,8 +123,49 @@
     Release,
     /// An upstream sends an event without end.
     Endless,
+    /// An upstream is quiet in some of its responses and goes on.
+    Quiet,
+    /// All upstreams are quiet at the same time.
+    QuietAll,
+    /// The upstream of plain responses is quiet.
+    QuietService,
+    /// A relay gets no processor time for about a second, or several do.
+    Stop,
+    StopMany,
+    /// A relay gets a fifth of the processor time for a second.
+    Quota,
+    /// The streams are another service's for a time.
+    Move,
 }
 
+/// Disturbances of a quiet plan, each series with the range of times between two of them in milliseconds.
+const QUIET_SERIES: [(&[Disturbance], Range<u64>); 4] = [
+    (&[Disturbance::Quiet, Disturbance::Quiet, Disturbance::Quiet, Disturbance::QuietAll], 40..250),
+    (&[Disturbance::QuietService], 40..300),
+    (
+        &[Disturbance::Stop, Disturbance::Stop, Disturbance::StopMany, Disturbance::Quota],
+        300..1_500,
+    ),
+    (
+        &[
+            Disturbance::Configuration,
+            Disturbance::Move,
+            Disturbance::Rollout,
+            Disturbance::Listing,
+        ],
+        100..600,
+    ),
+];
+/// Times in milliseconds for which upstreams are quiet and relays stopped.
+const QUIET_MS: Range<u64> = 500..3_000;
+const STOP_MS: Range<u64> = 800..2_000;
+/// Events before an upstream is quiet.
+const QUIET_EVENTS: Range<u64> = 0..30;
+/// Times of a quota: a relay is stopped for the first in each period, for so many periods.
+const QUOTA_STOP: Duration = Duration::from_millis(80);
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+const QUOTA_PERIODS: u32 = 10;
+
 /// Disturbances that are added to the plan of a seed by a generator of their own.
 const ADDED: [Disturbance; 4] =
     [Disturbance::KillMost, Disturbance::MissingRoute, Disturbance::Release, Disturbance::Endless];
@@ -130,6 +196,7 @@
 /// Times and steps of all faults of a run. It follows from the seed and the size alone.
 #[derive(Debug)]
 pub struct Plan {
+    pub profile: Profile,
     /// In order of time, from the start of the run.
     pub steps: Vec<(Duration, Step)>,
     pub disturbances: BTreeMap<Disturbance, u32>,
@@ -137,8 +204,7 @@
 
 impl Plan {
     pub fn new(seed: u64, size: Size) -> Self {
-        let random = StdRng::seed_from_u64(seed);
-        let mut planner = Planner { random, size, now: Duration::ZERO, steps: Vec::new() };
+        let mut planner = Planner::new(seed, size, Profile::Faulty);
         let mut disturbances = BTreeMap::new();
         let end = Duration::from_secs(size.seconds);
         while planner.now < end {
@@ -166,21 +232,50 @@
             let pause = planner.time(1_000..5_000);
             planner.now += pause;
         }
-        let mut steps = planner.steps;
-        steps.retain(|(at, _)| *at < end);
-        steps.sort_by_key(|(at, _)| *at);
-        Self { steps, disturbances }
+        planner.finish(disturbances)
+    }
+
+    /// Creates a plan under which no process, connection or answer fails.
+    pub fn quiet(seed: u64, size: Size) -> Self {
+        let mut planner = Planner::new(seed, size, Profile::Quiet);
+        let mut disturbances = BTreeMap::new();
+        let end = Duration::from_secs(size.seconds);
+        for (choices, pauses) in QUIET_SERIES {
+            planner.now = planner.time(pauses.clone());
+            while planner.now < end {
+                let disturbance = choices[planner.random.random_range(0..choices.len())];
+                *disturbances.entry(disturbance).or_default() += 1;
+                planner.add(disturbance);
+                let pause = planner.time(pauses.clone());
+                planner.now += pause;
+            }
+        }
+        planner.finish(disturbances)
     }
 }
 
 struct Planner {
     random: StdRng,
     size: Size,
+    profile: Profile,
     now: Duration,
     steps: Vec<(Duration, Step)>,
 }
 
 impl Planner {
+    fn new(seed: u64, size: Size, profile: Profile) -> Self {
+        let random = StdRng::seed_from_u64(seed);
+        Self { random, size, profile, now: Duration::ZERO, steps: Vec::new() }
+    }
+
+    fn finish(self, disturbances: BTreeMap<Disturbance, u32>) -> Plan {
+        let end = Duration::from_secs(self.size.seconds);
+        let mut steps = self.steps;
+        steps.retain(|(at, _)| *at < end);
+        steps.sort_by_key(|(at, _)| *at);
+        Plan { profile: self.profile, steps, disturbances }
+    }
+
     fn disturbance(&mut self) -> Disturbance {
         let sum = SHARES.iter().map(|(_, share)| share).sum();
         let mut left = self.random.random_range(0..sum);
@@ -317,9 +412,59 @@
                 let fault = Fault::Endless(Endless::Event);
                 self.step(Duration::ZERO, Step::Upstream(runner, vec![fault]));
             }
+            Disturbance::Quiet => {
+                let runner = self.random.random_range(0..self.size.runners + Size::OTHERS);
+                let count = self.random.random_range(1..=self.size.slots());
+                let faults = (0..count).map(|_| self.quiet()).collect();
+                self.step(Duration::ZERO, Step::Upstream(runner, faults));
+            }
+            Disturbance::QuietAll => {
+                let fault = self.quiet();
+                for runner in 0..self.size.runners + Size::OTHERS {
+                    self.step(
+                        Duration::ZERO,
+                        Step::Upstream(runner, vec![fault; self.size.slots()]),
+                    );
+                }
+            }
+            Disturbance::QuietService => {
+                let fault = self.quiet();
+                self.step(Duration::ZERO, Step::Service(fault));
+            }
+            Disturbance::Stop => {
+                let relay = self.relay();
+                self.stop(vec![relay]);
+            }
+            Disturbance::StopMany => {
+                let relays = self.relays(1);
+                self.stop(relays);
+            }
+            Disturbance::Quota => {
+                let relay = self.relay();
+                for period in 0..QUOTA_PERIODS {
+                    let begin = QUOTA_PERIOD * period;
+                    self.step(begin, Step::Pause(vec![relay]));
+                    self.step(begin + QUOTA_STOP, Step::Resume(vec![relay]));
+                }
+            }
+            Disturbance::Move => {
+                self.step(Duration::ZERO, Step::Move("other"));
+                let back = self.time(200..900);
+                self.step(back, Step::Move("model"));
+            }
         }
     }
 
+    fn quiet(&mut self) -> Fault {
+        Fault::QuietAfter(self.random.random_range(QUIET_EVENTS), self.time(QUIET_MS))
+    }
+
+    fn stop(&mut self, relays: Vec<usize>) {
+        self.step(Duration::ZERO, Step::Pause(relays.clone()));
+        let stop = self.time(STOP_MS);
+        self.step(stop, Step::Resume(relays));
+    }
+
     /// Cuts the links of one relay, of several or of all.
     fn cut(&mut self) {
         let share = [1, 2, self.size.relays][self.random.random_range(0..3)];
@@ -388,7 +533,7 @@
         self.step(Duration::ZERO, Step::List(old.clone(), "draining"));
         let removed = self.time(20..1_500);
         self.step(removed, Step::Unlist(old.clone()));
-        if self.random.random_bool(0.5) {
+        if self.profile == Profile::Faulty && self.random.random_bool(0.5) {
             let ended = removed + self.time(0..300);
             self.step(ended, Step::Crash(old.clone()));
         }
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -4,7 +4,7 @@
 
 use std::{
     collections::HashMap,
-    future::poll_fn,
+    future::{pending, poll_fn},
     io,
     net::{self, IpAddr, Shutdown, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -21,10 +21,14 @@
     time::sleep,
 };
 
+use crate::bridge::{End, Run};
+
 /// Time from the start of a request that crashes the runner to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Time from a crash until the runner has started again.
 const RESTART_TIME: Duration = Duration::from_millis(1_000);
+/// Slots that an entry states unless they are limited.
+const DEFAULT_SLOTS: usize = 8;
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -193,17 +197,20 @@
     LargeEvents,
 }
 
-/// Record of a request that ran.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Run {
-    pub id: String,
-    /// Number of the last event that the caller already had (`Last-Event-Id`); `None` for a new
-    /// stream.
-    pub after: Option<u64>,
-    /// Time limit of the request in milliseconds (`Deadline-Ms`).
-    pub deadline_ms: Option<u64>,
-    /// When the run started.
-    pub started: Instant,
+/// A run that takes one of the slots until it is dropped.
+struct Occupancy<'a> {
+    runner: &'a Runner,
+    /// Index of the run.
+    run: usize,
+    end: End,
+}
+
+impl Drop for Occupancy<'_> {
+    fn drop(&mut self) {
+        let mut state = self.runner.state();
+        state.occupied -= 1;
+        state.runs[self.run].ended = Some((Instant::now(), self.end));
+    }
 }
 
 #[derive(Default)]
@@ -215,6 +222,10 @@
     faults: Vec<Fault>,
     runs: Vec<Run>,
     connections: usize,
+    /// Requests that may run at the same time; without a limit if it is `None`.
+    slots: Option<usize>,
+    /// Requests that run.
+    occupied: usize,
     is_leaving: bool,
     /// Number of starts before this one, which the entry states after the first.
     restarts: u64,
@@ -294,11 +305,14 @@
 
     /// Returns the value of its row in the store's `servers` table.
     pub fn entry(&self, service: &str, state: &str) -> Value {
+        let (slots, restarts) = {
+            let state = self.state();
+            (state.slots.unwrap_or(DEFAULT_SLOTS), state.restarts)
+        };
         let mut entry = json!({
-            "Service": service, "Address": self.address, "Zone": self.data_centre, "Version": self.version, "Slots": 8,
-            "State": state, "ColdLeftMs": 0, "CallSeq": 0
+            "Service": service, "Address": self.address, "Zone": self.data_centre, "Version": self.version,
+            "Slots": slots, "State": state, "ColdLeftMs": 0, "CallSeq": 0
         });
-        let restarts = self.state().restarts;
         if restarts > 0 {
             entry["born"] = json!(restarts);
         }
@@ -313,6 +327,16 @@
         state.is_leaving = false;
     }
 
+    /// Refuses requests as not run while this many run. Entries from then on state the number.
+    pub fn limit_slots(&self, slots: usize) {
+        self.state().slots = Some(slots);
+    }
+
+    /// Forgets the faults that no response has had yet.
+    pub fn clear_faults(&self) {
+        self.state().faults.clear();
+    }
+
     /// Queues faults for the next responses, one fault for each response in this order.
     pub fn queue_faults(&self, faults: &[Fault]) {
         self.state().faults.extend_from_slice(faults);
@@ -515,6 +539,15 @@
             write_plain(stream, "400 Bad Request", &[("Not-Run", "1")], "").await?;
             return Ok(true);
         }
+        let is_full = {
+            let state = self.state();
+            state.slots.is_some_and(|slots| state.occupied >= slots)
+        };
+        if is_full {
+            let headers = [("Not-Run", "1"), ("Request-Id", id)];
+            write_plain(stream, "503 Service Unavailable", &headers, "").await?;
+            return Ok(true);
+        }
         let fault = {
             let mut state = self.state();
             if state.faults.is_empty() { None } else { Some(state.faults.remove(0)) }
@@ -531,12 +564,36 @@
             self.write_repeated(stream, id, repeated, stray).await?;
             return Ok(true);
         }
-        self.state().runs.push(Run {
-            id: id.to_owned(),
+        let mut occupancy = self.occupy(request);
+        let result = self.run(stream, request, fault, stray).await;
+        if result.is_ok() {
+            occupancy.end = End::Written;
+        }
+        result
+    }
+
+    fn occupy(&self, request: &Request) -> Occupancy<'_> {
+        let mut state = self.state();
+        state.occupied += 1;
+        state.runs.push(Run {
+            id: request.header("request-id").to_owned(),
             after: request.header("last-event-id").parse().ok(),
             deadline_ms: request.header("deadline-ms").parse().ok(),
             started: Instant::now(),
+            ended: None,
         });
+        Occupancy { runner: self, run: state.runs.len() - 1, end: End::Dropped }
+    }
+
+    /// Runs a request. Returns whether the connection stays open.
+    async fn run(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        fault: Option<Fault>,
+        stray: &mut Option<Stray>,
+    ) -> io::Result<bool> {
+        let id = request.header("request-id");
         if self.is_fatal(request) {
             sleep(CRASH_DELAY).await;
             self.crash();
@@ -582,7 +639,7 @@
         let Some(events) = request.events() else {
             match fault {
                 Some(Fault::PauseAfter(_)) => sleep(PAUSE).await,
-                Some(Fault::QuietAfter(_, pause)) => sleep(pause).await,
+                Some(Fault::QuietAfter(_, pause)) => wait(stream, pause).await?,
                 _ => {}
             }
             let body = format!("answer to {}", String::from_utf8_lossy(&request.body));
@@ -687,8 +744,13 @@
         }
         head += "\r\n";
         stream.write_all(head.as_bytes()).await?;
+        let has_slots = self.state().slots.is_some();
         for event in first..=events {
-            sleep(EVENT_INTERVAL).await;
+            match has_slots {
+                // A run that is dropped frees its slot at once.
+                true => wait(stream, EVENT_INTERVAL).await?,
+                false => sleep(EVENT_INTERVAL).await,
+            }
             let text = self.event(event, fault);
             if let Some(
                 Fault::CloseAfter(count) | Fault::CloseCoded(count) | Fault::KilledAfter(count),
@@ -710,7 +772,7 @@
             match fault {
                 Some(Fault::PauseAfter(count)) if event == first + count => sleep(PAUSE).await,
                 Some(Fault::QuietAfter(count, pause)) if event == first + count => {
-                    sleep(pause).await;
+                    wait(stream, pause).await?;
                 }
                 _ => {}
             }
@@ -818,6 +880,21 @@
     head
 }
 
+/// Waits for a time, and fails when the peer closes the connection meanwhile.
+async fn wait(stream: &TcpStream, pause: Duration) -> io::Result<()> {
+    let closed = async {
+        match stream.peek(&mut [0]).await {
+            Ok(0) => io::ErrorKind::ConnectionAborted.into(),
+            Ok(_) => pending().await,
+            Err(error) => error,
+        }
+    };
+    select! {
+        () = sleep(pause) => Ok(()),
+        error = closed => Err(error),
+    }
+}
+
 /// Writes comments until the caller closes the connection.
 async fn write_comments(stream: &mut TcpStream) -> io::Result<bool> {
     loop {
--- a/components/standins/src/client.rs
+++ b/components/standins/src/client.rs
@@ -69,6 +69,10 @@
         self
     }
 
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Adds the bearer token of a client account.
     pub fn with_token(self, token: &str) -> Self {
         self.with_header("authorization", format!("Bearer {token}"))
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -4,6 +4,7 @@
 //!
 //! | variable | meaning | default |
 //! | --- | --- | --- |
+//! | `SOAK_PROFILE` | `faulty` or `quiet`: plans in which nothing fails | `faulty` |
 //! | `SOAK_SEED` | first seed | 1 |
 //! | `SOAK_RUNS` | number of seeds | 3 |
 //! | `SOAK_RELAYS`, `SOAK_CALLERS`, `SOAK_RUNNERS` | relays, callers, upstreams of streams | 4, 6, 5 |
@@ -25,7 +26,8 @@
 
 use cyclamengrade_standins::{
     bridge::{
-        Callers, Contradiction, Cut, Faults, Harness, Plan, Promise, Record, Runner, Size, Step,
+        Callers, Contradiction, Cut, Faults, Harness, Plan, Profile, Promise, Record, Runner, Size,
+        Step, Stops,
     },
     fleet::{Error, binary},
 };
@@ -34,6 +36,9 @@
 use tokio::{task::block_in_place, time::sleep};
 
 const DEFAULT_SIZE: Size = Size { relays: 4, callers: 6, runners: 5, seconds: 6 };
+const QUIET_SIZE: Size = Size { relays: 4, callers: 18, runners: 5, seconds: 3 };
+/// Seeds of quiet plans in CI.
+const QUIET_SEEDS: [u64; 2] = [1, 2];
 /// Time between the last fault and the last new request.
 const CALM_TIME: Duration = Duration::from_secs(1);
 /// Longest time between two checks for relays that have ended.
@@ -96,15 +101,19 @@
     }
 }
 
-fn size() -> Result<Size> {
+fn size(profile: Profile) -> Result<Size> {
+    let default = match profile {
+        Profile::Faulty => DEFAULT_SIZE,
+        Profile::Quiet => QUIET_SIZE,
+    };
     let count = |name, default: usize, range| -> Result<usize> {
         Ok(number(name, default as u64, range)? as usize)
     };
     Ok(Size {
-        relays: count("SOAK_RELAYS", DEFAULT_SIZE.relays, 1..=150)?,
-        callers: count("SOAK_CALLERS", DEFAULT_SIZE.callers, 1..=500)?,
-        runners: count("SOAK_RUNNERS", DEFAULT_SIZE.runners, 4..=200)?,
-        seconds: number("SOAK_SECONDS", DEFAULT_SIZE.seconds, 1..=600)?,
+        relays: count("SOAK_RELAYS", default.relays, 1..=150)?,
+        callers: count("SOAK_CALLERS", default.callers, 1..=500)?,
+        runners: count("SOAK_RUNNERS", default.runners, 4..=200)?,
+        seconds: number("SOAK_SECONDS", default.seconds, 1..=600)?,
     })
 }
 
@@ -121,6 +130,9 @@
 
 /// The system while a plan is played.
 struct Run {
+    profile: Profile,
+    size: Size,
+    stops: Stops,
     harness: Harness,
     callers: Callers,
     /// Number in the harness of each relay of the plan, which changes when it is replaced.
@@ -133,29 +145,43 @@
 }
 
 impl Run {
-    async fn start(seed: u64, size: Size) -> Result<Self> {
+    async fn start(profile: Profile, seed: u64, size: Size) -> Result<Self> {
         let mut harness =
             Harness::start_mixed(size.relays, program()?, older_program(), true).await?;
         // Longer than a run, so that no item is abandoned.
         harness.retention_s = 120 + 2 * size.seconds;
         harness.configure(json!([]));
-        for runner in harness.runners.len()..size.runners {
+        let runners = match profile {
+            Profile::Faulty => size.runners,
+            Profile::Quiet => size.runners + Size::OTHERS,
+        };
+        for runner in harness.runners.len()..runners {
             let id = format!("m-{}", runner + 1);
             let (version, data_centre) = (Size::version(runner), Size::data_centre(runner));
-            let runner = harness.add_runner(&id, version, data_centre).await?;
-            harness.store.put("servers", &runner.id, &runner.entry("model", "ready"));
+            harness.add_runner(&id, version, data_centre).await?;
         }
         for (number, runner) in harness.runners.iter().enumerate() {
             runner.name_version();
-            if Size::is_unframed(number) {
-                runner.omit_framing();
+            match profile {
+                Profile::Faulty if Size::is_unframed(number) => runner.omit_framing(),
+                Profile::Faulty => {}
+                Profile::Quiet => runner.limit_slots(size.slots()),
             }
+            let entry = runner.entry(size.service(number), "ready");
+            harness.store.put("servers", &runner.id, &entry);
+        }
+        if profile == Profile::Quiet {
+            harness.plain.limit_slots(size.slots());
+            harness.store.put("servers", &harness.plain.id, &harness.plain.entry("plain", "ready"));
         }
         harness.list(&harness.runners[size.runners - 1], 0).await?;
         let relays: Vec<usize> = (0..size.relays).collect();
         let addresses = relays.iter().map(|relay| harness.address(*relay)).collect();
         Ok(Self {
-            callers: Callers::start(size.callers, seed, addresses),
+            callers: Callers::start(profile, size, seed, addresses),
+            profile,
+            size,
+            stops: Stops::default(),
             harness,
             relays,
             leaving: BTreeSet::new(),
@@ -198,15 +224,27 @@
                 let numbers = self.numbers(relays).into_iter();
                 self.waiting.extend(numbers.filter(|number| self.stopped.contains(number)));
             }
-            Step::Pause(relays) => self.signal(relays, Harness::pause_relay)?,
-            Step::Resume(relays) => self.signal(relays, Harness::resume_relay)?,
+            Step::Pause(relays) => {
+                for number in self.numbers(relays) {
+                    self.stops.begin(self.harness.address(number));
+                }
+                self.signal(relays, Harness::pause_relay)?;
+            }
+            Step::Resume(relays) => {
+                self.signal(relays, Harness::resume_relay)?;
+                for number in self.numbers(relays) {
+                    self.stops.end(self.harness.address(number));
+                }
+            }
             Step::Replace(relay) => self.replace(*relay)?,
             Step::Crash(runners) => {
                 runners.iter().for_each(|runner| self.runner(*runner).crash());
             }
             Step::List(runners, state) => {
-                for runner in runners.iter().map(|runner| self.runner(*runner)) {
-                    self.harness.store.put("servers", &runner.id, &runner.entry("model", state));
+                for number in runners {
+                    let runner = self.runner(*number);
+                    let entry = runner.entry(self.size.service(*number), state);
+                    self.harness.store.put("servers", &runner.id, &entry);
                 }
             }
             Step::Unlist(runners) => {
@@ -228,6 +266,10 @@
                 self.runner(*runner).restart();
                 self.apply(&Step::List(vec![*runner], "ready"))?;
             }
+            Step::Move(service) => {
+                self.harness.stream_service = service;
+                self.harness.configure(json!([]));
+            }
             Step::Configure => {
                 self.harness.store.discard_history();
                 self.harness.configure(json!([]));
@@ -304,8 +346,13 @@
         let all: Vec<usize> = (0..self.relays.len()).collect();
         self.apply(&Step::Store(Faults::default()))?;
         self.apply(&Step::Cut(all.clone(), Cut::None))?;
+        self.harness.stream_service = "model";
         self.apply(&Step::Configure)?;
         self.harness.runners.iter().for_each(Runner::stay);
+        if self.profile == Profile::Quiet {
+            self.harness.runners.iter().for_each(Runner::clear_faults);
+            self.harness.plain.clear_faults();
+        }
         self.apply(&Step::List((0..self.harness.runners.len()).collect(), "ready"))?;
         block_in_place(|| self.apply(&Step::Resume(all.clone())))?;
         self.apply(&Step::Start(all))?;
@@ -331,11 +378,21 @@
         sleep(CALM_TIME).await;
         let record = self.callers.stop().await?;
         let runners = self.harness.runners.iter().chain([&self.harness.plain]);
-        let mut contradictions = record.contradictions(runners);
+        let mut contradictions = record.contradictions(runners.clone());
+        if plan.profile == Profile::Quiet {
+            contradictions.extend(record.quiet_contradictions(runners, &self.stops));
+        }
         contradictions.extend(self.harness.job_contradictions(&self.relays, &record.jobs).await);
         Ok((record, contradictions))
     }
 
+    /// Returns the number of runs, and of those that relays dropped before their time limits.
+    fn runs(&self) -> (usize, usize) {
+        let runners = self.harness.runners.iter().chain([&self.harness.plain]);
+        let runs: Vec<_> = runners.flat_map(Runner::runs).collect();
+        (runs.len(), runs.iter().filter(|run| run.is_dropped()).count())
+    }
+
     /// Writes what is needed to trace a failure.
     fn save(&self, folder: &Path, contradictions: &impl Debug) -> Result<()> {
         self.harness.save_logs(folder)?;
@@ -351,9 +408,12 @@
     }
 }
 
-async fn soak(seed: u64, size: Size) -> Result<()> {
-    let plan = Plan::new(seed, size);
-    let mut run = Run::start(seed, size).await?;
+async fn soak(profile: Profile, seed: u64, size: Size) -> Result<()> {
+    let plan = match profile {
+        Profile::Faulty => Plan::new(seed, size),
+        Profile::Quiet => Plan::quiet(seed, size),
+    };
+    let mut run = Run::start(profile, seed, size).await?;
     let outcome = run.outcome(&plan).await;
     let contradictions = outcome.as_ref().map(|(_, contradictions)| contradictions);
     let is_sound = contradictions.is_ok_and(Vec::is_empty);
@@ -368,9 +428,10 @@
     for contradiction in &contradictions {
         *broken.entry(contradiction.promise).or_default() += 1;
     }
+    let (runs, dropped) = run.runs();
     println!(
-        "seed {seed}, {} relays: {} streams to the end, {} continued, {} refused, {} jobs, \
-         contradictions {broken:?}, disturbances {:?}",
+        "seed {seed}, {profile:?}, {} relays: {} streams to the end, {} continued, {} refused, {} jobs, \
+         {dropped} of {runs} runs dropped, contradictions {broken:?}, disturbances {:?}",
         size.relays,
         record.streams,
         record.continued,
@@ -386,10 +447,27 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn random_faults() -> Result<()> {
-    let size = size()?;
+    let profile = match env::var("SOAK_PROFILE").as_deref() {
+        Err(_) | Ok("faulty") => Profile::Faulty,
+        Ok("quiet") => Profile::Quiet,
+        Ok(other) => return fail!("SOAK_PROFILE is {other:?}, and has to be faulty or quiet"),
+    };
+    let size = size(profile)?;
     let first = number("SOAK_SEED", DEFAULT_SEED, 0..=u64::MAX >> 16)?;
     for seed in first..first + number("SOAK_RUNS", DEFAULT_RUNS, 1..=1_000)? {
-        let outcome = soak(seed, size).await;
+        let outcome = soak(profile, seed, size).await;
+        expect_that!(outcome, ok(anything()), "seed {seed}");
+    }
+    Ok(())
+}
+
+/// Guards against responses of sound upstreams that are cut, late or run again because upstreams are quiet
+/// and full, relays lack processor time, or the configuration changes.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn quiet_upstreams() -> Result<()> {
+    for seed in QUIET_SEEDS {
+        let outcome = soak(Profile::Quiet, seed, QUIET_SIZE).await;
         expect_that!(outcome, ok(anything()), "seed {seed}");
     }
     Ok(())
@@ -404,7 +482,7 @@
         if is_small && size != DEFAULT_SIZE {
             continue;
         }
-        let outcome = soak(seed, size).await;
+        let outcome = soak(Profile::Faulty, seed, size).await;
         expect_that!(outcome, ok(anything()), "seed {seed}, {cause}");
     }
     Ok(())
