--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -95,6 +95,8 @@
     pub retention_s: u64,
     /// Connections that each runner accepts by the next configuration; the runners do not refuse more.
     pub max_connections: usize,
+    /// Service of the resumable streams, from the next configuration on.
+    pub stream_service: &'static str,
     relays: Vec<Relay>,
     program: PathBuf,
     /// Program of an older build, which relays run at every other start.
@@ -166,6 +168,7 @@
             plain,
             retention_s: 60,
             max_connections: 100,
+            stream_service: "model",
             relays: Vec::new(),
             program,
             older_program,
@@ -211,7 +214,7 @@
             })
         };
         let mut routes = vec![
-            route("stream", "stream", "model"),
+            route("stream", "stream", self.stream_service),
             route("once", "stream", "model"),
             route("safe", "safe", "plain"),
             route("unsafe", "unsafe", "plain"),
@@ -222,6 +225,7 @@
         routes.extend(extra_routes.as_array().cloned().unwrap_or_default());
         let services = json!([
             {"Name": "model", "HealthPath": "/healthz", "MaxConns": self.max_connections},
+            {"Name": "other", "HealthPath": "/healthz", "MaxConns": self.max_connections},
             {"Name": "plain", "HealthPath": "/healthz", "MaxConns": self.max_connections}
         ]);
         let limits = json!({
