--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -179,10 +179,10 @@
             return next.await;
         }
         let limit = self.silence_timeout();
-        let is_underway = self.time_to_first_byte.is_some();
+        let has_begun = self.time_to_first_byte.is_some();
         let silence = async {
             flight.silence(limit).await;
-            if is_underway && flight.quiet_time() < limit {
+            if has_begun && flight.quiet_time() < limit {
                 flight.silence(limit * HEARD_FACTOR).await;
             }
         };
