Add the interfaces of accounts, quotas and measures

Slots carry whom they are charged to, releases how upstreams answered, and datagrams the messages about quotas. Nothing uses them yet: requests have no account, and relays ignore the messages. Measured: clippy is clean, the tests of the control, peer and relay packages pass.

--- a/components/control/src/relay/broker/message.rs
+++ b/components/control/src/relay/broker/message.rs
@@ -14,13 +14,52 @@
 }
 
 /// Identifies a request for a slot. Tickets of one start of a relay increase.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
 /// Identifies one start of a relay, by its incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Holder(pub u64);
 
+/// Whom a slot is charged to when client accounts compete for slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Charge {
+    /// Hash of the name of the account, see [`shard::name_id`](crate::relay::shard::name_id); `None` without
+    /// accounts.
+    pub account: Option<u32>,
+    /// Priority of the account, else of the route; 0 is the most urgent.
+    pub priority: u32,
+    /// Stated cost in tokens: those of the prompt and ten times those of the output; 0 if not stated.
+    pub tokens: u32,
+}
+
+/// How an upstream answered a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Measure {
+    pub ticket: Ticket,
+    /// Time from sending the request to its first event.
+    pub first: Duration,
+    /// Mean time between two events; zero with fewer than two.
+    pub gap: Duration,
+    pub events: u32,
+    /// Whether the response was complete.
+    pub complete: bool,
+}
+
+/// Frees slots after requests were sent to their upstreams, or withdraws requests for slots.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Release {
+    pub tickets: Vec<Ticket>,
+    /// What is known of some of the requests.
+    pub measures: Vec<Measure>,
+}
+
+impl From<Ticket> for Release {
+    fn from(ticket: Ticket) -> Self {
+        Self { tickets: vec![ticket], measures: Vec::new() }
+    }
+}
+
 /// Asks for a slot for an online request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
@@ -37,6 +76,7 @@
     pub avoid: BTreeSet<u32>,
     /// Software of the upstream, if the request continues a stream.
     pub software: Option<Software>,
+    pub charge: Charge,
 }
 
 impl Ask {
@@ -52,6 +92,7 @@
     pub ticket: Ticket,
     pub upstream: u32,
     pub class: Class,
+    pub charge: Charge,
 }
 
 /// A batch item that waits for a slot.
@@ -63,6 +104,7 @@
     pub urgency: Urgency,
     /// Software of the upstream, if the run continues a text.
     pub software: Option<Software>,
+    pub charge: Charge,
 }
 
 /// Order of the batch items of all relays.
--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -19,7 +19,9 @@
     time::Duration,
 };
 
-pub use self::message::{Answer, Ask, Class, Held, Holder, Load, Sync, Ticket, Urgency, Want};
+pub use self::message::{
+    Answer, Ask, Charge, Class, Held, Holder, Load, Measure, Release, Sync, Ticket, Urgency, Want,
+};
 use self::{
     queue::{Queue, Waiting},
     suspension::Suspensions,
--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -3,6 +3,8 @@
 //! The relay does not interpret request or response bodies. A route names the deployments that
 //! serve a request, and the kind of the route says what may run more than once.
 
+pub mod account;
+pub mod allowance;
 pub mod broker;
 pub mod ending;
 pub mod entry;
--- a/components/control/src/relay/route.rs
+++ b/components/control/src/relay/route.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::relay::quota::Quota;
+use crate::relay::{account::Accounts, quota::Quota};
 
 /// Longest time of a configuration. Times are added to clocks and multiplied, and one of a year has the
 /// same effect as any longer one.
@@ -53,6 +53,10 @@
     pub path_prefix: String,
     /// Whether requests may run more than once.
     pub kind: Kind,
+    /// Whether its requests need no key where the configuration has accounts.
+    pub public: bool,
+    /// Priority of its requests; 0 is the most urgent.
+    pub priority: u32,
     /// Timeout of a request.
     pub timeout: Duration,
     /// Latency objective, for the complete response, the first event of a stream, or the acceptance
@@ -170,6 +174,8 @@
     pub deployments: BTreeMap<String, Deployment>,
     /// Limits on the requests and connections of callers.
     pub limits: Limits,
+    /// Client accounts; `None` if the configuration has none and requests need no key.
+    pub accounts: Option<Accounts>,
 }
 
 impl Table {
@@ -192,7 +198,12 @@
                 std::cmp::Reverse(route.path_prefix.len())
             });
         }
-        Self { version, routes: by_host, deployments, limits: limits.bounded() }
+        Self { version, routes: by_host, deployments, limits: limits.bounded(), accounts: None }
+    }
+
+    /// Sets the client accounts.
+    pub fn with_accounts(self, accounts: Option<Accounts>) -> Self {
+        Self { accounts, ..self }
     }
 
     /// Returns the route of the host with the longest prefix of the path. Ignores a port after the
--- a/components/control/tests/odd_upstreams.rs
+++ b/components/control/tests/odd_upstreams.rs
@@ -9,7 +9,9 @@
 
 use cyclamengrade_control::{
     relay::{
-        broker::{Answer, Ask, Broker, Class, Held, Holder, Place, Sync, Ticket, Urgency, Want},
+        broker::{
+            Answer, Ask, Broker, Charge, Class, Held, Holder, Place, Sync, Ticket, Urgency, Want,
+        },
         failure::Failure,
         limit::{News, Rate},
         origin::Software,
@@ -70,6 +72,7 @@
         connected: BTreeSet::new(),
         avoid: BTreeSet::new(),
         software: None,
+        charge: Charge::default(),
     }
 }
 
@@ -114,9 +117,10 @@
                 ticket: Ticket(ticket),
                 upstream: upstream % 100 + 1,
                 class: Class::Batch,
+                charge: Charge::default(),
             })
             // From now on, the broker knows what the relays hold.
-            .chain([Held { ticket: Ticket(u64::MAX), upstream: 0, class: Class::Batch }])
+            .chain([Held { ticket: Ticket(u64::MAX), upstream: 0, class: Class::Batch, charge: Charge::default() }])
             .collect();
         let limits: Vec<News> = rates
             .into_iter()
@@ -136,6 +140,7 @@
                 shard: SHARD,
                 urgency: Urgency { late: false, due_ms: u64::MAX },
                 software: None,
+                charge: Charge::default(),
             })
             .collect();
         let outgoing = broker.sync(later, other, Sync { wants, ..Sync::default() });
--- a/components/control/tests/placement/mod.rs
+++ b/components/control/tests/placement/mod.rs
@@ -10,7 +10,8 @@
 use cyclamengrade_control::{
     relay::{
         broker::{
-            Answer, Ask, Broker, Class, Held, Holder, Outgoing, Place, Sync, Ticket, Urgency, Want,
+            Answer, Ask, Broker, Charge, Class, Held, Holder, Outgoing, Place, Sync, Ticket,
+            Urgency, Want,
         },
         origin::Software,
     },
@@ -285,6 +286,7 @@
             connected: BTreeSet::new(),
             avoid: BTreeSet::new(),
             software: None,
+            charge: Charge::default(),
         };
         let now = self.now;
         let outgoing = self.brokers[request.shard as usize].ask(now, Holder(relay.into()), ask);
@@ -311,7 +313,9 @@
             let sync = syncs.entry(request.shard).or_default();
             let ticket = Ticket(*ticket);
             match (request.upstream, request.class) {
-                (Some(upstream), class) => sync.held.push(Held { ticket, upstream, class }),
+                (Some(upstream), class) => {
+                    sync.held.push(Held { ticket, upstream, class, charge: Charge::default() })
+                }
                 (None, Class::Online) => {
                     sync.pending.insert(ticket);
                 }
@@ -319,7 +323,13 @@
                     let due_ms = (request.arrived.0 / 1_000) + 18_000;
                     let urgency = Urgency { late: false, due_ms };
                     let shard = request.shard;
-                    sync.wants.push(Want { ticket, shard, urgency, software: None });
+                    sync.wants.push(Want {
+                        ticket,
+                        shard,
+                        urgency,
+                        software: None,
+                        charge: Charge::default(),
+                    });
                 }
             }
         }
--- a/components/control/tests/relay_broker.rs
+++ b/components/control/tests/relay_broker.rs
@@ -9,7 +9,8 @@
 use cyclamengrade_control::{
     relay::{
         broker::{
-            Answer, Ask, Broker, Class, Held, Holder, Outgoing, Place, Sync, Ticket, Urgency, Want,
+            Answer, Ask, Broker, Charge, Class, Held, Holder, Outgoing, Place, Sync, Ticket,
+            Urgency, Want,
         },
         origin::Software,
     },
@@ -48,7 +49,8 @@
 fn broker(upstreams: u32) -> Broker {
     let mut broker = new_broker(upstreams);
     let (holder, first) = (Holder(99), NOW - Duration::from_secs(1));
-    let held = Held { ticket: Ticket(1), upstream: 0, class: Class::Batch };
+    let held =
+        Held { ticket: Ticket(1), upstream: 0, class: Class::Batch, charge: Charge::default() };
     broker.sync(first, holder, Sync { held: vec![held], ..Sync::default() });
     broker.sync(first, holder, Sync::default());
     broker
@@ -63,12 +65,19 @@
         connected: BTreeSet::new(),
         avoid: BTreeSet::new(),
         software: None,
+        charge: Charge::default(),
     }
 }
 
 fn want(ticket: u64, due_ms: u64) -> Want {
     let urgency = Urgency { late: false, due_ms };
-    Want { ticket: Ticket(ticket), shard: SHARD, urgency, software: None }
+    Want {
+        ticket: Ticket(ticket),
+        shard: SHARD,
+        urgency,
+        software: None,
+        charge: Charge::default(),
+    }
 }
 
 fn wants(tickets: std::ops::Range<u64>) -> Sync {
@@ -175,7 +184,8 @@
         broker.ask(NOW, holder, ask(ticket));
     }
     // The releases of the tickets 1 to 3 are lost. The next state of the relay repairs that.
-    let held = Held { ticket: Ticket(4), upstream: 0, class: Class::Online };
+    let held =
+        Held { ticket: Ticket(4), upstream: 0, class: Class::Online, charge: Charge::default() };
     broker.sync(NOW, holder, Sync { held: vec![held], ..Sync::default() });
     let outgoing = broker.sync(NOW, Holder(2), wants(0..4));
     expect_that!(granted(&outgoing, Holder(2)).len(), eq(3));
@@ -200,8 +210,12 @@
 #[gtest]
 fn change_of_broker() {
     let mut broker = broker(1);
-    let held =
-        (0..3).map(|number| Held { ticket: Ticket(number), upstream: 0, class: Class::Online });
+    let held = (0..3).map(|number| Held {
+        ticket: Ticket(number),
+        upstream: 0,
+        class: Class::Online,
+        charge: Charge::default(),
+    });
     let sync = Sync { held: held.collect(), ..Sync::default() };
     broker.sync(NOW, Holder(1), sync.clone());
     broker.sync(NOW, Holder(1), sync);
@@ -215,8 +229,12 @@
 #[gtest]
 fn overfull_upstream() {
     let mut broker = broker(1);
-    let held =
-        (0..7).map(|ticket| Held { ticket: Ticket(ticket), upstream: 0, class: Class::Batch });
+    let held = (0..7).map(|ticket| Held {
+        ticket: Ticket(ticket),
+        upstream: 0,
+        class: Class::Batch,
+        charge: Charge::default(),
+    });
     let outgoing = broker.sync(NOW, Holder(1), Sync { held: held.collect(), ..Sync::default() });
     expect_that!(stopped(&outgoing, Holder(1)), len(eq(3)));
     let outgoing = broker.ask(NOW, Holder(2), ask(20));
@@ -230,8 +248,12 @@
     let mut broker = new_broker(1);
     expect_that!(granted(&broker.ask(NOW, Holder(2), ask(20)), Holder(2)), len(eq(1)));
     expect_that!(granted(&broker.sync(NOW, Holder(1), wants(0..9)), Holder(1)), is_empty());
-    let held =
-        (0..2).map(|ticket| Held { ticket: Ticket(ticket), upstream: 0, class: Class::Batch });
+    let held = (0..2).map(|ticket| Held {
+        ticket: Ticket(ticket),
+        upstream: 0,
+        class: Class::Batch,
+        charge: Charge::default(),
+    });
     broker.sync(
         NOW + Duration::from_millis(400),
         Holder(3),
@@ -347,8 +369,12 @@
     broker.release(NOW, Holder(1), &[Ticket(4)]);
     let later = NOW + Duration::from_millis(400);
     broker.sync(later, Holder(7), report(BTreeSet::new()));
-    let held =
-        (0..4).map(|ticket| Held { ticket: Ticket(ticket), upstream: 1, class: Class::Online });
+    let held = (0..4).map(|ticket| Held {
+        ticket: Ticket(ticket),
+        upstream: 1,
+        class: Class::Online,
+        charge: Charge::default(),
+    });
     broker.sync(later, Holder(1), Sync { held: held.collect(), ..Sync::default() });
     expect_that!(granted(&broker.ask(later, Holder(2), ask(5)), Holder(2)), len(eq(1)));
     expect_that!(granted(&broker.ask(later, Holder(2), ask(6)), Holder(2)), is_empty());
@@ -423,7 +449,7 @@
                     Answer::Granted { ticket, upstream, .. } => {
                         let class = if ticket.0 % 2 == 0 { Class::Online } else { Class::Batch };
                         list.retain(|held| held.ticket != ticket);
-                        list.push(Held { ticket, upstream, class });
+                        list.push(Held { ticket, upstream, class, charge: Charge::default() });
                     }
                     Answer::Stop { ticket } => list.retain(|held| held.ticket != ticket),
                     Answer::Queued { .. } | Answer::Refused { .. } => {}
--- a/components/control/tests/relay_limit.rs
+++ b/components/control/tests/relay_limit.rs
@@ -5,7 +5,9 @@
 
 use cyclamengrade_control::{
     relay::{
-        broker::{Answer, Ask, Broker, Class, Held, Holder, Place, Sync, Ticket, Urgency, Want},
+        broker::{
+            Answer, Ask, Broker, Charge, Class, Held, Holder, Place, Sync, Ticket, Urgency, Want,
+        },
         limit::{Limit, News, Rate},
         origin::Software,
     },
@@ -54,6 +56,7 @@
         connected: BTreeSet::new(),
         avoid: BTreeSet::new(),
         software: None,
+        charge: Charge::default(),
     }
 }
 
@@ -173,10 +176,17 @@
     let now = NOW + Duration::from_secs(1);
     // Two requests may be sent.
     let urgency = Urgency { late: false, due_ms: 0 };
-    let want = Want { ticket: Ticket(1), shard: SHARD, urgency, software: None };
+    let want = Want {
+        ticket: Ticket(1),
+        shard: SHARD,
+        urgency,
+        software: None,
+        charge: Charge::default(),
+    };
     let outgoing = broker.sync(now, Holder(1), Sync { wants: vec![want], ..Sync::default() });
     expect_that!(outgoing.len(), eq(1));
-    let held = Held { ticket: Ticket(2), upstream: 0, class: Class::Online };
+    let held =
+        Held { ticket: Ticket(2), upstream: 0, class: Class::Online, charge: Charge::default() };
     broker.sync(now, Holder(2), Sync { held: vec![held], ..Sync::default() });
     expect_that!(grant(&mut broker, now, Holder(3), 3), none());
 }
@@ -193,6 +203,7 @@
         ticket: Ticket(ticket),
         upstream: 0,
         class: Class::Online,
+        charge: Charge::default(),
     });
     broker.sync(now, Holder(1), Sync { held: held.collect(), ..Sync::default() });
     let ended = now + Duration::from_millis(100);
--- a/components/control/tests/relay_priority.rs
+++ b/components/control/tests/relay_priority.rs
@@ -59,6 +59,8 @@
         host: "Host.example".into(),
         path_prefix: "/a/".into(),
         kind,
+        public: false,
+        priority: 0,
         timeout: Duration::from_secs(5),
         latency_objective: Duration::from_millis(300),
         gap_objective: Duration::from_millis(400),
--- a/components/control/tests/relay_route.rs
+++ b/components/control/tests/relay_route.rs
@@ -14,6 +14,8 @@
         host: "calls.example".into(),
         path_prefix: path_prefix.into(),
         kind,
+        public: false,
+        priority: 0,
         timeout: Duration::from_secs(5),
         latency_objective: Duration::from_secs(1),
         gap_objective: Duration::ZERO,
--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeSet, io, net::SocketAddr, time::Duration};
 
 use cyclamengrade_control::relay::{
-    broker::{Answer, Ask, Class, Held, Load, Sync, Ticket, Urgency, Want},
+    allowance::{self, Report},
+    broker::{
+        Answer, Ask, Charge, Class, Held, Load, Measure, Release, Sync, Ticket, Urgency, Want,
+    },
     limit::{self, Rate},
     monitor::{Exception, Status},
     origin::{Software, Stream},
@@ -22,7 +25,7 @@
 pub enum Content {
     Ask(Ask),
     /// Frees slots or withdraws requests for them.
-    Release(Vec<Ticket>),
+    Release(Release),
     /// Frees slots with which nothing was sent to their upstreams.
     GiveBack(Vec<Ticket>),
     /// What the sender holds and wants, with its own state.
@@ -44,6 +47,8 @@
     Held(Vec<Part>, Duration),
     /// Answer to a [`Content::Lookup`]; `None` if the sender does not know the stream.
     Found(Stream, Option<Software>),
+    /// About the quota of a client account.
+    Quota(allowance::Message),
 }
 
 /// Answer of a broker or monitor to the state of a relay.
@@ -149,9 +154,18 @@
             connected: ask.connected.into_iter().collect(),
             avoid: ask.avoid.into_iter().collect(),
             software: ask.software.map(|software| software.0),
+            charge: Some(encode_charge(ask.charge)),
+        }),
+        Content::Release(release) => Kind::Release(wire::SlotRelease {
+            tickets: release.tickets.iter().map(|ticket| ticket.0).collect(),
+            unused: false,
+            measures: release.measures.into_iter().map(encode_measure).collect(),
+        }),
+        Content::GiveBack(tickets) => Kind::Release(wire::SlotRelease {
+            tickets: tickets.iter().map(|ticket| ticket.0).collect(),
+            unused: true,
+            measures: Vec::new(),
         }),
-        Content::Release(tickets) => Kind::Release(encode_release(&tickets, false)),
-        Content::GiveBack(tickets) => Kind::Release(encode_release(&tickets, true)),
         Content::Sync(status, sync) => Kind::Sync(encode_sync(status, sync)),
         Content::Answer(Answer::Granted { ticket, upstream, load }) => {
             Kind::Granted(wire::SlotGranted {
@@ -172,6 +186,8 @@
             fleet_version: ack.fleet_version,
             exceptions: ack.exceptions.into_iter().map(encode_exception).collect(),
             limits: ack.limits.into_iter().map(encode_limit).collect(),
+            speeds: Vec::new(),
+            paces: Vec::new(),
         }),
         Content::Origin(origin) => Kind::Origin(wire::StreamOrigin {
             stream: origin.stream.0,
@@ -194,6 +210,7 @@
             stream: stream.0,
             software: software.map(|software| software.0),
         }),
+        Content::Quota(message) => encode_quota(message),
     };
     wire::SlotMessage { incarnation: message.incarnation, kind: Some(kind) }
 }
@@ -203,6 +220,7 @@
         ticket: held.ticket.0,
         upstream: held.upstream,
         batch: held.class == Class::Batch,
+        charge: Some(encode_charge(held.charge)),
     });
     let wants = sync.wants.into_iter().map(|want| wire::SlotWant {
         ticket: want.ticket.0,
@@ -210,6 +228,7 @@
         late: want.urgency.late,
         due_ms: want.urgency.due_ms,
         software: want.software.map(|software| software.0),
+        charge: Some(encode_charge(want.charge)),
     });
     wire::SlotSync {
         from: status.name,
@@ -223,11 +242,81 @@
         news: status.wants_news,
         limits: sync.limits.into_iter().map(encode_limit).collect(),
         cut_off: status.cut_off,
+        speeds: Vec::new(),
+        paces: Vec::new(),
+    }
+}
+
+/// Encodes a charge. Without an account it is as long as the field of a build that has none.
+const fn encode_charge(charge: Charge) -> wire::SlotCharge {
+    let Charge { account, priority, tokens } = charge;
+    wire::SlotCharge { account, priority, tokens }
+}
+
+fn decode_charge(charge: Option<wire::SlotCharge>) -> Charge {
+    let wire::SlotCharge { account, priority, tokens } = charge.unwrap_or_default();
+    Charge { account, priority, tokens }
+}
+
+fn encode_measure(measure: Measure) -> wire::SlotMeasure {
+    wire::SlotMeasure {
+        ticket: measure.ticket.0,
+        first_us: microseconds(measure.first),
+        gap_us: microseconds(measure.gap),
+        events: measure.events,
+        complete: measure.complete,
     }
 }
 
-fn encode_release(tickets: &[Ticket], unused: bool) -> wire::SlotRelease {
-    wire::SlotRelease { tickets: tickets.iter().map(|ticket| ticket.0).collect(), unused }
+fn decode_measure(measure: wire::SlotMeasure) -> Measure {
+    Measure {
+        ticket: Ticket(measure.ticket),
+        first: Duration::from_micros(measure.first_us.into()),
+        gap: Duration::from_micros(measure.gap_us.into()),
+        events: measure.events,
+        complete: measure.complete,
+    }
+}
+
+fn encode_quota(message: allowance::Message) -> Kind {
+    match message {
+        allowance::Message::Ask(ask) => Kind::QuotaAsk(wire::QuotaAsk {
+            ticket: ask.ticket,
+            account: ask.account,
+            count: ask.count,
+            rate_milli: ask.limit.rate_milli,
+            burst_milli: ask.limit.burst_milli,
+            configuration: ask.configuration,
+            report: ask.report.map(|report| wire::QuotaReport {
+                level_milli: report.level_milli,
+                age_ms: milliseconds(report.age),
+            }),
+        }),
+        allowance::Message::Granted { ticket, account, count, level_milli } => {
+            Kind::QuotaGranted(wire::QuotaGranted { ticket, account, count, level_milli })
+        }
+        allowance::Message::Refused { ticket, account, wait, level_milli } => {
+            let wait_us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
+            Kind::QuotaRefused(wire::QuotaRefused { ticket, account, wait_us, level_milli })
+        }
+        allowance::Message::Return { account, count } => {
+            Kind::QuotaReturn(wire::QuotaReturn { account, count })
+        }
+    }
+}
+
+fn decode_ask(ask: wire::QuotaAsk) -> allowance::Ask {
+    allowance::Ask {
+        ticket: ask.ticket,
+        account: ask.account,
+        count: ask.count,
+        limit: allowance::Limit { rate_milli: ask.rate_milli, burst_milli: ask.burst_milli },
+        configuration: ask.configuration,
+        report: ask.report.map(|report| Report {
+            level_milli: report.level_milli,
+            age: Duration::from_millis(report.age_ms.into()),
+        }),
+    }
 }
 
 fn encode_limit(news: limit::News) -> wire::UpstreamLimit {
@@ -265,6 +354,10 @@
     wire::SlotLoad { permille: load.permille, wait_ms: milliseconds(load.wait) }
 }
 
+fn microseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_micros()).unwrap_or(u32::MAX)
+}
+
 fn milliseconds(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
@@ -279,10 +372,15 @@
             connected: ask.connected.into_iter().collect(),
             avoid: ask.avoid.into_iter().collect(),
             software: ask.software.map(Software),
+            charge: decode_charge(ask.charge),
         }),
         Kind::Release(release) => {
             let tickets = release.tickets.into_iter().map(Ticket).collect();
-            if release.unused { Content::GiveBack(tickets) } else { Content::Release(tickets) }
+            let measures = release.measures.into_iter().map(decode_measure).collect();
+            match release.unused {
+                true => Content::GiveBack(tickets),
+                false => Content::Release(Release { tickets, measures }),
+            }
         }
         Kind::Sync(sync) => decode_sync(sync),
         Kind::Granted(granted) => Content::Answer(Answer::Granted {
@@ -321,6 +419,23 @@
             Content::Held(decode_parts(held.parts), Duration::from_millis(held.left_ms.into()))
         }
         Kind::Found(found) => Content::Found(Stream(found.stream), found.software.map(Software)),
+        Kind::QuotaAsk(ask) => Content::Quota(allowance::Message::Ask(decode_ask(ask))),
+        Kind::QuotaGranted(granted) => Content::Quota(allowance::Message::Granted {
+            ticket: granted.ticket,
+            account: granted.account,
+            count: granted.count,
+            level_milli: granted.level_milli,
+        }),
+        Kind::QuotaRefused(refused) => Content::Quota(allowance::Message::Refused {
+            ticket: refused.ticket,
+            account: refused.account,
+            wait: Duration::from_micros(refused.wait_us),
+            level_milli: refused.level_milli,
+        }),
+        Kind::QuotaReturn(returned) => Content::Quota(allowance::Message::Return {
+            account: returned.account,
+            count: returned.count,
+        }),
     };
     Some(Message { incarnation: message.incarnation, content })
 }
@@ -330,12 +445,14 @@
         ticket: Ticket(held.ticket),
         upstream: held.upstream,
         class: if held.batch { Class::Batch } else { Class::Online },
+        charge: decode_charge(held.charge),
     });
     let wants = sync.wants.into_iter().map(|want| Want {
         ticket: Ticket(want.ticket),
         shard: want.shard,
         urgency: Urgency { late: want.late, due_ms: want.due_ms },
         software: want.software.map(Software),
+        charge: decode_charge(want.charge),
     });
     let status = Status {
         name: sync.from,
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -8,7 +8,7 @@
 };
 
 use cyclamengrade_control::relay::{
-    broker::{Ticket, Urgency},
+    broker::{Charge, Ticket, Urgency},
     job::RunFailure,
     origin::Software,
     priority::{Estimate, Priority},
@@ -353,7 +353,7 @@
         let route = self.route(&self.jobs().get(id)?.job.row)?;
         let deployment = self.shared.deployment(&route, software)?;
         let shards = self.shared.selector().shards(deployment, software);
-        self.shared.want_slot(&shards, urgency, software)
+        self.shared.want_slot(&shards, urgency, software, Charge::default())
     }
 
     /// Returns the items that wait for a slot, the most urgent first.
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -11,7 +11,7 @@
 
 use cyclamengrade_control::{
     relay::{
-        broker::{Class, Load, Ticket},
+        broker::{Charge, Class, Load, Ticket},
         failure::Failure,
         limit::{self, Limit, Rate},
         origin::Software,
@@ -412,6 +412,7 @@
             start_within: selector.start_within(deployment, time_left),
             avoid: selector.avoided_by(deployment, software, tried, self.clock.running()),
             software,
+            charge: Charge::default(),
         }
     }
 
@@ -433,7 +434,7 @@
             Choice::Refuse(_) => None,
         };
         if let Some((key, (shard, upstream))) = placed {
-            let ticket = self.hold_slot(shard, upstream, Class::Online);
+            let ticket = self.hold_slot(shard, upstream, Class::Online, Charge::default());
             if let Some(flight) = self.flight(key, Class::Online, ticket, now) {
                 Self::record_placement("alone");
                 return Ok((flight, placement));
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -74,6 +74,12 @@
     /// Path prefix.
     prefix: String,
     kind: KindJson,
+    /// Whether requests need no key.
+    #[serde(default)]
+    public: bool,
+    /// Priority; 0 is the most urgent.
+    #[serde(default)]
+    priority: u32,
     timeout_ms: u64,
     /// Latency objective.
     objective_ms: u64,
@@ -188,6 +194,8 @@
                 KindJson::Stream => Kind::Stream,
                 KindJson::Batch => Kind::Batch,
             },
+            public: json.public,
+            priority: json.priority,
             timeout: Duration::from_millis(json.timeout_ms),
             latency_objective: Duration::from_millis(json.objective_ms),
             gap_objective: Duration::from_millis(json.gap_ms),
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -132,8 +132,8 @@
         let holder = Holder(message.incarnation);
         match message.content {
             Content::Ask(ask) => self.serve(holder, from, |broker| broker.ask(now, holder, ask)),
-            Content::Release(tickets) => {
-                self.serve(holder, from, |broker| broker.release(now, holder, &tickets));
+            Content::Release(release) => {
+                self.serve(holder, from, |broker| broker.release(now, holder, &release.tickets));
             }
             Content::GiveBack(tickets) => {
                 self.serve(holder, from, |broker| broker.give_back(now, holder, &tickets));
@@ -169,6 +169,8 @@
             Content::Sound(parts) => self.shared.handle_sound(&parts),
             Content::Held(parts, left) => self.shared.hold_parts(&parts, left),
             Content::Found(stream, software) => self.shared.handle_found(from, stream, software),
+            // Handled by no relay yet.
+            Content::Quota(_) => {}
             Content::Ack(ack) => {
                 self.shared.apply_limits(&ack.limits);
                 if message.incarnation == self.shared.incarnation {
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -9,7 +9,7 @@
 
 use cyclamengrade_control::{
     relay::{
-        broker::{Answer, Ask, Class, Held, Load, Sync, Ticket, Urgency, Want},
+        broker::{Answer, Ask, Charge, Class, Held, Load, Release, Sync, Ticket, Urgency, Want},
         origin::Software,
         shard::{self, Candidate},
     },
@@ -44,6 +44,7 @@
     shard: u32,
     upstream: u32,
     class: Class,
+    charge: Charge,
 }
 
 /// A batch item that waits for a slot.
@@ -52,11 +53,13 @@
     shard: u32,
     urgency: Urgency,
     software: Option<Software>,
+    charge: Charge,
     since: Time,
 }
 
 struct Pending {
     shard: u32,
+    charge: Charge,
     answers: mpsc::UnboundedSender<Answer>,
 }
 
@@ -122,6 +125,7 @@
     pub avoid: BTreeSet<u32>,
     /// Software of the upstream, if the request continues a stream.
     pub software: Option<Software>,
+    pub charge: Charge,
 }
 
 /// Slots that this relay holds and requests for slots.
@@ -202,7 +206,7 @@
         start_within: Duration,
         need: &Need,
     ) -> Outcome {
-        let (ticket, mut answers) = self.open_ticket(shard);
+        let (ticket, mut answers) = self.open_ticket(shard, need.charge);
         let guard = Guard::new(self.clone(), ticket);
         let ask = Ask {
             ticket,
@@ -212,6 +216,7 @@
             connected: self.connected(),
             avoid: need.avoid.clone(),
             software: need.software,
+            charge: need.charge,
         };
         let begin = self.clock.now();
         let mut is_queued = false;
@@ -248,11 +253,11 @@
         }
     }
 
-    fn open_ticket(&self, shard: u32) -> (Ticket, mpsc::UnboundedReceiver<Answer>) {
+    fn open_ticket(&self, shard: u32, charge: Charge) -> (Ticket, mpsc::UnboundedReceiver<Answer>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let mut state = self.slots.state();
         let ticket = next_ticket(&mut state);
-        state.pending.insert(ticket, Pending { shard, answers: sender });
+        state.pending.insert(ticket, Pending { shard, charge, answers: sender });
         (ticket, receiver)
     }
 
@@ -277,10 +282,10 @@
     }
 
     /// Records that a request uses an upstream without a grant of the broker, which learns of it.
-    pub fn hold_slot(&self, shard: u32, upstream: u32, class: Class) -> Ticket {
+    pub fn hold_slot(&self, shard: u32, upstream: u32, class: Class, charge: Charge) -> Ticket {
         let mut state = self.slots.state();
         let ticket = next_ticket(&mut state);
-        state.held.insert(ticket, Slot { shard, upstream, class });
+        state.held.insert(ticket, Slot { shard, upstream, class, charge });
         state.dirty.insert(shard);
         drop(state);
         self.slots.dirty.notify_one();
@@ -294,7 +299,7 @@
 
     /// Frees a slot after a request was sent to its upstream.
     pub fn release_slot(&self, ticket: Ticket) {
-        self.end_ticket(ticket, Content::Release(vec![ticket]));
+        self.end_ticket(ticket, Content::Release(Release::from(ticket)));
     }
 
     fn end_ticket(&self, ticket: Ticket, message: Content) {
@@ -317,12 +322,13 @@
         shards: &[u32],
         urgency: Urgency,
         software: Option<Software>,
+        charge: Charge,
     ) -> Option<Ticket> {
         let shard = self.pick_shard(shards)?;
         let since = self.clock.now();
         let mut state = self.slots.state();
         let ticket = next_ticket(&mut state);
-        state.wanted.insert(ticket, Wanted { shard, urgency, software, since });
+        state.wanted.insert(ticket, Wanted { shard, urgency, software, charge, since });
         state.dirty.insert(shard);
         drop(state);
         self.slots.dirty.notify_one();
@@ -364,14 +370,16 @@
         match answer {
             Answer::Granted { ticket, upstream, load } => {
                 if let Some(pending) = state.pending.remove(&ticket) {
-                    let slot = Slot { shard: pending.shard, upstream, class: Class::Online };
+                    let Pending { shard, charge, .. } = pending;
+                    let slot = Slot { shard, upstream, class: Class::Online, charge };
                     state.loads.insert(slot.shard, load);
                     state.held.insert(ticket, slot);
                     drop(state);
                     // Fails only if the request was dropped, and its guard frees the slot.
                     let _ = pending.answers.send(answer);
                 } else if let Some(wanted) = state.wanted.remove(&ticket) {
-                    let slot = Slot { shard: wanted.shard, upstream, class: Class::Batch };
+                    let Wanted { shard, charge, .. } = wanted;
+                    let slot = Slot { shard, upstream, class: Class::Batch, charge };
                     state.loads.insert(slot.shard, load);
                     state.granted.insert(ticket, slot);
                     drop(state);
@@ -500,8 +508,8 @@
             let Some((_, sync)) = address(slot.shard).and_then(|to| syncs.get_mut(&to)) else {
                 continue;
             };
-            let Slot { upstream, class, .. } = *slot;
-            sync.held.push(Held { ticket: *ticket, upstream, class });
+            let Slot { upstream, class, charge, .. } = *slot;
+            sync.held.push(Held { ticket: *ticket, upstream, class, charge });
         }
         for (shard, news) in &limits {
             if let Some((_, sync)) = address(*shard).and_then(|to| syncs.get_mut(&to)) {
@@ -519,8 +527,8 @@
             if let Some((_, sync)) = address(wanted.shard).and_then(|to| syncs.get_mut(&to))
                 && sync.wants.len() < MAX_WANTS
             {
-                let Wanted { shard, urgency, software, .. } = *wanted;
-                sync.wants.push(Want { ticket: *ticket, shard, urgency, software });
+                let Wanted { shard, urgency, software, charge, .. } = *wanted;
+                sync.wants.push(Want { ticket: *ticket, shard, urgency, software, charge });
             }
         }
         syncs
--- a/components/relay/src/successor.rs
+++ b/components/relay/src/successor.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use cyclamengrade_control::relay::{
-    broker::{Class, Urgency},
+    broker::{Charge, Class, Urgency},
     origin::Software,
     route::Route,
     selector::Key,
@@ -91,7 +91,7 @@
             return None;
         }
         let shards = self.selector().shards(deployment, software);
-        let ticket = self.want_slot(&shards, urgency, software)?;
+        let ticket = self.want_slot(&shards, urgency, software, Charge::default())?;
         let guard = Guard::new(self.clone(), ticket);
         let mut granted = None;
         while granted.is_none() {
