--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! A relay reads its routes, the upstreams and the other relays from the platform's store. It keeps
 //! no durable state of its own: batch jobs and their results are in the store.
 
+mod allowance;
 mod attempt;
 mod batch;
 pub mod body;
@@ -13,6 +14,7 @@
 mod directory;
 mod error;
 mod events;
+mod evidence;
 mod exchange;
 mod flight;
 mod follower;
