Authenticate callers and mark requests with their accounts

Anyone who reached a relay could send requests and read all jobs. Where the configuration lists accounts, a relay now identifies callers by their keys when a request arrives and again right before it is sent, takes a token of the account's quota in between, replaces the key by a header with the account's name, also in items, and ties jobs and their waiting tokens to accounts. Without a list of accounts, nothing changes. Admission has left online.rs for a module of its own.

--- a/components/control/src/relay/account.rs
+++ b/components/control/src/relay/account.rs
@@ -60,8 +60,39 @@
 
 impl Secret {
     /// Returns the digest of a key by SipHash-2-4 (Aumasson and Bernstein, 2012).
-    fn digest(self, key: &str) -> u128 {
-        SipHasher24::new_with_key(&self.0).hash(key.as_bytes()).as_u128()
+    fn digest(self, key: &str) -> Digest {
+        Digest(SipHasher24::new_with_key(&self.0).hash(key.as_bytes()).as_u128())
+    }
+}
+
+/// Digest of a key under the secret of the process.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Digest(u128);
+
+impl Debug for Digest {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Digest")
+    }
+}
+
+/// Who sent a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Caller {
+    /// The configuration had no accounts when the request arrived.
+    #[default]
+    Unchecked,
+    /// A caller without a known key.
+    Anonymous,
+    /// A holder of a key of an account.
+    Holder { account: Arc<Account>, key: Digest },
+}
+
+impl Caller {
+    pub const fn account(&self) -> Option<&Arc<Account>> {
+        match self {
+            Self::Holder { account, .. } => Some(account),
+            Self::Unchecked | Self::Anonymous => None,
+        }
     }
 }
 
@@ -70,7 +101,7 @@
 pub struct Accounts {
     secret: Secret,
     /// Accounts by the digests of their keys.
-    by_key: BTreeMap<u128, Arc<Account>>,
+    by_key: BTreeMap<Digest, Arc<Account>>,
     by_name: BTreeMap<String, Arc<Account>>,
 }
 
@@ -126,6 +157,28 @@
         self.by_key.get(&self.secret.digest(key))
     }
 
+    /// Returns who sends a request with this key.
+    pub fn caller(&self, key: Option<&str>) -> Caller {
+        let digest = key.map(|key| self.secret.digest(key));
+        let found = digest.and_then(|digest| Some((digest, self.by_key.get(&digest)?)));
+        found.map_or(Caller::Anonymous, |(key, account)| Caller::Holder {
+            account: account.clone(),
+            key,
+        })
+    }
+
+    /// Whether the key that a caller sent still belongs to the same account. The accounts have to be of the
+    /// same process as those that identified the caller.
+    pub fn confirms(&self, caller: &Caller) -> bool {
+        match caller {
+            Caller::Unchecked => false,
+            Caller::Anonymous => true,
+            Caller::Holder { account, key } => {
+                self.by_key.get(key).is_some_and(|holder| holder.name == account.name)
+            }
+        }
+    }
+
     /// Returns the account with a name.
     pub fn by_name(&self, name: &str) -> Option<&Arc<Account>> {
         self.by_name.get(name)
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -11,6 +11,7 @@
 };
 
 use cyclamengrade_control::relay::{
+    account::Caller,
     failure::{Attempts, Failure},
     origin::Software,
     quarantine::Part,
@@ -21,6 +22,8 @@
 use tokio::time::sleep;
 
 use crate::{
+    allowance::Token,
+    caller::Rejection,
     exchange::{self, Options, Outgoing, Response},
     flight::Flight,
     memory::Reservation,
@@ -61,7 +64,7 @@
 
 /// An online request and its attempts so far.
 pub struct Request {
-    shared: Arc<Shared>,
+    pub shared: Arc<Shared>,
     pub route: Arc<Route>,
     /// The request as it is sent to upstreams.
     pub outgoing: Arc<Outgoing>,
@@ -89,6 +92,10 @@
     is_underway: bool,
     /// Memory reserved for the body.
     _memory: Option<Reservation>,
+    /// Who sent the request.
+    caller: Caller,
+    /// Token of the account's quota.
+    token: Option<Token>,
     dispatch: Dispatch,
 }
 
@@ -100,6 +107,8 @@
     Refused(Duration, Placement),
     /// The request or a part of its prompt ended upstreams. Requests like it are refused for the duration.
     Quarantined(Duration),
+    /// The caller may not send the request, or no longer.
+    Rejected(Rejection),
     /// The request continues a stream, and it is not known which software version began it.
     UnknownOrigin,
     /// The last attempt failed, and no further one is allowed.
@@ -109,16 +118,17 @@
 }
 
 impl Request {
-    /// Creates a request without attempts.
+    /// Creates a request without attempts. `outgoing` has the headers that tell upstreams of its caller.
     pub fn new(
         shared: Arc<Shared>,
         route: Arc<Route>,
         outgoing: Outgoing,
         arrived: Instant,
         deadline: Instant,
+        caller: Caller,
     ) -> Self {
         let (attempts, tried) = (Attempts::default(), BTreeSet::new());
-        let parts = shared.request_parts(&outgoing);
+        let parts = shared.request_parts(&outgoing, &caller);
         Self {
             shared,
             route,
@@ -135,6 +145,8 @@
             search: None,
             is_underway: false,
             _memory: None,
+            caller,
+            token: None,
             dispatch: Dispatch::default(),
         }
     }
@@ -149,6 +161,11 @@
         Self { _memory: Some(memory), ..self }
     }
 
+    /// Holds a token of the account's quota, which is given back unless the request is sent.
+    pub fn with_token(self, token: Option<Token>) -> Self {
+        Self { token, ..self }
+    }
+
     /// Records that the caller has got a part of the answer, or that a run was given up. From then on,
     /// refusals do not end the request.
     pub const fn record_underway(&mut self) {
@@ -295,7 +312,7 @@
             self.check_quarantine()?;
             let mut flight = flight.with_parts(self.parts.clone());
             self.log_send(&flight, resume_after, placement);
-            match self.send_to(&mut flight, resume_after).await {
+            match self.send_to(&mut flight, resume_after).await? {
                 Ok(response) => return Ok((flight, response)),
                 Err(failure) => {
                     self.record_failure(&flight, failure, 0)?;
@@ -317,24 +334,50 @@
     }
 
     /// Sends the request to the upstream of a flight.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the key of the caller is no longer known to be valid. The request is not sent then.
     pub async fn send_to(
         &mut self,
         flight: &mut Flight,
         resume_after: Option<u64>,
-    ) -> Result<Response, Failure> {
+    ) -> Result<Result<Response, Failure>, Error> {
         let max = self.shared.max_connections(&flight.upstream.deployment);
-        let connection = flight.connect(max, &self.outgoing.id).await?;
+        let connection = match flight.connect(max, &self.outgoing.id).await {
+            Ok(connection) => connection,
+            Err(failure) => return Ok(Err(failure)),
+        };
+        // Nothing is waited for between this check and the sending.
+        self.check_caller()?;
         let (deadline, timeout) = (Some(self.deadline), self.remaining());
         let options = Options { deadline, resume_after, timeout };
         self.dispatch.record();
         let (shared, outgoing) = (self.shared.clone(), self.outgoing.clone());
         let names = shared.dialect.headers();
         let sending = exchange::send(flight, connection, names, &outgoing, options);
-        let response = self.watch(flight, sending).await?;
-        flight.record_bytes();
+        let response = self.watch(flight, sending).await;
+        if response.is_ok() {
+            flight.record_bytes();
+        }
         Ok(response)
     }
 
+    /// Checks the key of the caller with the newest configuration before the request is sent, and spends the
+    /// token of its account.
+    fn check_caller(&mut self) -> Result<(), Error> {
+        let headers = &self.outgoing.headers;
+        let changed = self.shared.identify_again(&self.caller, self.route.public, headers);
+        if let Some(caller) = changed.map_err(Error::Rejected)? {
+            self.shared.set_caller(&mut Arc::make_mut(&mut self.outgoing).headers, &caller);
+            self.caller = caller;
+        }
+        if let Some(token) = &mut self.token {
+            token.spend();
+        }
+        Ok(())
+    }
+
     fn check_quarantine(&self) -> Result<(), Error> {
         match self.shared.quarantine_left(&self.parts) {
             Some(left) => Err(Error::Quarantined(left)),
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -137,12 +137,13 @@
         Some(Write { job: owned.job.clone(), results, failures, row, partials })
     }
 
-    /// Returns the row of a job without the tokens of its finished items, if its route is near the
-    /// limit on waiting tokens.
+    /// Returns the row of a job without the tokens of its finished items, if its route or account is
+    /// near the limit on waiting tokens.
     fn reduced_row(&self, owned: &Owned, results: &Batch) -> Option<row::Job> {
         let route = self.route(&owned.job.row)?;
+        let account = owned.job.row.account.as_deref();
         if !route.quota.is_limited()
-            || !route.quota.needs_exact_count(self.shared.waiting_tokens(&route))
+            || !route.quota.needs_exact_count(self.shared.waiting_tokens(&route, account))
         {
             return None;
         }
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -400,8 +400,8 @@
     fn start_item(self: &Arc<Self>, id: &str, item: usize, flight: Flight) {
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
-        let host = &owned.job.row.host;
-        let Some(outgoing) = item::outgoing(&self.shared, host, &owned.items[item]) else {
+        let job = &owned.job.row;
+        let Some(outgoing) = item::outgoing(&self.shared, job, &owned.items[item]) else {
             // The path or a header of the item is invalid, so that no request can be built.
             drop(jobs);
             self.record_failure(id, item, RunFailure::Failed, FAILED_RETRY_DELAY);
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -20,6 +20,7 @@
     dialect::Item,
     exchange::{self, Next, Options, Outgoing, Response},
     flight::Flight,
+    job::row,
     quarantine::format_parts,
     shared::{Shared, lock},
 };
@@ -50,15 +51,18 @@
     Interrupted(Failure),
 }
 
-/// Builds the request of an item. Returns `None` if its path or one of its headers is invalid.
-pub fn outgoing(shared: &Shared, host: &str, item: &Item) -> Option<Outgoing> {
+/// Builds the request of an item of a job. Returns `None` if its path or one of its headers is invalid.
+pub fn outgoing(shared: &Shared, job: &row::Job, item: &Item) -> Option<Outgoing> {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         headers.insert(HeaderName::from_str(name).ok()?, HeaderValue::from_str(value).ok()?);
     }
     exchange::strip_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
-    headers.insert(HOST, HeaderValue::from_str(host).ok()?);
+    if job.account.is_some() || shared.routes.load().accounts.is_some() {
+        shared.set_account(&mut headers, job.account.as_deref());
+    }
+    headers.insert(HOST, HeaderValue::from_str(&job.host).ok()?);
     let names = shared.dialect.headers();
     headers.insert(&names.request_id, HeaderValue::from_str(&item.id).ok()?);
     Some(Outgoing {
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use cyclamengrade_control::relay::{job::FinalState, route, selector::Upstream};
-use hyper::{HeaderMap, Method, Uri, header::HeaderName};
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{AUTHORIZATION, HeaderName},
+};
 use serde_json::Value;
 
 /// Names of the headers that the relay reads or sets.
@@ -34,6 +37,8 @@
     /// In the responses of an upstream in need: the requests a second, a decimal number, that it
     /// takes from all relays together.
     pub limit: HeaderName,
+    /// In a request to an upstream: name of the account whose key the caller sent.
+    pub account: HeaderName,
 }
 
 /// Tables and keys of the rows that the relay reads and the platform or its operators write.
@@ -110,6 +115,18 @@
     /// Parses the value of the configuration row.
     fn configuration(&self, value: &Value) -> Result<route::Table, String>;
 
+    /// Returns the authentication scheme (RFC 9110, section 11.1) under which callers send their keys.
+    fn key_scheme(&self) -> &'static str;
+
+    /// Returns the key that a request brings in its `Authorization` header. A request with several such
+    /// headers has none.
+    fn key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        let mut values = headers.get_all(AUTHORIZATION).iter();
+        let value = values.next().filter(|_| values.next().is_none())?;
+        let (scheme, key) = str::from_utf8(value.as_bytes()).ok()?.trim().split_once(' ')?;
+        scheme.eq_ignore_ascii_case(self.key_scheme()).then(|| key.trim_start())
+    }
+
     /// Returns the ids of the parts of a request's prompt that other requests may share, in order.
     fn shared_parts(&self, headers: &HeaderMap) -> Vec<String>;
 
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    admission::NO_CONFIGURATION_RETRY_AFTER,
     attempt::Dispatch,
     batch::Dispatcher,
     body::Body,
@@ -34,8 +35,6 @@
 
 mod jobs;
 
-/// `Retry-After` while this relay has not read a configuration.
-const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Time without a new connection after which a relay that stops closes its listener.
 const QUIET_TIME: Duration = Duration::from_millis(50);
 /// Longest time for which a relay that stops accepts connections while they keep coming, beyond the time
@@ -149,7 +148,7 @@
         let arrived = Instant::now();
         if let Some(call) = self.shared.dialect.job_call(&head.method, &head.uri, &head.headers) {
             dispatch.record();
-            return jobs::handle(&self.shared, &self.dispatcher, call).await;
+            return jobs::handle(&self.shared, &self.dispatcher, call, &head.headers).await;
         }
         match self.route(&head) {
             Err(status) if status == StatusCode::SERVICE_UNAVAILABLE => {
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use cyclamengrade_control::relay::{quota::Admission, route::Route};
+use cyclamengrade_control::relay::{account::Caller, quota::Admission, route::Route};
 use cyclamengrade_platform::Error;
 use cyclamengrade_telemetry::event;
 use hyper::{
-    Response, StatusCode,
+    HeaderMap, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, HOST, HeaderValue},
     http::request::Parts,
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    admission,
     batch::Dispatcher,
     body::Body,
     dialect::JobCall,
@@ -47,10 +48,15 @@
     let Some(id) = online::header_text(&head.headers, &names.request_id).map(str::to_owned) else {
         return online::empty(StatusCode::BAD_REQUEST);
     };
+    let reject = |rejection| admission::reject(shared, &id, Some(&route), rejection);
+    let caller = match shared.identify(route.public, &head.headers) {
+        Ok(caller) => caller,
+        Err(rejection) => return reject(rejection),
+    };
     let limits = shared.routes.load().limits;
-    let body = match online::read_body(&shared.body_memory, body, &limits, BODY_TIMEOUT).await {
+    let body = match admission::read_body(&shared.body_memory, body, &limits, BODY_TIMEOUT).await {
         Ok(body) => body,
-        Err(status) => return online::body_error(status),
+        Err(status) => return admission::body_error(status),
     };
     let items = match shared.dialect.read_job(&body.bytes) {
         Ok(items) if items.len() <= MAX_ITEMS => Arc::new(items),
@@ -58,10 +64,14 @@
         Err(cause) => return bad_request(&id, &cause),
     };
     let tokens = items.iter().map(|item| item.tokens).fold(0, u64::saturating_add);
-    let _reservation = match reserve(shared, &route, &id, tokens).await {
+    let _reservation = match reserve(shared, &route, &id, &caller, tokens).await {
         Ok(reservation) => reservation,
         Err(response) => return response,
     };
+    let caller = match shared.identify_again(&caller, route.public, &head.headers) {
+        Ok(changed) => changed.unwrap_or(caller),
+        Err(rejection) => return reject(rejection),
+    };
     let Some(now) = shared.clock.store_ms() else { return store_unavailable(shared) };
     let after = |duration: Duration| now.saturating_add(duration.as_millis() as u64);
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -77,6 +87,8 @@
         state: row::State::Open,
         owner: is_running.then(|| shared.as_owner()),
         configuration: shared.routes.load().version,
+        account: caller.account().map(|account| account.name.clone()),
+        public: caller == Caller::Anonymous,
     };
     let loading = dispatcher.begin_loading(&id);
     match store::accept(shared, &id, body.bytes.clone(), &job).await {
@@ -90,14 +102,17 @@
             return online::empty(StatusCode::BAD_GATEWAY);
         }
     }
+    // An earlier submission with the same id may have stored another row, with another owner.
+    let known = shared.jobs().get(&id).cloned();
+    if known.as_ref().is_some_and(|known| !known.row.admits(&caller)) {
+        return online::empty(StatusCode::NOT_FOUND);
+    }
     event!(
         JobStored,
         job:% = id,
         items = items.len(),
         elapsed_ms = started.elapsed().as_millis() as u64
     );
-    // An earlier submission with the same id may have stored another row, with another owner.
-    let known = shared.jobs().get(&id).cloned();
     if let (Some(known), Some(_)) = (known, &loading)
         && known.row == job
         && is_running
@@ -109,15 +124,17 @@
     online::empty(StatusCode::ACCEPTED)
 }
 
-/// Reserves the tokens of a job within the limit of its route. A job that is stored already needs no
+/// Reserves the tokens of a job within the limit of its route and account. A job that is stored already needs no
 /// reservation. The error is the response to the submission.
 async fn reserve(
     shared: &Arc<Shared>,
     route: &Route,
     id: &str,
+    caller: &Caller,
     tokens: u64,
 ) -> Result<Option<Reservation>, Response<Body>> {
-    let refused = match shared.reserve_tokens(route, tokens) {
+    let account = caller.account().map(|account| account.name.as_str());
+    let refused = match shared.reserve_tokens(route, account, tokens) {
         Ok(reservation) => return Ok(Some(reservation)),
         Err(refused) => refused,
     };
@@ -129,7 +146,7 @@
             return Err(store_unavailable(shared));
         }
     }
-    let waiting = shared.waiting_tokens(route);
+    let waiting = shared.waiting_tokens(route, account);
     event!(JobOverLimit, job:% = id, route:% = route.name, tokens = tokens, waiting = waiting, decision:? = refused);
     Err(match refused {
         Admission::Full(wait) => online::refusal(StatusCode::TOO_MANY_REQUESTS, wait),
@@ -154,39 +171,56 @@
     shared: &Arc<Shared>,
     dispatcher: &Arc<Dispatcher>,
     call: JobCall,
+    headers: &HeaderMap,
 ) -> Response<Body> {
-    let (id, result) = match call {
-        JobCall::Results { job, after, wait } => {
-            let result = results(shared, &job, after, wait.min(MAX_RESULT_WAIT)).await;
-            (job, result)
-        }
-        JobCall::Item { job, item } => {
-            let result = item_body(shared, dispatcher, &job, &item).await;
-            (job, result)
-        }
-        JobCall::End { job } => {
-            let result = end(shared, dispatcher, &job).await;
-            (job, result)
+    let id = match &call {
+        JobCall::Results { job, .. } | JobCall::Item { job, .. } | JobCall::End { job } => job,
+    };
+    let id = id.clone();
+    let job = match store::find(shared, &id).await {
+        Ok(job) => job,
+        Err(error) => return call_failed(shared, &id, &error),
+    };
+    let is_public = job.as_ref().is_some_and(|job| job.row.public);
+    let caller = match shared.identify(is_public, headers) {
+        Ok(caller) => caller,
+        Err(rejection) => return admission::reject(shared, &id, None, rejection),
+    };
+    let Some(job) = job.filter(|job| job.row.admits(&caller)) else {
+        return online::empty(StatusCode::NOT_FOUND);
+    };
+    let result = match call {
+        JobCall::Results { after, wait, .. } => {
+            results(shared, &id, &job.row, after, wait.min(MAX_RESULT_WAIT)).await
         }
+        JobCall::Item { item, .. } => item_body(shared, dispatcher, &id, &item).await,
+        JobCall::End { .. } => return end(shared, dispatcher, &id).await,
     };
+    // The key may have been removed while the results were waited for.
+    if let Err(rejection) = shared.identify_again(&caller, is_public, headers) {
+        return admission::reject(shared, &id, None, rejection);
+    }
     match result {
         Ok(Some(response)) => response,
         Ok(None) => online::empty(StatusCode::NOT_FOUND),
-        Err(error) => {
-            event!(JobCallFailed, job:% = id, error:% = error);
-            store_unavailable(shared)
-        }
+        Err(error) => call_failed(shared, &id, &error),
     }
 }
 
+/// Logs that the store failed during a call about a job, and refuses the call.
+fn call_failed(shared: &Shared, id: &str, error: &Error) -> Response<Body> {
+    event!(JobCallFailed, job:% = id, error:% = error);
+    store_unavailable(shared)
+}
+
 async fn results(
     shared: &Shared,
     id: &str,
+    job: &row::Job,
     after: usize,
     wait: Duration,
 ) -> Result<Option<Response<Body>>, Error> {
-    let Some(job) = store::find(shared, id).await? else { return Ok(None) };
-    let page = store::results(shared, id, job.row.items, after, wait).await?;
+    let page = store::results(shared, id, job.items, after, wait).await?;
     let mut response = Response::new(Body::new(shared.dialect.write_page(&page)));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     Ok(Some(response))
@@ -200,23 +234,19 @@
 ) -> Result<Option<Response<Body>>, Error> {
     let items = match dispatcher.items(id) {
         Some(items) => items,
-        None => {
-            let Some(_) = store::find(shared, id).await? else { return Ok(None) };
-            Arc::new(store::input(shared, id).await?)
-        }
+        None => Arc::new(store::input(shared, id).await?),
     };
     let found = items.iter().find(|found| found.id == item);
     Ok(found.map(|found| Response::new(Body::new(found.body.clone()))))
 }
 
-async fn end(
-    shared: &Arc<Shared>,
-    dispatcher: &Dispatcher,
-    id: &str,
-) -> Result<Option<Response<Body>>, Error> {
-    if !store::end(shared, id).await? {
-        return Ok(None);
+async fn end(shared: &Arc<Shared>, dispatcher: &Dispatcher, id: &str) -> Response<Body> {
+    match store::end(shared, id).await {
+        Ok(true) => {
+            dispatcher.release(id, "its caller ended it");
+            online::empty(StatusCode::OK)
+        }
+        Ok(false) => online::empty(StatusCode::NOT_FOUND),
+        Err(error) => call_failed(shared, id, &error),
     }
-    dispatcher.release(id, "its caller ended it");
-    Ok(Some(online::empty(StatusCode::OK)))
 }
--- a/components/relay/src/job/reservation.rs
+++ b/components/relay/src/job/reservation.rs
@@ -15,24 +15,28 @@
 /// Tokens of a job that is being stored. They are free again when this value is dropped.
 pub struct Reservation {
     shared: Arc<Shared>,
-    route: String,
+    /// Name of the route, and account.
+    holder: (String, Option<String>),
     tokens: u64,
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        if let Some(total) = lock(&self.shared.reserved_tokens).get_mut(&self.route) {
+        if let Some(total) = lock(&self.shared.reserved_tokens).get_mut(&self.holder) {
             *total = total.saturating_sub(self.tokens);
         }
     }
 }
 
 impl Shared {
-    /// Returns the tokens of the open jobs of a batch route that wait for a run.
-    pub fn waiting_tokens(&self, route: &Route) -> u64 {
+    /// Returns the tokens of the open jobs of a batch route that wait for a run. Where the configuration has
+    /// accounts, only jobs of `account` count.
+    pub fn waiting_tokens(&self, route: &Route, account: Option<&str>) -> u64 {
         let routes = self.routes.load();
         let jobs = self.jobs();
         let open = jobs.values().filter(|job| job.row.state == row::State::Open);
+        let has_accounts = routes.accounts.is_some();
+        let open = open.filter(|job| !has_accounts || job.row.account.as_deref() == account);
         let of_route = open.filter(|job| {
             let found = routes.find_batch(&job.row.host, &job.row.path);
             found.is_some_and(|found| found.name == route.name)
@@ -40,17 +44,20 @@
         of_route.map(|job| job.row.tokens).fold(0, u64::saturating_add)
     }
 
-    /// Decides whether a submitted job of `tokens` fits into the limit of its route, and reserves
-    /// the tokens while the job is being stored.
+    /// Decides whether a submitted job of `tokens` fits into the limit of its route and account, and
+    /// reserves the tokens while the job is being stored.
     pub fn reserve_tokens(
         self: &Arc<Self>,
         route: &Route,
+        account: Option<&str>,
         tokens: u64,
     ) -> Result<Reservation, Admission> {
         let age = self.fleet_age();
-        let waiting = if route.quota.is_limited() { self.waiting_tokens(route) } else { 0 };
+        let is_limited = route.quota.is_limited();
+        let waiting = if is_limited { self.waiting_tokens(route, account) } else { 0 };
+        let holder = (route.name.clone(), account.map(str::to_owned));
         let mut reserved = lock(&self.reserved_tokens);
-        let total = reserved.entry(route.name.clone()).or_default();
+        let total = reserved.entry(holder.clone()).or_default();
         match route.quota.admit(
             View { waiting, reserved: *total, age },
             tokens,
@@ -58,7 +65,7 @@
         ) {
             Admission::Admitted => {
                 *total = total.saturating_add(tokens);
-                Ok(Reservation { shared: self.clone(), route: route.name.clone(), tokens })
+                Ok(Reservation { shared: self.clone(), holder, tokens })
             }
             refused => Err(refused),
         }
--- a/components/relay/src/job/row.rs
+++ b/components/relay/src/job/row.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use cyclamengrade_control::relay::job;
+use cyclamengrade_control::relay::{account::Caller, job};
 use serde::{Deserialize, Serialize};
 
 /// Largest id of an event whose text is continued: the largest integer that every writer of JSON
@@ -90,6 +90,14 @@
     /// relay of a build without this field has written the row.
     #[serde(default)]
     pub configuration: u64,
+    /// Name of the account whose key the job was submitted with; `None` without a known key, and after a
+    /// relay of a build without this field has written the row.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<String>,
+    /// Whether the job was submitted without a known key on a public route, so that calls about it need
+    /// none.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 impl Job {
@@ -98,6 +106,16 @@
         self.owner.as_ref() == Some(owner)
     }
 
+    /// Whether a caller may read and end the job.
+    pub fn admits(&self, caller: &Caller) -> bool {
+        match (caller, &self.account) {
+            _ if self.public => true,
+            (Caller::Unchecked, _) | (Caller::Holder { .. }, None) => true,
+            (Caller::Holder { account, .. }, Some(name)) => account.name == *name,
+            (Caller::Anonymous, _) => false,
+        }
+    }
+
     /// Returns the row after a takeover by `by`, or `None` if the job is not open or `from` is no
     /// longer its owner.
     pub fn taken_over(&self, from: Option<&Owner>, by: &Owner) -> Option<Self> {
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -4,10 +4,12 @@
 //! A relay reads its routes, the upstreams and the other relays from the platform's store. It keeps
 //! no durable state of its own: batch jobs and their results are in the store.
 
+mod admission;
 mod allowance;
 mod attempt;
 mod batch;
 pub mod body;
+mod caller;
 mod clock;
 pub mod connection;
 pub mod dialect;
@@ -38,6 +40,7 @@
 mod successor;
 
 pub use crate::{
+    caller::{check_object, read_accounts},
     error::Error,
     native::{Native, query},
     run::{Parts, run},
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cyclamengrade_control::relay::{
+    account::Entry,
     job::FinalState,
     quota::Quota,
     route::{Deployment, Kind, Limits, Route, Table, Target},
@@ -13,7 +14,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::dialect::{Dialect, Headers, Item, JobCall, Page, Sources};
+use crate::{
+    caller,
+    dialect::{Dialect, Headers, Item, JobCall, Page, Sources},
+};
 
 /// Path prefix of the calls about jobs.
 const JOBS_PREFIX: &str = "/v1/relay/jobs/";
@@ -40,6 +44,7 @@
                 not_run: name("x-not-run"),
                 leaving: name("x-upstream-leaving"),
                 limit: name("x-upstream-limit"),
+                account: name("x-account"),
             },
             prompt_parts: name("x-prompt-parts"),
             sources: Sources {
@@ -64,6 +69,28 @@
     routes: Vec<RouteJson>,
     #[serde(default)]
     deployments: BTreeMap<String, DeploymentJson>,
+    /// Client accounts. They are decoded one by one, since an error of the decoder may quote a key.
+    accounts: Option<Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AccountJson {
+    name: String,
+    keys: Vec<String>,
+    priority: Option<u32>,
+    /// Requests a second; 0 for no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+impl From<AccountJson> for Entry {
+    fn from(json: AccountJson) -> Self {
+        let AccountJson { name, keys, priority, rate_per_s: rate, burst } = json;
+        Self { name, keys, priority, rate, burst }
+    }
 }
 
 #[derive(Deserialize)]
@@ -219,12 +246,19 @@
     }
 
     fn configuration(&self, value: &Value) -> Result<Table, String> {
+        caller::check_object(value)?;
         let json = ConfigurationJson::deserialize(value).map_err(|error| error.to_string())?;
+        let accounts = caller::read_accounts::<AccountJson>(json.accounts, "name")?;
         let deployments = json.deployments.into_iter().map(|(name, deployment)| {
             (name, Deployment { max_connections: deployment.max_connections })
         });
         let routes = json.routes.into_iter().map(Route::from).collect();
-        Ok(Table::new(json.version, routes, deployments.collect(), Limits::default()))
+        let table = Table::new(json.version, routes, deployments.collect(), Limits::default());
+        Ok(table.with_accounts(accounts))
+    }
+
+    fn key_scheme(&self) -> &'static str {
+        "Bearer"
     }
 
     fn shared_parts(&self, headers: &HeaderMap) -> Vec<String> {
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -5,18 +5,17 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cyclamengrade_control::relay::{
     ending::Ending,
     failure::Failure,
     origin::Stream,
-    route::{Kind, Limits, Route},
+    route::{Kind, Route},
 };
 use cyclamengrade_telemetry::{
     event,
     metrics::{RELAY_FIRST_BYTE_SECONDS, RELAY_REQUEST_SECONDS, RELAY_REQUESTS},
 };
-use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Incoming,
@@ -24,19 +23,16 @@
     http::request::Parts,
 };
 use metrics::{counter, histogram};
-use tokio::{
-    sync::mpsc::Sender,
-    time::{timeout, timeout_at},
-};
+use tokio::{sync::mpsc::Sender, time::timeout_at};
 
 use crate::{
+    admission,
     attempt::{self, Dispatch, Request},
     body::{Body, Chunk, EventBudget},
     dialect::Headers,
     events::Event,
-    exchange::{self, Collected, Events, Next, Outgoing},
+    exchange::{self, Collected, Events, Next},
     flight::Flight,
-    memory::{Budget, Reservation},
     shared::Shared,
     slots::Placement,
 };
@@ -51,46 +47,6 @@
 /// earlier or later than this relay's.
 const ORIGIN_MARGIN: Duration = Duration::from_secs(2);
 
-/// A request body in memory.
-pub struct Buffered {
-    pub bytes: Bytes,
-    /// Memory reserved for the body, freed on drop.
-    pub memory: Reservation,
-}
-
-/// Reads the body of a request. `budget` limits the memory of all request bodies together.
-///
-/// # Errors
-///
-/// Returns the status of the response if the body is too large, is incomplete, does not arrive
-/// within `within`, or would exceed the memory of all bodies.
-pub async fn read_body(
-    budget: &Budget,
-    body: Incoming,
-    limits: &Limits,
-    within: Duration,
-) -> Result<Buffered, StatusCode> {
-    let read = async {
-        let mut body = body;
-        let mut bytes = BytesMut::new();
-        let mut memory = budget.reserve().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
-            if let Ok(data) = frame.into_data() {
-                if bytes.len() + data.len() > limits.body_bytes {
-                    return Err(StatusCode::PAYLOAD_TOO_LARGE);
-                }
-                bytes.extend_from_slice(&data);
-                if !memory.grow_to(bytes.len()) {
-                    return Err(StatusCode::SERVICE_UNAVAILABLE);
-                }
-            }
-        }
-        Ok(Buffered { bytes: bytes.freeze(), memory })
-    };
-    timeout(within, read).await.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
-}
-
 /// Serves a request of a route that is not a batch route.
 pub async fn serve(
     shared: Arc<Shared>,
@@ -100,50 +56,16 @@
     arrived: Instant,
     dispatch: Dispatch,
 ) -> Response<Body> {
-    let names = shared.dialect.headers();
-    let id = header_text(&head.headers, &names.request_id).unwrap_or_default().to_owned();
-    let timeout = header_text(&head.headers, &names.deadline_ms)
-        .and_then(|value| value.parse().ok())
-        .map_or(route.timeout, |ms| Duration::from_millis(ms).min(route.timeout));
-    if !shared.accepts(&route, shared.clock.now() + timeout) {
-        log_declined(&id, &route, "this relay stops before the request has certainly ended");
-        return unavailable(MIN_RETRY_AFTER);
-    }
-    let left = shared.answer_by().map(|answer_by| answer_by.since(shared.clock.now()));
-    let timeout = left.map_or(timeout, |left| timeout.min(left));
-    let deadline = arrived + timeout;
-    let limits = shared.routes.load().limits;
-    let body = match read_body(&shared.body_memory, body, &limits, timeout).await {
-        Ok(body) => body,
-        Err(status) => {
-            event!(
-                RequestImproper,
-                request:% = id,
-                reason = "request body could not be read",
-                status = status.as_u16()
-            );
-            return body_error(status);
-        }
+    let request = match admission::admit(&shared, route, head, body, arrived).await {
+        Ok(request) => request.with_dispatch(dispatch),
+        Err(response) => return response,
     };
-    let mut headers = head.headers;
-    exchange::strip_hop_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    let Buffered { bytes: body, memory } = body;
-    let outgoing = Outgoing { method: head.method, uri: origin_form(&head.uri), headers, body, id };
-    let request = Request::new(shared.clone(), route.clone(), outgoing, arrived, deadline)
-        .with_memory(memory)
-        .with_dispatch(dispatch);
-    match route.kind {
+    match request.route.kind {
         Kind::Stream => serve_stream(shared, request).await,
         Kind::Safe | Kind::Unsafe | Kind::Batch => serve_single(request).await,
     }
 }
 
-/// Returns the path and query of a request target, also of one in absolute form.
-fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
-    uri.path_and_query().map_or_else(|| uri.clone(), |path| hyper::Uri::from(path.clone()))
-}
-
 /// Serves a request with a single response. The response is buffered until it is complete, so that
 /// the request can still be retried at another upstream.
 async fn serve_single(mut request: Request) -> Response<Body> {
@@ -510,7 +432,7 @@
             () = self.sender.closed() => return Err(End::CallerLeft),
             sent = self.request.send_to(flight, self.last_event_id) => sent,
         };
-        let Ok(response) = sent else { return Ok(None) };
+        let Ok(response) = sent.map_err(End::Failed)? else { return Ok(None) };
         if !(response.status.is_success() && response.is_event_stream()) {
             return Ok(None);
         }
@@ -578,6 +500,7 @@
             attempt::Error::Refused(..) => "no upstream can resume the stream in time",
             attempt::Error::UnknownOrigin => "its software version is not known",
             attempt::Error::Quarantined(_) => "it or a part of its prompt ended upstreams",
+            attempt::Error::Rejected(_) => "its key is no longer known to be valid",
             attempt::Error::AttemptsExhausted(failure) => failure.name(),
             attempt::Error::DeadlineExceeded => "deadline exceeded",
         };
@@ -621,6 +544,15 @@
         attempt::Error::Quarantined(left) => {
             (left, Placement::default(), "the request or a part of its prompt ended upstreams")
         }
+        attempt::Error::Rejected(rejection) if is_not_run => {
+            let (id, route) = (&request.outgoing.id, Some(&*request.route));
+            return admission::reject(&request.shared, id, route, rejection);
+        }
+        attempt::Error::Rejected(_) => (
+            MIN_RETRY_AFTER,
+            Placement::default(),
+            "the key of the request is no longer known to be valid",
+        ),
         attempt::Error::UnknownOrigin => (
             MIN_RETRY_AFTER,
             Placement::default(),
@@ -639,6 +571,7 @@
             attempt::Error::Refused(..)
             | attempt::Error::UnknownOrigin
             | attempt::Error::Quarantined(_)
+            | attempt::Error::Rejected(_)
             | attempt::Error::AttemptsExhausted(_) => StatusCode::BAD_GATEWAY,
         };
         record_end(request, status, "failed");
@@ -664,21 +597,6 @@
     unavailable(retry_after)
 }
 
-/// Logs and counts a request that is refused before its first attempt.
-fn log_declined(id: &str, route: &Route, reason: &str) {
-    event!(
-        RequestDeclined,
-        request:% = id,
-        route:% = route.name,
-        reason:% = reason,
-        granted = false,
-        load_permille = 0,
-        wait_ms = 0,
-        retry_after_ms = MIN_RETRY_AFTER.as_millis() as u64
-    );
-    counter!(RELAY_REQUESTS, "kind" => route.kind.name(), "outcome" => "refused").increment(1);
-}
-
 /// Returns a response which says that the request did not run and when to retry it.
 pub fn unavailable(retry_after: Duration) -> Response<Body> {
     refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after)
@@ -694,14 +612,6 @@
     response
 }
 
-/// Returns the response to a request whose body could not be read, for a status of [`read_body`].
-pub fn body_error(status: StatusCode) -> Response<Body> {
-    match status {
-        StatusCode::SERVICE_UNAVAILABLE => unavailable(MIN_RETRY_AFTER),
-        status => empty(status),
-    }
-}
-
 pub fn empty(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
--- a/components/relay/src/quarantine.rs
+++ b/components/relay/src/quarantine.rs
@@ -11,6 +11,7 @@
 };
 
 use cyclamengrade_control::relay::{
+    account::Caller,
     failure::Failure,
     quarantine::{Part, QUARANTINE_TIME, Quarantine, Query, Suspicions},
     selector::{Key, Upstream, short_id},
@@ -70,14 +71,19 @@
 
     /// Returns what a caller's request has in common with others: the shared parts of its prompt, and
     /// what makes it a repeat of another one.
-    pub fn request_parts(&self, outgoing: &Outgoing) -> Arc<[Part]> {
+    pub fn request_parts(&self, outgoing: &Outgoing, caller: &Caller) -> Arc<[Part]> {
         let header = |name| header_text(&outgoing.headers, &name).unwrap_or_default();
+        let credentials = match caller {
+            Caller::Unchecked => header(AUTHORIZATION),
+            Caller::Anonymous => "",
+            Caller::Holder { account, .. } => &account.name,
+        };
         let target = outgoing.uri.path_and_query().map_or("", |target| target.as_str());
         let request = Part::of_request(
             outgoing.method.as_str(),
             header(HOST),
             target,
-            header(AUTHORIZATION),
+            credentials,
             &outgoing.body,
         );
         let prompt = self.parts(&outgoing.headers);
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -70,7 +70,9 @@
         objects,
         settings.store.row_bytes,
     );
-    let shared = Arc::new(shared.with_memory(settings.memory_bytes));
+    let apply_time = Duration::from_millis(settings.store.apply_ms);
+    let shared = shared.with_memory(settings.memory_bytes).with_apply_time(apply_time);
+    let shared = Arc::new(shared);
     shared.set_peer(settings.peer_listen, settings.capacity());
     let control = spawn_control(shared.clone(), feed, &settings)?;
     let traffic = runtime()?;
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -198,8 +198,10 @@
     /// Time of the last answer of the feed of the fleet table, in microseconds of the monotonic
     /// clock.
     last_fleet_answer: AtomicU64,
-    /// Tokens of the jobs that this relay is storing, by name of the route.
-    pub(crate) reserved_tokens: Mutex<BTreeMap<String, u64>>,
+    /// Tokens of the jobs that this relay is storing, by name of the route and account.
+    pub(crate) reserved_tokens: Mutex<BTreeMap<(String, Option<String>), u64>>,
+    /// Time within which a change of the configuration has to be in force.
+    pub apply_time: Duration,
 }
 
 impl Shared {
@@ -253,9 +255,15 @@
             fleet_version: AtomicU64::new(0),
             last_fleet_answer: AtomicU64::new(0),
             reserved_tokens: Mutex::default(),
+            apply_time: Duration::MAX,
         }
     }
 
+    /// Sets the time within which a change of the configuration has to be in force.
+    pub fn with_apply_time(self, apply_time: Duration) -> Self {
+        Self { apply_time, ..self }
+    }
+
     /// Limits the memory for request and response bodies and for events to shares of `bytes`, the memory of the process.
     pub fn with_memory(self, bytes: u64) -> Self {
         Self {
--- a/components/relay/tests/job_schedules.rs
+++ b/components/relay/tests/job_schedules.rs
@@ -217,6 +217,8 @@
             state: State::Open,
             owner,
             configuration: 1,
+            account: None,
+            public: false,
         };
         let mut submission = Submission::default();
         self.responses.submissions += 1;
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -336,6 +336,18 @@
     /// The settings could not be reloaded on a signal; the previous ones stay in force. Fields:
     /// `error`.
     1262 Warn SettingsUnusable "settings_unusable" "settings could not be reloaded; the previous ones stay in force",
+
+    /// A request without a valid key was rejected and not run. Fields: `request` (the job for a call about a
+    /// job), `route` (empty for such a call), `reason` (`no key`, `unknown key`, or `key was removed` while
+    /// the request waited), `configuration` (version).
+    1263 Info RequestUnauthorized "request_unauthorized" "request has no valid key",
+    /// A request was rejected and not run, because it is not known whether the configuration is current, so
+    /// that its key may have been added or taken away. Fields: `request`, `route` and `configuration` as in
+    /// event 1263.
+    1264 Warn ConfigurationUnconfirmed "configuration_unconfirmed" "configuration may be out of date, and a request was rejected",
+    /// A request over the quota of its account was rejected and not run. Fields: `request`, `account`,
+    /// `wait_ms`.
+    1265 Info QuotaExceeded "quota_exceeded" "request exceeds the quota of its account",
 }
 
 /// Logs a numbered event with key-value fields.
