Test client accounts, and keep keys out of the errors of submissions

The error of a submission that is no valid job quoted the text in question, which may be a key; it now names the kind of the fault and its position. A rate that rounds to 0 thousandths stays a limit.

--- a/components/control/src/relay/account.rs
+++ b/components/control/src/relay/account.rs
@@ -198,5 +198,7 @@
         }
     }
     let milli = |value: f64| (value * 1_000.0) as u64;
-    Ok((rate > 0.0).then(|| Limit { rate_milli: milli(rate), burst_milli: milli(burst) }))
+    // A rate that is not 0 limits the requests, also if it rounds to 0.
+    let limit = || Limit { rate_milli: milli(rate).max(1), burst_milli: milli(burst) };
+    Ok((rate > 0.0).then(limit))
 }
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -93,7 +93,7 @@
     /// Memory reserved for the body.
     _memory: Option<Reservation>,
     /// Who sent the request.
-    caller: Caller,
+    pub caller: Caller,
     /// Token of the account's quota.
     token: Option<Token>,
     dispatch: Dispatch,
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -124,8 +124,8 @@
     online::empty(StatusCode::ACCEPTED)
 }
 
-/// Reserves the tokens of a job within the limit of its route and account. A job that is stored already needs no
-/// reservation. The error is the response to the submission.
+/// Reserves the tokens of a job within the limit of its route and account. A job that is stored already
+/// needs no reservation. The error is the response to the submission.
 async fn reserve(
     shared: &Arc<Shared>,
     route: &Route,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -42,6 +42,6 @@
 pub use crate::{
     caller::{check_object, read_accounts},
     error::Error,
-    native::{Native, query},
+    native::{Native, describe_malformed, query},
     run::{Parts, run},
 };
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -12,7 +12,7 @@
 };
 use hyper::{HeaderMap, Method, Uri, header::HeaderName};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{Value, error::Category};
 
 use crate::{
     caller,
@@ -302,7 +302,8 @@
     }
 
     fn read_job(&self, body: &[u8]) -> Result<Vec<Item>, String> {
-        let json: JobJson = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+        let json: JobJson =
+            serde_json::from_slice(body).map_err(|error| describe_malformed(&error))?;
         let items = json.items.into_iter().map(|item| Item {
             id: item.id,
             path: item.path,
@@ -328,6 +329,16 @@
     }
 }
 
+/// Returns where a JSON body is malformed. Other than the text of the error, this quotes nothing of the body,
+/// whose headers may contain keys.
+pub fn describe_malformed(error: &serde_json::Error) -> String {
+    let kind = match error.classify() {
+        Category::Data => "unexpected or missing field",
+        Category::Io | Category::Syntax | Category::Eof => "no valid JSON",
+    };
+    format!("{kind} at line {}, column {}", error.line(), error.column())
+}
+
 /// Returns the value of the first query parameter `name`, without percent-decoding it.
 pub fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
     let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -97,6 +97,8 @@
     pub max_connections: usize,
     /// Service of the resumable streams, from the next configuration on.
     pub stream_service: &'static str,
+    /// Client accounts from the next configuration on; null for no list of accounts.
+    pub accounts: Value,
     relays: Vec<Relay>,
     program: PathBuf,
     /// Program of an older build, which relays run at every other start.
@@ -169,6 +171,7 @@
             retention_s: 60,
             max_connections: 100,
             stream_service: "model",
+            accounts: Value::Null,
             relays: Vec::new(),
             program,
             older_program,
@@ -232,9 +235,12 @@
             "MaxHeaderBytes": 16_384, "MaxBodyBytes": 1_048_576, "HeaderTimeoutMs": 3_000,
             "IdleTimeoutMs": 15_000
         });
-        let manifest = json!({
+        let mut manifest = json!({
             "Version": self.version, "Routes": routes, "Services": services, "Limits": limits
         });
+        if !self.accounts.is_null() {
+            manifest["Tenants"] = self.accounts.clone();
+        }
         self.store.put("op", "config", &manifest);
     }
 
@@ -697,9 +703,14 @@
         complete.filter_map(|result| result["Id"].as_str()).collect()
     }
 
+    /// Returns the log of a relay.
+    pub fn log(&self, relay: usize) -> String {
+        fs::read_to_string(&self.relays[relay].log).unwrap_or_default()
+    }
+
     /// Returns the lines of a relay's log that have this event name.
     pub fn events(&self, relay: usize, name: &str) -> Vec<Value> {
-        let text = fs::read_to_string(&self.relays[relay].log).unwrap_or_default();
+        let text = self.log(relay);
         let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
         lines.filter(|line| line["name"] == name).collect()
     }
--- a/components/standins/src/bridge/run.rs
+++ b/components/standins/src/bridge/run.rs
@@ -14,6 +14,10 @@
     pub after: Option<u64>,
     /// Time limit of the request in milliseconds (`Deadline-Ms`).
     pub deadline_ms: Option<u64>,
+    /// Name of the account that sent the request (`Tenant`); empty without one.
+    pub tenant: String,
+    /// Whether the request had an `Authorization` header.
+    pub has_key: bool,
     /// When the run started.
     pub started: Instant,
     /// How the run ended, and when; `None` while it goes on.
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -584,6 +584,8 @@
             id: request.header("request-id").to_owned(),
             after: request.header("last-event-id").parse().ok(),
             deadline_ms: request.header("deadline-ms").parse().ok(),
+            tenant: request.header("tenant").to_owned(),
+            has_key: request.headers.contains_key("authorization"),
             started: Instant::now(),
             ended: None,
         });
