--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cyclamengrade_control::relay::{
+    account::Entry,
     job::FinalState,
     quota::Quota,
     route::{Deployment, Kind, Limits, Route, Table, Target},
@@ -11,9 +12,12 @@
 };
 use hyper::{HeaderMap, Method, Uri, header::HeaderName};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{Value, error::Category};
 
-use crate::dialect::{Dialect, Headers, Item, JobCall, Page, Sources};
+use crate::{
+    caller,
+    dialect::{Dialect, Headers, Item, JobCall, Page, Sources},
+};
 
 /// Path prefix of the calls about jobs.
 const JOBS_PREFIX: &str = "/v1/relay/jobs/";
@@ -40,6 +44,7 @@
                 not_run: name("x-not-run"),
                 leaving: name("x-upstream-leaving"),
                 limit: name("x-upstream-limit"),
+                account: name("x-account"),
             },
             prompt_parts: name("x-prompt-parts"),
             sources: Sources {
@@ -64,6 +69,28 @@
     routes: Vec<RouteJson>,
     #[serde(default)]
     deployments: BTreeMap<String, DeploymentJson>,
+    /// Client accounts. They are decoded one by one, since an error of the decoder may quote a key.
+    accounts: Option<Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AccountJson {
+    name: String,
+    keys: Vec<String>,
+    priority: Option<u32>,
+    /// Requests a second; 0 for no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+impl From<AccountJson> for Entry {
+    fn from(json: AccountJson) -> Self {
+        let AccountJson { name, keys, priority, rate_per_s: rate, burst } = json;
+        Self { name, keys, priority, rate, burst }
+    }
 }
 
 #[derive(Deserialize)]
@@ -219,12 +246,19 @@
     }
 
     fn configuration(&self, value: &Value) -> Result<Table, String> {
+        caller::check_object(value)?;
         let json = ConfigurationJson::deserialize(value).map_err(|error| error.to_string())?;
+        let accounts = caller::read_accounts::<AccountJson>(json.accounts, "name")?;
         let deployments = json.deployments.into_iter().map(|(name, deployment)| {
             (name, Deployment { max_connections: deployment.max_connections })
         });
         let routes = json.routes.into_iter().map(Route::from).collect();
-        Ok(Table::new(json.version, routes, deployments.collect(), Limits::default()))
+        let table = Table::new(json.version, routes, deployments.collect(), Limits::default());
+        Ok(table.with_accounts(accounts))
+    }
+
+    fn key_scheme(&self) -> &'static str {
+        "Bearer"
     }
 
     fn shared_parts(&self, headers: &HeaderMap) -> Vec<String> {
@@ -268,7 +302,8 @@
     }
 
     fn read_job(&self, body: &[u8]) -> Result<Vec<Item>, String> {
-        let json: JobJson = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+        let json: JobJson =
+            serde_json::from_slice(body).map_err(|error| describe_malformed(&error))?;
         let items = json.items.into_iter().map(|item| Item {
             id: item.id,
             path: item.path,
@@ -294,6 +329,16 @@
     }
 }
 
+/// Returns where a JSON body is malformed. Other than the text of the error, this quotes nothing of the body,
+/// whose headers may contain keys.
+pub fn describe_malformed(error: &serde_json::Error) -> String {
+    let kind = match error.classify() {
+        Category::Data => "unexpected or missing field",
+        Category::Io | Category::Syntax | Category::Eof => "no valid JSON",
+    };
+    format!("{kind} at line {}, column {}", error.line(), error.column())
+}
+
 /// Returns the value of the first query parameter `name`, without percent-decoding it.
 pub fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
     let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
