--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -9,6 +9,7 @@
 //! Nothing here has to be exact for correctness: two relays that both act as the broker of a shard
 //! overfill its upstreams for a time, and a lost message is repaired by the next [`Sync`].
 
+mod fairness;
 mod message;
 mod placement;
 mod queue;
@@ -88,7 +89,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     upstream: u32,
+    /// Shard of the upstream at the time of the grant.
+    shard: u32,
     class: Class,
+    charge: Charge,
     urgency: Urgency,
     since: Time,
 }
@@ -186,18 +190,43 @@
             let refused = self.wait(shard, ahead) > start_within;
             if refused {
                 self.forget(from, ticket);
+                outgoing.push((from, Answer::Refused { ticket, load }));
+            } else {
+                outgoing.push((from, Answer::Queued { ticket, load }));
+                self.refuse_pushed_back(now, shard, (from, ticket), &mut outgoing);
             }
-            outgoing.push((
-                from,
-                match refused {
-                    true => Answer::Refused { ticket, load },
-                    false => Answer::Queued { ticket, load },
-                },
-            ));
         }
         outgoing
     }
 
+    /// Refuses the requests that a new one has pushed back so far that they can no longer start in time.
+    ///
+    /// The order is that in which they get slots: each refusal brings the requests behind it forward.
+    fn refuse_pushed_back(
+        &mut self,
+        now: Time,
+        shard: u32,
+        (from, ticket): (Holder, Ticket),
+        outgoing: &mut Vec<Outgoing>,
+    ) {
+        let Some(queue) = self.queues.get(&shard) else { return };
+        let pushed_back = queue.pushed_back(from, ticket);
+        if pushed_back.is_empty() {
+            return;
+        }
+        let (rate, load) = (self.rate(shard), self.load(now, shard));
+        let mut refused = 0;
+        for (position, (holder, ticket)) in pushed_back {
+            let queue = self.queues.get(&shard);
+            let start_by = queue.and_then(|queue| queue.start_by(holder, ticket)).unwrap_or(now);
+            if wait(rate, position - refused) > start_by.since(now) {
+                refused += 1;
+                self.forget(holder, ticket);
+                outgoing.push((holder, Answer::Refused { ticket, load }));
+            }
+        }
+    }
+
     /// Frees slots, or withdraws requests for them.
     pub fn release(&mut self, now: Time, from: Holder, tickets: &[Ticket]) -> Vec<Outgoing> {
         let mut shards = BTreeSet::new();
@@ -409,11 +438,14 @@
         accepting.filter_map(|place| self.limits.rate(place.upstream)).map(Rate::per_second).sum()
     }
 
+    /// Returns the rate at which online requests of a shard get slots, per second.
+    fn rate(&self, shard: u32) -> f64 {
+        self.online_rate(shard) + self.limited_rate(shard)
+    }
+
     /// Returns the expected wait of an online request behind `ahead` others.
     fn wait(&self, shard: u32, ahead: usize) -> Duration {
-        let rate = self.online_rate(shard) + self.limited_rate(shard);
-        let seconds = (ahead + 1) as f64 / rate.max(0.001);
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        wait(self.rate(shard), ahead)
     }
 
     fn fill_all(&mut self, now: Time, shards: impl IntoIterator<Item = u32>) -> Vec<Outgoing> {
@@ -478,7 +510,7 @@
         if self
             .queues
             .get(&shard)
-            .is_none_or(|queue| queue.batch_len() == 0 || queue.online_len() > 0)
+            .is_none_or(|queue| queue.batch().len() == 0 || queue.online_len() > 0)
             || self.is_learning(now, shard)
         {
             return;
@@ -510,7 +542,7 @@
         urgency: Option<Urgency>,
     ) -> Outgoing {
         let shard = self.places.get(&upstream).map_or(0, |place| place.shard);
-        self.forget(holder, ticket);
+        let charge = self.take(holder, ticket);
         self.suspensions.record_grant(upstream, holder, ticket);
         self.limits.take(upstream, now);
         self.insert(
@@ -518,7 +550,9 @@
             ticket,
             Grant {
                 upstream,
+                shard,
                 class,
+                charge,
                 urgency: urgency.unwrap_or(Urgency { late: false, due_ms: 0 }),
                 since: now,
             },
@@ -530,7 +564,11 @@
         let used = self.used.entry(grant.upstream).or_default();
         match grant.class {
             Class::Online => used.online += 1,
-            Class::Batch => used.batch += 1,
+            Class::Batch => {
+                used.batch += 1;
+                let queue = self.queues.entry(grant.shard).or_default();
+                queue.batch_mut().hold(grant.charge.account);
+            }
         }
         if let Some(client) = self.clients.get_mut(&holder) {
             client.grants.insert(ticket, grant);
@@ -546,14 +584,13 @@
             return None;
         }
         self.remove(now, from, held.ticket);
-        if let Some(shard) = self.places.get(&held.upstream).map(|place| place.shard)
-            && !self.is_learning(now, shard)
-        {
+        if !self.is_learning(now, shard) {
             // The relay has sent a request without a grant.
             self.limits.take(held.upstream, now);
         }
         let urgency = Urgency { late: held.class == Class::Batch, due_ms: u64::MAX };
-        let grant = Grant { upstream: held.upstream, class: held.class, urgency, since: now };
+        let Held { upstream, class, charge, .. } = held;
+        let grant = Grant { upstream, shard, class, charge, urgency, since: now };
         self.insert(from, held.ticket, grant);
         Some(shard)
     }
@@ -564,6 +601,11 @@
         let grant = self.clients.get_mut(&holder).and_then(|client| client.grants.remove(&ticket));
         let Some(grant) = grant else { return waited_in };
         self.suspensions.record_end(grant.upstream, holder, ticket, now);
+        if grant.class == Class::Batch
+            && let Some(queue) = self.queues.get_mut(&grant.shard)
+        {
+            queue.batch_mut().release(grant.charge.account);
+        }
         if let Some(used) = self.used.get_mut(&grant.upstream) {
             match grant.class {
                 Class::Online => used.online = used.online.saturating_sub(1),
@@ -582,6 +624,14 @@
         Some(shard)
     }
 
+    /// Removes a waiting request that gets a slot. Returns whom it is charged to.
+    fn take(&mut self, holder: Holder, ticket: Ticket) -> Charge {
+        let client = self.clients.get_mut(&holder);
+        let shard = client.and_then(|client| client.waiting.remove(&ticket));
+        let queue = shard.and_then(|shard| self.queues.get_mut(&shard));
+        queue.map(|queue| queue.grant(holder, ticket)).unwrap_or_default()
+    }
+
     /// Removes a waiting request. Returns its shard.
     fn forget(&mut self, holder: Holder, ticket: Ticket) -> Option<u32> {
         let shard = self.clients.get_mut(&holder)?.waiting.remove(&ticket)?;
@@ -591,3 +641,9 @@
         Some(shard)
     }
 }
+
+/// Returns the expected wait behind `ahead` others while `rate` requests get slots per second.
+fn wait(rate: f64, ahead: usize) -> Duration {
+    let seconds = (ahead + 1) as f64 / rate.max(0.001);
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- a/components/control/src/relay/broker/placement.rs
+++ b/components/control/src/relay/broker/placement.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 
 use super::{
-    Ask, Broker, Class, Holder, LOOKAHEAD, Place, Ticket,
+    Ask, Broker, Class, Grant, Holder, LOOKAHEAD, Place, Ticket,
     queue::{BatchKey, Waiting},
 };
-use crate::time::Time;
+use crate::{relay::origin::Software, time::Time};
 
 /// Whether an upstream accepts a request.
 fn may_serve(place: &Place, ask: &Ask) -> bool {
@@ -35,10 +35,12 @@
     /// Returns the next waiting online request that gets a free slot.
     ///
     /// A request whose relay has a connection to the upstream may overtake earlier ones while the
-    /// first of them has more than half of its time left, but none that continues a stream.
+    /// first of them has more than half of its time left, but none that continues a stream, and none of
+    /// another account.
     pub(super) fn next_grant(&self, now: Time, shard: u32) -> Option<(Holder, Ticket, u32)> {
         let queue = self.queues.get(&shard)?;
         let mut first = None;
+        let mut first_account = None;
         for (holder, waiting) in queue.online().take(LOOKAHEAD) {
             let Some(upstream) = self.free_place(now, &waiting.ask) else {
                 if !waiting.ask.is_restricted() {
@@ -49,7 +51,10 @@
             let grant = (holder, waiting.ask.ticket, upstream);
             let may_wait = waiting.ask.software.is_none()
                 && now.since(waiting.since) * 2 < waiting.start_by.since(waiting.since);
-            if waiting.ask.connected.contains(&upstream) || (first.is_none() && !may_wait) {
+            let account = waiting.ask.charge.account;
+            let may_overtake = *first_account.get_or_insert(account) == account;
+            let is_connected = waiting.ask.connected.contains(&upstream);
+            if (is_connected && may_overtake) || (first.is_none() && !may_wait) {
                 return Some(grant);
             }
             first.get_or_insert(grant);
@@ -107,7 +112,8 @@
         })
     }
 
-    /// Returns the least urgent batch stream at the upstreams that `is_usable` accepts.
+    /// Returns the least urgent batch stream at the upstreams that `is_usable` accepts, first of those
+    /// whose accounts hold more than an equal share of the batch slots.
     pub(super) fn least_urgent_at(
         &self,
         is_usable: impl Fn(u32) -> bool,
@@ -118,7 +124,13 @@
         });
         let batch = streams
             .filter(|(_, _, grant)| grant.class == Class::Batch && is_usable(grant.upstream));
-        let least = batch.max_by_key(|(holder, ticket, grant)| (grant.urgency, *holder, *ticket));
+        let is_above = |grant: &Grant| {
+            let queue = self.queues.get(&grant.shard);
+            queue.is_some_and(|queue| queue.batch().is_above(grant.charge.account))
+        };
+        let least = batch.max_by_key(|(holder, ticket, grant)| {
+            (is_above(grant), grant.urgency, *holder, *ticket)
+        });
         least.map(|(holder, ticket, _)| (holder, ticket))
     }
 
@@ -132,12 +144,13 @@
     ) -> Option<(BatchKey, u32)> {
         let queue = self.queues.get(&shard)?;
         let free: Vec<&Place> = usable.iter().filter(|place| self.free(place, now) > 0).collect();
-        queue.batch().find_map(|(key, software)| {
-            let suitable = free
-                .iter()
-                .filter(|place| software.is_none_or(|software| software == place.software));
-            let best = suitable.max_by_key(|place| permille(self.free(place, now), place.slots))?;
-            Some((key, best.upstream))
-        })
+        let suits = |place: &Place, software: Option<Software>| {
+            software.is_none_or(|software| software == place.software)
+        };
+        let has_place = |software| free.iter().any(|place| suits(place, software));
+        let (key, software) = queue.batch().next(has_place)?;
+        let suitable = free.iter().filter(|place| suits(place, software));
+        let best = suitable.max_by_key(|place| permille(self.free(place, now), place.slots))?;
+        Some((key, best.upstream))
     }
 }
--- a/components/control/src/relay/broker/queue.rs
+++ b/components/control/src/relay/broker/queue.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    relay::{
-        broker::{Ask, Holder, Ticket, Urgency, Want},
-        origin::Software,
+    relay::broker::{
+        Ask, Charge, Holder, Ticket, Urgency, Want,
+        fairness::{Order, Shares},
     },
     time::Time,
 };
@@ -27,17 +27,20 @@
 /// urgency.
 ///
 /// Requests that continue a stream go first: few upstreams suit them, and their callers wait in the
-/// middle of a response. The others go in the order in which they have to start.
+/// middle of a response. The others go in the order of the shares of their accounts, and those of one
+/// account, or without accounts, in the order in which they have to start.
 #[derive(Debug, Default)]
 pub struct Queue {
     /// Requests that continue a stream.
     continued: BTreeMap<OnlineKey, Waiting>,
     /// Requests that begin at any upstream.
     new: BTreeMap<OnlineKey, Waiting>,
-    /// Batch items, with the software that they need.
-    batch: BTreeMap<BatchKey, Option<Software>>,
+    /// The order of `new`.
+    order: Order<OnlineKey>,
+    /// Batch items, and the batch slots in use.
+    batch: Shares,
     online_keys: BTreeMap<(Holder, Ticket), OnlineKey>,
-    batch_keys: BTreeMap<(Holder, Ticket), BatchKey>,
+    wants: BTreeMap<(Holder, Ticket), Want>,
 }
 
 impl Queue {
@@ -45,33 +48,61 @@
         let ticket = waiting.ask.ticket;
         let key = (waiting.start_by, holder, ticket);
         self.online_keys.insert((holder, ticket), key);
-        match waiting.ask.software {
-            Some(_) => self.continued.insert(key, waiting),
-            None => self.new.insert(key, waiting),
-        };
+        if waiting.ask.software.is_some() {
+            self.continued.insert(key, waiting);
+        } else {
+            self.order.push(key, waiting.ask.charge);
+            self.new.insert(key, waiting);
+        }
     }
 
     pub fn push_batch(&mut self, holder: Holder, want: Want) {
-        let Want { ticket, urgency, software, .. } = want;
-        let key = (urgency, holder, ticket);
-        self.batch_keys.insert((holder, ticket), key);
-        self.batch.insert(key, software);
+        let key = (want.urgency, holder, want.ticket);
+        self.wants.insert((holder, want.ticket), want);
+        self.batch.push(key, want.charge.account, want.software);
     }
 
     pub fn remove(&mut self, holder: Holder, ticket: Ticket) {
         if let Some(key) = self.online_keys.remove(&(holder, ticket)) {
             self.continued.remove(&key);
-            self.new.remove(&key);
+            if let Some(waiting) = self.new.remove(&key) {
+                self.order.remove(key, waiting.ask.charge.account);
+            }
         }
-        if let Some(key) = self.batch_keys.remove(&(holder, ticket)) {
-            self.batch.remove(&key);
+        if let Some(want) = self.wants.remove(&(holder, ticket)) {
+            let key = (want.urgency, holder, ticket);
+            self.batch.remove(key, want.charge.account, want.software);
+        }
+    }
+
+    /// Removes a request that gets a slot, and charges an online one to its account. Returns the charge.
+    pub fn grant(&mut self, holder: Holder, ticket: Ticket) -> Charge {
+        let key = self.online_keys.get(&(holder, ticket)).copied();
+        let charge = match key {
+            Some(key) => self.charge_online(key),
+            None => self.wants.get(&(holder, ticket)).map(|want| want.charge),
+        };
+        self.remove(holder, ticket);
+        charge.unwrap_or_default()
+    }
+
+    fn charge_online(&mut self, key: OnlineKey) -> Option<Charge> {
+        if let Some(waiting) = self.continued.get(&key) {
+            self.order.charge(waiting.ask.charge);
+            return Some(waiting.ask.charge);
         }
+        let charge = self.new.get(&key)?.ask.charge;
+        let is_free =
+            |key: &OnlineKey| self.new.get(key).is_some_and(|waiting| !waiting.ask.is_restricted());
+        self.order.grant(key, charge.account, is_free);
+        Some(charge)
     }
 
     /// Returns the online requests in the order in which they get slots.
     pub fn online(&self) -> impl Iterator<Item = (Holder, &Waiting)> {
-        let requests = self.continued.iter().chain(&self.new);
-        requests.map(|((_, holder, _), waiting)| (*holder, waiting))
+        let continued = self.continued.iter().map(|((_, holder, _), waiting)| (*holder, waiting));
+        let new = self.order.iter().filter_map(|key| Some((key.1, self.new.get(&key)?)));
+        continued.chain(new)
     }
 
     pub fn online_len(&self) -> usize {
@@ -81,10 +112,36 @@
     /// Returns the number of online requests before one that waits.
     pub fn online_before(&self, holder: Holder, ticket: Ticket) -> usize {
         let Some(key) = self.online_keys.get(&(holder, ticket)) else { return 0 };
-        match self.continued.contains_key(key) {
-            true => self.continued.range(..key).count(),
-            false => self.continued.len() + self.new.range(..key).count(),
+        match self.new.get(key) {
+            None => self.continued.range(..key).count(),
+            Some(waiting) => {
+                self.continued.len() + self.order.before(*key, waiting.ask.charge.account)
+            }
+        }
+    }
+
+    /// Returns the requests that a new one has pushed back, with their positions, in the order in which
+    /// they get slots. There are none while no request has an account.
+    pub fn pushed_back(&self, holder: Holder, ticket: Ticket) -> Vec<(usize, (Holder, Ticket))> {
+        let Some(key) = self.online_keys.get(&(holder, ticket)) else { return Vec::new() };
+        if !self.order.has_accounts() {
+            return Vec::new();
         }
+        let continued = self.continued.len();
+        let request = |(_, holder, ticket): OnlineKey| (holder, ticket);
+        match self.new.get(key) {
+            None => (continued..).zip(self.order.iter().map(request)).collect(),
+            Some(waiting) => {
+                let account = waiting.ask.charge.account;
+                let first = continued + self.order.before(*key, account) + 1;
+                (first..).zip(self.order.after(*key, account).map(request)).collect()
+            }
+        }
+    }
+
+    /// Returns the time by which a waiting online request has to be sent to its upstream.
+    pub fn start_by(&self, holder: Holder, ticket: Ticket) -> Option<Time> {
+        self.online_keys.get(&(holder, ticket)).map(|(start_by, ..)| *start_by)
     }
 
     /// Returns an online request that can no longer start in time.
@@ -95,12 +152,12 @@
         Some((holder, ticket))
     }
 
-    pub fn batch_len(&self) -> usize {
-        self.batch.len()
+    /// Returns the batch items, and the batch slots in use.
+    pub const fn batch(&self) -> &Shares {
+        &self.batch
     }
 
-    /// Returns the batch items with the software that they need, the most urgent first.
-    pub fn batch(&self) -> impl Iterator<Item = (BatchKey, Option<Software>)> {
-        self.batch.iter().map(|(key, software)| (*key, *software))
+    pub const fn batch_mut(&mut self) -> &mut Shares {
+        &mut self.batch
     }
 }
