--- a/components/control/src/relay/broker/fairness.rs
+++ b/components/control/src/relay/broker/fairness.rs
@@ -245,46 +245,44 @@
     groups: BTreeMap<Member, u32>,
     /// Number of accounts that hold slots or have waiting items.
     members: u64,
-    len: usize,
 }
 
 impl Shares {
+    /// Adds an item.
     pub fn push(&mut self, key: BatchKey, account: Member, software: Option<Software>) {
         let group = Group { account, software };
         if let Some(items) = self.waiting.get_mut(&group)
             && items.first().is_some_and(|first| *first < key)
         {
-            self.len += usize::from(items.insert(key));
+            items.insert(key);
             return;
         }
-        let is_added = self.change(account, |shares| {
+        self.change(account, |shares| {
             let items = shares.waiting.entry(group).or_default();
             if items.is_empty() {
                 *shares.groups.entry(account).or_default() += 1;
             }
-            items.insert(key)
+            items.insert(key);
         });
-        self.len += usize::from(is_added);
     }
 
+    /// Removes an item.
     pub fn remove(&mut self, key: BatchKey, account: Member, software: Option<Software>) {
         let group = Group { account, software };
         if let Some(items) = self.waiting.get_mut(&group)
             && items.first().is_some_and(|first| *first < key)
         {
-            self.len -= usize::from(items.remove(&key));
+            items.remove(&key);
             return;
         }
-        let is_removed = self.change(account, |shares| {
-            let Some(items) = shares.waiting.get_mut(&group) else { return false };
-            let is_removed = items.remove(&key);
+        self.change(account, |shares| {
+            let Some(items) = shares.waiting.get_mut(&group) else { return };
+            items.remove(&key);
             if items.is_empty() {
                 shares.waiting.remove(&group);
                 decrement(&mut shares.groups, account);
             }
-            is_removed
         });
-        self.len -= usize::from(is_removed);
     }
 
     /// Records that an account holds one slot more.
@@ -305,9 +303,9 @@
         });
     }
 
-    /// Returns the number of waiting items.
-    pub const fn len(&self) -> usize {
-        self.len
+    /// Whether no items wait.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
     }
 
     /// Whether an account holds more than an equal share.
@@ -353,17 +351,16 @@
     }
 
     /// Changes the slots or the items of an account.
-    fn change<T>(&mut self, account: Member, change: impl FnOnce(&mut Self) -> T) -> T {
+    fn change(&mut self, account: Member, change: impl FnOnce(&mut Self)) {
         let was_member = self.is_member(account);
         self.unlist(account);
-        let result = change(self);
+        change(self);
         self.list(account);
         match (was_member, self.is_member(account)) {
             (false, true) => self.members += 1,
             (true, false) => self.members -= 1,
             _ => {}
         }
-        result
     }
 
     fn first_of(&self, account: Member) -> Vec<(BatchKey, Group)> {
--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -9,7 +9,7 @@
 //! Nothing here has to be exact for correctness: two relays that both act as the broker of a shard
 //! overfill its upstreams for a time, and a lost message is repaired by the next [`Sync`].
 
-mod fairness;
+pub mod fairness;
 mod message;
 mod placement;
 mod queue;
@@ -510,7 +510,7 @@
         if self
             .queues
             .get(&shard)
-            .is_none_or(|queue| queue.batch().len() == 0 || queue.online_len() > 0)
+            .is_none_or(|queue| queue.batch().is_empty() || queue.online_len() > 0)
             || self.is_learning(now, shard)
         {
             return;
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -11,6 +11,7 @@
 };
 
 use cyclamengrade_control::relay::{
+    broker::Charge,
     failure::{Attempts, Failure},
     origin::Software,
     quarantine::Part,
@@ -77,6 +78,8 @@
     pub software: Option<Software>,
     /// What the request has in common with others, see [`Part`].
     parts: Arc<[Part]>,
+    /// Whom its slots are charged to.
+    charge: Charge,
     /// Upstreams at which an attempt failed.
     tried: BTreeSet<Key>,
     /// Those of them that broke off an attempt or are not at their addresses.
@@ -129,6 +132,7 @@
             attempts,
             software: None,
             parts,
+            charge: Charge::default(),
             tried,
             broken: BTreeSet::new(),
             successor: None,
@@ -144,6 +148,11 @@
         Self { dispatch, ..self }
     }
 
+    /// Sets whom the slots of the request are charged to.
+    pub fn with_charge(self, charge: Charge) -> Self {
+        Self { charge, ..self }
+    }
+
     /// Holds the memory reserved for the body until the request is dropped.
     pub fn with_memory(self, memory: Reservation) -> Self {
         Self { _memory: Some(memory), ..self }
@@ -224,14 +233,15 @@
         excluded.insert(flight.key);
         let (shared, route) = (self.shared.clone(), self.route.clone());
         let (software, parts) = (self.software, self.parts.clone());
-        let (deadline, id) = (self.deadline, self.outgoing.id.clone());
+        let (deadline, id, charge) = (self.deadline, self.outgoing.id.clone(), self.charge);
         Box::pin(async move {
             loop {
                 let is_allowed = shared.quarantine_left(&parts).is_none();
                 let deployment = shared.deployment(&route, software).filter(|_| is_allowed);
                 if let Some(deployment) = deployment {
                     let left = deadline.saturating_duration_since(Instant::now());
-                    let found = shared.acquire_better(deployment, software, &excluded, left).await;
+                    let found =
+                        shared.acquire_better(deployment, software, &excluded, left, charge).await;
                     if let Some((mut flight, placement)) = found {
                         let max = shared.max_connections(&flight.upstream.deployment);
                         match flight.reserve_connection(max, &id).await {
@@ -265,7 +275,9 @@
             _ => self.remaining(),
         };
         let deployment = self.shared.deployment(&self.route, software).unwrap_or_default();
-        let placed = self.shared.acquire_online(deployment, software, &self.tried, remaining).await;
+        let (tried, charge) = (&self.tried, self.charge);
+        let placed =
+            self.shared.acquire_online(deployment, software, tried, remaining, charge).await;
         placed.map_err(|(wait, placement)| Error::Refused(wait, placement))
     }
 
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -8,7 +8,7 @@
 };
 
 use cyclamengrade_control::relay::{
-    broker::{Charge, Ticket, Urgency},
+    broker::{Ticket, Urgency},
     job::RunFailure,
     origin::Software,
     priority::{Estimate, Priority},
@@ -23,6 +23,7 @@
         item::{self, End},
         owned::{Owned, Run},
     },
+    charge,
     dialect::Item,
     flight::Flight,
     job::row,
@@ -311,7 +312,7 @@
                     if let Some(ticket) = ticket {
                         self.shared.give_back_slot(ticket);
                     }
-                    self.want(&key.0, urgency, software)
+                    self.want(&key.0, item, urgency, software)
                 }
             };
             if let Some(ticket) = ticket {
@@ -349,11 +350,23 @@
     }
 
     /// Requests a slot for an item of a job. With `software`, the upstream must have this software.
-    fn want(&self, id: &str, urgency: Urgency, software: Option<Software>) -> Option<Ticket> {
-        let route = self.route(&self.jobs().get(id)?.job.row)?;
+    fn want(
+        &self,
+        id: &str,
+        item: usize,
+        urgency: Urgency,
+        software: Option<Software>,
+    ) -> Option<Ticket> {
+        let (route, tokens) = {
+            let jobs = self.jobs();
+            let owned = jobs.get(id)?;
+            (self.route(&owned.job.row)?, owned.items.get(item)?.tokens)
+        };
         let deployment = self.shared.deployment(&route, software)?;
         let shards = self.shared.selector().shards(deployment, software);
-        self.shared.want_slot(&shards, urgency, software, Charge::default())
+        // A job has no account yet: it counts with the others that have none.
+        let charge = charge::new(None, &route, u32::try_from(tokens).unwrap_or(u32::MAX));
+        self.shared.want_slot(&shards, urgency, software, charge)
     }
 
     /// Returns the items that wait for a slot, the most urgent first.
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use cyclamengrade_control::relay::{job::FinalState, route, selector::Upstream};
-use hyper::{HeaderMap, Method, Uri, header::HeaderName};
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{HeaderName, HeaderValue},
+};
 use serde_json::Value;
 
 /// Names of the headers that the relay reads or sets.
@@ -100,6 +103,29 @@
     pub results: Vec<Outcome>,
 }
 
+/// Cost of a token of the output, in tokens of the prompt.
+const OUTPUT_COST: u64 = 10;
+
+/// Returns the cost in tokens of a request whose header states `PROMPT,OUTPUT`, the tokens of the prompt
+/// and the largest number of those of the output; 0 if the value is absent or malformed.
+pub fn stated_tokens(value: Option<&HeaderValue>) -> u32 {
+    let text = value.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let count = |text: &str| {
+        let digits = text.trim();
+        let is_number = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit());
+        // Only a number that is too large cannot be parsed.
+        is_number.then(|| digits.parse().unwrap_or(u64::MAX))
+    };
+    let counts = text.split_once(',');
+    let Some((prompt, output)) =
+        counts.and_then(|(prompt, output)| Some((count(prompt)?, count(output)?)))
+    else {
+        return 0;
+    };
+    let cost = prompt.saturating_add(output.saturating_mul(OUTPUT_COST));
+    u32::try_from(cost).unwrap_or(u32::MAX)
+}
+
 /// Converts between the external formats and the types of the relay. Errors are texts that say why
 /// a value is invalid.
 pub trait Dialect: Send + Sync {
@@ -113,6 +139,9 @@
     /// Returns the ids of the parts of a request's prompt that other requests may share, in order.
     fn shared_parts(&self, headers: &HeaderMap) -> Vec<String>;
 
+    /// Returns the cost that a request states, see [`stated_tokens`]; 0 if it states none.
+    fn stated_tokens(&self, headers: &HeaderMap) -> u32;
+
     /// Parses the row value of the upstream `id`.
     fn upstream(&self, id: &str, value: &Value) -> Result<Upstream, String>;
 
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -364,9 +364,11 @@
         software: Option<Software>,
         tried: &BTreeSet<Key>,
         time_left: Duration,
+        charge: Charge,
     ) -> Result<(Flight, Placement), (Duration, Placement)> {
         let begin = self.clock.now();
-        let outcome = self.ask_slot(&self.need(deployment, software, tried, time_left)).await;
+        let outcome =
+            self.ask_slot(&self.need(deployment, software, tried, time_left, charge)).await;
         let now = self.clock.now();
         let elapsed = now.since(begin);
         match outcome {
@@ -385,7 +387,7 @@
                     }
                     None => {
                         self.give_back_slot(ticket);
-                        self.place_alone(deployment, software, tried, elapsed)
+                        self.place_alone(deployment, software, tried, elapsed, charge)
                     }
                 }
             }
@@ -394,7 +396,7 @@
                 let wait = self.selector().record_refusal(deployment, load.wait, now);
                 Err((wait, Placement { granted: true, load, elapsed }))
             }
-            Outcome::Unanswered => self.place_alone(deployment, software, tried, elapsed),
+            Outcome::Unanswered => self.place_alone(deployment, software, tried, elapsed, charge),
         }
     }
 
@@ -405,6 +407,7 @@
         software: Option<Software>,
         tried: &BTreeSet<Key>,
         time_left: Duration,
+        charge: Charge,
     ) -> Need {
         let selector = self.selector();
         Need {
@@ -412,7 +415,7 @@
             start_within: selector.start_within(deployment, time_left),
             avoid: selector.avoided_by(deployment, software, tried, self.clock.running()),
             software,
-            charge: Charge::default(),
+            charge,
         }
     }
 
@@ -423,6 +426,7 @@
         software: Option<Software>,
         tried: &BTreeSet<Key>,
         elapsed: Duration,
+        charge: Charge,
     ) -> Result<(Flight, Placement), (Duration, Placement)> {
         let now = self.clock.now();
         let placement = Placement { granted: false, load: Load::default(), elapsed };
@@ -434,7 +438,7 @@
             Choice::Refuse(_) => None,
         };
         if let Some((key, (shard, upstream))) = placed {
-            let ticket = self.hold_slot(shard, upstream, Class::Online, Charge::default());
+            let ticket = self.hold_slot(shard, upstream, Class::Online, charge);
             if let Some(flight) = self.flight(key, Class::Online, ticket, now) {
                 Self::record_placement("alone");
                 return Ok((flight, placement));
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod batch;
 pub mod body;
+mod charge;
 mod clock;
 pub mod connection;
 pub mod dialect;
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::dialect::{Dialect, Headers, Item, JobCall, Page, Sources};
+use crate::dialect::{self, Dialect, Headers, Item, JobCall, Page, Sources};
 
 /// Path prefix of the calls about jobs.
 const JOBS_PREFIX: &str = "/v1/relay/jobs/";
@@ -22,6 +22,8 @@
     headers: Headers,
     /// Header with the ids of the shared parts of a prompt, separated by commas.
     prompt_parts: HeaderName,
+    /// Header with the tokens of the prompt and the largest number of those of the output.
+    token_counts: HeaderName,
     sources: Sources,
 }
 
@@ -42,6 +44,7 @@
                 limit: name("x-upstream-limit"),
             },
             prompt_parts: name("x-prompt-parts"),
+            token_counts: name("x-token-counts"),
             sources: Sources {
                 configuration_table: "relay".into(),
                 configuration_key: "relay//configuration".into(),
@@ -233,6 +236,10 @@
         parts.filter(|part| !part.is_empty()).map(str::to_owned).collect()
     }
 
+    fn stated_tokens(&self, headers: &HeaderMap) -> u32 {
+        dialect::stated_tokens(headers.get(&self.token_counts))
+    }
+
     fn upstream(&self, id: &str, value: &Value) -> Result<Upstream, String> {
         let json = UpstreamJson::deserialize(value).map_err(|error| error.to_string())?;
         Ok(Upstream {
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -32,6 +32,7 @@
 use crate::{
     attempt::{self, Dispatch, Request},
     body::{Body, Chunk, EventBudget},
+    charge,
     dialect::Headers,
     events::Event,
     exchange::{self, Collected, Events, Next, Outgoing},
@@ -129,10 +130,13 @@
     exchange::strip_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
     let Buffered { bytes: body, memory } = body;
+    // A request has no account yet: it counts with the others that have none.
+    let charge = charge::new(None, &route, shared.dialect.stated_tokens(&headers));
     let outgoing = Outgoing { method: head.method, uri: origin_form(&head.uri), headers, body, id };
     let request = Request::new(shared.clone(), route.clone(), outgoing, arrived, deadline)
         .with_memory(memory)
-        .with_dispatch(dispatch);
+        .with_dispatch(dispatch)
+        .with_charge(charge);
     match route.kind {
         Kind::Stream => serve_stream(shared, request).await,
         Kind::Safe | Kind::Unsafe | Kind::Batch => serve_single(request).await,
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -292,6 +292,11 @@
         ticket
     }
 
+    /// Returns whom a slot that this relay holds is charged to.
+    pub fn charge_of(&self, ticket: Ticket) -> Charge {
+        self.slots.state().held.get(&ticket).map_or_else(Charge::default, |slot| slot.charge)
+    }
+
     /// Frees a slot, or withdraws a request for one, without having sent anything to the upstream.
     pub fn give_back_slot(&self, ticket: Ticket) {
         self.end_ticket(ticket, Content::GiveBack(vec![ticket]));
@@ -521,9 +526,7 @@
                 sync.pending.insert(*ticket);
             }
         }
-        let mut wanted: Vec<(&Ticket, &Wanted)> = state.wanted.iter().collect();
-        wanted.sort_by_key(|(ticket, wanted)| (wanted.urgency, **ticket));
-        for (ticket, wanted) in wanted {
+        for (ticket, wanted) in ranked(&state.wanted) {
             if let Some((_, sync)) = address(wanted.shard).and_then(|to| syncs.get_mut(&to))
                 && sync.wants.len() < MAX_WANTS
             {
@@ -584,6 +587,23 @@
     }
 }
 
+/// Returns the batch items that wait, in the order in which a limited number of them is named: first the
+/// most urgent one of each account, then the next one of each, so that a large job of one account does
+/// not hide the items of others.
+fn ranked(wanted: &BTreeMap<Ticket, Wanted>) -> Vec<(&Ticket, &Wanted)> {
+    let mut items: Vec<(&Ticket, &Wanted)> = wanted.iter().collect();
+    items.sort_by_key(|(ticket, wanted)| (wanted.urgency, **ticket));
+    let mut counts: BTreeMap<Option<u32>, usize> = BTreeMap::new();
+    let mut ranked: Vec<(usize, (&Ticket, &Wanted))> = Vec::with_capacity(items.len());
+    for item in items {
+        let count = counts.entry(item.1.charge.account).or_default();
+        ranked.push((*count, item));
+        *count += 1;
+    }
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.into_iter().map(|(_, item)| item).collect()
+}
+
 fn next_ticket(state: &mut State) -> Ticket {
     state.last_ticket += 1;
     Ticket(state.last_ticket)
--- a/components/relay/src/successor.rs
+++ b/components/relay/src/successor.rs
@@ -33,12 +33,14 @@
         software: Option<Software>,
         excluded: &BTreeSet<Key>,
         time_left: Duration,
+        charge: Charge,
     ) -> Option<(Flight, Placement)> {
         if !self.has_better(deployment, software, excluded) {
             return None;
         }
         let begin = self.clock.now();
-        let outcome = self.ask_slot(&self.need(deployment, software, excluded, time_left)).await;
+        let outcome =
+            self.ask_slot(&self.need(deployment, software, excluded, time_left, charge)).await;
         let Outcome::Granted { ticket, upstream, load } = outcome else { return None };
         let now = self.clock.now();
         let placement = Placement { granted: true, load, elapsed: now.since(begin) };
@@ -61,12 +63,14 @@
         route: impl Fn() -> Option<Arc<Route>>,
     ) -> Option<Flight> {
         let excluded = BTreeSet::from([silent.key]);
+        let charge = self.charge_of(silent.ticket);
         loop {
             let route = route();
             let deployment = route.as_ref().and_then(|route| self.deployment(route, software));
             match deployment {
                 Some(deployment) => {
-                    let found = self.seek_batch(deployment, software, &excluded, urgency).await;
+                    let found =
+                        self.seek_batch(deployment, software, &excluded, urgency, charge).await;
                     if found.is_some() {
                         return found;
                     }
@@ -86,12 +90,13 @@
         software: Option<Software>,
         excluded: &BTreeSet<Key>,
         urgency: Urgency,
+        charge: Charge,
     ) -> Option<Flight> {
         if !self.has_better(deployment, software, excluded) {
             return None;
         }
         let shards = self.selector().shards(deployment, software);
-        let ticket = self.want_slot(&shards, urgency, software, Charge::default())?;
+        let ticket = self.want_slot(&shards, urgency, software, charge)?;
         let guard = Guard::new(self.clone(), ticket);
         let mut granted = None;
         while granted.is_none() {
