--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -495,6 +495,10 @@
                 return;
             }
             let Some((victim, stopped)) = self.least_urgent(now, &waiting.ask) else {
+                if !waiting.ask.is_restricted() {
+                    // The others may use the same upstreams or fewer.
+                    return;
+                }
                 skipped.insert((holder, ticket));
                 continue;
             };
