--- a/components/relay/src/admission.rs
+++ b/components/relay/src/admission.rs
@@ -22,6 +22,7 @@
     attempt::Request,
     body::Body,
     caller::Rejection,
+    charge,
     exchange::{self, Outgoing},
     memory::{Budget, Reservation},
     online::{self, MIN_RETRY_AFTER, header_text},
@@ -133,9 +134,11 @@
     exchange::strip_hop_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
     shared.set_caller(&mut headers, &caller);
+    let tokens = shared.dialect.stated_tokens(&headers);
+    let charge = charge::new(caller.account().map(AsRef::as_ref), &route, tokens);
     let outgoing = Outgoing { method: head.method, uri: origin_form(&head.uri), headers, body, id };
     let request = Request::new(shared.clone(), route, outgoing, arrived, deadline, caller);
-    Ok(request.with_memory(memory).with_token(token))
+    Ok(request.with_memory(memory).with_token(token).with_charge(charge))
 }
 
 /// Logs and counts a request that is rejected because of its caller, and returns the response, which says
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod batch;
 pub mod body;
 mod caller;
+mod charge;
 mod clock;
 pub mod connection;
 pub mod dialect;
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     caller,
-    dialect::{Dialect, Headers, Item, JobCall, Page, Sources},
+    dialect::{self, Dialect, Headers, Item, JobCall, Page, Sources},
 };
 
 /// Path prefix of the calls about jobs.
@@ -26,6 +26,8 @@
     headers: Headers,
     /// Header with the ids of the shared parts of a prompt, separated by commas.
     prompt_parts: HeaderName,
+    /// Header with the tokens of the prompt and the largest number of those of the output.
+    token_counts: HeaderName,
     sources: Sources,
 }
 
@@ -47,6 +49,7 @@
                 account: name("x-account"),
             },
             prompt_parts: name("x-prompt-parts"),
+            token_counts: name("x-token-counts"),
             sources: Sources {
                 configuration_table: "relay".into(),
                 configuration_key: "relay//configuration".into(),
@@ -267,6 +270,10 @@
         parts.filter(|part| !part.is_empty()).map(str::to_owned).collect()
     }
 
+    fn stated_tokens(&self, headers: &HeaderMap) -> u32 {
+        dialect::stated_tokens(headers.get(&self.token_counts))
+    }
+
     fn upstream(&self, id: &str, value: &Value) -> Result<Upstream, String> {
         let json = UpstreamJson::deserialize(value).map_err(|error| error.to_string())?;
         Ok(Upstream {
