Limit the requests of accounts over all relays

Nothing enforced the quotas that a configuration names. One relay, the owner, now keeps the token bucket of an account, and the others ask it by datagrams before a request asks for a slot: repeated after 30 ms, at the next relay after 60 ms, and decided by a small local share after 100 ms. A new owner starts from the levels that relays remember. Event 1265, as 1262 is in use.

--- /dev/null
+++ b/components/control/src/relay/allowance/ledger.rs
@@ -0,0 +1,222 @@
+//! Token buckets of accounts, as their owner keeps them.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use super::{Ask, Limit, MAX_WAIT, Message, Report, WINDOW};
+use crate::{relay::broker::Holder, time::Time};
+
+/// Time for which a repeated ask gets the answer of the first one.
+const TICKET_TIME: Duration = Duration::from_secs(2);
+/// Limit on the kept answers; the oldest are dropped.
+const MAX_TICKETS: usize = 1 << 14;
+/// Time without an ask after which a full bucket is dropped.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+/// Time between two searches for buckets to drop.
+const PRUNE_PERIOD: Duration = Duration::from_secs(10);
+/// Limit on the buckets.
+const MAX_BUCKETS: usize = 1 << 14;
+/// Time of which the grants are counted together.
+const SLOT_TIME: Duration = Duration::from_millis(50);
+/// Tokens with which the bucket of a small account starts, although another owner may have granted as many.
+const MIN_START: f64 = 10.0;
+
+#[derive(Debug)]
+struct Bucket {
+    limit: Limit,
+    /// Version of the configuration that has the limit.
+    configuration: u64,
+    /// Tokens. Negative after grants of two owners at once.
+    level: f64,
+    filled_at: Time,
+    asked_at: Time,
+    /// Whether the level at the start was not reported by a relay.
+    is_assumed: bool,
+    /// Tokens granted in the last window, by the beginning of their slot of [`SLOT_TIME`].
+    granted: VecDeque<(Time, u32)>,
+    /// Retry time of the last refusal.
+    retry_at: Time,
+}
+
+impl Bucket {
+    fn new(now: Time, limit: Limit, configuration: u64) -> Self {
+        // An earlier owner may have just granted a part of the burst.
+        let level = (limit.burst() / 2.0).max(limit.capacity().min(MIN_START));
+        Self {
+            limit,
+            configuration,
+            level,
+            filled_at: now,
+            asked_at: now,
+            is_assumed: true,
+            granted: VecDeque::new(),
+            retry_at: now,
+        }
+    }
+
+    fn fill(&mut self, now: Time) {
+        let gained = self.limit.gain(now.since(self.filled_at));
+        self.level = (self.level + gained).min(self.limit.capacity());
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    fn set_limit(&mut self, limit: Limit, configuration: u64) {
+        self.limit = limit;
+        self.configuration = configuration;
+        self.level = self.level.min(limit.capacity());
+    }
+
+    /// Takes over the level that another owner stated, less what this one has granted since. After a change
+    /// of the owner, both may have granted; the lower level is then the one closer to the truth.
+    fn adopt(&mut self, now: Time, report: Report) {
+        if report.age > WINDOW {
+            return;
+        }
+        let stated_at = now - report.age;
+        let later = self.granted.iter().filter(|(slot, _)| *slot >= stated_at);
+        let granted: u32 = later.map(|(_, count)| count).sum();
+        let capacity = self.limit.capacity();
+        let stated = report.level_milli as f64 / 1_000.0 + self.limit.gain(report.age);
+        let level = (stated - f64::from(granted)).clamp(-capacity, capacity);
+        self.level = if self.is_assumed { level } else { level.min(self.level) };
+        self.is_assumed = false;
+    }
+
+    /// Takes up to `count` tokens.
+    fn take(&mut self, now: Time, count: u32) -> u32 {
+        // Negative levels become zero.
+        let taken = count.min(self.level as u32);
+        self.level -= f64::from(taken);
+        while self.granted.front().is_some_and(|(slot, _)| now.since(*slot) > WINDOW + SLOT_TIME) {
+            self.granted.pop_front();
+        }
+        match self.granted.back_mut() {
+            Some((slot, granted)) if now.since(*slot) < SLOT_TIME => {
+                *granted = granted.saturating_add(taken);
+            }
+            _ if taken > 0 => self.granted.push_back((now, taken)),
+            _ => {}
+        }
+        taken
+    }
+
+    /// Returns when a refused caller may retry. Each one is told another time, so that they do not all
+    /// come at once.
+    fn next_wait(&mut self, now: Time) -> Duration {
+        let ready = now + self.limit.time_for(1.0 - self.level);
+        let next = (self.retry_at + self.limit.time_for(1.0)).max(ready);
+        self.retry_at = if next > now + MAX_WAIT { ready.max(now + MAX_WAIT / 2) } else { next };
+        self.retry_at.since(now)
+    }
+
+    fn level_milli(&self) -> i64 {
+        (self.level * 1_000.0) as i64
+    }
+
+    fn is_idle(&self, now: Time) -> bool {
+        let level = self.level + self.limit.gain(now.since(self.filled_at));
+        now.since(self.asked_at) >= IDLE_TIME && level >= self.limit.capacity()
+    }
+}
+
+/// Token buckets of the accounts that this relay owns.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Version of this relay's configuration.
+    configuration: u64,
+    /// Limits of this relay's configuration, by account.
+    limits: BTreeMap<u64, Limit>,
+    buckets: BTreeMap<u64, Bucket>,
+    pruned_at: Time,
+    /// Answers to recent asks.
+    answers: BTreeMap<(Holder, u64), Message>,
+    /// Recent asks in the order of their arrival.
+    tickets: VecDeque<(Time, Holder, u64)>,
+}
+
+impl Ledger {
+    /// Creates a ledger without buckets.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the version of the configuration whose limits are known.
+    pub const fn configuration(&self) -> u64 {
+        self.configuration
+    }
+
+    /// Sets the limits of this relay's configuration, by account.
+    pub fn set_limits(&mut self, configuration: u64, limits: BTreeMap<u64, Limit>) {
+        self.configuration = configuration;
+        self.limits = limits;
+    }
+
+    /// Answers an ask of a relay.
+    pub fn ask(&mut self, now: Time, holder: Holder, ask: &Ask) -> Message {
+        self.forget(now);
+        if let Some(answer) = self.answers.get(&(holder, ask.ticket)) {
+            return *answer;
+        }
+        let Ask { ticket, account, .. } = *ask;
+        let own = self.limits.get(&account).filter(|_| self.configuration >= ask.configuration);
+        let (limit, configuration) =
+            own.map_or((ask.limit, ask.configuration), |own| (*own, self.configuration));
+        if self.buckets.len() >= MAX_BUCKETS && !self.buckets.contains_key(&account) {
+            self.buckets.pop_first();
+        }
+        let bucket =
+            self.buckets.entry(account).or_insert_with(|| Bucket::new(now, limit, configuration));
+        bucket.fill(now);
+        bucket.asked_at = now;
+        if configuration > bucket.configuration {
+            bucket.set_limit(limit, configuration);
+        }
+        if let Some(report) = ask.report {
+            bucket.adopt(now, report);
+        }
+        let count = bucket.take(now, ask.count.max(1));
+        let level_milli = bucket.level_milli();
+        let answer = match count {
+            0 => Message::Refused { ticket, account, wait: bucket.next_wait(now), level_milli },
+            count => Message::Granted { ticket, account, count, level_milli },
+        };
+        self.answers.insert((holder, ticket), answer);
+        self.tickets.push_back((now, holder, ticket));
+        answer
+    }
+
+    /// Puts back tokens whose requests were not sent to an upstream.
+    pub fn give_back(&mut self, now: Time, account: u64, count: u32) {
+        if let Some(bucket) = self.buckets.get_mut(&account) {
+            bucket.fill(now);
+            bucket.level = (bucket.level + f64::from(count)).min(bucket.limit.capacity());
+        }
+    }
+
+    /// Returns the number of buckets.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether there are no buckets.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    /// Drops old answers and idle buckets.
+    fn forget(&mut self, now: Time) {
+        while let Some((asked_at, holder, ticket)) = self.tickets.front().copied() {
+            if now.since(asked_at) < TICKET_TIME && self.tickets.len() < MAX_TICKETS {
+                break;
+            }
+            self.tickets.pop_front();
+            self.answers.remove(&(holder, ticket));
+        }
+        if now.since(self.pruned_at) >= PRUNE_PERIOD {
+            self.pruned_at = now;
+            self.buckets.retain(|_, bucket| !bucket.is_idle(now));
+        }
+    }
+}
--- /dev/null
+++ b/components/control/src/relay/allowance/mod.rs
@@ -0,0 +1,133 @@
+//! Quotas of client accounts over all relays.
+//!
+//! One relay, the owner, keeps the token bucket of an account. The others ask it for a token for each request.
+//! A relay that gets no answer admits a small share of the requests by itself.
+
+mod client;
+mod ledger;
+mod share;
+
+use std::time::Duration;
+
+pub use self::{
+    client::{BLOCK_TIME, Client, Decision},
+    ledger::Ledger,
+    share::Shares,
+};
+
+/// Longest time after which a refused caller is told to retry.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Time in which the requests of an account are counted.
+const WINDOW: Duration = Duration::from_secs(5);
+/// Time by which requests of one account may overtake each other on their way to the owner, or wait as
+/// tokens at a relay.
+const JITTER: Duration = Duration::from_millis(100);
+/// Tokens beyond the burst, for small accounts whose requests arrive closer together than they were sent.
+const EXTRA_TOKENS: f64 = 2.0;
+/// Part of the requests in a window that may be run in excess of the quota, and their number for small accounts.
+const EXCESS: (f64, f64) = (0.1, 20.0);
+
+/// Limit on the requests of an account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limit {
+    /// Thousandths of requests a second.
+    pub rate_milli: u64,
+    /// Requests that may come at once after a pause, in thousandths.
+    pub burst_milli: u64,
+}
+
+impl Limit {
+    /// Returns the number of requests a second.
+    pub fn rate(self) -> f64 {
+        self.rate_milli as f64 / 1_000.0
+    }
+
+    /// Returns the number of requests that may come at once; at least one, or none could ever come.
+    pub fn burst(self) -> f64 {
+        (self.burst_milli as f64 / 1_000.0).max(1.0)
+    }
+
+    /// Returns the number of tokens that the bucket of an owner holds.
+    pub fn capacity(self) -> f64 {
+        self.burst() + self.tolerance()
+    }
+
+    /// Returns how many requests a window may have beyond the rate and the burst.
+    pub fn excess(self) -> f64 {
+        let (part, number) = EXCESS;
+        part * (self.rate() * WINDOW.as_secs_f64() + self.burst_milli as f64 / 1_000.0) + number
+    }
+
+    /// Returns the part of the excess that owners use, so that requests within the quota are not refused
+    /// because they arrive unevenly.
+    fn tolerance(self) -> f64 {
+        self.rate() * JITTER.as_secs_f64() + EXTRA_TOKENS
+    }
+
+    /// Returns the part of the excess that relays without an owner use.
+    fn spare(self) -> f64 {
+        self.excess() - self.tolerance()
+    }
+
+    /// Returns the time in which the bucket gains tokens.
+    fn time_for(self, tokens: f64) -> Duration {
+        let seconds = (tokens / self.rate()).clamp(0.0, MAX_WAIT.as_secs_f64());
+        Duration::try_from_secs_f64(seconds).unwrap_or(MAX_WAIT)
+    }
+
+    /// Returns the tokens gained in a time.
+    fn gain(self, time: Duration) -> f64 {
+        self.rate() * time.as_secs_f64()
+    }
+}
+
+/// Level of a bucket as its owner stated it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// In thousandths of requests.
+    pub level_milli: i64,
+    /// Time since the owner stated it.
+    pub age: Duration,
+}
+
+/// Asks the owner of an account for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Identifies the ask among those of one start of the relay; a repeated ask has the same one.
+    pub ticket: u64,
+    /// Hash of the name of the account.
+    pub account: u64,
+    /// Number of tokens.
+    pub count: u32,
+    /// Limit in the configuration of the relay that asks.
+    pub limit: Limit,
+    /// Version of that configuration.
+    pub configuration: u64,
+    /// What another owner said last.
+    pub report: Option<Report>,
+}
+
+/// A message about the quota of an account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Message {
+    Ask(Ask),
+    /// Answer: `count` tokens were taken from the bucket.
+    Granted {
+        ticket: u64,
+        account: u64,
+        count: u32,
+        level_milli: i64,
+    },
+    /// Answer: the bucket is empty. The caller may retry after `wait`.
+    Refused {
+        ticket: u64,
+        account: u64,
+        wait: Duration,
+        level_milli: i64,
+    },
+    /// Gives back tokens whose requests were not sent to an upstream.
+    Return {
+        account: u64,
+        count: u32,
+    },
+}
--- a/components/relay/src/allowance.rs
+++ b/components/relay/src/allowance.rs
@@ -1,18 +1,190 @@
-//! Tokens of the quotas of client accounts.
+//! Tokens of the quotas of client accounts: asks to the owners, and answers as an owner.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    fmt::{self, Debug, Formatter},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use cyclamengrade_control::relay::account::Account;
+use cyclamengrade_control::{
+    relay::{
+        account::Account,
+        allowance::{Ask, BLOCK_TIME, Client, Decision, Ledger, Limit, Message, Shares},
+        broker::Holder,
+    },
+    time::Time,
+};
+use cyclamengrade_peer::slots::Content;
+use cyclamengrade_telemetry::{
+    event,
+    metrics::{
+        RELAY_QUOTA_ASKS, RELAY_QUOTA_OWNERS_UNRESPONSIVE, RELAY_QUOTA_REQUESTS, RELAY_QUOTA_SHARES,
+    },
+};
+use metrics::counter;
+use tokio::{
+    sync::oneshot::{self, Receiver, Sender},
+    time::{sleep, timeout},
+};
 
-use crate::shared::Shared;
+use crate::shared::{Shared, lock};
+
+/// Time after which an ask is repeated, and again after which the next owner is asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Number of times that an ask is sent to one owner.
+const MAX_ATTEMPTS: u32 = 2;
+/// Time after which no owner is asked any more.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Number of owners that may be asked for one token.
+const MAX_OWNERS: usize = 2;
+/// Time for which the owners of an account are kept.
+const OWNER_CACHE_TIME: Duration = Duration::from_millis(200);
+/// Time without a message of any other relay after which this one grants itself no tokens as an owner.
+/// Several times the period of the regular messages.
+const ISOLATION_TIME: Duration = Duration::from_millis(1_600);
+/// Time for which late answers are expected.
+const LATE_ANSWER_TIME: Duration = Duration::from_secs(10);
+/// Limit on the asks whose late answers are expected.
+const MAX_CLOSED: usize = 1 << 12;
+/// Limit on the accounts with series of their own.
+const MAX_LABELS: usize = 100;
+
+/// Relays that are asked for the tokens of an account, in the order in which they are asked.
+#[derive(Clone, Debug)]
+struct Owners {
+    chosen_at: Time,
+    servers: Vec<(String, SocketAddr)>,
+}
+
+/// Answer of an owner.
+#[derive(Clone, Copy, Debug)]
+enum Answer {
+    Granted { count: u32, level_milli: i64 },
+    Refused { wait: Duration, level_milli: i64 },
+}
+
+#[derive(Default)]
+struct State {
+    client: Client<SocketAddr>,
+    shares: Shares,
+    owners: BTreeMap<u64, Owners>,
+    last_ticket: u64,
+    pending: BTreeMap<u64, Sender<Answer>>,
+    /// Asks that ended without an answer, in the order in which they did.
+    closed: VecDeque<(Time, u64)>,
+    /// Accounts with series of their own.
+    labels: BTreeSet<u64>,
+}
+
+impl State {
+    fn close(&mut self, now: Time, ticket: u64) {
+        let is_old = |closed_at: Time| now.since(closed_at) >= LATE_ANSWER_TIME;
+        while self.closed.front().is_some_and(|(closed_at, _)| is_old(*closed_at))
+            || self.closed.len() >= MAX_CLOSED
+        {
+            self.closed.pop_front();
+        }
+        self.closed.push_back((now, ticket));
+    }
+
+    /// Removes a closed ask. Returns whether it was there.
+    fn take_closed(&mut self, ticket: u64) -> bool {
+        let index = self.closed.iter().position(|(_, closed)| *closed == ticket);
+        index.is_some_and(|index| self.closed.remove(index).is_some())
+    }
+}
+
+/// Quotas of client accounts at this relay.
+#[derive(Default)]
+pub struct Allowance {
+    state: Mutex<State>,
+    /// Buckets of the accounts that this relay owns.
+    ledger: Mutex<Ledger>,
+}
+
+/// Where a token came from.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    Owner(SocketAddr),
+    Share,
+}
+
+struct Source {
+    shared: Arc<Shared>,
+    account: u64,
+    origin: Origin,
+}
 
 /// A token of an account's quota. Unless it was spent, it is given back when this value is dropped.
-#[derive(Debug, Default)]
-pub struct Token;
+#[derive(Default)]
+pub struct Token {
+    source: Option<Source>,
+}
 
 impl Token {
+    fn new(shared: &Arc<Shared>, account: u64, origin: Origin) -> Self {
+        Self { source: Some(Source { shared: shared.clone(), account, origin }) }
+    }
+
     /// Records that the request is sent to an upstream.
-    pub const fn spend(&mut self) {}
+    pub fn spend(&mut self) {
+        self.source = None;
+    }
+}
+
+impl Debug for Token {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let origin = self.source.as_ref().map(|source| source.origin);
+        formatter.debug_struct("Token").field("origin", &origin).finish()
+    }
+}
+
+impl Drop for Token {
+    fn drop(&mut self) {
+        let Some(Source { shared, account, origin }) = self.source.take() else { return };
+        match origin {
+            Origin::Owner(owner) => shared.return_tokens(owner, account, 1),
+            Origin::Share => lock(&shared.allowance.state).shares.give_back(account),
+        }
+    }
+}
+
+/// An ask that waits for its answer. When it is dropped before, the tokens of a late answer are given back.
+struct Waiting {
+    shared: Arc<Shared>,
+    ticket: u64,
+    account: u64,
+    owner: SocketAddr,
+    answer: Receiver<Answer>,
+    is_done: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.is_done {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut state = lock(&self.shared.allowance.state);
+        if state.pending.remove(&self.ticket).is_some() {
+            state.close(now, self.ticket);
+            return;
+        }
+        drop(state);
+        if let Ok(Answer::Granted { count, .. }) = self.answer.try_recv() {
+            self.shared.return_tokens(self.owner, self.account, count);
+        }
+    }
+}
+
+/// An account whose token is asked for.
+#[derive(Clone, Copy)]
+struct Subject<'a> {
+    id: u64,
+    name: &'a str,
+    limit: Limit,
 }
 
 impl Shared {
@@ -21,7 +193,272 @@
     /// # Errors
     ///
     /// Returns the time after which the caller may retry if the quota is used up.
-    pub async fn take_token(self: &Arc<Self>, _account: &Account) -> Result<Token, Duration> {
-        Ok(Token)
+    pub async fn take_token(self: &Arc<Self>, account: &Account) -> Result<Token, Duration> {
+        let Some(limit) = account.quota else { return Ok(Token::default()) };
+        let subject = Subject { id: account.id(), name: &account.name, limit };
+        let decision = lock(&self.allowance.state).client.take(self.clock.now(), subject.id, limit);
+        let result = match decision {
+            Decision::Taken(owner) => Ok(Token::new(self, subject.id, Origin::Owner(owner))),
+            Decision::Refused(wait) => Err(wait),
+            Decision::Ask(count) => self.ask_owners(subject, count).await,
+        };
+        self.record_decision(subject, &result);
+        result
+    }
+
+    fn record_decision(&self, subject: Subject<'_>, result: &Result<Token, Duration>) {
+        let outcome = if result.is_ok() { "admitted" } else { "rejected" };
+        let label = {
+            let labels = &mut lock(&self.allowance.state).labels;
+            let is_labelled = labels.contains(&subject.id)
+                || (labels.len() < MAX_LABELS && labels.insert(subject.id));
+            if is_labelled { subject.name.to_owned() } else { "other".to_owned() }
+        };
+        counter!(RELAY_QUOTA_REQUESTS, "account" => label, "outcome" => outcome).increment(1);
+        if let Err(wait) = result {
+            let retry_after_ms = wait.as_millis() as u64;
+            event!(QuotaExceeded, account:% = subject.name, retry_after_ms = retry_after_ms);
+        }
+    }
+
+    async fn ask_owners(
+        self: &Arc<Self>,
+        subject: Subject<'_>,
+        count: u32,
+    ) -> Result<Token, Duration> {
+        let begin = self.clock.now();
+        let mut was_late = false;
+        for (name, owner) in self.owners(subject, begin) {
+            let asked_at = self.clock.now();
+            let left = OWNER_TIMEOUT.saturating_sub(asked_at.since(begin));
+            counter!(RELAY_QUOTA_ASKS).increment(1);
+            let answer = if name == self.name {
+                Some(self.ask_self(subject, count, owner))
+            } else {
+                self.ask_owner(subject, count, owner, left, &mut was_late).await
+            };
+            if let Some(answer) = answer {
+                return self.accept(subject, owner, asked_at, answer);
+            }
+            counter!(RELAY_QUOTA_OWNERS_UNRESPONSIVE).increment(1);
+            self.record_miss(&name, self.clock.now());
+            self.postpone_owner(subject.id, owner);
+        }
+        let (now, relays) = (self.clock.now(), self.relay_count());
+        let mut state = lock(&self.allowance.state);
+        let result =
+            state.shares.take(now, subject.id, subject.limit, relays, rand::random::<f64>());
+        drop(state);
+        let outcome = if result.is_ok() { "admitted" } else { "rejected" };
+        counter!(RELAY_QUOTA_SHARES, "outcome" => outcome).increment(1);
+        result.map(|()| Token::new(self, subject.id, Origin::Share))
+    }
+
+    /// Uses the answer of an owner.
+    fn accept(
+        self: &Arc<Self>,
+        subject: Subject<'_>,
+        owner: SocketAddr,
+        asked_at: Time,
+        answer: Answer,
+    ) -> Result<Token, Duration> {
+        let now = self.clock.now();
+        let id = subject.id;
+        let mut state = lock(&self.allowance.state);
+        match answer {
+            Answer::Granted { count, level_milli } => {
+                let has_rest = state.client.record_grant(now, id, owner, count, level_milli);
+                drop(state);
+                if has_rest {
+                    self.return_rest(id);
+                }
+                Ok(Token::new(self, id, Origin::Owner(owner)))
+            }
+            Answer::Refused { wait, level_milli } => {
+                let times = (asked_at, wait);
+                let level = (subject.limit, level_milli);
+                state.client.record_refusal(now, id, owner, times, level);
+                Err(wait)
+            }
+        }
+    }
+
+    /// Gives the rest of a block back when its time is over.
+    fn return_rest(self: &Arc<Self>, account: u64) {
+        let shared = self.clone();
+        tokio::spawn(async move {
+            sleep(BLOCK_TIME).await;
+            let now = shared.clock.now();
+            let rest = lock(&shared.allowance.state).client.take_rest(now, account);
+            if let Some((owner, count)) = rest {
+                shared.return_tokens(owner, account, count);
+            }
+        });
+    }
+
+    fn new_ask(&self, subject: Subject<'_>, count: u32, owner: SocketAddr) -> Ask {
+        let configuration = self.routes.load().version;
+        let now = self.clock.now();
+        let mut state = lock(&self.allowance.state);
+        state.last_ticket += 1;
+        Ask {
+            ticket: state.last_ticket,
+            account: subject.id,
+            count,
+            limit: subject.limit,
+            configuration,
+            report: state.client.report(now, subject.id, owner),
+        }
+    }
+
+    /// Takes tokens from the bucket that this relay keeps as the owner.
+    fn ask_self(&self, subject: Subject<'_>, count: u32, owner: SocketAddr) -> Answer {
+        let ask = self.new_ask(subject, count, owner);
+        match self.answer_ask(self.incarnation, &ask) {
+            Message::Granted { count, level_milli, .. } => Answer::Granted { count, level_milli },
+            Message::Refused { wait, level_milli, .. } => Answer::Refused { wait, level_milli },
+            Message::Ask(_) | Message::Return { .. } => {
+                Answer::Refused { wait: ANSWER_TIMEOUT, level_milli: 0 }
+            }
+        }
+    }
+
+    /// Asks another relay for tokens. Returns `None` if it does not answer in time.
+    async fn ask_owner(
+        self: &Arc<Self>,
+        subject: Subject<'_>,
+        count: u32,
+        owner: SocketAddr,
+        limit: Duration,
+        was_late: &mut bool,
+    ) -> Option<Answer> {
+        let ask = self.new_ask(subject, count, owner);
+        let (sender, answer) = oneshot::channel();
+        lock(&self.allowance.state).pending.insert(ask.ticket, sender);
+        let (shared, ticket) = (self.clone(), ask.ticket);
+        let mut waiting =
+            Waiting { shared, ticket, account: subject.id, owner, answer, is_done: false };
+        let begin = self.clock.now();
+        let mut attempts = 0;
+        while attempts < MAX_ATTEMPTS {
+            let now = self.clock.now();
+            let left = limit.saturating_sub(now.since(begin)).min(ANSWER_TIMEOUT);
+            if left.is_zero() {
+                return None;
+            }
+            self.send(owner, Content::Quota(Message::Ask(ask)));
+            if let Ok(answer) = timeout(left, &mut waiting.answer).await {
+                waiting.is_done = true;
+                return answer.ok();
+            }
+            // This relay got no processor time, and has not read what arrived meanwhile. Only one delay is
+            // excused, since a relay that is always late has to learn of a silent owner as well.
+            if !*was_late && self.clock.now().since(now) > left * 2 {
+                *was_late = true;
+                if let Ok(answer) = timeout(ANSWER_TIMEOUT, &mut waiting.answer).await {
+                    waiting.is_done = true;
+                    return answer.ok();
+                }
+            }
+            attempts += 1;
+        }
+        None
+    }
+
+    /// Returns the relays that are asked for tokens of an account; none if this relay hears of no other.
+    fn owners(&self, subject: Subject<'_>, now: Time) -> Vec<(String, SocketAddr)> {
+        let known = lock(&self.allowance.state).owners.get(&subject.id).cloned();
+        if let Some(known) = known
+            && now.since(known.chosen_at) < OWNER_CACHE_TIME
+        {
+            return known.servers;
+        }
+        let key = format!("account {}", subject.name);
+        let mut servers = self.servers(&key, MAX_OWNERS, now);
+        if self.is_isolated(now) {
+            // The others may have another owner, which grants the whole quota.
+            servers.retain(|(name, _)| *name != self.name);
+        }
+        let owners = Owners { chosen_at: now, servers: servers.clone() };
+        let mut state = lock(&self.allowance.state);
+        state.owners.retain(|_, owners| now.since(owners.chosen_at) < OWNER_CACHE_TIME);
+        state.owners.insert(subject.id, owners);
+        servers
+    }
+
+    /// Whether this relay hears of none of the others.
+    fn is_isolated(&self, now: Time) -> bool {
+        let members = self.members();
+        let mut others = members.values();
+        !members.is_empty() && others.all(|member| member.health.silence(now) > ISOLATION_TIME)
+    }
+
+    /// Has the other owners asked before a silent one for a time.
+    fn postpone_owner(&self, account: u64, silent: SocketAddr) {
+        if let Some(owners) = lock(&self.allowance.state).owners.get_mut(&account) {
+            owners.servers.sort_by_key(|(_, address)| *address == silent);
+        }
+    }
+
+    /// Gives tokens back to the owner that granted them.
+    fn return_tokens(&self, owner: SocketAddr, account: u64, count: u32) {
+        if owner == self.address() {
+            lock(&self.allowance.ledger).give_back(self.clock.now(), account, count);
+        } else {
+            self.send(owner, Content::Quota(Message::Return { account, count }));
+        }
+    }
+
+    /// Answers an ask as the owner of an account.
+    fn answer_ask(&self, incarnation: u64, ask: &Ask) -> Message {
+        let now = self.clock.now();
+        let mut ask = *ask;
+        if ask.report.is_none() {
+            // Relays that ask rarely remember nothing. This one may, if it was not the owner until now.
+            let state = lock(&self.allowance.state);
+            ask.report = state.client.report(now, ask.account, self.address());
+        }
+        let routes = self.routes.load();
+        let mut ledger = lock(&self.allowance.ledger);
+        if ledger.configuration() < routes.version {
+            let accounts = routes.accounts.iter().flat_map(|accounts| accounts.iter());
+            let limits = accounts.filter_map(|account| Some((account.id(), account.quota?)));
+            ledger.set_limits(routes.version, limits.collect());
+        }
+        ledger.ask(now, Holder(incarnation), &ask)
+    }
+
+    /// Handles a message about a quota of another relay, the process `incarnation`.
+    pub fn handle_quota(&self, from: SocketAddr, incarnation: u64, message: Message) {
+        match message {
+            Message::Ask(ask) => {
+                let answer = self.answer_ask(incarnation, &ask);
+                self.send(from, Content::Quota(answer));
+            }
+            Message::Granted { ticket, account, count, level_milli } => {
+                let answer = Answer::Granted { count, level_milli };
+                if !self.handle_answer_to(ticket, incarnation, answer) {
+                    self.return_tokens(from, account, count);
+                }
+            }
+            Message::Refused { ticket, wait, level_milli, .. } => {
+                let answer = Answer::Refused { wait, level_milli };
+                let _ = self.handle_answer_to(ticket, incarnation, answer);
+            }
+            Message::Return { account, count } => {
+                lock(&self.allowance.ledger).give_back(self.clock.now(), account, count);
+            }
+        }
+    }
+
+    /// Passes an answer to the request that waits for it. Returns whether its tokens are used, also if it
+    /// is a repeated one.
+    fn handle_answer_to(&self, ticket: u64, incarnation: u64, answer: Answer) -> bool {
+        self.record_answer(incarnation, self.clock.now());
+        let mut state = lock(&self.allowance.state);
+        match state.pending.remove(&ticket) {
+            Some(sender) => sender.send(answer).is_ok(),
+            None => !state.take_closed(ticket),
+        }
     }
 }
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -169,8 +169,7 @@
             Content::Sound(parts) => self.shared.handle_sound(&parts),
             Content::Held(parts, left) => self.shared.hold_parts(&parts, left),
             Content::Found(stream, software) => self.shared.handle_found(from, stream, software),
-            // Handled by no relay yet.
-            Content::Quota(_) => {}
+            Content::Quota(quota) => self.shared.handle_quota(from, message.incarnation, quota),
             Content::Ack(ack) => {
                 self.shared.apply_limits(&ack.limits);
                 if message.incarnation == self.shared.incarnation {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -32,8 +32,9 @@
 };
 
 use crate::{
-    clock::Clock, dialect::Dialect, job::row, leaving::Leaving, link, listing::Listing,
-    memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, roll_call, slots::Slots,
+    allowance::Allowance, clock::Clock, dialect::Dialect, job::row, leaving::Leaving, link,
+    listing::Listing, memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, roll_call,
+    slots::Slots,
 };
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
@@ -184,6 +185,8 @@
     pub origins: Cache,
     /// Parts of prompts that end upstreams.
     pub quarantine: Ledger,
+    /// Quotas of client accounts.
+    pub(crate) allowance: Allowance,
     selector: Mutex<Selector>,
     /// Other relays, by name.
     members: Mutex<BTreeMap<String, Member>>,
@@ -245,6 +248,7 @@
             store_connected_since: AtomicU64::new(0),
             origins: Cache::default(),
             quarantine: Ledger::default(),
+            allowance: Allowance::default(),
             selector: Mutex::new(Selector::new(data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -336,6 +336,10 @@
     /// The settings could not be reloaded on a signal; the previous ones stay in force. Fields:
     /// `error`.
     1262 Warn SettingsUnusable "settings_unusable" "settings could not be reloaded; the previous ones stay in force",
+
+    /// A request was rejected because its account has used up its quota. Fields: `account`,
+    /// `retry_after_ms`.
+    1265 Info QuotaExceeded "quota_exceeded" "request exceeds the quota of its account",
 }
 
 /// Logs a numbered event with key-value fields.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -126,6 +126,16 @@
     RELAY_PLACEMENTS "relay_placements_total" Counter Count "outcome"
         "Choices of an upstream for online requests: granted by a broker, refused, or made alone \
          because no broker answered.",
+    RELAY_QUOTA_REQUESTS "relay_quota_requests_total" Counter Count "account, outcome"
+        "Requests of client accounts with a quota, by outcome: admitted or rejected. Accounts beyond the \
+         first hundred of a relay count together as other.",
+    RELAY_QUOTA_ASKS "relay_quota_asks_total" Counter Count ""
+        "Requests of a relay to the owners of quotas for tokens, without repeated ones.",
+    RELAY_QUOTA_OWNERS_UNRESPONSIVE "relay_quota_owners_unresponsive_total" Counter Count ""
+        "Requests to the owners of quotas that were not answered in time.",
+    RELAY_QUOTA_SHARES "relay_quota_shares_total" Counter Count "outcome"
+        "Requests that a relay decided by itself because no owner of the quota answered, by outcome: \
+         admitted or rejected.",
     RELAY_CONNECTIONS_OPENED "relay_connections_opened_total" Counter Count ""
         "Connections that a relay opened to upstreams.",
     RELAY_PAUSE_SECONDS "relay_pause_seconds" Histogram Seconds ""
