Check the owner of a job again if the first accounts appear during a call

A call that began without accounts in the configuration was checked for a valid key after its wait, but not for the account of the job.

--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -196,9 +196,13 @@
         JobCall::Item { item, .. } => item_body(shared, dispatcher, &id, &item).await,
         JobCall::End { .. } => return end(shared, dispatcher, &id).await,
     };
-    // The key may have been removed while the results were waited for.
-    if let Err(rejection) = shared.identify_again(&caller, is_public, headers) {
-        return admission::reject(shared, &id, None, rejection);
+    // The accounts may have changed while the results were waited for.
+    match shared.identify_again(&caller, is_public, headers) {
+        Err(rejection) => return admission::reject(shared, &id, None, rejection),
+        Ok(Some(caller)) if !job.row.admits(&caller) => {
+            return online::empty(StatusCode::NOT_FOUND);
+        }
+        Ok(_) => {}
     }
     match result {
         Ok(Some(response)) => response,
