Take back returned tokens from the grants that an owner counts

An owner that adopted the level of another one subtracted its own grants since, also those whose tokens had been given back, and refused requests within the quota. A relay that hears of no other one also never used its own bucket again when the others were gone for good; those no longer count. Found in a trial with four relays on loopback sockets.

--- a/components/control/src/relay/allowance/ledger.rs
+++ b/components/control/src/relay/allowance/ledger.rs
@@ -102,6 +102,17 @@
         taken
     }
 
+    /// Puts back tokens of the latest grants.
+    fn put_back(&mut self, count: u32) {
+        self.level = (self.level + f64::from(count)).min(self.limit.capacity());
+        let mut left = count;
+        for (_, granted) in self.granted.iter_mut().rev() {
+            let returned = left.min(*granted);
+            *granted -= returned;
+            left -= returned;
+        }
+    }
+
     /// Returns when a refused caller may retry. Each one is told another time, so that they do not all
     /// come at once.
     fn next_wait(&mut self, now: Time) -> Duration {
@@ -191,7 +202,7 @@
     pub fn give_back(&mut self, now: Time, account: u64, count: u32) {
         if let Some(bucket) = self.buckets.get_mut(&account) {
             bucket.fill(now);
-            bucket.level = (bucket.level + f64::from(count)).min(bucket.limit.capacity());
+            bucket.put_back(count);
         }
     }
 
--- a/components/control/tests/relay_allowance.rs
+++ b/components/control/tests/relay_allowance.rs
@@ -427,6 +427,11 @@
     ledger.give_back(START, ACCOUNT, 1_000_000);
     let most = granted(ledger.ask(START, Holder(1), &ask(3, 1_000, limit)));
     expect_that!(f64::from(most), le(limit.capacity()));
+    ledger.give_back(START, ACCOUNT, most);
+    let report = Some(Report { level_milli: 10_000, age: SECOND });
+    let ask = Ask { report, ..ask(4, 1_000, limit) };
+    let reported = granted(ledger.ask(START, Holder(1), &ask));
+    expect_that!(f64::from(reported), ge(10.0), "what was given back does not count as granted");
     ledger.give_back(START, 99, 1);
     verify_that!(ledger.len(), eq(1))
 }
--- a/components/relay/src/allowance.rs
+++ b/components/relay/src/allowance.rs
@@ -386,11 +386,13 @@
         servers
     }
 
-    /// Whether this relay hears of none of the others.
+    /// Whether this relay hears of none of the others, apart from those that are gone.
     fn is_isolated(&self, now: Time) -> bool {
+        let seen = self.last_news();
         let members = self.members();
-        let mut others = members.values();
-        !members.is_empty() && others.all(|member| member.health.silence(now) > ISOLATION_TIME)
+        let present = || members.values().filter(|member| !member.health.is_absent(now, seen));
+        present().next().is_some()
+            && present().all(|member| member.health.silence(now) > ISOLATION_TIME)
     }
 
     /// Has the other owners asked before a silent one for a time.
