--- a/components/relay/src/allowance.rs
+++ b/components/relay/src/allowance.rs
@@ -18,7 +18,6 @@
 };
 use cyclamengrade_peer::slots::Content;
 use cyclamengrade_telemetry::{
-    event,
     metrics::{
         RELAY_QUOTA_ASKS, RELAY_QUOTA_OWNERS_UNRESPONSIVE, RELAY_QUOTA_REQUESTS, RELAY_QUOTA_SHARES,
     },
@@ -215,10 +214,6 @@
             if is_labelled { subject.name.to_owned() } else { "other".to_owned() }
         };
         counter!(RELAY_QUOTA_REQUESTS, "account" => label, "outcome" => outcome).increment(1);
-        if let Err(wait) = result {
-            let retry_after_ms = wait.as_millis() as u64;
-            event!(QuotaExceeded, account:% = subject.name, retry_after_ms = retry_after_ms);
-        }
     }
 
     async fn ask_owners(
@@ -386,11 +381,13 @@
         servers
     }
 
-    /// Whether this relay hears of none of the others.
+    /// Whether this relay hears of none of the others, apart from those that are gone.
     fn is_isolated(&self, now: Time) -> bool {
+        let seen = self.last_news();
         let members = self.members();
-        let mut others = members.values();
-        !members.is_empty() && others.all(|member| member.health.silence(now) > ISOLATION_TIME)
+        let present = || members.values().filter(|member| !member.health.is_absent(now, seen));
+        present().next().is_some()
+            && present().all(|member| member.health.silence(now) > ISOLATION_TIME)
     }
 
     /// Has the other owners asked before a silent one for a time.
