--- a/components/control/src/relay/broker/fairness.rs
+++ b/components/control/src/relay/broker/fairness.rs
@@ -398,3 +398,19 @@
         }
     }
 }
+
+/// Returns items in turns of their accounts: the first one of each account, then the second one of each, and
+/// so on. Items of the same turn keep their order, and so do all of one account.
+pub fn by_turns<T>(
+    items: impl IntoIterator<Item = T>,
+    account: impl Fn(&T) -> Member,
+) -> impl Iterator<Item = T> {
+    let mut counts: BTreeMap<Member, usize> = BTreeMap::new();
+    let mut turns: BTreeMap<usize, Vec<T>> = BTreeMap::new();
+    for item in items {
+        let count = counts.entry(account(&item)).or_default();
+        turns.entry(*count).or_default().push(item);
+        *count += 1;
+    }
+    turns.into_values().flatten()
+}
--- a/components/control/tests/relay_fairness.rs
+++ b/components/control/tests/relay_fairness.rs
@@ -11,7 +11,7 @@
         broker::{
             Answer, Ask, Broker, Charge, Class, Held, Holder, Outgoing, Place, Sync, Ticket,
             Urgency, Want,
-            fairness::{Order, Shares},
+            fairness::{Order, Shares, by_turns},
         },
         origin::Software,
     },
@@ -386,6 +386,18 @@
     expect_that!(granted(&outgoing), eq(&[20, 10, 30, 21, 11, 31, 22, 12]));
 }
 
+/// Guards against a large job whose items are the only ones that a relay names in a message of limited
+/// length.
+#[gtest]
+fn limited_message() {
+    let items = [(1, "a"), (1, "b"), (1, "c"), (2, "d"), (1, "e"), (2, "f")];
+    let named = |items: &[(u32, &'static str)]| -> Vec<&'static str> {
+        by_turns(items.to_vec(), |(account, _)| Some(*account)).map(|(_, name)| name).collect()
+    };
+    expect_that!(named(&items), eq(&["a", "d", "b", "f", "c", "e"]));
+    expect_that!(named(&items[..3]), eq(&["a", "b", "c"]));
+}
+
 /// Guards against stopping the streams of an account that holds little for the online requests of others,
 /// because its items are due later than those of a large job.
 #[gtest]
@@ -552,8 +564,8 @@
 #[gtest]
 fn seven_times_without_accounts() {
     for has_rises in [false, true] {
-        let [_, small] = Site { large: 7.0, has_rises, has_accounts: false }.run();
-        println!("{small:?}");
+        let [large, small] = Site { large: 7.0, has_rises, has_accounts: false }.run();
+        println!("{large:?} {small:?}");
         expect_that!(small.refused * 10, gt(small.sent), "{small:?}");
     }
 }
--- a/components/relay/src/allowance.rs
+++ b/components/relay/src/allowance.rs
@@ -17,10 +17,8 @@
     time::Time,
 };
 use cyclamengrade_peer::slots::Content;
-use cyclamengrade_telemetry::{
-    metrics::{
-        RELAY_QUOTA_ASKS, RELAY_QUOTA_OWNERS_UNRESPONSIVE, RELAY_QUOTA_REQUESTS, RELAY_QUOTA_SHARES,
-    },
+use cyclamengrade_telemetry::metrics::{
+    RELAY_QUOTA_ASKS, RELAY_QUOTA_OWNERS_UNRESPONSIVE, RELAY_QUOTA_REQUESTS, RELAY_QUOTA_SHARES,
 };
 use metrics::counter;
 use tokio::{
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -9,7 +9,9 @@
 
 use cyclamengrade_control::{
     relay::{
-        broker::{Answer, Ask, Charge, Class, Held, Load, Release, Sync, Ticket, Urgency, Want},
+        broker::{
+            Answer, Ask, Charge, Class, Held, Load, Release, Sync, Ticket, Urgency, Want, fairness,
+        },
         origin::Software,
         shard::{self, Candidate},
     },
@@ -526,7 +528,10 @@
                 sync.pending.insert(*ticket);
             }
         }
-        for (ticket, wanted) in ranked(&state.wanted) {
+        let mut wanted: Vec<(&Ticket, &Wanted)> = state.wanted.iter().collect();
+        wanted.sort_by_key(|(ticket, wanted)| (wanted.urgency, **ticket));
+        // A large job of one account does not hide the items of others.
+        for (ticket, wanted) in fairness::by_turns(wanted, |(_, wanted)| wanted.charge.account) {
             if let Some((_, sync)) = address(wanted.shard).and_then(|to| syncs.get_mut(&to))
                 && sync.wants.len() < MAX_WANTS
             {
@@ -587,23 +592,6 @@
     }
 }
 
-/// Returns the batch items that wait, in the order in which a limited number of them is named: first the
-/// most urgent one of each account, then the next one of each, so that a large job of one account does
-/// not hide the items of others.
-fn ranked(wanted: &BTreeMap<Ticket, Wanted>) -> Vec<(&Ticket, &Wanted)> {
-    let mut items: Vec<(&Ticket, &Wanted)> = wanted.iter().collect();
-    items.sort_by_key(|(ticket, wanted)| (wanted.urgency, **ticket));
-    let mut counts: BTreeMap<Option<u32>, usize> = BTreeMap::new();
-    let mut ranked: Vec<(usize, (&Ticket, &Wanted))> = Vec::with_capacity(items.len());
-    for item in items {
-        let count = counts.entry(item.1.charge.account).or_default();
-        ranked.push((*count, item));
-        *count += 1;
-    }
-    ranked.sort_by_key(|(rank, _)| *rank);
-    ranked.into_iter().map(|(_, item)| item).collect()
-}
-
 fn next_ticket(state: &mut State) -> Ticket {
     state.last_ticket += 1;
     Ticket(state.last_ticket)
