Pace upstreams that recover by their answers, and choose by their speed

The broker treated an upstream after a failure as fully usable after one request, which it waited out to its end, and all slots as equally fast. Relays now report how upstreams answered with each release, and the first event of a request at an upstream that is limited at once. The limit begins at one request after a failure and two after a start, doubles with prompt answers and halves with slow ones. Upstreams that differ in speed by a quarter are chosen by their expected time between events. relay_broker::failed_upstreams_attract_no_load now expects the growth by answers in place of all slots after one request.

--- a/components/control/src/relay/broker/message.rs
+++ b/components/control/src/relay/broker/message.rs
@@ -2,7 +2,11 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use crate::relay::{limit, origin::Software};
+use crate::relay::{
+    broker::{pace, speed},
+    limit,
+    origin::Software,
+};
 
 /// Class of a request at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,13 +131,20 @@
     pub failed: BTreeSet<u32>,
     /// Limits that the relay knows.
     pub limits: Vec<limit::News>,
+    /// Paces that the relay knows from another broker.
+    pub paces: Vec<pace::News>,
+    /// Speeds that the relay knows from another broker.
+    pub speeds: Vec<speed::News>,
 }
 
 /// Message of a broker to a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// The relay holds a slot of the upstream from now on.
-    Granted { ticket: Ticket, upstream: u32, load: Load },
+    ///
+    /// With `paced`, the broker waits for the time to the first event of the request before it grants more slots
+    /// of the upstream.
+    Granted { ticket: Ticket, upstream: u32, load: Load, paced: bool },
     /// The request waits for a slot.
     Queued { ticket: Ticket, load: Load },
     /// No slot becomes free in time.
--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -10,9 +10,10 @@
 //! overfill its upstreams for a time, and a lost message is repaired by the next [`Sync`].
 
 mod message;
+pub mod pace;
 mod placement;
 mod queue;
-mod suspension;
+pub mod speed;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,8 +24,9 @@
     Answer, Ask, Charge, Class, Held, Holder, Load, Measure, Release, Sync, Ticket, Urgency, Want,
 };
 use self::{
+    pace::Paces,
     queue::{Queue, Waiting},
-    suspension::Suspensions,
+    speed::{Sample, Speeds},
 };
 use crate::{
     relay::{
@@ -91,6 +93,8 @@
     class: Class,
     urgency: Urgency,
     since: Time,
+    /// Requests at the upstream right after the grant.
+    requests: u32,
 }
 
 /// A relay with slots, waiting requests or reported failures.
@@ -116,7 +120,8 @@
     queues: BTreeMap<u32, Queue>,
     /// Times of the first and the last message about each shard.
     contacts: BTreeMap<u32, (Time, Time)>,
-    suspensions: Suspensions,
+    paces: Paces,
+    speeds: Speeds,
     limits: Buckets,
     /// Moving average of the service time of online requests, by shard.
     service: BTreeMap<u32, Duration>,
@@ -137,7 +142,8 @@
         });
         for upstream in started.map(|place| place.upstream) {
             // The failures and the limit of the earlier start say nothing about this one.
-            self.suspensions.retain(|id| id != upstream);
+            self.paces.retain(|id| id != upstream);
+            self.speeds.retain(|id| id != upstream);
             self.limits.retain(|id| id != upstream);
             for client in self.clients.values_mut() {
                 client.failed.remove(&upstream);
@@ -148,8 +154,26 @@
             self.by_shard.entry(place.shard).or_default().push(place.upstream);
         }
         let places = &self.places;
-        self.suspensions.retain(|upstream| places.contains_key(&upstream));
+        self.paces.retain(|upstream| places.contains_key(&upstream));
+        self.speeds.retain(|upstream| places.contains_key(&upstream));
         self.limits.retain(|upstream| places.contains_key(&upstream));
+        self.limit_started(&former);
+    }
+
+    /// Limits the upstreams that were not listed before. When most of a shard is new, this broker has just begun
+    /// and nothing says that they have started.
+    fn limit_started(&mut self, former: &BTreeMap<u32, Place>) {
+        let is_new = |place: &Place| {
+            former.get(&place.upstream).is_none_or(|former| former.start != place.start)
+        };
+        for upstreams in self.by_shard.values() {
+            let places = upstreams.iter().filter_map(|upstream| self.places.get(upstream));
+            let started: Vec<u32> =
+                places.filter(|place| is_new(place)).map(|place| place.upstream).collect();
+            if started.len() * 2 <= upstreams.len() {
+                started.into_iter().for_each(|upstream| self.paces.record_start(upstream));
+            }
+        }
     }
 
     /// Handles a request for a slot. A repeated request gets the current state of the first one.
@@ -165,7 +189,8 @@
         let is_waiting = client.waiting.contains_key(&ticket);
         let load = self.load(now, shard);
         if let Some(upstream) = granted {
-            return vec![(from, Answer::Granted { ticket, upstream, load })];
+            let paced = self.paces.available(upstream, now).is_some();
+            return vec![(from, Answer::Granted { ticket, upstream, load, paced })];
         }
         if is_waiting {
             return vec![(from, Answer::Queued { ticket, load })];
@@ -207,6 +232,43 @@
         self.fill_all(now, shards)
     }
 
+    /// Records how upstreams answered requests that hold slots.
+    pub fn measure(&mut self, now: Time, from: Holder, measures: &[Measure]) -> Vec<Outgoing> {
+        let mut shards = BTreeSet::new();
+        for measure in measures {
+            let grants = self.clients.get(&from).map(|client| &client.grants);
+            let Some(grant) = grants.and_then(|grants| grants.get(&measure.ticket)).copied() else {
+                continue;
+            };
+            let Some(place) = self.places.get(&grant.upstream).copied() else { continue };
+            let (upstream, shard) = (place.upstream, place.shard);
+            let usual = self.speeds.usual_first(shard).unwrap_or(measure.first);
+            let request = (from, measure.ticket);
+            if self.paces.available(upstream, now).is_some() {
+                self.paces.record_answer(upstream, request, measure.first, usual, place.slots, now);
+                shards.insert(shard);
+            } else if grant.class == Class::Online {
+                self.speeds.record_first(shard, measure.first);
+            }
+            if measure.complete {
+                let requests = (grant.requests + self.used(upstream).total()).div_ceil(2);
+                let Measure { gap, events, .. } = *measure;
+                self.speeds.record_gap(Sample { shard, upstream, requests, gap, events }, now);
+            }
+        }
+        self.fill_all(now, shards)
+    }
+
+    /// Returns what is known of the paces of upstreams, for a broker that takes this one's place.
+    pub fn paces(&self, now: Time) -> Vec<pace::News> {
+        self.paces.news(now)
+    }
+
+    /// Returns what is known of the speeds of upstreams, for a broker that takes this one's place.
+    pub fn speeds(&self, now: Time) -> Vec<speed::News> {
+        self.speeds.news(now)
+    }
+
     /// Frees slots that were granted and with which nothing was sent to the upstream.
     pub fn give_back(&mut self, now: Time, from: Holder, tickets: &[Ticket]) -> Vec<Outgoing> {
         for ticket in tickets {
@@ -251,6 +313,12 @@
                 self.limits.update(now, news);
             }
         }
+        for news in sync.paces.iter().filter(|news| self.places.contains_key(&news.upstream)) {
+            self.paces.adopt(news, now);
+        }
+        for news in sync.speeds.iter().filter(|news| self.places.contains_key(&news.upstream)) {
+            self.speeds.adopt(news, now);
+        }
         let mut outgoing = Vec::new();
         for held in held.values() {
             if let Some(shard) = self.places.get(&held.upstream).map(|place| place.shard) {
@@ -265,7 +333,8 @@
                 // The answer was lost.
                 let (ticket, upstream) = (want.ticket, grant.upstream);
                 let load = self.load(now, want.shard);
-                outgoing.push((from, Answer::Granted { ticket, upstream, load }));
+                let paced = self.paces.available(upstream, now).is_some();
+                outgoing.push((from, Answer::Granted { ticket, upstream, load, paced }));
                 continue;
             }
             self.forget(from, want.ticket);
@@ -298,6 +367,9 @@
             self.update_suspects(now);
         }
         self.limits.remove_ended(now);
+        let places = &self.places;
+        let slots = |upstream: u32| places.get(&upstream).map_or(0, |place| place.slots);
+        self.paces.remove_grown(now, slots);
         let mut outgoing = Vec::new();
         let shards: Vec<u32> = self.queues.keys().copied().collect();
         for shard in &shards {
@@ -357,6 +429,7 @@
     fn touch(&mut self, now: Time, holder: Holder) -> &mut Client {
         let client = self.clients.entry(holder).or_default();
         client.last_heard = now;
+        self.paces.begin_started(now);
         client
     }
 
@@ -389,7 +462,7 @@
                 suspects.extend(failed);
             }
         }
-        self.suspensions.set_reported(suspects, now);
+        self.paces.set_reported(suspects, now);
     }
 
     /// Returns the rate at which online requests of a shard end, per second, without those at
@@ -486,10 +559,10 @@
         let reserve = self.online_rate(shard) * RESERVE_TIME.as_secs_f64();
         let usable: Vec<Place> = self
             .shard(shard)
-            .filter(|place| !place.leaving && !self.suspensions.is_suspended(place.upstream, now))
+            .filter(|place| !place.leaving && !self.paces.is_paused(place.upstream, now))
             .copied()
             .collect();
-        let mut spare: u64 = usable.iter().map(|place| u64::from(self.free(place, now))).sum();
+        let mut spare: u64 = usable.iter().map(|place| u64::from(self.open(place, now))).sum();
         while spare as f64 > reserve {
             let Some(((urgency, holder, ticket), upstream)) = self.next_batch(now, shard, &usable)
             else {
@@ -511,7 +584,7 @@
     ) -> Outgoing {
         let shard = self.places.get(&upstream).map_or(0, |place| place.shard);
         self.forget(holder, ticket);
-        self.suspensions.record_grant(upstream, holder, ticket);
+        let paced = self.paces.record_grant(upstream, holder, ticket);
         self.limits.take(upstream, now);
         self.insert(
             holder,
@@ -521,17 +594,19 @@
                 class,
                 urgency: urgency.unwrap_or(Urgency { late: false, due_ms: 0 }),
                 since: now,
+                requests: 0,
             },
         );
-        (holder, Answer::Granted { ticket, upstream, load: self.load(now, shard) })
+        (holder, Answer::Granted { ticket, upstream, load: self.load(now, shard), paced })
     }
 
-    fn insert(&mut self, holder: Holder, ticket: Ticket, grant: Grant) {
+    fn insert(&mut self, holder: Holder, ticket: Ticket, mut grant: Grant) {
         let used = self.used.entry(grant.upstream).or_default();
         match grant.class {
             Class::Online => used.online += 1,
             Class::Batch => used.batch += 1,
         }
+        grant.requests = used.total();
         if let Some(client) = self.clients.get_mut(&holder) {
             client.grants.insert(ticket, grant);
         }
@@ -553,7 +628,8 @@
             self.limits.take(held.upstream, now);
         }
         let urgency = Urgency { late: held.class == Class::Batch, due_ms: u64::MAX };
-        let grant = Grant { upstream: held.upstream, class: held.class, urgency, since: now };
+        let Held { upstream, class, .. } = held;
+        let grant = Grant { upstream, class, urgency, since: now, requests: 0 };
         self.insert(from, held.ticket, grant);
         Some(shard)
     }
@@ -563,7 +639,7 @@
         let waited_in = self.forget(holder, ticket);
         let grant = self.clients.get_mut(&holder).and_then(|client| client.grants.remove(&ticket));
         let Some(grant) = grant else { return waited_in };
-        self.suspensions.record_end(grant.upstream, holder, ticket, now);
+        self.paces.record_end(grant.upstream, holder, ticket, now);
         if let Some(used) = self.used.get_mut(&grant.upstream) {
             match grant.class {
                 Class::Online => used.online = used.online.saturating_sub(1),
--- a/components/control/src/relay/broker/placement.rs
+++ b/components/control/src/relay/broker/placement.rs
@@ -32,6 +32,12 @@
         free.min(self.limits.available(place.upstream, now).unwrap_or(u32::MAX))
     }
 
+    /// Returns the number of free slots of an upstream that its pace allows to use as well.
+    pub(super) fn open(&self, place: &Place, now: Time) -> u32 {
+        let open = self.paces.available(place.upstream, now).unwrap_or(u32::MAX);
+        self.free(place, now).min(open)
+    }
+
     /// Returns the next waiting online request that gets a free slot.
     ///
     /// A request whose relay has a connection to the upstream may overtake earlier ones while the
@@ -69,20 +75,27 @@
         next.map(|(holder, waiting)| (holder, waiting.clone()))
     }
 
-    /// Returns the upstream with a free slot that suits an online request best: one with an open
-    /// connection, then one in the same data centre, then the least used one.
+    /// Returns the upstream with a free slot that suits an online request best: the fastest if they differ in
+    /// speed, then one with an open connection, then one in the same data centre, then the least used one.
     ///
-    /// Suspended upstreams are used only if there is no other, however full the others are: a failed
+    /// Paused upstreams are used only if there is no other, however full the others are: a failed
     /// upstream has free slots because it fails.
     pub(super) fn free_place(&self, now: Time, ask: &Ask) -> Option<u32> {
-        let is_suspended = |place: &Place| self.suspensions.is_suspended(place.upstream, now);
-        let has_sound = self.accepting(ask).any(|place| !is_suspended(place));
+        let is_paused = |place: &Place| self.paces.is_paused(place.upstream, now);
+        let has_sound = self.accepting(ask).any(|place| !is_paused(place));
         let usable = self
             .accepting(ask)
-            .filter(|place| self.free(place, now) > 0 && !(has_sound && is_suspended(place)));
+            .filter(|place| self.free(place, now) > 0 && !(has_sound && is_paused(place)));
+        let upstreams = self.accepting(ask).map(|place| place.upstream);
+        let are_uneven = self.speeds.are_uneven(upstreams, now);
         let best = usable.min_by_key(|place| {
             let used = self.used(place.upstream).total();
+            let step = match are_uneven {
+                true => self.speeds.step(place.shard, place.upstream, used + 1, now),
+                false => 0,
+            };
             (
+                step,
                 !ask.connected.contains(&place.upstream),
                 place.data_centre != ask.data_centre,
                 permille(used, place.slots),
@@ -97,7 +110,7 @@
     pub(super) fn least_urgent(&self, now: Time, ask: &Ask) -> Option<(Holder, Ticket)> {
         self.least_urgent_at(|upstream| {
             self.limits.available(upstream, now) != Some(0)
-                && !self.suspensions.is_suspended(upstream, now)
+                && !self.paces.is_paused(upstream, now)
                 && self.places.get(&upstream).is_some_and(|place| {
                     place.shard == ask.shard
                         && may_serve(place, ask)
@@ -131,12 +144,12 @@
         usable: &[Place],
     ) -> Option<(BatchKey, u32)> {
         let queue = self.queues.get(&shard)?;
-        let free: Vec<&Place> = usable.iter().filter(|place| self.free(place, now) > 0).collect();
+        let free: Vec<&Place> = usable.iter().filter(|place| self.open(place, now) > 0).collect();
         queue.batch().find_map(|(key, software)| {
             let suitable = free
                 .iter()
                 .filter(|place| software.is_none_or(|software| software == place.software));
-            let best = suitable.max_by_key(|place| permille(self.free(place, now), place.slots))?;
+            let best = suitable.max_by_key(|place| permille(self.open(place, now), place.slots))?;
             Some((key, best.upstream))
         })
     }
--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -6,6 +6,7 @@
     allowance::{self, Report},
     broker::{
         Answer, Ask, Charge, Class, Held, Load, Measure, Release, Sync, Ticket, Urgency, Want,
+        pace, speed,
     },
     limit::{self, Rate},
     monitor::{Exception, Status},
@@ -52,7 +53,7 @@
 }
 
 /// Answer of a broker or monitor to the state of a relay.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ack {
     /// Sequence number of the message that this one answers.
     pub sequence: u64,
@@ -62,6 +63,10 @@
     pub exceptions: Vec<Exception>,
     /// Limits of upstreams that the sender knows.
     pub limits: Vec<limit::News>,
+    /// Speeds of upstreams that the sender has learned as their broker.
+    pub speeds: Vec<speed::News>,
+    /// Paces of upstreams that the sender keeps as their broker.
+    pub paces: Vec<pace::News>,
 }
 
 /// Software that began a stream.
@@ -167,11 +172,12 @@
             measures: Vec::new(),
         }),
         Content::Sync(status, sync) => Kind::Sync(encode_sync(status, sync)),
-        Content::Answer(Answer::Granted { ticket, upstream, load }) => {
+        Content::Answer(Answer::Granted { ticket, upstream, load, paced }) => {
             Kind::Granted(wire::SlotGranted {
                 ticket: ticket.0,
                 upstream,
                 load: Some(encode_load(load)),
+                paced,
             })
         }
         Content::Answer(Answer::Queued { ticket, load }) => {
@@ -186,8 +192,8 @@
             fleet_version: ack.fleet_version,
             exceptions: ack.exceptions.into_iter().map(encode_exception).collect(),
             limits: ack.limits.into_iter().map(encode_limit).collect(),
-            speeds: Vec::new(),
-            paces: Vec::new(),
+            speeds: ack.speeds.into_iter().map(encode_speed).collect(),
+            paces: ack.paces.into_iter().map(encode_pace).collect(),
         }),
         Content::Origin(origin) => Kind::Origin(wire::StreamOrigin {
             stream: origin.stream.0,
@@ -242,8 +248,38 @@
         news: status.wants_news,
         limits: sync.limits.into_iter().map(encode_limit).collect(),
         cut_off: status.cut_off,
-        speeds: Vec::new(),
-        paces: Vec::new(),
+        speeds: sync.speeds.into_iter().map(encode_speed).collect(),
+        paces: sync.paces.into_iter().map(encode_pace).collect(),
+    }
+}
+
+fn encode_speed(news: speed::News) -> wire::UpstreamSpeed {
+    let speed::News { upstream, slowness_milli, age } = news;
+    wire::UpstreamSpeed { upstream, slowness_milli, age_ms: milliseconds(age) }
+}
+
+fn decode_speed(speed: wire::UpstreamSpeed) -> speed::News {
+    let wire::UpstreamSpeed { upstream, slowness_milli, age_ms } = speed;
+    speed::News { upstream, slowness_milli, age: Duration::from_millis(age_ms.into()) }
+}
+
+fn encode_pace(news: pace::News) -> wire::UpstreamPace {
+    wire::UpstreamPace {
+        upstream: news.upstream,
+        limit: news.limit,
+        pause_ms: milliseconds(news.pause),
+        failures: news.failures,
+        age_ms: milliseconds(news.age),
+    }
+}
+
+fn decode_pace(pace: wire::UpstreamPace) -> pace::News {
+    pace::News {
+        upstream: pace.upstream,
+        limit: pace.limit,
+        pause: Duration::from_millis(pace.pause_ms.into()),
+        failures: pace.failures,
+        age: Duration::from_millis(pace.age_ms.into()),
     }
 }
 
@@ -387,6 +423,7 @@
             ticket: Ticket(granted.ticket),
             upstream: granted.upstream,
             load: decode_load(granted.load),
+            paced: granted.paced,
         }),
         Kind::Queued(queued) => Content::Answer(Answer::Queued {
             ticket: Ticket(queued.ticket),
@@ -402,6 +439,8 @@
             fleet_version: ack.fleet_version,
             exceptions: ack.exceptions.into_iter().map(decode_exception).collect(),
             limits: ack.limits.into_iter().map(decode_limit).collect(),
+            speeds: ack.speeds.into_iter().map(decode_speed).collect(),
+            paces: ack.paces.into_iter().map(decode_pace).collect(),
         }),
         Kind::Origin(origin) => Content::Origin(Origin {
             stream: Stream(origin.stream),
@@ -466,7 +505,9 @@
     let failed = sync.failed.into_iter().collect();
     let limits = sync.limits.into_iter().map(decode_limit).collect();
     let (held, wants) = (held.collect(), wants.collect());
-    Content::Sync(status, Sync { held, pending, wants, failed, limits })
+    let speeds = sync.speeds.into_iter().map(decode_speed).collect();
+    let paces = sync.paces.into_iter().map(decode_pace).collect();
+    Content::Sync(status, Sync { held, pending, wants, failed, limits, paces, speeds })
 }
 
 fn decode_exception(member: wire::SlotMember) -> Exception {
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -250,7 +250,7 @@
                     return End::Interrupted(Failure::Broken).into();
                 }
                 Ok(Next::Event(event)) => {
-                    flight.record_answer();
+                    flight.record_event();
                     silence = EVENT_SILENCE;
                     let mut transcript = lock(transcript);
                     let (Some(id), Some(data)) = (event.id, event.data()) else {
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -28,6 +28,7 @@
     dialect::Headers,
     link,
     memory::Budget,
+    meter::Meter,
     pool::{Connection, Path, Pool},
     shared::Shared,
     slots::{Need, Outcome, Placement},
@@ -48,6 +49,7 @@
     started_running: Time,
     /// Whether a byte of the response has arrived.
     responded: bool,
+    meter: Meter,
     /// What the request has in common with others, see [`Part`].
     parts: Arc<[Part]>,
     /// Whether the upstream has begun to answer.
@@ -102,6 +104,16 @@
         }
     }
 
+    /// Records an event of the response, or all of it if it has no events.
+    pub fn record_event(&mut self) {
+        self.record_answer();
+        if self.meter.record_event(self.shared.clock.now())
+            && let Some(measure) = self.meter.measure(self.ticket)
+        {
+            self.shared.report_first(measure);
+        }
+    }
+
     /// Records that bytes of the response arrived.
     pub fn record_bytes(&mut self) {
         if !self.responded && !self.is_excused {
@@ -271,7 +283,8 @@
     }
 
     /// Records that the complete response arrived.
-    pub fn record_success(&self) {
+    pub fn record_success(&mut self) {
+        self.meter.record_end();
         counter!(RELAY_ATTEMPTS, "outcome" => "ok").increment(1);
         if self.class == Class::Online {
             let elapsed = self.shared.clock.now().since(self.started);
@@ -297,7 +310,7 @@
     fn drop(&mut self) {
         self.shared.selector().record_end(self.key);
         match self.is_sent.load(Ordering::Relaxed) {
-            true => self.shared.release_slot(self.ticket),
+            true => self.shared.release_slot(self.ticket, self.meter.measure(self.ticket)),
             false => self.shared.give_back_slot(self.ticket),
         }
         self.shared.batch_changed.notify_one();
@@ -484,6 +497,7 @@
             started,
             started_running: running,
             responded: false,
+            meter: Meter::new(started),
             parts: [].into(),
             has_answered: false,
             is_sent: AtomicBool::new(false),
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -155,7 +155,7 @@
         let collecting = response.collect(&flight, request.deadline);
         match request.watch(&flight, collecting).await {
             Ok(response) => {
-                flight.record_answer();
+                flight.record_event();
                 flight.record_success();
                 if !response.has_marked_end {
                     log_unmarked_end(&request, &flight, 0);
@@ -413,7 +413,7 @@
                 }
                 Err(failure) => return Forwarded::Failed(*failure),
             };
-            run.flight.record_answer();
+            run.flight.record_event();
             match event.id {
                 Some(id) if exchange::breaks_order(self.last_event_id, id) => {
                     return Forwarded::Failed(Failure::Broken);
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -133,7 +133,11 @@
         match message.content {
             Content::Ask(ask) => self.serve(holder, from, |broker| broker.ask(now, holder, ask)),
             Content::Release(release) => {
-                self.serve(holder, from, |broker| broker.release(now, holder, &release.tickets));
+                self.serve(holder, from, |broker| {
+                    let mut outgoing = broker.measure(now, holder, &release.measures);
+                    outgoing.extend(broker.release(now, holder, &release.tickets));
+                    outgoing
+                });
             }
             Content::GiveBack(tickets) => {
                 self.serve(holder, from, |broker| broker.give_back(now, holder, &tickets));
@@ -173,6 +177,7 @@
             Content::Quota(_) => {}
             Content::Ack(ack) => {
                 self.shared.apply_limits(&ack.limits);
+                self.shared.learn(from, &ack, now);
                 if message.incarnation == self.shared.incarnation {
                     // This relay's own view is used by `Shared::peers`.
                     return;
@@ -234,13 +239,16 @@
     fn ack(&self, status: &Status, now: Time) -> Ack {
         let sequence = status.sequence;
         let limits = self.shared.broker_state().limits(now);
+        let mut ack = Ack { sequence, limits, ..Ack::default() };
+        self.shared.add_learned(&mut ack, now);
         if !status.wants_news {
-            return Ack { sequence, fleet_version: 0, exceptions: Vec::new(), limits };
+            return ack;
         }
         let members = self.shared.members();
         let exceptions = members.values().filter_map(|member| member.health.exception(now));
-        let exceptions = exceptions.collect();
-        Ack { sequence, fleet_version: self.shared.fleet_version(), exceptions, limits }
+        ack.exceptions = exceptions.collect();
+        ack.fleet_version = self.shared.fleet_version();
+        ack
     }
 
     fn record_news(&self, ack: &Ack, now: Time) {
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -32,8 +32,9 @@
 };
 
 use crate::{
-    clock::Clock, dialect::Dialect, job::row, leaving::Leaving, link, listing::Listing,
-    memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, roll_call, slots::Slots,
+    clock::Clock, dialect::Dialect, job::row, learned::Learned, leaving::Leaving, link,
+    listing::Listing, memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, roll_call,
+    slots::Slots,
 };
 
 /// The memory for request bodies is the memory of the process divided by this number. Each body is
@@ -158,6 +159,8 @@
     pub data_centre: String,
     /// Slots that this relay holds and requests for slots.
     pub slots: Slots,
+    /// Paces and speeds of upstreams that brokers told.
+    pub(crate) learned: Learned,
     /// Slots that this relay grants to others.
     broker: Mutex<Broker>,
     /// Address for messages about slots and the processing capacity of this relay.
@@ -232,6 +235,7 @@
             event_memory: Budget::new(u64::MAX),
             data_centre: data_centre.to_owned(),
             slots: Slots::default(),
+            learned: Learned::default(),
             broker: Mutex::default(),
             peer: OnceLock::new(),
             joined_ms: AtomicU64::new(u64::MAX),
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -9,7 +9,9 @@
 
 use cyclamengrade_control::{
     relay::{
-        broker::{Answer, Ask, Charge, Class, Held, Load, Release, Sync, Ticket, Urgency, Want},
+        broker::{
+            Answer, Ask, Charge, Class, Held, Load, Measure, Release, Sync, Ticket, Urgency, Want,
+        },
         origin::Software,
         shard::{self, Candidate},
     },
@@ -82,6 +84,8 @@
     granted: BTreeMap<Ticket, Slot>,
     /// Batch streams that brokers asked to stop.
     stopped: BTreeSet<Ticket>,
+    /// Slots whose brokers wait for the time to the first event.
+    paced: BTreeSet<Ticket>,
     loads: BTreeMap<u32, Load>,
     brokers: BTreeMap<u32, Broker>,
     /// Shards whose brokers are to be told what this relay holds and wants.
@@ -297,9 +301,23 @@
         self.end_ticket(ticket, Content::GiveBack(vec![ticket]));
     }
 
-    /// Frees a slot after a request was sent to its upstream.
-    pub fn release_slot(&self, ticket: Ticket) {
-        self.end_ticket(ticket, Content::Release(Release::from(ticket)));
+    /// Frees a slot after a request was sent to its upstream, and tells how that answered.
+    pub fn release_slot(&self, ticket: Ticket, measure: Option<Measure>) {
+        let measures = measure.into_iter().collect();
+        self.end_ticket(ticket, Content::Release(Release { tickets: vec![ticket], measures }));
+    }
+
+    /// Tells the broker of a slot the time to the first event if it waits for that.
+    pub fn report_first(&self, measure: Measure) {
+        let mut state = self.slots.state();
+        if !state.paced.remove(&measure.ticket) {
+            return;
+        }
+        let Some(shard) = state.held.get(&measure.ticket).map(|slot| slot.shard) else { return };
+        drop(state);
+        let broker = self.broker(shard, self.clock.now());
+        let release = Release { tickets: Vec::new(), measures: vec![measure] };
+        self.slots.send(self.incarnation, broker.address, Content::Release(release));
     }
 
     fn end_ticket(&self, ticket: Ticket, message: Content) {
@@ -309,6 +327,7 @@
         let granted = state.granted.remove(&ticket).map(|slot| slot.shard);
         let held = state.held.remove(&ticket).map(|slot| slot.shard);
         state.stopped.remove(&ticket);
+        state.paced.remove(&ticket);
         drop(state);
         if let Some(shard) = pending.or(wanted).or(granted).or(held) {
             let broker = self.broker(shard, self.clock.now());
@@ -368,7 +387,10 @@
     pub fn handle_answer(&self, from: SocketAddr, answer: Answer) {
         let mut state = self.slots.state();
         match answer {
-            Answer::Granted { ticket, upstream, load } => {
+            Answer::Granted { ticket, upstream, load, paced } => {
+                if paced {
+                    state.paced.insert(ticket);
+                }
                 if let Some(pending) = state.pending.remove(&ticket) {
                     let Pending { shard, charge, .. } = pending;
                     let slot = Slot { shard, upstream, class: Class::Online, charge };
@@ -386,6 +408,7 @@
                     self.batch_changed.notify_one();
                 } else if !state.held.contains_key(&ticket) && !state.granted.contains_key(&ticket)
                 {
+                    state.paced.remove(&ticket);
                     drop(state);
                     self.slots.send(self.incarnation, from, Content::GiveBack(vec![ticket]));
                 }
@@ -447,6 +470,12 @@
         broker
     }
 
+    /// Returns the address of the broker that this relay uses for an upstream.
+    pub fn broker_of(&self, upstream: u32) -> Option<SocketAddr> {
+        let shard = self.selector().shard_of(upstream)?;
+        self.slots.state().brokers.get(&shard).map(|broker| broker.address)
+    }
+
     /// Returns the relays, with their addresses, that serve a key for all others.
     pub fn servers(&self, key: &str, count: usize, now: Time) -> Vec<(String, SocketAddr)> {
         let seen = self.last_news();
@@ -531,6 +560,10 @@
                 sync.wants.push(Want { ticket: *ticket, shard, urgency, software, charge });
             }
         }
+        drop(state);
+        for (address, (_, sync)) in &mut syncs {
+            self.add_told(*address, sync, now);
+        }
         syncs
     }
 
