--- a/components/control/src/relay/broker/speed.rs
+++ b/components/control/src/relay/broker/speed.rs
@@ -110,8 +110,10 @@
             return;
         }
         let gap = sample.gap.as_secs_f64();
+        let slowness = self.by_upstream.get(&sample.upstream).map_or(1.0, |speed| speed.lasting);
         let shard = self.shards.entry(sample.shard).or_default();
-        let usual = shard.gap(sample.requests).unwrap_or(gap);
+        // The first response at a load says nothing of the upstream.
+        let usual = *shard.gaps.entry(sample.requests).or_insert(gap / slowness);
         let ratio = (gap / usual).clamp(SAMPLE_BOUNDS.0, SAMPLE_BOUNDS.1);
         let speed = self.by_upstream.entry(sample.upstream).or_insert(Speed {
             lasting: ratio,
@@ -125,8 +127,7 @@
         speed.sampled_at = now;
         // The curve is that of an upstream of usual speed, whichever upstreams are used most.
         let normal = gap / speed.lasting;
-        let entry = shard.gaps.entry(sample.requests).or_insert(usual);
-        *entry += (normal - *entry) * SHARD_WEIGHT;
+        shard.gaps.insert(sample.requests, usual + (normal - usual) * SHARD_WEIGHT);
     }
 
     /// Records the time to the first event of a response of an upstream that is not limited.
