--- a/components/control/src/relay/broker/placement.rs
+++ b/components/control/src/relay/broker/placement.rs
@@ -75,8 +75,8 @@
         next.map(|(holder, waiting)| (holder, waiting.clone()))
     }
 
-    /// Returns the upstream with a free slot that suits an online request best: the fastest if they differ in
-    /// speed, then one with an open connection, then one in the same data centre, then the least used one.
+    /// Returns the upstream with a free slot that suits an online request best: one that is
+    /// not slow, then one with an open connection, then one in the same data centre, then the least used one.
     ///
     /// Paused upstreams are used only if there is no other, however full the others are: a failed
     /// upstream has free slots because it fails.
@@ -86,16 +86,10 @@
         let usable = self
             .accepting(ask)
             .filter(|place| self.free(place, now) > 0 && !(has_sound && is_paused(place)));
-        let upstreams = self.accepting(ask).map(|place| place.upstream);
-        let are_uneven = self.speeds.are_uneven(upstreams, now);
         let best = usable.min_by_key(|place| {
             let used = self.used(place.upstream).total();
-            let step = match are_uneven {
-                true => self.speeds.step(place.shard, place.upstream, used + 1, now),
-                false => 0,
-            };
             (
-                step,
+                self.speeds.is_slow(place.upstream, now),
                 !ask.connected.contains(&place.upstream),
                 place.data_centre != ask.data_centre,
                 permille(used, place.slots),
--- a/components/control/src/relay/broker/speed.rs
+++ b/components/control/src/relay/broker/speed.rs
@@ -19,10 +19,11 @@
 const SHARD_WEIGHT: f64 = 0.05;
 /// Fewest events of a response whose time between events counts.
 const MIN_EVENTS: u32 = 4;
-/// Ratio of the largest to the smallest slowness from which the upstreams of a shard count as uneven.
-const UNEVEN_RATIO: f64 = 1.25;
-/// Ratio between two steps of the expected time between events. Upstreams in one step count as equal.
-const STEP_RATIO: f64 = 1.15;
+/// Slowness from which an upstream is used after the others. Smaller differences cost callers less than the new
+/// connections that they would cause.
+const SLOW_RATIO: f64 = 1.4;
+/// Slowness from which the difference of an upstream is told to other relays, and its reciprocal.
+const NOTABLE_RATIO: f64 = 1.15;
 /// Samples before the slowness of an upstream is used.
 const MIN_SAMPLES: u32 = 3;
 /// Bounds of a single sample, so that one odd response does not decide.
@@ -68,22 +69,6 @@
     first: Option<f64>,
 }
 
-impl Shard {
-    /// Returns the time between events at a number of requests, from the nearest number that was seen.
-    fn gap(&self, requests: u32) -> Option<f64> {
-        let below = self.gaps.range(..=requests).next_back();
-        let above = self.gaps.range(requests..).next();
-        match (below, above) {
-            (Some((low, gap)), Some((high, other))) if low != high => {
-                let part = f64::from(requests - low) / f64::from(high - low);
-                Some(gap + (other - gap) * part)
-            }
-            (Some((_, gap)), _) | (None, Some((_, gap))) => Some(*gap),
-            (None, None) => None,
-        }
-    }
-}
-
 /// Speeds of the upstreams of a broker.
 #[derive(Debug, Default)]
 pub struct Speeds {
@@ -147,23 +132,9 @@
         self.by_upstream.get(&upstream).map_or(1.0, |speed| speed.slowness(now))
     }
 
-    /// Whether upstreams differ so much in speed that it decides which one gets a request.
-    pub fn are_uneven(&self, upstreams: impl Iterator<Item = u32>, now: Time) -> bool {
-        let (mut least, mut most) = (f64::MAX, 0.0_f64);
-        for upstream in upstreams {
-            let slowness = self.slowness(upstream, now);
-            (least, most) = (least.min(slowness), most.max(slowness));
-        }
-        most >= least * UNEVEN_RATIO
-    }
-
-    /// Returns the expected time between events of an upstream with a number of requests, as a number of steps.
-    pub fn step(&self, shard: u32, upstream: u32, requests: u32, now: Time) -> i64 {
-        let curve = self.shards.get(&shard);
-        // Without a response of the shard, only the slowness tells upstreams apart.
-        let gap = curve.and_then(|curve| curve.gap(requests)).unwrap_or(1.0);
-        let expected = gap * self.slowness(upstream, now);
-        (expected.ln() / STEP_RATIO.ln()).round() as i64
+    /// Whether an upstream is so slow that others are used first.
+    pub fn is_slow(&self, upstream: u32, now: Time) -> bool {
+        self.slowness(upstream, now) >= SLOW_RATIO
     }
 
     /// Forgets the upstreams for which `is_listed` is false.
@@ -175,7 +146,7 @@
     pub fn news(&self, now: Time) -> Vec<News> {
         let known = self.by_upstream.iter().filter(|(_, speed)| speed.samples >= MIN_SAMPLES);
         let differ = known.filter(|(_, speed)| {
-            speed.lasting >= STEP_RATIO || speed.lasting <= STEP_RATIO.recip()
+            speed.lasting >= NOTABLE_RATIO || speed.lasting <= NOTABLE_RATIO.recip()
         });
         differ
             .map(|(upstream, speed)| News {
