Raise the limit of a recovered upstream with slow answers as well

Answers up to four times slower now raise it by one, and so do whole responses that were begun before the failure.

--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -243,9 +243,8 @@
             let Some(place) = self.places.get(&grant.upstream).copied() else { continue };
             let (upstream, shard) = (place.upstream, place.shard);
             let usual = self.speeds.usual_first(shard).unwrap_or(measure.first);
-            let request = (from, measure.ticket);
             if self.paces.available(upstream, now).is_some() {
-                self.paces.record_answer(upstream, request, measure.first, usual, place.slots, now);
+                self.paces.record_answer(upstream, from, measure, usual, place.slots, now);
                 shards.insert(shard);
             } else if grant.class == Class::Online {
                 self.speeds.record_first(shard, measure.first);
--- a/components/control/src/relay/broker/pace.rs
+++ b/components/control/src/relay/broker/pace.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    relay::broker::{Holder, Ticket},
+    relay::broker::{Holder, Measure, Ticket},
     time::Time,
 };
 
@@ -27,7 +27,8 @@
 const FAILED_LIMIT: u32 = 1;
 /// Limit after a start.
 const STARTED_LIMIT: u32 = 2;
-/// Time to the first event, as a multiple of the usual one, below which the limit is doubled.
+/// Time to the first event, as a multiple of the usual one, below which the limit is doubled. A slower answer
+/// raises it by one: in an overload all answers are slow, and an upstream that gives any is well.
 const PROMPT_FACTOR: u32 = 2;
 /// Time to the first event, as a multiple of the usual one, from which the limit is halved.
 const SLOW_FACTOR: u32 = 4;
@@ -144,28 +145,35 @@
         true
     }
 
-    /// Records the time to the first event of a request. `usual` is that of other upstreams. An upstream whose
-    /// limit reaches `slots` is no longer limited.
+    /// Records how an upstream answered a request: the first event, or the end of one that was granted before
+    /// the limit began. `usual` is the time to the first event at other upstreams. An upstream whose limit
+    /// reaches `slots` is no longer limited.
     pub fn record_answer(
         &mut self,
         upstream: u32,
-        request: (Holder, Ticket),
-        first: Duration,
+        request: Holder,
+        measure: &Measure,
         usual: Duration,
         slots: u32,
         now: Time,
     ) {
         let Some(pace) = self.by_upstream.get_mut(&upstream) else { return };
-        let Some(is_answered) = pace.granted.get_mut(&request) else { return };
-        if std::mem::replace(is_answered, true) {
+        let is_new = match pace.granted.get_mut(&(request, measure.ticket)) {
+            Some(is_answered) => !std::mem::replace(is_answered, true),
+            None => measure.complete,
+        };
+        if !is_new {
             return;
         }
         let limit = pace.limit(now);
-        if first <= usual * PROMPT_FACTOR {
+        if measure.first >= usual * SLOW_FACTOR {
+            pace.set_limit(limit / 2, now);
+        } else if measure.first > usual * PROMPT_FACTOR {
+            pace.failures = 0;
+            pace.set_limit(limit.saturating_add(1), now);
+        } else {
             pace.failures = 0;
             pace.set_limit(limit.saturating_mul(2), now);
-        } else if first >= usual * SLOW_FACTOR {
-            pace.set_limit(limit / 2, now);
         }
         if pace.limit >= slots && !self.reported.contains(&upstream) {
             self.by_upstream.remove(&upstream);
