--- a/tests/relay_quiet.rs
+++ b/tests/relay_quiet.rs
@@ -267,3 +267,28 @@
     expect_that!(answered, len(eq(16)));
     verify_that!(answered, each(eq(&true)))
 }
+
+/// Guards against a stream that is cut because its upstream is given up for one that refuses it, while no
+/// other upstream accepts work, as around a release.
+#[gtest]
+#[tokio::test]
+async fn full_successor() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    let (silent, full) = (harness.runners[0].clone(), harness.runners[1].clone());
+    harness.unlist(&full, 0).await?;
+    quieten(&silent, 1, QUIET);
+    full.queue_faults(&[Fault::NotRun; 400]);
+    let listing = async {
+        sleep(Duration::from_millis(150)).await;
+        harness.list(&full, 0).await?;
+        harness.unlist(&silent, 0).await
+    };
+    let begin = Instant::now();
+    let (incomplete, listed) = tokio::join!(incomplete(&harness, 1), listing);
+    listed?;
+    expect_that!(incomplete, is_empty());
+    expect_that!(silent.runs(), len(eq(1)));
+    expect_that!(begin.elapsed(), lt(DEADLINE));
+    // Otherwise the other upstream did not refuse it.
+    verify_that!(harness.events(0, "attempt_failed"), not(is_empty()))
+}
