Keep a silent attempt until the next upstream accepts the request

A granted slot is only what a broker believes. An attempt that was silent was closed before the request went to the next upstream; when that one refused as full and no other one of the version accepted work, the stream was cut.

The search now also sends the request, and the silent attempt goes on until the head of the response has arrived (an event stream, or before the first event any answer that is no error of the upstream), for 350 ms at most. What the silent attempt brings meanwhile is held back and used only if that attempt goes on, so that no event is forwarded twice. Batch items do the same and hand the request that was sent to their next run.

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -24,10 +24,11 @@
     exchange::{self, Options, Outgoing, Response},
     flight::Flight,
     memory::Reservation,
-    online::header_text,
+    online::{header_text, is_upstream_error},
     quarantine::format_parts,
     shared::Shared,
     slots::Placement,
+    successor::{Handover, Output, Successor},
 };
 
 /// Time between two searches for another upstream while one is silent.
@@ -81,8 +82,8 @@
     tried: BTreeSet<Key>,
     /// Those of them that broke off an attempt or are not at their addresses.
     broken: BTreeSet<Key>,
-    /// Where the next attempt goes, which replaces one that was silent.
-    successor: Option<(Flight, Placement)>,
+    /// The next attempt, which began while the one before was silent and goes on instead of it.
+    successor: Option<Successor>,
     /// Search for such an upstream while the current attempt is silent.
     search: Option<Search>,
     /// Whether the caller has got a part of the answer, or a run was given up for another upstream.
@@ -161,55 +162,114 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Waits for what an upstream sends next. An attempt that is silent goes on until another upstream has a
-    /// slot and a connection for the request, since most upstreams that are silent have only paused. The next
-    /// attempt goes there. Without another upstream, or with the last attempt, the wait ends at the deadline.
+    /// Waits for what an upstream sends next. An attempt that is silent goes on until another upstream accepts the
+    /// request, since most upstreams that are silent have only paused. That upstream is asked to resume the stream
+    /// after the event `resume_after`. Without another upstream, or with the last attempt, the wait ends at the
+    /// deadline.
     ///
     /// # Errors
     ///
-    /// Fails if `next` does, and with [`Failure::Silent`] if there is another upstream.
-    pub async fn watch<T>(
+    /// Fails if `next` does, and with [`Failure::Silent`] if another attempt goes on instead.
+    pub async fn watch<T: Output>(
         &mut self,
         flight: &Flight,
+        resume_after: Option<u64>,
         next: impl Future<Output = Result<T, Failure>>,
     ) -> Result<T, Failure> {
-        let after_failure =
-            Attempts { possibly_run: self.attempts.possibly_run + 1, ..self.attempts };
-        if !after_failure.allows_attempt(&self.route) {
-            return next.await;
+        let mut next = pin!(next);
+        while self.allows_successor() {
+            tokio::select! {
+                biased;
+                output = &mut next => return output,
+                () = self.silence(flight) => {}
+            }
+            if self.search.is_none() {
+                event!(
+                    AttemptSilent,
+                    request:% = self.outgoing.id,
+                    upstream:% = flight.upstream.id,
+                    quiet_ms = flight.quiet_time().as_millis() as u64
+                );
+            }
+            let search =
+                self.search.take().unwrap_or_else(|| self.begin_search(flight, Duration::ZERO));
+            let found = tokio::select! {
+                biased;
+                output = &mut next => return output,
+                found = self.search.insert(search) => found,
+            };
+            self.search = None;
+            let handover = match self.begin_successor(found, resume_after).await {
+                Some(successor) => {
+                    successor.hand_over(next.as_mut(), |head| self.judge(head)).await
+                }
+                None => {
+                    self.search = Some(self.begin_search(flight, SEEK_PERIOD));
+                    continue;
+                }
+            };
+            match handover {
+                Handover::Completed(output) => return Ok(output),
+                Handover::Later(successor, failure) => {
+                    self.successor = Some(successor);
+                    self.record_underway();
+                    return Err(failure);
+                }
+                Handover::Earlier { brought, flight: refused, failure } => {
+                    self.log_failure(&refused, failure, 0);
+                    refused.record_failure(failure);
+                    self.exclude(&refused, failure);
+                    self.attempts.possibly_run += u32::from(failure.may_have_run());
+                    if let Some(output) = brought {
+                        return Ok(output);
+                    }
+                    self.search = Some(self.begin_search(flight, SEEK_PERIOD));
+                }
+            }
         }
+        next.await
+    }
+
+    /// Whether another attempt is allowed beside the current one.
+    fn allows_successor(&self) -> bool {
+        let possibly_run = self.attempts.possibly_run + 1;
+        Attempts { possibly_run, ..self.attempts }.allows_attempt(&self.route)
+    }
+
+    /// Waits until an attempt counts as silent.
+    async fn silence(&self, flight: &Flight) {
         let limit = self.silence_timeout();
-        let has_begun = self.time_to_first_byte.is_some();
-        let silence = async {
-            flight.silence(limit).await;
-            if has_begun && flight.quiet_time() < limit {
-                flight.silence(limit * HEARD_FACTOR).await;
-            }
-        };
-        let mut next = pin!(next);
-        tokio::select! {
-            biased;
-            output = &mut next => return output,
-            () = silence => {}
+        flight.silence(limit).await;
+        if self.time_to_first_byte.is_some() && flight.quiet_time() < limit {
+            flight.silence(limit * HEARD_FACTOR).await;
         }
-        if self.search.is_none() {
-            event!(
-                AttemptSilent,
-                request:% = self.outgoing.id,
-                upstream:% = flight.upstream.id,
-                quiet_ms = flight.quiet_time().as_millis() as u64
-            );
+    }
+
+    /// Begins an attempt at an upstream that was found while another attempt is silent. Returns `None` if it may
+    /// no longer begin.
+    async fn begin_successor(
+        &self,
+        (mut flight, placement): (Flight, Placement),
+        resume_after: Option<u64>,
+    ) -> Option<Successor> {
+        if self.check_quarantine().is_err() || self.remaining().is_zero() {
+            return None;
         }
-        let search = self.search.take().unwrap_or_else(|| self.begin_search(flight));
-        let successor = tokio::select! {
-            biased;
-            output = &mut next => return output,
-            successor = self.search.insert(search) => successor,
-        };
-        self.search = None;
-        self.successor = Some(successor);
-        self.record_underway();
-        Err(Failure::Silent)
+        let max = self.shared.max_connections(&flight.upstream.deployment);
+        // The search has opened it.
+        let connection = flight.connect(max, &self.outgoing.id).await.ok()?;
+        let flight = flight.with_parts(self.parts.clone());
+        self.log_send(&flight, resume_after, placement, 1);
+        let options = self.options(resume_after);
+        Some(Successor::new(flight, connection, self.outgoing.clone(), options))
+    }
+
+    /// Returns the failure of an attempt whose response does not accept the request.
+    fn judge(&self, response: &Response) -> Result<(), Failure> {
+        let is_stream = response.status.is_success() && response.is_event_stream();
+        // Before the first event of a stream, another response may be forwarded to the caller.
+        let is_answer = self.time_to_first_byte.is_none() && !is_upstream_error(response.status);
+        if is_stream || is_answer { Ok(()) } else { Err(Failure::Broken) }
     }
 
     /// Ends the search for another upstream, since the attempt goes on.
@@ -217,15 +277,20 @@
         self.search = None;
     }
 
-    /// Begins the search for an upstream that takes over from the one of a flight. It outlasts comments, which
-    /// are no progress.
-    fn begin_search(&self, flight: &Flight) -> Search {
-        let mut excluded = self.tried.clone();
-        excluded.insert(flight.key);
+    /// Begins the search, after a delay, for an upstream that takes over from the one of a flight. It outlasts
+    /// comments, which are no progress.
+    fn begin_search(&self, flight: &Flight, delay: Duration) -> Search {
+        let with_current = |keys: &BTreeSet<Key>| {
+            let mut keys = keys.clone();
+            keys.insert(flight.key);
+            keys
+        };
+        let (mut excluded, broken) = (with_current(&self.tried), with_current(&self.broken));
         let (shared, route) = (self.shared.clone(), self.route.clone());
         let (software, parts) = (self.software, self.parts.clone());
         let (deadline, id) = (self.deadline, self.outgoing.id.clone());
         Box::pin(async move {
+            sleep(delay).await;
             loop {
                 let is_allowed = shared.quarantine_left(&parts).is_none();
                 let deployment = shared.deployment(&route, software).filter(|_| is_allowed);
@@ -240,6 +305,8 @@
                         }
                     }
                 }
+                // Upstreams that were silent or full may serve again.
+                excluded.clone_from(&broken);
                 sleep(SEEK_PERIOD).await;
             }
         })
@@ -276,27 +343,43 @@
             if self.remaining().is_zero() {
                 return Err(Error::DeadlineExceeded);
             }
-            self.check_quarantine()?;
-            let (flight, placement) = match self.successor.take() {
-                Some(successor) => successor,
-                None => match self.choose_upstream().await {
-                    Ok(placed) => placed,
-                    // The caller would lose what it has. The refusal is an estimate, and upstreams that were
-                    // silent or full may serve again.
-                    Err(Error::Refused(..)) if self.is_underway && self.has_other() => {
-                        self.tried.clone_from(&self.broken);
-                        sleep(SEEK_PERIOD).await;
-                        continue;
+            let (flight, sent) = match self.successor.take() {
+                Some(successor) => {
+                    let (flight, reply) = successor.into_parts();
+                    let sent = self.watch(&flight, resume_after, reply).await;
+                    // The reply, which shared it, has ended.
+                    let Some(mut flight) = Arc::into_inner(flight) else { continue };
+                    if sent.is_ok() {
+                        flight.record_bytes();
                     }
-                    Err(error) => return Err(error),
-                },
+                    (flight, sent)
+                }
+                None => {
+                    self.check_quarantine()?;
+                    let (flight, placement) = match self.choose_upstream().await {
+                        Ok(placed) => placed,
+                        // The caller would lose what it has. The refusal is an estimate, and upstreams that were
+                        // silent or full may serve again.
+                        Err(Error::Refused(..)) if self.is_underway && self.has_other() => {
+                            self.tried.clone_from(&self.broken);
+                            sleep(SEEK_PERIOD).await;
+                            continue;
+                        }
+                        Err(error) => return Err(error),
+                    };
+                    // The part may have been quarantined while the request waited.
+                    self.check_quarantine()?;
+                    let mut flight = flight.with_parts(self.parts.clone());
+                    self.log_send(&flight, resume_after, placement, 0);
+                    let sent = self.send_to(&mut flight, resume_after).await;
+                    (flight, sent)
+                }
             };
-            // The part may have been quarantined while the request waited.
-            self.check_quarantine()?;
-            let mut flight = flight.with_parts(self.parts.clone());
-            self.log_send(&flight, resume_after, placement);
-            match self.send_to(&mut flight, resume_after).await {
-                Ok(response) => return Ok((flight, response)),
+            match sent {
+                Ok(response) => {
+                    self.end_search();
+                    return Ok((flight, response));
+                }
                 Err(failure) => {
                     self.record_failure(&flight, failure, 0)?;
                     if self.is_underway && !failure.may_have_run() {
@@ -324,17 +407,25 @@
     ) -> Result<Response, Failure> {
         let max = self.shared.max_connections(&flight.upstream.deployment);
         let connection = flight.connect(max, &self.outgoing.id).await?;
-        let (deadline, timeout) = (Some(self.deadline), self.remaining());
-        let options = Options { deadline, resume_after, timeout };
+        let options = self.options(resume_after);
         self.dispatch.record();
         let (shared, outgoing) = (self.shared.clone(), self.outgoing.clone());
         let names = shared.dialect.headers();
         let sending = exchange::send(flight, connection, names, &outgoing, options);
-        let response = self.watch(flight, sending).await?;
+        let response = self.watch(flight, resume_after, sending).await?;
         flight.record_bytes();
         Ok(response)
     }
 
+    fn options(&self, resume_after: Option<u64>) -> Options {
+        Options { deadline: Some(self.deadline), resume_after, timeout: self.remaining() }
+    }
+
+    /// Whether the request certainly did not run.
+    pub fn is_not_run(&self) -> bool {
+        self.attempts.is_not_run() && self.successor.is_none()
+    }
+
     fn check_quarantine(&self) -> Result<(), Error> {
         match self.shared.quarantine_left(&self.parts) {
             Some(left) => Err(Error::Quarantined(left)),
@@ -353,18 +444,7 @@
         failure: Failure,
         events: u64,
     ) -> Result<(), Error> {
-        event!(
-            AttemptFailed,
-            request:% = self.outgoing.id,
-            upstream:% = flight.upstream.id,
-            failure:% = failure.name(),
-            elapsed_ms = self.shared.clock.now().since(flight.started).as_millis() as u64,
-            running_ms = flight.running_time().as_millis() as u64,
-            quiet_ms = flight.quiet_time().as_millis() as u64,
-            events = events,
-            prompt:% = self.shared.dialect.shared_parts(&self.outgoing.headers).join(","),
-            parts:% = format_parts(&self.parts)
-        );
+        self.log_failure(flight, failure, events);
         self.search = None;
         let is_past_deadline = self.remaining().is_zero();
         // Silence until the deadline is not a failure of the upstream.
@@ -372,10 +452,7 @@
             flight.record_failure(failure);
         }
         self.attempts.record_failure(failure);
-        self.tried.insert(flight.key);
-        if matches!(failure, Failure::Broken | Failure::Misdirected) {
-            self.broken.insert(flight.key);
-        }
+        self.exclude(flight, failure);
         match () {
             () if is_past_deadline => Err(Error::DeadlineExceeded),
             () if self.attempts.allows_attempt(&self.route) => Ok(()),
@@ -383,6 +460,29 @@
         }
     }
 
+    /// Excludes an upstream at which an attempt failed from further ones.
+    fn exclude(&mut self, flight: &Flight, failure: Failure) {
+        self.tried.insert(flight.key);
+        if matches!(failure, Failure::Broken | Failure::Misdirected) {
+            self.broken.insert(flight.key);
+        }
+    }
+
+    fn log_failure(&self, flight: &Flight, failure: Failure, events: u64) {
+        event!(
+            AttemptFailed,
+            request:% = self.outgoing.id,
+            upstream:% = flight.upstream.id,
+            failure:% = failure.name(),
+            elapsed_ms = self.shared.clock.now().since(flight.started).as_millis() as u64,
+            running_ms = flight.running_time().as_millis() as u64,
+            quiet_ms = flight.quiet_time().as_millis() as u64,
+            events = events,
+            prompt:% = self.shared.dialect.shared_parts(&self.outgoing.headers).join(","),
+            parts:% = format_parts(&self.parts)
+        );
+    }
+
     /// Logs that the stream cannot be resumed after `events` events.
     pub fn log_broken(&self, cause: &str, events: u64) {
         let deployment = self.shared.deployment(&self.route, self.software).unwrap_or_default();
@@ -402,7 +502,14 @@
         );
     }
 
-    fn log_send(&self, flight: &Flight, resume_after: Option<u64>, placement: Placement) {
+    /// Logs that the request is sent while `running` other attempts run.
+    fn log_send(
+        &self,
+        flight: &Flight,
+        resume_after: Option<u64>,
+        placement: Placement,
+        running: u32,
+    ) {
         let names = self.shared.dialect.headers();
         let header = |name| header_text(&self.outgoing.headers, name).unwrap_or_default();
         let resumes = match resume_after {
@@ -417,7 +524,7 @@
             version:% = flight.upstream.version,
             resumes:% = resumes,
             after = resume_after.or_else(|| header(&names.last_event_id).parse().ok()).unwrap_or(0),
-            attempt = self.attempts.possibly_run + self.attempts.not_run + 1,
+            attempt = self.attempts.possibly_run + self.attempts.not_run + running + 1,
             granted = placement.granted,
             load_permille = placement.load.permille,
             wait_ms = placement.elapsed.as_millis() as u64,
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -20,13 +20,13 @@
 
 use crate::{
     batch::{
-        item::{self, End},
+        item::{self, End, Start},
         owned::{Owned, Run},
     },
     dialect::Item,
-    flight::Flight,
     job::row,
     shared::{Job, Phase, Shared, lock},
+    successor::Successor,
 };
 
 /// Longest time between two passes of the dispatcher.
@@ -298,7 +298,7 @@
                 let flight =
                     ticket.and_then(|ticket| self.shared.acquire_batch(ticket, upstream, software));
                 if let Some(flight) = flight.filter(|flight| flight.suits(software)) {
-                    self.start_item(&key.0, item, flight);
+                    self.start_item(&key.0, item, Start::New(flight));
                     continue;
                 }
             }
@@ -397,7 +397,7 @@
         }
     }
 
-    fn start_item(self: &Arc<Self>, id: &str, item: usize, flight: Flight) {
+    fn start_item(self: &Arc<Self>, id: &str, item: usize, start: Start) {
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
         let host = &owned.job.row.host;
@@ -407,10 +407,15 @@
             self.record_failure(id, item, RunFailure::Failed, FAILED_RETRY_DELAY);
             return;
         };
-        let parts = self.shared.parts(&outgoing.headers);
-        let flight = flight.with_parts(parts);
+        let start = match start {
+            Start::New(flight) => {
+                Start::New(flight.with_parts(self.shared.parts(&outgoing.headers)))
+            }
+            Start::Successor(successor) => Start::Successor(successor),
+        };
         owned.results.start(item);
         let transcript = owned.transcripts.entry(item).or_default().clone();
+        let flight = start.flight();
         let (ticket, upstream_id) = (flight.ticket, flight.upstream.id.clone());
         event!(
             ItemStarted,
@@ -426,7 +431,7 @@
         let task = tokio::spawn(async move {
             let shared = dispatcher.shared.clone();
             let route = || dispatcher.route(&row);
-            let (end, next) = item::run(shared, outgoing, flight, transcript, urgency, route).await;
+            let (end, next) = item::run(shared, outgoing, start, transcript, urgency, route).await;
             dispatcher.finish_run(&id, item, end, next);
         });
         let (started, events_before) = (self.shared.clock.now(), owned.events(item));
@@ -437,7 +442,7 @@
     }
 
     /// Records the end of a run, unless the run was aborted in the meantime. `next` is where the item goes on.
-    fn finish_run(self: &Arc<Self>, id: &str, item: usize, end: End, next: Option<Flight>) {
+    fn finish_run(self: &Arc<Self>, id: &str, item: usize, end: End, next: Option<Successor>) {
         let now = self.shared.clock.now();
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
@@ -469,9 +474,9 @@
             }
             End::Interrupted(_) => {
                 counter!(RELAY_ITEMS, "outcome" => "interrupted").increment(1);
-                let is_routed = |next: &Flight| {
+                let is_routed = |next: &Successor| {
                     let route = self.route(&owned.job.row);
-                    let deployment = &next.upstream.deployment;
+                    let deployment = &next.flight().upstream.deployment;
                     route.is_some_and(|route| route.deployments().any(|name| name == deployment))
                 };
                 let may_start = owned.is_open() && !owned.is_handing_over;
@@ -479,7 +484,7 @@
                 drop(jobs);
                 self.record_failure(id, item, RunFailure::Interrupted, INTERRUPTED_RETRY_DELAY);
                 if let Some(next) = next {
-                    self.start_item(id, item, next);
+                    self.start_item(id, item, Start::Successor(next));
                 }
             }
         }
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -1,6 +1,7 @@
 //! A run of one item at one upstream.
 
 use std::{
+    pin::pin,
     str::FromStr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -14,6 +15,7 @@
     HeaderMap, Method, StatusCode, Uri,
     header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
 };
+use tokio::time::sleep;
 
 use crate::{
     batch::owned::Transcript,
@@ -22,6 +24,7 @@
     flight::Flight,
     quarantine::format_parts,
     shared::{Shared, lock},
+    successor::{BATCH_SEEK_PERIOD, Handover, Output, Reply, Successor},
 };
 
 /// Silence before the first event of a run after which another upstream is sought. The item may wait in a
@@ -70,88 +73,180 @@
     })
 }
 
+/// Where a run begins.
+pub enum Start {
+    /// With a request that is not sent yet.
+    New(Flight),
+    /// With a request that was sent while another run was silent.
+    Successor(Successor),
+}
+
+impl Start {
+    pub fn flight(&self) -> &Flight {
+        match self {
+            Self::New(flight) => flight,
+            Self::Successor(successor) => successor.flight(),
+        }
+    }
+}
+
 /// Search for another upstream while a run is silent.
-struct Search<R> {
+struct Search<'a, R> {
+    shared: &'a Arc<Shared>,
+    outgoing: &'a Arc<Outgoing>,
+    transcript: &'a Mutex<Transcript>,
     urgency: Urgency,
     /// Returns the route of the item's job that is in force.
     route: R,
-    found: Option<Flight>,
+    found: Option<Successor>,
 }
 
-impl<R: Fn() -> Option<Arc<Route>>> Search<R> {
+impl<R: Fn() -> Option<Arc<Route>>> Search<'_, R> {
     /// Waits for what the upstream of a run sends next. A run that is silent for `limit` goes on until another
-    /// upstream has a slot for the item.
-    async fn watch<T>(
+    /// upstream accepts the item. After one that may have run it and failed, no further one is sought.
+    async fn watch<T: Output>(
         &mut self,
-        shared: &Arc<Shared>,
         flight: &Flight,
-        transcript: &Mutex<Transcript>,
         limit: Duration,
         next: impl Future<Output = Result<T, Failure>>,
     ) -> Result<T, Failure> {
-        let seek = async {
-            flight.silence(limit).await;
+        let mut next = pin!(next);
+        let mut delay = Duration::ZERO;
+        loop {
+            let seek = async {
+                flight.silence(limit).await;
+                sleep(delay).await;
+                self.begin_successor(flight).await
+            };
+            let successor = tokio::select! {
+                biased;
+                output = &mut next => return output,
+                successor = seek => successor,
+            };
+            let Some(successor) = successor else { return Err(Failure::Silent) };
+            match successor.hand_over(next.as_mut(), judge).await {
+                Handover::Completed(output) => return Ok(output),
+                Handover::Later(successor, failure) => {
+                    self.found = Some(successor);
+                    return Err(failure);
+                }
+                Handover::Earlier { brought, flight: refused, failure } => {
+                    self.record_failure(&refused, failure);
+                    match brought {
+                        Some(output) => return Ok(output),
+                        None if failure.may_have_run() => return next.await,
+                        None => delay = BATCH_SEEK_PERIOD,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for an upstream for the item and prepares a run there. Returns `None` if the upstream of the silent run
+    /// is no longer listed and no other one can continue the text of the item.
+    async fn begin_successor(&self, silent: &Flight) -> Option<Successor> {
+        let Self { shared, outgoing, transcript, .. } = self;
+        loop {
             let software = lock(transcript).software;
-            Box::pin(shared.await_better(flight, software, self.urgency, &self.route)).await
-        };
-        let found = tokio::select! {
-            biased;
-            output = next => return output,
-            found = seek => found,
-        };
-        self.found = found;
-        Err(Failure::Silent)
+            let better = shared.await_better(silent, software, self.urgency, &self.route);
+            let mut flight = Box::pin(better).await?;
+            let max = shared.max_connections(&flight.upstream.deployment);
+            match flight.connect(max, &outgoing.id).await {
+                Ok(connection) => {
+                    let flight = flight.with_parts(shared.parts(&outgoing.headers));
+                    let options = options(transcript);
+                    let outgoing = Arc::clone(outgoing);
+                    return Some(Successor::new(flight, connection, outgoing, options));
+                }
+                Err(failure) => self.record_failure(&flight, failure),
+            }
+        }
+    }
+
+    fn record_failure(&self, flight: &Flight, failure: Failure) {
+        let Self { shared, outgoing, transcript, .. } = self;
+        flight.record_failure(failure);
+        event!(
+            AttemptFailed,
+            request:% = outgoing.id,
+            upstream:% = flight.upstream.id,
+            failure:% = failure.name(),
+            elapsed_ms = shared.clock.now().since(flight.started).as_millis() as u64,
+            running_ms = flight.running_time().as_millis() as u64,
+            quiet_ms = flight.quiet_time().as_millis() as u64,
+            events = lock(transcript).last.unwrap_or(0),
+            prompt:% = shared.dialect.shared_parts(&outgoing.headers).join(","),
+            parts:% = format_parts(&shared.parts(&outgoing.headers))
+        );
+    }
+}
+
+/// Returns the parameters of a run that resumes after the last event of a transcript.
+fn options(transcript: &Mutex<Transcript>) -> Options {
+    Options { deadline: None, resume_after: lock(transcript).last, timeout: MAX_SILENCE }
+}
+
+/// Returns the failure of a run whose response is not the text of an item.
+fn judge(response: &Response) -> Result<(), Failure> {
+    match response.status {
+        StatusCode::OK if response.is_event_stream() => Ok(()),
+        StatusCode::INTERNAL_SERVER_ERROR | StatusCode::UNPROCESSABLE_ENTITY => {
+            Err(Failure::Broken)
+        }
+        _ => Err(Failure::NotRun),
     }
 }
 
 /// Runs an item, resuming after the last event of its transcript. `route` returns the route of its job that is
-/// in force. Also returns where the next run goes, if
-/// this one was given up for another upstream.
+/// in force. Also returns the next run, if this one was given up for it.
 pub async fn run(
     shared: Arc<Shared>,
     outgoing: Outgoing,
-    mut flight: Flight,
+    start: Start,
     transcript: Arc<Mutex<Transcript>>,
     urgency: Urgency,
     route: impl Fn() -> Option<Arc<Route>>,
-) -> (End, Option<Flight>) {
-    let mut run = Run {
+) -> (End, Option<Successor>) {
+    let outgoing = Arc::new(outgoing);
+    let search = Search {
         shared: &shared,
         outgoing: &outgoing,
         transcript: &transcript,
-        ending: Ending::default(),
-        search: Search { urgency, route, found: None },
+        urgency,
+        route,
+        found: None,
+    };
+    let mut run = Run { ending: Ending::default(), search };
+    let (mut flight, mut read) = match start {
+        Start::New(mut flight) => {
+            let read = run.once(&mut flight).await;
+            (flight, read)
+        }
+        Start::Successor(successor) => {
+            let (flight, reply) = successor.into_parts();
+            let sent = run.head(&flight, reply).await;
+            // The reply, which shared it, has ended.
+            let Some(mut flight) = Arc::into_inner(flight) else {
+                return (End::Interrupted(Failure::Broken), None);
+            };
+            let read = run.read_sent(sent, &mut flight).await;
+            (flight, read)
+        }
     };
-    let mut read = run.once(&mut flight).await;
     if read == Read::Closed && flight.may_repeat() {
         // The upstream tells by a run after the last event whether the text is complete.
         read = run.once(&mut flight).await;
     }
-    let found = run.search.found;
     let end = match read {
         Read::Closed => End::Interrupted(Failure::Broken),
         Read::Ended(end) => end,
     };
     match end {
         End::Completed => flight.record_success(),
-        End::Interrupted(failure) => {
-            flight.record_failure(failure);
-            event!(
-                AttemptFailed,
-                request:% = outgoing.id,
-                upstream:% = flight.upstream.id,
-                failure:% = failure.name(),
-                elapsed_ms = shared.clock.now().since(flight.started).as_millis() as u64,
-                running_ms = flight.running_time().as_millis() as u64,
-                quiet_ms = flight.quiet_time().as_millis() as u64,
-                events = lock(&transcript).last.unwrap_or(0),
-                prompt:% = shared.dialect.shared_parts(&outgoing.headers).join(","),
-                parts:% = format_parts(&shared.parts(&outgoing.headers))
-            );
-        }
+        End::Interrupted(failure) => run.search.record_failure(&flight, failure),
         End::Failed(_) => {}
     }
-    (end, found)
+    (end, run.search.found)
 }
 
 /// What one response to the request of an item brought.
@@ -170,28 +265,35 @@
 
 /// A run of an item, in one or two responses of one upstream.
 struct Run<'a, R> {
-    shared: &'a Arc<Shared>,
-    outgoing: &'a Outgoing,
-    transcript: &'a Mutex<Transcript>,
     ending: Ending,
-    search: Search<R>,
+    search: Search<'a, R>,
 }
 
 impl<R: Fn() -> Option<Arc<Route>>> Run<'_, R> {
     /// Sends the request of the item, to be resumed after the last event of its transcript, and reads the
     /// response.
     async fn once(&mut self, flight: &mut Flight) -> Read {
-        let Self { shared, outgoing, transcript, search, .. } = self;
-        let resume_after = lock(transcript).last;
-        let options = Options { deadline: None, resume_after, timeout: MAX_SILENCE };
+        let Search { shared, outgoing, transcript, .. } = &self.search;
+        let options = options(transcript);
         let max = shared.max_connections(&flight.upstream.deployment);
         let connection = match flight.connect(max, &outgoing.id).await {
             Ok(connection) => connection,
             Err(failure) => return End::Interrupted(failure).into(),
         };
-        let names = shared.dialect.headers();
-        let sending = exchange::send(flight, connection, names, outgoing, options);
-        match search.watch(shared, flight, transcript, FIRST_EVENT_SILENCE, sending).await {
+        let (names, outgoing) = (shared.dialect.headers(), Arc::clone(outgoing));
+        let sending = exchange::send(flight, connection, names, &outgoing, options);
+        let sent = self.search.watch(flight, FIRST_EVENT_SILENCE, sending).await;
+        self.read_sent(sent, flight).await
+    }
+
+    /// Waits for the head of the response to a request that was sent.
+    async fn head(&mut self, flight: &Flight, reply: Reply) -> Result<Response, Failure> {
+        self.search.watch(flight, FIRST_EVENT_SILENCE, reply).await
+    }
+
+    /// Reads the response to the run, if there is one.
+    async fn read_sent(&mut self, sent: Result<Response, Failure>, flight: &mut Flight) -> Read {
+        match sent {
             Ok(response) => {
                 flight.record_bytes();
                 self.read(response, flight).await
@@ -202,7 +304,9 @@
 
     /// Reads the response to the run and appends its events to the transcript.
     async fn read(&mut self, response: Response, flight: &mut Flight) -> Read {
-        let Self { shared, outgoing, transcript, ending, search } = self;
+        let Self { ending, search } = self;
+        let Search { shared, outgoing, transcript, .. } = search;
+        let (shared, outgoing, transcript) = (*shared, *outgoing, *transcript);
         match response.status {
             StatusCode::OK if response.is_event_stream() => {}
             status => {
@@ -222,7 +326,7 @@
         let mut silence = FIRST_EVENT_SILENCE;
         loop {
             let next = events.next(flight, Instant::now() + MAX_SILENCE);
-            match search.watch(shared, flight, transcript, silence, next).await {
+            match search.watch(flight, silence, next).await {
                 Err(failure) => return End::Interrupted(failure).into(),
                 Ok(Next::End) => {
                     events.finish(&shared.pool);
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -153,7 +153,7 @@
             Err(error) => return error_response(&request, error),
         };
         let collecting = response.collect(&flight, request.deadline);
-        match request.watch(&flight, collecting).await {
+        match request.watch(&flight, None, collecting).await {
             Ok(response) => {
                 flight.record_answer();
                 flight.record_success();
@@ -177,7 +177,7 @@
 
 /// Whether a status reports an error of the upstream. 504 does not, because the upstream was given
 /// all the time for which the caller waits.
-fn is_upstream_error(status: StatusCode) -> bool {
+pub fn is_upstream_error(status: StatusCode) -> bool {
     status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
 }
 
@@ -222,7 +222,7 @@
         };
         if !(response.status.is_success() && response.is_event_stream()) {
             let collecting = response.collect(&flight, request.deadline);
-            match request.watch(&flight, collecting).await {
+            match request.watch(&flight, None, collecting).await {
                 Ok(response) => {
                     let will_retry =
                         is_upstream_error(response.status) && prepare_retry(&mut request, &flight);
@@ -240,7 +240,7 @@
         let (status, headers) = (response.status, response.headers.clone());
         let mut events = response.events(flight.event_memory());
         let deadline = request.deadline;
-        let first = match request.watch(&flight, events.next(&flight, deadline)).await {
+        let first = match request.watch(&flight, None, events.next(&flight, deadline)).await {
             // A new stream has an event, so this one was cut off.
             Ok(Next::Closed) if last_event_id.is_none() => {
                 log_unmarked_end(&request, &flight, 0);
@@ -462,10 +462,10 @@
             self.request.end_search();
         }
         let next = events.next(flight, self.request.deadline);
-        let is_numbered = self.is_numbered;
+        let (is_numbered, last) = (self.is_numbered, self.last_event_id);
         let next = async {
             match is_numbered {
-                true => self.request.watch(flight, next).await,
+                true => self.request.watch(flight, last, next).await,
                 // Another upstream could not resume the stream.
                 false => next.await,
             }
@@ -609,7 +609,7 @@
 /// Returns the response to a request that got none from an upstream. The status is 503 only if the
 /// request certainly did not run.
 fn error_response(request: &Request, error: attempt::Error) -> Response<Body> {
-    let is_not_run = request.attempts.is_not_run();
+    let is_not_run = request.is_not_run();
     let (wait, placement, reason) = match error {
         attempt::Error::Refused(wait, placement) => {
             let reason = match request.software {
--- a/components/relay/src/successor.rs
+++ b/components/relay/src/successor.rs
@@ -1,12 +1,19 @@
 //! Upstreams that take over requests which still run at a silent one.
 //!
-//! Most upstreams that are silent have only paused. What still runs is given up only for a slot that a broker
-//! grants at another upstream, of which nothing says that it may be down.
+//! Most upstreams that are silent have only paused. What still runs is given up only for an attempt at another
+//! upstream, of which nothing says that it may be down, where a broker grants a slot and which accepts the request.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    future::ready,
+    pin::{Pin, pin},
+    sync::Arc,
+    time::Duration,
+};
 
 use cyclamengrade_control::relay::{
     broker::{Charge, Class, Urgency},
+    failure::Failure,
     origin::Software,
     route::Route,
     selector::Key,
@@ -14,15 +21,124 @@
 use tokio::time::sleep;
 
 use crate::{
+    exchange::{self, Collected, Next, Options, Outgoing, Response},
     flight::Flight,
+    pool::Connection,
     shared::Shared,
     slots::{Guard, Outcome, Placement},
 };
 
 /// Time between two requests for the slot of a batch item whose run is silent.
-const BATCH_SEEK_PERIOD: Duration = Duration::from_millis(500);
+pub const BATCH_SEEK_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two checks whether the slot of a batch item was granted.
 const GRANT_CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Time for which an attempt that is silent goes on after the next upstream was sent the request. An upstream
+/// may work on a request for 400 ms after another one began it; the rest is for closing the connection.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Response to a request that was sent to an upstream.
+pub type Reply = Pin<Box<dyn Future<Output = Result<Response, Failure>> + Send + Sync>>;
+
+/// What an attempt brings next.
+pub trait Output {
+    /// Whether nothing is missing of the response. The upstream then no longer works on the request.
+    fn is_complete(&self) -> bool;
+}
+
+impl Output for Response {
+    fn is_complete(&self) -> bool {
+        false
+    }
+}
+
+impl Output for Collected {
+    fn is_complete(&self) -> bool {
+        true
+    }
+}
+
+impl Output for Next {
+    fn is_complete(&self) -> bool {
+        *self == Self::End
+    }
+}
+
+/// An attempt that begins while an earlier one is silent.
+pub struct Successor {
+    flight: Arc<Flight>,
+    reply: Reply,
+}
+
+/// Which of two attempts goes on.
+pub enum Handover<T> {
+    /// The later one, since its upstream accepts the request, the earlier one failed, or the time for both is
+    /// over.
+    Later(Successor, Failure),
+    /// The earlier one, which may have brought something meanwhile. The later one failed.
+    Earlier { brought: Option<T>, flight: Arc<Flight>, failure: Failure },
+    /// Neither, since the response to the earlier one is complete.
+    Completed(T),
+}
+
+impl Successor {
+    /// Creates an attempt whose request is sent by [`Self::hand_over`].
+    pub fn new(
+        flight: Flight,
+        connection: Connection,
+        outgoing: Arc<Outgoing>,
+        options: Options,
+    ) -> Self {
+        let flight = Arc::new(flight);
+        let shared = flight.clone();
+        let reply = async move {
+            let names = shared.headers();
+            exchange::send(&shared, connection, names, &outgoing, options).await
+        };
+        Self { flight, reply: Box::pin(reply) }
+    }
+
+    pub fn flight(&self) -> &Flight {
+        &self.flight
+    }
+
+    /// Returns the flight, and the reply, which shares the flight until it ends.
+    pub fn into_parts(self) -> (Arc<Flight>, Reply) {
+        (self.flight, self.reply)
+    }
+
+    /// Sends the request and waits for the head of its response, which `judge` accepts or not, while the earlier
+    /// attempt goes on. What that brings next is held back, and returned only if it goes on: the later attempt
+    /// resumes after what the caller had when it began.
+    pub async fn hand_over<T: Output>(
+        mut self,
+        mut earlier: Pin<&mut impl Future<Output = Result<T, Failure>>>,
+        judge: impl Fn(&Response) -> Result<(), Failure>,
+    ) -> Handover<T> {
+        let mut timeout = pin!(sleep(HEAD_TIMEOUT));
+        let mut brought = None;
+        loop {
+            tokio::select! {
+                biased;
+                reply = &mut self.reply => {
+                    let judged = reply.and_then(|response| judge(&response).map(|()| response));
+                    return match judged {
+                        Ok(response) => {
+                            self.reply = Box::pin(ready(Ok(response)));
+                            Handover::Later(self, Failure::Silent)
+                        }
+                        Err(failure) => Handover::Earlier { brought, flight: self.flight, failure },
+                    };
+                }
+                output = earlier.as_mut(), if brought.is_none() => match output {
+                    Ok(output) if output.is_complete() => return Handover::Completed(output),
+                    Ok(output) => brought = Some(output),
+                    Err(failure) => return Handover::Later(self, failure),
+                },
+                () = &mut timeout => return Handover::Later(self, Failure::Silent),
+            }
+        }
+    }
+}
 
 impl Shared {
     /// Chooses an upstream for an online request that still runs at one of those in `excluded`, and counts the
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -52,6 +52,10 @@
     NotRun,
     /// The same, without the id of the request.
     NotRunUnnamed,
+    /// The same as `NotRun`, after a time.
+    LateNotRun(Duration),
+    /// Sends the head of the response after a time.
+    LateHead(Duration),
     /// Closes the connection after this many events and half of another one, or in the middle of a
     /// plain body.
     CutAfter(u64),
@@ -563,6 +567,12 @@
             write_plain(stream, "503 Service Unavailable", &headers[..count], "").await?;
             return Ok(true);
         }
+        if let Some(Fault::LateNotRun(delay)) = fault {
+            wait(stream, delay).await?;
+            let headers = [("Not-Run", "1"), ("Request-Id", id)];
+            write_plain(stream, "503 Service Unavailable", &headers, "").await?;
+            return Ok(true);
+        }
         if let Some(Fault::Repeated(repeated)) = fault
             && repeated.answer != Answer::Failed
         {
@@ -618,6 +628,7 @@
                 sleep(Duration::from_secs(30)).await;
                 return Ok(false);
             }
+            Some(Fault::LateHead(delay)) => wait(stream, delay).await?,
             Some(Fault::ShortHead) => {
                 let head = unframed_head("200 OK", &headers) + "\r\n";
                 stream.write_all(head.as_bytes()).await?;
--- a/tests/relay_quiet.rs
+++ b/tests/relay_quiet.rs
@@ -20,6 +20,12 @@
 const QUIET: Duration = Duration::from_millis(1_500);
 /// Longer than a batch item is silent before another upstream is sought.
 const LONG_QUIET: Duration = Duration::from_millis(2_500);
+/// Longer than a stream is silent before another upstream is sought, by less than [`LATE`].
+const BRIEFLY_QUIET: Duration = Duration::from_millis(900);
+/// Time after which the next upstream responds to a stream that it may take over.
+const LATE: Duration = Duration::from_millis(250);
+/// Time for which two upstreams may work on one request.
+const OVERLAP: Duration = Duration::from_millis(400);
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_secs(4);
 
@@ -292,3 +298,117 @@
     // Otherwise the other upstream did not refuse it.
     verify_that!(harness.events(0, "attempt_failed"), not(is_empty()))
 }
+
+/// Requests a stream from an upstream that is quiet for a time after its tenth event. Another one, which is
+/// listed meanwhile, responds with a fault. Returns the first upstream, the other one and whether the stream was
+/// incomplete.
+async fn taken_over(
+    harness: &Harness,
+    quiet: Duration,
+    fault: Fault,
+) -> Result<(Runner, Runner, Vec<String>)> {
+    let (silent, other) = (harness.runners[0].clone(), harness.runners[1].clone());
+    harness.unlist(&other, 0).await?;
+    quieten(&silent, 1, quiet);
+    other.queue_faults(&[fault]);
+    let listing = async {
+        sleep(Duration::from_millis(150)).await;
+        harness.list(&other, 0).await
+    };
+    let (incomplete, listed) = tokio::join!(incomplete(harness, 1), listing);
+    listed?;
+    Ok((silent, other, incomplete))
+}
+
+/// Returns the time for which the first run of an upstream went on after the first one of another upstream began.
+fn overlap(earlier: &Runner, later: &Runner) -> Duration {
+    let ended = earlier.runs()[0].ended.map_or_else(Instant::now, |(ended, _)| ended);
+    ended.saturating_duration_since(later.runs()[0].started)
+}
+
+/// Guards against events that reach the caller twice or not at all, because the silent upstream goes on while
+/// the next one has not responded yet.
+#[gtest]
+#[tokio::test]
+async fn late_head() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    let fault = Fault::LateHead(LATE);
+    let (silent, other, incomplete) = taken_over(&harness, BRIEFLY_QUIET, fault).await?;
+    expect_that!(incomplete, is_empty());
+    expect_that!(silent.runs(), len(eq(1)));
+    expect_that!(other.runs(), len(eq(1)));
+    expect_that!(other.runs()[0].after, some(eq(10)));
+    // A shorter one shows that the silent run was given up before the other upstream accepted the request.
+    verify_that!(overlap(&silent, &other), all!(ge(LATE), lt(OVERLAP)))
+}
+
+/// Guards against the loss of events that arrive from the silent upstream before the next one refuses.
+#[gtest]
+#[tokio::test]
+async fn late_refusal() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    let fault = Fault::LateNotRun(LATE);
+    let (silent, other, incomplete) = taken_over(&harness, BRIEFLY_QUIET, fault).await?;
+    expect_that!(incomplete, is_empty());
+    expect_that!(silent.runs(), len(eq(1)));
+    expect_that!(other.runs(), is_empty());
+    // Otherwise the other upstream was not asked.
+    verify_that!(harness.events(0, "attempt_failed"), len(eq(1)))
+}
+
+/// Guards against two upstreams that work on one request for longer than they may, because the next one sends
+/// no response.
+#[gtest]
+#[tokio::test]
+async fn missing_head() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    let (silent, other, _) = taken_over(&harness, DEADLINE * 3, Fault::Silent).await?;
+    expect_that!(silent.runs(), len(eq(1)));
+    expect_that!(other.runs(), len(eq(1)));
+    verify_that!(overlap(&silent, &other), all!(gt(LATE), lt(OVERLAP)))
+}
+
+/// Guards against a stream that runs at more upstreams than its route allows, because the attempt beside the
+/// silent one is not counted.
+#[gtest]
+#[tokio::test]
+async fn failed_successor() -> Result<()> {
+    let mut harness = Harness::start(1).await?;
+    let third = harness.add_runner("m-3", "v1", "a").await?;
+    let (silent, other) = (harness.runners[0].clone(), harness.runners[1].clone());
+    harness.unlist(&other, 0).await?;
+    quieten(&silent, 1, QUIET);
+    for runner in [&other, &third] {
+        runner.queue_faults(&[Fault::WrongId; 4]);
+    }
+    let listing = async {
+        sleep(Duration::from_millis(150)).await;
+        harness.list(&other, 0).await?;
+        harness.list(&third, 0).await
+    };
+    let (incomplete, listed) = tokio::join!(incomplete(&harness, 1), listing);
+    listed?;
+    expect_that!(incomplete, is_empty());
+    expect_that!(silent.runs(), len(eq(1)));
+    verify_that!(other.runs().len() + third.runs().len(), eq(1))
+}
+
+/// Guards against a batch item whose run is given up for an upstream that refuses it.
+#[gtest]
+#[tokio::test]
+async fn refused_item() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    let (silent, full) = (harness.runners[0].clone(), harness.runners[1].clone());
+    harness.unlist(&full, 0).await?;
+    quieten(&silent, 1, LONG_QUIET);
+    full.queue_faults(&[Fault::NotRun; 40]);
+    let (job, status) = harness.submit(0, "j-1", 1, 30).await?;
+    expect_that!(status, eq(202));
+    harness.eventually("the run", async || silent.runs().first().map(drop)).await?;
+    harness.list(&full, 0).await?;
+    let results = harness.await_results(0, &job).await?;
+    expect_that!(Harness::complete_items(&results, 30), len(eq(1)));
+    expect_that!(silent.runs(), len(eq(1)));
+    // Otherwise the other upstream did not refuse it.
+    verify_that!(harness.events(0, "attempt_failed"), not(is_empty()))
+}
