--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -298,7 +298,7 @@
                 let flight =
                     ticket.and_then(|ticket| self.shared.acquire_batch(ticket, upstream, software));
                 if let Some(flight) = flight.filter(|flight| flight.suits(software)) {
-                    self.start_item(&key.0, item, Start::New(flight));
+                    self.start_item(&key.0, item, Start::New(Box::new(flight)));
                     continue;
                 }
             }
@@ -409,7 +409,8 @@
         };
         let start = match start {
             Start::New(flight) => {
-                Start::New(flight.with_parts(self.shared.parts(&outgoing.headers)))
+                let parts = self.shared.parts(&outgoing.headers);
+                Start::New(Box::new(flight.with_parts(parts)))
             }
             Start::Successor(successor) => Start::Successor(successor),
         };
--- a/components/relay/src/batch/item.rs
+++ b/components/relay/src/batch/item.rs
@@ -76,7 +76,7 @@
 /// Where a run begins.
 pub enum Start {
     /// With a request that is not sent yet.
-    New(Flight),
+    New(Box<Flight>),
     /// With a request that was sent while another run was silent.
     Successor(Successor),
 }
@@ -220,7 +220,7 @@
     let (mut flight, mut read) = match start {
         Start::New(mut flight) => {
             let read = run.once(&mut flight).await;
-            (flight, read)
+            (*flight, read)
         }
         Start::Successor(successor) => {
             let (flight, reply) = successor.into_parts();
--- a/tests/relay_quiet.rs
+++ b/tests/relay_quiet.rs
@@ -401,7 +401,7 @@
     let (silent, full) = (harness.runners[0].clone(), harness.runners[1].clone());
     harness.unlist(&full, 0).await?;
     quieten(&silent, 1, LONG_QUIET);
-    full.queue_faults(&[Fault::NotRun; 40]);
+    full.queue_faults(&[Fault::NotRun; 400]);
     let (job, status) = harness.submit(0, "j-1", 1, 30).await?;
     expect_that!(status, eq(202));
     harness.eventually("the run", async || silent.runs().first().map(drop)).await?;
@@ -409,6 +409,7 @@
     let results = harness.await_results(0, &job).await?;
     expect_that!(Harness::complete_items(&results, 30), len(eq(1)));
     expect_that!(silent.runs(), len(eq(1)));
+    expect_that!(full.runs(), is_empty());
     // Otherwise the other upstream did not refuse it.
     verify_that!(harness.events(0, "attempt_failed"), not(is_empty()))
 }
