Count a successor that was sent the request, and describe the hand-over

A request whose silent attempt brought its complete answer had not counted the attempt beside it, so that an error answer could have led to one attempt too many.

--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -209,7 +209,11 @@
                 }
             };
             match handover {
-                Handover::Completed(output) => return Ok(output),
+                Handover::Completed(output) => {
+                    // The later attempt may have run.
+                    self.attempts.possibly_run += 1;
+                    return Ok(output);
+                }
                 Handover::Later(successor, failure) => {
                     self.successor = Some(successor);
                     self.record_underway();
--- a/components/relay/src/successor.rs
+++ b/components/relay/src/successor.rs
@@ -23,6 +23,7 @@
 use crate::{
     exchange::{self, Collected, Next, Options, Outgoing, Response},
     flight::Flight,
+    online::is_upstream_error,
     pool::Connection,
     shared::Shared,
     slots::{Guard, Outcome, Placement},
@@ -41,7 +42,8 @@
 
 /// What an attempt brings next.
 pub trait Output {
-    /// Whether nothing is missing of the response. The upstream then no longer works on the request.
+    /// Whether the response is complete and no error of the upstream. The upstream then no longer works on the
+    /// request, and no other one is needed.
     fn is_complete(&self) -> bool;
 }
 
@@ -53,7 +55,7 @@
 
 impl Output for Collected {
     fn is_complete(&self) -> bool {
-        true
+        !is_upstream_error(self.status)
     }
 }
 
