Stop a batch run whose slot is recalled before the run is known

A run that begins while another one of its item is silent gets known to the dispatcher up to 350 ms later; a broker's request to stop it was dropped meanwhile.

--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -221,7 +221,11 @@
             let run = owned.runs.iter().find(|(_, run)| run.ticket == ticket);
             run.map(|(item, _)| (id.clone(), *item))
         });
-        let Some((id, item)) = found else { return };
+        let Some((id, item)) = found else {
+            // The run may have begun while another one of its item is silent.
+            self.shared.keep_stopped(ticket);
+            return;
+        };
         let Some(owned) = jobs.get_mut(&id) else { return };
         let Some(run) = owned.runs.remove(&item) else { return };
         run.abort.abort();
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -47,8 +47,9 @@
 /// Bytes of a stream that are buffered without reserving memory for them.
 const MAX_UNRESERVED_BUFFER_BYTES: usize = 16 << 10;
 
-/// Timeout for the body of a refusal.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for the body of a refusal. It is shorter than an attempt that is silent waits for the response of the
+/// next upstream, which may have refused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout of a request that shows whether an upstream lives.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -364,6 +364,14 @@
         std::mem::take(&mut self.slots.state().stopped)
     }
 
+    /// Keeps a batch stream that is asked to stop until its run is known, if it still holds its slot.
+    pub fn keep_stopped(&self, ticket: Ticket) {
+        let mut state = self.slots.state();
+        if state.held.contains_key(&ticket) {
+            state.stopped.insert(ticket);
+        }
+    }
+
     /// Handles an answer of a broker.
     pub fn handle_answer(&self, from: SocketAddr, answer: Answer) {
         let mut state = self.slots.state();
