Add the setting accounts.revoke_ms

Sites may limit the time for which a key that was removed from the configuration is served. Values under 1000 are refused.

--- a/components/settings/src/relay.rs
+++ b/components/settings/src/relay.rs
@@ -9,6 +9,8 @@
 /// Shortest `store.apply_ms`. With less, a silent connection to the store would not be detected in
 /// time.
 const MIN_APPLY_MS: u64 = 1_000;
+/// Shortest `accounts.revoke_ms`. With less, evidence would be too old between two answers of the store.
+const MIN_REVOKE_MS: u64 = 1_000;
 
 /// Settings of `cyclamengrade relay`, read from its settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -30,6 +32,8 @@
     #[serde(default)]
     pub dialect: Dialect,
     pub store: Store,
+    #[serde(default)]
+    pub accounts: Accounts,
     /// Memory that the process may use, in bytes. Request bodies take at most a quarter of it.
     #[serde(default = "default_memory_bytes")]
     pub memory_bytes: u64,
@@ -116,6 +120,23 @@
     }
 }
 
+/// Settings about the accounts of callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Accounts {
+    /// Longest time for which a key that was removed from the configuration may be used, in milliseconds,
+    /// at least 1000. Without it, a relay that does not reach the store goes on to serve the keys it knows.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub revoke_ms: Option<u64>,
+}
+
+impl Accounts {
+    /// Returns `revoke_ms` as a duration.
+    pub fn revocation_time(&self) -> Option<Duration> {
+        self.revoke_ms.map(Duration::from_millis)
+    }
+}
+
 /// Times of the graceful shutdown of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -201,6 +222,11 @@
                 self.store.apply_ms
             ));
         }
+        if let Some(revoke_ms) = self.accounts.revoke_ms.filter(|ms| *ms < MIN_REVOKE_MS) {
+            return Err(format!(
+                "accounts.revoke_ms is {revoke_ms}; write {MIN_REVOKE_MS} or more"
+            ));
+        }
         if self.store.timeout_ms == 0 {
             return Err("store.timeout_ms is 0; write a time in milliseconds".into());
         }
--- a/tests/deployed_settings.rs
+++ b/tests/deployed_settings.rs
@@ -9,7 +9,7 @@
 use program::{Program, scratch};
 
 /// Example values of the placeholders of the template.
-const PLACEHOLDERS: [(&str, &str); 13] = [
+const PLACEHOLDERS: [(&str, &str); 14] = [
     ("{{NodeName|json}}", "\"front-a-1\""),
     ("{{Zone|json}}", "\"a\""),
     ("{{Listen.Front|json}}", "\"10.1.0.35:8144\""),
@@ -23,10 +23,23 @@
     ("{{Bounds.ConfigApplyMs}}", "2000"),
     ("{{Bounds.StatusS}}", "120"),
     ("{{Bounds.GraceS}}", "8.5"),
+    ("{{Bounds.RevokeMs}}", "5000"),
 ];
 
+/// Start and end of the section of the template that is rendered only if revocation is strict.
+const STRICT_REVOKE: (&str, &str) = ("{{#Bounds.StrictRevoke}}", "{{/Bounds.StrictRevoke}}");
+
 fn render_template() -> String {
+    render(false)
+}
+
+fn render(is_strict: bool) -> String {
     let template = fs::read_to_string("deploy/relay.jsonc").unwrap();
+    let (start, end) = STRICT_REVOKE;
+    let (before, rest) = template.split_once(start).unwrap();
+    let (section, after) = rest.split_once(end).unwrap();
+    let section = if is_strict { section } else { "" };
+    let template = format!("{before}{section}{after}");
     PLACEHOLDERS.iter().fold(template, |text, (name, value)| text.replace(name, value))
 }
 
@@ -43,6 +56,26 @@
     verify_that!(settings["settings"]["stop"]["grace_s"].as_f64(), some(eq(8.5)))
 }
 
+/// Guards against strict revocation at sites that do not ask for it, and against its loss at those that do.
+#[gtest]
+fn strict_revocation() -> Result<()> {
+    for (is_strict, expected) in [(false, None), (true, Some(5_000))] {
+        let text = render(is_strict);
+        expect_that!(text, not(contains_substring("{{")));
+        let path = scratch("relay.jsonc", &text);
+        let output = Program::new(&format!("settings check {path} --json")).run();
+        expect_that!(output.code, eq(0), "{}", output.errors);
+        let settings: serde_json::Value = serde_json::from_str(&output.text)?;
+        let revoke_ms = settings["settings"]["accounts"]["revoke_ms"].as_u64();
+        expect_that!(revoke_ms, eq(expected), "{is_strict}");
+    }
+    let short = render(true).replace("5000", "999");
+    let path = scratch("relay.jsonc", &short);
+    let output = Program::new(&format!("settings check {path}")).run();
+    expect_that!(output.code, eq(3));
+    verify_that!(output.message(), contains_substring("accounts.revoke_ms"))
+}
+
 /// Guards against invalid settings that are accepted, and messages that do not name the key.
 #[gtest]
 fn refused() -> Result<()> {
