--- a/components/control/src/relay/mod.rs
+++ b/components/control/src/relay/mod.rs
@@ -8,6 +8,7 @@
 pub mod broker;
 pub mod ending;
 pub mod entry;
+pub mod evidence;
 pub mod failure;
 pub mod framing;
 pub mod job;
--- a/components/control/src/relay/monitor.rs
+++ b/components/control/src/relay/monitor.rs
@@ -145,6 +145,11 @@
         self.store_age
     }
 
+    /// Whether the relay reaches the store, as far as it and the monitors say.
+    pub fn reaches_store(&self) -> bool {
+        self.store_age < REPORTED_STORE_AGE
+    }
+
     /// Returns the time since the relay was last heard from at the time `seen`, the time of the last
     /// news from a monitor. Without news, nothing is known of other relays, and their silence does
     /// not grow.
