Exchange evidence of a current configuration between relays

With accounts.revoke_ms, a relay that the store refuses could serve removed keys without end, or would have to refuse all keys. The feed of the configuration table now records when each call began on the boot-time clock, and the directory takes it as evidence after it has applied the answer. A relay with old evidence asks two others at their peer_listen, and takes newer configurations from them. It reports not ready while its evidence is older than 0.6 of the limit and another relay is known to reach the store. Without the setting, relays exchange nothing.

--- a/components/relay/src/clock.rs
+++ b/components/relay/src/clock.rs
@@ -15,6 +15,7 @@
 };
 use cyclamengrade_telemetry::{event, metrics::RELAY_PAUSE_SECONDS};
 use metrics::histogram;
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::{sleep, timeout};
 
 use crate::shared::{Shared, lock};
@@ -99,6 +100,12 @@
     }
 }
 
+/// Returns the time since the vm was started, which includes the time for which it was suspended.
+pub fn boot_time() -> Time {
+    let now = clock_gettime(ClockId::Boottime);
+    Time(now.tv_sec.unsigned_abs() * 1_000_000 + now.tv_nsec.unsigned_abs() / 1_000)
+}
+
 /// Measures the running time of this process, and logs its pauses, until the process ends.
 pub async fn watch_pauses(shared: Arc<Shared>) {
     loop {
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -22,8 +22,10 @@
     message::{Context, Message},
 };
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::{
+    evidence::{Answer, Call},
     job::{
         key::{self, Subject},
         row,
@@ -44,6 +46,19 @@
     /// Time between the previous answer of the store and this one.
     pub silence: Duration,
     pub follow: Follow,
+    /// The call that brought the changes, if it confirms the configuration.
+    pub call: Option<Call>,
+}
+
+/// The configuration has not changed up to a call of the store.
+pub struct Confirmed(pub Call);
+
+/// Another relay answered what evidence it has.
+pub struct Stated {
+    pub member: String,
+    /// When it was asked, by [`crate::clock::boot_time`].
+    pub asked: Time,
+    pub answer: Answer,
 }
 
 /// The list of upstreams has not changed up to a version of the store.
@@ -63,13 +78,16 @@
     registry: Registry,
     /// Newest version seen of each table; older snapshots are ignored.
     versions: BTreeMap<String, u64>,
+    /// Why the last configuration of another relay could not be used. Each answer brings it again.
+    rejection: Option<String>,
 }
 
 impl Directory {
     /// Creates an empty directory. Entries of upstreams that expired in an outage of the store may
     /// return within `grace_period` after it.
     pub fn new(shared: Arc<Shared>, grace_period: Duration) -> Self {
-        Self { shared, registry: Registry::new(grace_period), versions: BTreeMap::new() }
+        let registry = Registry::new(grace_period);
+        Self { shared, registry, versions: BTreeMap::new(), rejection: None }
     }
 
     fn apply(&mut self, update: Update) {
@@ -83,6 +101,9 @@
         let sources = self.shared.dialect.sources().clone();
         if update.table == sources.configuration_table {
             self.apply_configuration(&sources.configuration_key, update.changes);
+            if let Some(call) = update.call {
+                self.shared.record_confirmed(call);
+            }
         } else if update.table == sources.upstream_table {
             let (version, follow) = (update.changes.version, update.follow);
             self.apply_upstreams(now, update);
@@ -99,21 +120,62 @@
                 continue;
             };
             let begin = self.shared.clock.now();
-            match self.shared.dialect.configuration(value) {
+            match self.put_configuration(value) {
                 Err(error) => log_unusable(key, change.version, &error),
-                Ok(table) if table.version <= self.shared.routes.load().version => {}
-                Ok(table) => {
+                Ok(None) => {}
+                Ok(Some(revision)) => event!(
+                    ConfigurationInForce,
+                    revision = revision,
+                    row_version = change.version,
+                    elapsed_ms = self.shared.clock.now().since(begin).as_millis() as u64
+                ),
+            }
+        }
+        self.record_usable();
+    }
+
+    /// Puts a configuration in force if it is newer. Returns its version, or `None` if it is not newer.
+    fn put_configuration(&self, value: &Value) -> Result<Option<u64>, String> {
+        let table = self.shared.dialect.configuration(value)?;
+        let version = table.version;
+        if version <= self.shared.routes.load().version {
+            return Ok(None);
+        }
+        self.shared.routes.store(Arc::new(table));
+        self.shared.keep_configuration(version, value);
+        self.shared.batch_changed.notify_one();
+        Ok(Some(version))
+    }
+
+    /// Applies the answer of another relay: its configuration first, which its evidence is about.
+    fn apply_statement(&mut self, stated: &Stated) {
+        let statement = stated.answer.statement();
+        if let Some(value) = &stated.answer.configuration {
+            match self.put_configuration(value) {
+                Err(error) => {
+                    if self.rejection.as_ref() != Some(&error) {
+                        let sources = self.shared.dialect.sources();
+                        log_unusable(&sources.configuration_key, 0, &error);
+                        self.rejection = Some(error);
+                    }
+                }
+                Ok(None) => {}
+                Ok(Some(revision)) => {
                     event!(
-                        ConfigurationInForce,
-                        revision = table.version,
-                        row_version = change.version,
-                        elapsed_ms = self.shared.clock.now().since(begin).as_millis() as u64
+                        ConfigurationRelayed,
+                        revision = revision,
+                        member:% = stated.member,
+                        age_ms = statement.map_or(0, |statement| statement.age_ms)
                     );
-                    self.shared.routes.store(Arc::new(table));
-                    self.shared.batch_changed.notify_one();
+                    self.record_usable();
                 }
             }
         }
+        self.shared.record_statement(&stated.member, statement.as_ref(), stated.asked);
+    }
+
+    /// Records whether a usable configuration is in force.
+    fn record_usable(&self) {
         let is_usable = !self.shared.routes.load().is_empty();
         self.shared.readiness.send_if_modified(|readiness| {
             std::mem::replace(&mut readiness.configuration, is_usable) != is_usable
@@ -339,6 +401,22 @@
     }
 }
 
+impl Message<Confirmed> for Directory {
+    type Reply = ();
+
+    async fn handle(&mut self, Confirmed(call): Confirmed, _: &mut Context<Self, ()>) {
+        self.shared.record_confirmed(call);
+    }
+}
+
+impl Message<Stated> for Directory {
+    type Reply = ();
+
+    async fn handle(&mut self, stated: Stated, _: &mut Context<Self, ()>) {
+        self.apply_statement(&stated);
+    }
+}
+
 impl Message<Sweep> for Directory {
     type Reply = ();
 
--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -5,13 +5,16 @@
     time::{Duration, Instant},
 };
 
+use cyclamengrade_control::{relay::evidence::Evidence, time::Time};
 use cyclamengrade_platform::{Error, Feed, feed::Changes};
 use cyclamengrade_telemetry::event;
 use kameo::prelude::ActorRef;
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    directory::{Directory, Unchanged, Update},
+    clock::boot_time,
+    directory::{Confirmed, Directory, Unchanged, Update},
+    evidence::Call,
     job::key,
     listing::Follow,
     shared::Shared,
@@ -76,6 +79,10 @@
             true => FLEET_WAIT,
             false => apply.mul_f64(LONG_POLL_SHARE).saturating_sub(RECONNECT_TIME).min(MAX_WAIT),
         };
+        let wait = match table == shared.dialect.sources().configuration_table {
+            true => Evidence::bounded_wait(shared.revocation_time(), wait),
+            false => wait,
+        };
         Self {
             shared,
             feed,
@@ -93,6 +100,7 @@
     pub async fn run(mut self) {
         loop {
             let paused = self.shared.clock.paused();
+            let begin = boot_time();
             let (result, is_snapshot) = match self.version {
                 None => (self.snapshot().await, true),
                 Some(version) => (self.changes(version).await, false),
@@ -101,7 +109,8 @@
                 Ok(changes) => {
                     let has_rows = !changes.rows.is_empty();
                     let until = self.shared.clock.now() + self.wait + ANSWER_MARGIN;
-                    self.apply(changes, is_snapshot, Follow { paused, until }).await;
+                    let follow = Follow { paused, until };
+                    self.apply(changes, is_snapshot, follow, begin).await;
                     if has_rows && self.table == key::FLEET {
                         sleep(self.coalescing_delay()).await;
                     }
@@ -139,7 +148,7 @@
         timeout(self.wait + ANSWER_MARGIN, call).await.unwrap_or_else(|_| Err(timeout_error()))
     }
 
-    async fn apply(&mut self, changes: Changes, is_snapshot: bool, follow: Follow) {
+    async fn apply(&mut self, changes: Changes, is_snapshot: bool, follow: Follow, begin: Time) {
         if let Some(since) = self.lost_since.take() {
             event!(
                 FeedBack,
@@ -155,15 +164,24 @@
             self.shared.record_fleet_answer();
         }
         self.shared.clock.record_store_time(changes.clock_ms);
-        self.version = Some(changes.version.max(self.version.unwrap_or(0)));
+        let known = self.version.unwrap_or(0);
+        // An answer of an older version than the known one is not of the time of its call.
+        let is_confirming = self.is_configuration() && changes.version >= known;
+        let call = is_confirming.then_some(Call { begin, wait: self.wait });
+        self.version = Some(changes.version.max(known));
         if changes.rows.is_empty() && !is_snapshot && silence < self.wait + ANSWER_MARGIN {
             if self.is_listing() {
                 // Fails only if the directory actor has stopped, which the control thread logs.
                 let _ = self.directory.tell(Unchanged { version: changes.version, follow }).await;
             }
+            if let Some(call) = call {
+                // After the updates that were told earlier, which the call confirms. Fails as above.
+                let _ = self.directory.tell(Confirmed(call)).await;
+            }
             return;
         }
-        let update = Update { table: self.table.clone(), changes, is_snapshot, silence, follow };
+        let table = self.table.clone();
+        let update = Update { table, changes, is_snapshot, silence, follow, call };
         // Fails only if the directory actor has stopped, which the control thread logs.
         let _ = self.directory.tell(update).await;
     }
@@ -173,7 +191,14 @@
         self.table == self.shared.dialect.sources().upstream_table
     }
 
+    fn is_configuration(&self) -> bool {
+        self.table == self.shared.dialect.sources().configuration_table
+    }
+
     fn record_failure(&mut self, error: &Error) {
+        if self.is_configuration() {
+            self.shared.record_configuration_loss();
+        }
         if self.is_listing() {
             self.shared.listing.record_loss();
         }
--- a/components/relay/src/link/carrier.rs
+++ b/components/relay/src/link/carrier.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     body::{Body, Chunk, MAX_BUFFERED_CHUNKS},
+    evidence,
     link::{
         set_options,
         tunnel::{BATCH, BUFFER_BYTES, PATH, UPSTREAM},
@@ -146,6 +147,9 @@
 }
 
 async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    if request.method() == Method::GET && request.uri().path() == evidence::PATH {
+        return evidence::answer(shared, request.uri());
+    }
     if request.method() != Method::POST || request.uri().path() != PATH {
         return empty(StatusCode::NOT_FOUND);
     }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -21,6 +21,7 @@
     clock,
     dialect::Dialect,
     directory::{Directory, Sweep},
+    evidence,
     follower::Follower,
     front,
     job::{cleanup, key, row, store},
@@ -70,7 +71,8 @@
         objects,
         settings.store.row_bytes,
     );
-    let shared = Arc::new(shared.with_memory(settings.memory_bytes));
+    let shared = shared.with_memory(settings.memory_bytes);
+    let shared = Arc::new(shared.with_revocation(settings.accounts.revocation_time()));
     shared.set_peer(settings.peer_listen, settings.capacity());
     let control = spawn_control(shared.clone(), feed, &settings)?;
     let traffic = runtime()?;
@@ -125,6 +127,7 @@
         let follower = Follower::new(shared.clone(), feed.clone(), directory.clone(), table, apply);
         tokio::spawn(follower.run());
     }
+    tokio::spawn(evidence::run(shared, directory.clone()));
     let mut period = interval(SWEEP_PERIOD);
     loop {
         period.tick().await;
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -32,7 +32,7 @@
 };
 
 use crate::{
-    clock::Clock, dialect::Dialect, job::row, leaving::Leaving, link, listing::Listing,
+    clock::Clock, dialect::Dialect, evidence, job::row, leaving::Leaving, link, listing::Listing,
     memory::Budget, origin::Cache, pool::Pool, quarantine::Ledger, roll_call, slots::Slots,
 };
 
@@ -146,6 +146,8 @@
     pub leaving: Leaving,
     /// Whether the list of upstreams is current.
     pub listing: Listing,
+    /// Whether the configuration is current.
+    pub(crate) evidence: evidence::State,
     /// Memory of the process, in bytes.
     pub memory_bytes: u64,
     /// Memory for request bodies.
@@ -226,6 +228,7 @@
             link: link::State::default(),
             leaving: Leaving::default(),
             listing: Listing::default(),
+            evidence: evidence::State::default(),
             memory_bytes: u64::MAX,
             body_memory: Budget::new(u64::MAX),
             response_memory: Budget::new(u64::MAX),
@@ -523,7 +526,9 @@
 
     /// Whether this relay is ready for new connections.
     pub fn is_ready(&self) -> bool {
-        *self.phase.borrow() == Phase::Running && self.readiness.borrow().is_ready()
+        *self.phase.borrow() == Phase::Running
+            && self.readiness.borrow().is_ready()
+            && !self.has_old_evidence()
     }
 
     /// Returns how many connections this relay may have open to an upstream of the deployment. The
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -97,6 +97,8 @@
     pub max_connections: usize,
     /// Service of the resumable streams, from the next configuration on.
     pub stream_service: &'static str,
+    /// Setting `accounts.revoke_ms` of the relays that are added later.
+    pub revoke_ms: Option<u64>,
     relays: Vec<Relay>,
     program: PathBuf,
     /// Program of an older build, which relays run at every other start.
@@ -129,6 +131,23 @@
         Self::start_program(relays, binary("cyclamengrade")?, true).await
     }
 
+    /// The same, with relays of which the first `strict` ones have the setting `accounts.revoke_ms`.
+    ///
+    /// # Errors
+    ///
+    /// A process does not start or does not become ready in time.
+    pub async fn start_strict(strict: usize, relays: usize, revoke_ms: u64) -> Result<Self, Error> {
+        let mut harness = Self::start_linked(0).await?;
+        for number in 0..relays {
+            harness.revoke_ms = (number < strict).then_some(revoke_ms);
+            harness.add_relay(number)?;
+        }
+        for number in 0..relays {
+            harness.await_ready(number).await?;
+        }
+        Ok(harness)
+    }
+
     /// The same, with relays of another build, and connections that can be cut if `is_linked`.
     ///
     /// # Errors
@@ -169,6 +188,7 @@
             retention_s: 60,
             max_connections: 100,
             stream_service: "model",
+            revoke_ms: None,
             relays: Vec::new(),
             program,
             older_program,
@@ -267,12 +287,15 @@
             Some(links) => self.store.serve_links(links.clone())?,
             None => self.store.address,
         };
-        let settings = json!({
+        let mut settings = json!({
             "name": format!("vm-{number}"), "data_centre": "a", "listen": ports[0],
             "ready_listen": ports[1], "metrics_listen": ports[2], "peer_listen": ports[3],
             "dialect": "bridge", "store": {"address": store, "keep_s": 1},
             "memory_bytes": 16 << 20, "stop": {"grace_s": 4.0, "leave_ms": 300}
         });
+        if let Some(revoke_ms) = self.revoke_ms {
+            settings["accounts"] = json!({"revoke_ms": revoke_ms});
+        }
         let path = self.folder.join(format!("vm-{number}.json"));
         fs::write(&path, settings.to_string())?;
         self.relays.push(Relay {
@@ -296,6 +319,14 @@
         }
     }
 
+    /// Has the store refuse the calls of a relay, or answer them again. Without effect if its connections
+    /// cannot be cut.
+    pub fn refuse_relay(&self, relay: usize, is_refused: bool) {
+        if let Some(links) = &self.relays[relay].links {
+            links.set_refused(is_refused);
+        }
+    }
+
     /// Starts a runner with a version of the software in a data centre. The relays, which are in the
     /// data centre `a`, do not know it before it is listed.
     ///
--- a/components/standins/src/bridge/links.rs
+++ b/components/standins/src/bridge/links.rs
@@ -1,10 +1,14 @@
-//! The connections of one relay to the runners, through loopback proxies that can cut them.
+//! The connections of one relay to the runners, through loopback proxies that can cut them, and whether the
+//! store refuses its calls.
 
 use std::{
     collections::HashMap,
     io,
     net::{self, IpAddr, SocketAddr},
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -43,11 +47,18 @@
     cut: watch::Sender<Cut>,
     /// Addresses of the proxies by the address of the runner.
     proxies: Mutex<HashMap<SocketAddr, SocketAddr>>,
+    /// Whether the store refuses the calls of this relay.
+    is_refused: AtomicBool,
 }
 
 impl Links {
     pub fn new(host: IpAddr) -> Self {
-        Self { host, cut: watch::Sender::default(), proxies: Mutex::default() }
+        Self {
+            host,
+            cut: watch::Sender::default(),
+            proxies: Mutex::default(),
+            is_refused: AtomicBool::new(false),
+        }
     }
 
     /// Cuts the connections, or lets them go on.
@@ -55,6 +66,16 @@
         self.cut.send_replace(cut);
     }
 
+    /// Has the store refuse the calls of this relay, or answer them again.
+    pub fn set_refused(&self, is_refused: bool) {
+        self.is_refused.store(is_refused, Ordering::Relaxed);
+    }
+
+    /// Whether the store refuses the calls of this relay.
+    pub(super) fn is_refused(&self) -> bool {
+        self.is_refused.load(Ordering::Relaxed)
+    }
+
     /// Returns the address of the proxy before a runner.
     pub(super) fn proxy(&self, runner: SocketAddr) -> io::Result<SocketAddr> {
         let mut proxies = self.proxies.lock().unwrap_or_else(PoisonError::into_inner);
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -307,7 +307,8 @@
     if faults.silent {
         return pending::<Result<_, Infallible>>().await.map_err(|_| ReplyLost);
     }
-    if faults.refuse {
+    let is_refused = || links.as_ref().is_some_and(|links| links.is_refused());
+    if faults.refuse || is_refused() {
         return Ok(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
     }
     let is_write = head.method != Method::GET;
@@ -333,6 +334,9 @@
     if silent_table.is_some_and(|table| is_about(&head.uri, table)) {
         return pending::<Result<_, Infallible>>().await.map_err(|_| ReplyLost);
     }
+    if is_refused() {
+        return Ok(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
+    }
     Ok(answer)
 }
 
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -336,6 +336,15 @@
     /// The settings could not be reloaded on a signal; the previous ones stay in force. Fields:
     /// `error`.
     1262 Warn SettingsUnusable "settings_unusable" "settings could not be reloaded; the previous ones stay in force",
+    /// A newer configuration was taken from another relay and is in force. Fields: `revision`, `member` (the
+    /// other relay), `age_ms` of its evidence.
+    1263 Info ConfigurationRelayed "configuration_relayed" "configuration was taken from another relay",
+    /// The configuration is not known to be current for as long as a removed key may be used; requests with
+    /// keys are refused. Fields: `revision` in force, `age_ms` of the evidence.
+    1264 Warn EvidenceLost "evidence_lost" "configuration is no longer known to be current",
+    /// The configuration is known to be current again. Fields: `revision` in force, `elapsed_ms` since the
+    /// evidence was lost.
+    1265 Info EvidenceBack "evidence_back" "configuration is known to be current again",
 }
 
 /// Logs a numbered event with key-value fields.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -132,6 +132,8 @@
         "Times for which a relay got no processor time, beyond those that a quota explains.",
     RELAY_LINKS_LOST "relay_links_lost" Gauge Count ""
         "Upstreams that other relays reach and this one does not.",
+    RELAY_EVIDENCE_AGE_SECONDS "relay_evidence_age_seconds" Gauge Seconds ""
+        "Time since the configuration in force was known to be the newest one, if revocation is strict.",
     RELAY_CARRIED_CONNECTIONS "relay_carried_connections_total" Counter Count "outcome"
         "Connections to upstreams that this relay asked others to carry, opened or declined, and that \
          it was asked to carry, carried or refused.",
