Get evidence at once when the store is back

After an outage, the first call of the feed was held by the store for up to a second while requests with keys were refused. With accounts.revoke_ms, a call after a failed one is not held.

--- a/components/relay/src/follower.rs
+++ b/components/relay/src/follower.rs
@@ -144,8 +144,19 @@
     }
 
     async fn changes(&self, version: u64) -> Result<Changes, Error> {
-        let call = self.feed.changes(self.table.clone(), version, self.wait);
-        timeout(self.wait + ANSWER_MARGIN, call).await.unwrap_or_else(|_| Err(timeout_error()))
+        let wait = self.next_wait();
+        let call = self.feed.changes(self.table.clone(), version, wait);
+        timeout(wait + ANSWER_MARGIN, call).await.unwrap_or_else(|_| Err(timeout_error()))
+    }
+
+    /// Returns the time for which the store may hold the next call. After a failure, evidence of the
+    /// configuration is needed at once.
+    fn next_wait(&self) -> Duration {
+        let is_needed = self.is_configuration() && self.shared.revocation_time().is_some();
+        match is_needed && self.lost_since.is_some() {
+            true => Duration::ZERO,
+            false => self.wait,
+        }
     }
 
     async fn apply(&mut self, changes: Changes, is_snapshot: bool, follow: Follow, begin: Time) {
