--- a/components/relay/src/caller.rs
+++ b/components/relay/src/caller.rs
@@ -33,6 +33,8 @@
     ///
     /// Fails if the request may not be served. On a public route, it fails only for a known key.
     pub fn identify(&self, is_public: bool, headers: &HeaderMap) -> Result<Caller, Rejection> {
+        // Evidence that comes after the configuration was loaded may be of a newer one.
+        let checked = self.check_revocations();
         let routes = self.routes.load();
         if routes.is_empty() {
             return Err(Rejection::Unconfigured);
@@ -44,7 +46,7 @@
         if is_public && !is_known {
             return Ok(caller);
         }
-        self.check_revocations()?;
+        checked?;
         match key {
             _ if is_known => Ok(caller),
             // The key may have been added just now.
@@ -68,13 +70,14 @@
         is_public: bool,
         headers: &HeaderMap,
     ) -> Result<Option<Caller>, Rejection> {
+        let checked = self.check_revocations();
         let routes = self.routes.load();
         let Some(accounts) = &routes.accounts else { return Ok(None) };
         match caller {
             Caller::Unchecked => self.identify(is_public, headers).map(Some),
             Caller::Anonymous => Ok(None),
             Caller::Holder { .. } => {
-                self.check_revocations()?;
+                checked?;
                 match accounts.confirms(caller) {
                     true => Ok(None),
                     false if is_public => Ok(Some(Caller::Anonymous)),
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -21,6 +21,7 @@
     clock,
     dialect::Dialect,
     directory::{Directory, Sweep},
+    evidence,
     follower::Follower,
     front,
     job::{cleanup, key, row, store},
@@ -72,7 +73,7 @@
     );
     let apply_time = Duration::from_millis(settings.store.apply_ms);
     let shared = shared.with_memory(settings.memory_bytes).with_apply_time(apply_time);
-    let shared = Arc::new(shared);
+    let shared = Arc::new(shared.with_revocation(settings.accounts.revocation_time()));
     shared.set_peer(settings.peer_listen, settings.capacity());
     let control = spawn_control(shared.clone(), feed, &settings)?;
     let traffic = runtime()?;
@@ -127,6 +128,7 @@
         let follower = Follower::new(shared.clone(), feed.clone(), directory.clone(), table, apply);
         tokio::spawn(follower.run());
     }
+    tokio::spawn(evidence::run(shared, directory.clone()));
     let mut period = interval(SWEEP_PERIOD);
     loop {
         period.tick().await;
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -348,6 +348,15 @@
     /// A request over the quota of its account was rejected and not run. Fields: `request`, `account`,
     /// `wait_ms`.
     1265 Info QuotaExceeded "quota_exceeded" "request exceeds the quota of its account",
+    /// A newer configuration was taken from another relay and is in force. Fields: `revision`, `member` (the
+    /// other relay), `age_ms` of its evidence.
+    1266 Info ConfigurationRelayed "configuration_relayed" "configuration was taken from another relay",
+    /// The configuration is not known to be current for as long as a removed key may be used; requests with
+    /// keys are refused. Fields: `revision` in force, `age_ms` of the evidence.
+    1267 Warn EvidenceLost "evidence_lost" "configuration is no longer known to be current",
+    /// The configuration is known to be current again. Fields: `revision` in force, `elapsed_ms` since the
+    /// evidence was lost.
+    1268 Info EvidenceBack "evidence_back" "configuration is known to be current again",
 }
 
 /// Logs a numbered event with key-value fields.
