--- a/components/control/src/relay/allowance/mod.rs
+++ b/components/control/src/relay/allowance/mod.rs
@@ -17,6 +17,9 @@
 
 /// Longest time after which a refused caller is told to retry.
 const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Part of the latency objective within which callers over their quota retry, so that the rest is left for the
+/// response.
+const OBJECTIVE_DIVISOR: u32 = 2;
 /// Time in which the requests of an account are counted.
 const WINDOW: Duration = Duration::from_secs(5);
 /// Time by which requests of one account may overtake each other on their way to the owner, or wait as
@@ -81,6 +84,14 @@
     }
 }
 
+/// Returns the time after which a caller over its quota may retry, from the time `wait` that the owner stated.
+///
+/// The bucket gains tokens all the time, so a caller that comes back within its latency objective can still be
+/// served in time. One that comes back later takes its token from a request that could be.
+pub fn retry_after(wait: Duration, objective: Duration) -> Duration {
+    wait.min(objective / OBJECTIVE_DIVISOR)
+}
+
 /// Level of a bucket as its owner stated it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
--- a/components/control/tests/relay_allowance.rs
+++ b/components/control/tests/relay_allowance.rs
@@ -8,7 +8,9 @@
 
 use cyclamengrade_control::{
     relay::{
-        allowance::{Ask, BLOCK_TIME, Client, Decision, Ledger, Limit, Message, Report, Shares},
+        allowance::{
+            Ask, BLOCK_TIME, Client, Decision, Ledger, Limit, Message, Report, Shares, retry_after,
+        },
         broker::Holder,
     },
     time::Time,
@@ -536,3 +538,13 @@
         prop_assert!(most_in_window(&run) <= bound(limit));
     }
 }
+
+/// Callers of an account that sends seven times its usual load for seconds, with an objective of 300 ms. Guards
+/// against retries after the objective, whose late responses use up the tokens of requests in time.
+#[gtest]
+fn retries_in_time() {
+    let objective = Duration::from_millis(300);
+    expect_that!(retry_after(SECOND * 2, objective), lt(objective));
+    let soon = Duration::from_millis(20);
+    expect_that!(retry_after(soon, objective), eq(soon));
+}
--- a/components/relay/src/admission.rs
+++ b/components/relay/src/admission.rs
@@ -6,7 +6,10 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use cyclamengrade_control::relay::route::{Kind, Limits, Route};
+use cyclamengrade_control::relay::{
+    allowance,
+    route::{Kind, Limits, Route},
+};
 use cyclamengrade_telemetry::{event, metrics::RELAY_REQUESTS};
 use http_body_util::BodyExt;
 use hyper::{
@@ -118,6 +121,7 @@
         Some(account) => match shared.take_token(account).await {
             Ok(token) => Some(token),
             Err(wait) => {
+                let wait = allowance::retry_after(wait, route.latency_objective);
                 event!(
                     QuotaExceeded,
                     request:% = id,
