Have the pace of an upstream grow with unmeasured requests

Each request that ended without a first event moved the pause of an upstream that had failed, and its limit grows only from the end of the pause. Relays of the build before send no measures, so with them in a fleet an upstream stayed at one request at a time for as long as it was used, and its failures were never forgotten. The time in which a failure may be reported is now apart from the pause.

--- a/components/control/src/relay/broker/pace.rs
+++ b/components/control/src/relay/broker/pace.rs
@@ -55,6 +55,8 @@
     /// Failures since the last good answer.
     failures: u32,
     paused_until: Time,
+    /// Until when a relay may report that the last request failed.
+    report_until: Time,
     changed_at: Time,
     /// Requests that were granted since the pace began, and whether they were answered.
     granted: BTreeMap<(Holder, Ticket), bool>,
@@ -63,7 +65,7 @@
 impl Pace {
     const fn new(limit: u32, now: Time) -> Self {
         let granted = BTreeMap::new();
-        Self { limit, failures: 0, paused_until: now, changed_at: now, granted }
+        Self { limit, failures: 0, paused_until: now, report_until: now, changed_at: now, granted }
     }
 
     /// Returns the limit with what it has grown by since it changed.
@@ -73,6 +75,10 @@
         self.limit.saturating_add(u32::try_from(grown).unwrap_or(u32::MAX))
     }
 
+    fn is_paused(&self, now: Time) -> bool {
+        self.paused_until.max(self.report_until) > now
+    }
+
     fn set_limit(&mut self, limit: u32, now: Time) {
         self.limit = limit.max(FAILED_LIMIT);
         self.changed_at = now;
@@ -126,7 +132,7 @@
     /// Whether an upstream gets no further request now.
     pub fn is_paused(&self, upstream: u32, now: Time) -> bool {
         self.reported.contains(&upstream)
-            || self.by_upstream.get(&upstream).is_some_and(|pace| pace.paused_until > now)
+            || self.by_upstream.get(&upstream).is_some_and(|pace| pace.is_paused(now))
             || self.available(upstream, now) == Some(0)
     }
 
@@ -180,11 +186,12 @@
         }
     }
 
-    /// Records the end of a request.
+    /// Records the end of a request. The limit grows on also if no request is answered, since relays of earlier
+    /// builds measure none.
     pub fn record_end(&mut self, upstream: u32, holder: Holder, ticket: Ticket, now: Time) {
         let Some(pace) = self.by_upstream.get_mut(&upstream) else { return };
         if pace.granted.remove(&(holder, ticket)) == Some(false) && pace.failures > 0 {
-            pace.paused_until = pace.paused_until.max(now + REPORT_DELAY);
+            pace.report_until = now + REPORT_DELAY;
         }
     }
 
@@ -192,9 +199,7 @@
     pub fn remove_grown(&mut self, now: Time, slots: impl Fn(u32) -> u32) {
         let reported = &self.reported;
         self.by_upstream.retain(|upstream, pace| {
-            reported.contains(upstream)
-                || pace.paused_until > now
-                || pace.limit(now) < slots(*upstream)
+            reported.contains(upstream) || pace.is_paused(now) || pace.limit(now) < slots(*upstream)
         });
     }
 
@@ -218,6 +223,7 @@
             limit: news.limit.max(FAILED_LIMIT),
             failures: news.failures,
             paused_until: now + news.pause.min(MAX_PAUSE),
+            report_until: now,
             changed_at: now - news.age,
             granted: BTreeMap::new(),
         });
--- a/components/control/tests/relay_pace.rs
+++ b/components/control/tests/relay_pace.rs
@@ -189,6 +189,27 @@
     expect_that!(bench.ask(later, 20).len(), eq(SLOTS as usize));
 }
 
+/// Guards against an upstream that stays limited to one request after a failure, because its requests end without a
+/// measure: relays of the build before send none, and requests that upstreams reject have none.
+#[gtest]
+fn unmeasured_answers() {
+    let mut bench = Bench::new();
+    bench.fail(NOW);
+    let mut now = NOW + Duration::from_millis(310);
+    let mut running = Vec::new();
+    for _ in 0..24 {
+        running.extend(bench.ask(now, 20));
+        now = now + Duration::from_millis(500);
+        bench.hold(now);
+        bench.broker.tick(now);
+        bench.release(now, &std::mem::take(&mut running));
+        now = now + Duration::from_millis(60);
+    }
+    bench.broker.tick(now);
+    // The limit has grown by one each second for 13 s.
+    expect_that!(bench.ask(now, 20).len(), eq(SLOTS as usize));
+}
+
 /// Guards against an upstream that is flooded right after its start in the middle of a rise, and against a new
 /// broker that takes all upstreams for new ones.
 #[gtest]
