Keep the retry time on routes without an objective

The retry time of callers over their quota was at most half of the latency objective, which is 0 on routes without one: they were told to retry after 0.000 s. Such routes now state the time of the owner.

Test retries_without_objective: 0 s before, 700 ms now.

--- a/components/control/src/relay/allowance/mod.rs
+++ b/components/control/src/relay/allowance/mod.rs
@@ -87,9 +87,10 @@
 /// Returns the time after which a caller over its quota may retry, from the time `wait` that the owner stated.
 ///
 /// The bucket gains tokens all the time, so a caller that comes back within its latency objective can still be
-/// served in time. One that comes back later takes its token from a request that could be.
+/// served in time. One that comes back later takes its token from a request that could be. An objective of zero
+/// is none.
 pub fn retry_after(wait: Duration, objective: Duration) -> Duration {
-    wait.min(objective / OBJECTIVE_DIVISOR)
+    if objective.is_zero() { wait } else { wait.min(objective / OBJECTIVE_DIVISOR) }
 }
 
 /// Level of a bucket as its owner stated it.
--- a/components/control/tests/relay_allowance.rs
+++ b/components/control/tests/relay_allowance.rs
@@ -548,3 +548,10 @@
     let soon = Duration::from_millis(20);
     expect_that!(retry_after(soon, objective), eq(soon));
 }
+
+/// Guards against callers over their quota that retry all the time, on a route without a latency objective.
+#[gtest]
+fn retries_without_objective() {
+    let wait = Duration::from_millis(700);
+    expect_that!(retry_after(wait, Duration::ZERO), eq(wait));
+}
