Leave out the debug output of configurations with keys

The evidence of a relay and its answer to another one hold the configuration row with the keys of accounts, and had derived debug outputs that show it. None is written now; the types no longer have one.

--- a/components/relay/src/evidence.rs
+++ b/components/relay/src/evidence.rs
@@ -56,8 +56,8 @@
 /// Longest time between two checks.
 const MAX_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Evidence of this relay, and the configuration that it passes on.
-#[derive(Debug, Default)]
+/// Evidence of this relay, and the configuration that it passes on. Without `Debug`, since that would show keys.
+#[derive(Default)]
 pub struct State {
     /// Time for which a removed key may be used; `None` if revocation is not strict.
     limit: Option<Duration>,
@@ -82,8 +82,8 @@
     pub wait: Duration,
 }
 
-/// Answer to the question of another relay.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+/// Answer to the question of another relay. Without `Debug`, since that would show keys.
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Answer {
     /// Version that the evidence is of, if there is any.
     #[serde(skip_serializing_if = "Option::is_none")]
