Test removed keys at relays without the store

The tests of evidence had no accounts, so that none of them showed a removed key being refused. Two new ones do: at a relay that the store refuses, with and then without another relay to ask, and right after a pause of the relay.

--- a/tests/relay_revocation.rs
+++ b/tests/relay_revocation.rs
@@ -4,7 +4,7 @@
 
 use cyclamengrade_standins::{
     bridge::{Faults, Harness},
-    client::{Call, Client},
+    client::{Call, Client, Reply},
 };
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -183,6 +183,94 @@
     verify_that!(lost["age_ms"].as_u64(), some(ge(REVOKE_MS * 2)))
 }
 
+/// Writes a configuration with one account for each name. The key of an account is its name with the prefix `k-`.
+fn configure_accounts(harness: &mut Harness, names: &[&str]) {
+    let accounts = names.iter().map(|name| json!({"Name": name, "ApiKeys": [format!("k-{name}")]}));
+    harness.accounts = accounts.collect();
+    harness.configure(json!([]));
+}
+
+async fn call(harness: &Harness, relay: usize, id: &str, key: &str) -> Result<Reply> {
+    let call = harness.call(relay, "safe", id);
+    Ok(harness.send(call.with_header("authorization", format!("Token {key}"))).await?)
+}
+
+/// Waits until a relay answers a request with a key by a status.
+async fn await_status(harness: &Harness, relay: usize, key: &str, status: u16) -> Result<()> {
+    let answered = async || {
+        let reply = call(harness, relay, "probe", key).await.ok()?;
+        (reply.status == status).then_some(())
+    };
+    Ok(harness.eventually("the status", answered).await?)
+}
+
+fn ran(harness: &Harness, id: &str) -> bool {
+    harness.runners.iter().chain([&harness.plain]).any(|runner| {
+        let runs = runner.runs();
+        runs.iter().any(|run| run.id == id)
+    })
+}
+
+/// Guards against a removed key that a relay which the store refuses goes on to serve, and against one that is
+/// served after its time at a relay without any way to the store. The refusals say that the requests have not run.
+#[gtest]
+#[tokio::test]
+async fn removed_keys() -> Result<()> {
+    let mut harness = start(2, 2).await?;
+    configure_accounts(&mut harness, &["alba", "brin"]);
+    for relay in 0..2 {
+        await_status(&harness, relay, "k-brin", 200).await?;
+    }
+    harness.refuse_relay(0, true);
+    await_event(&harness, 0, "feed_lost").await?;
+    configure_accounts(&mut harness, &["alba"]);
+    let removed = Instant::now();
+    await_status(&harness, 0, "k-brin", 401).await?;
+    expect_that!(removed.elapsed(), lt(REVOKE_TIME));
+    expect_that!(call(&harness, 0, "r-1", "k-alba").await?.status, eq(200));
+
+    harness.pause_relay(1)?;
+    let paused = Instant::now();
+    await_status(&harness, 0, "k-alba", 503).await?;
+    expect_that!(paused.elapsed(), lt(REVOKE_TIME + Duration::from_millis(500)));
+    for (id, key) in [("r-2", "k-alba"), ("r-3", "k-brin"), ("r-4", "k-other")] {
+        let reply = call(&harness, 0, id, key).await?;
+        expect_that!(reply.status, eq(503), "{key}");
+        expect_that!(reply.headers.contains_key("retry-after"), is_true(), "{key}");
+        expect_that!(reply.headers.get("connection"), some(eq("close")), "{key}");
+        expect_that!(ran(&harness, id), is_false(), "{key}");
+    }
+    await_event(&harness, 0, "configuration_unconfirmed").await?;
+    harness.resume_relay(1)?;
+    await_status(&harness, 0, "k-alba", 200).await
+}
+
+/// Guards against a key that was removed while its relay was paused, and is served by the relay right after the
+/// pause, before it has read the new configuration.
+#[gtest]
+#[tokio::test]
+async fn removed_in_pause() -> Result<()> {
+    let mut harness = start(1, 1).await?;
+    configure_accounts(&mut harness, &["alba", "brin"]);
+    await_status(&harness, 0, "k-brin", 200).await?;
+    harness.pause_relay(0)?;
+    configure_accounts(&mut harness, &["alba"]);
+    sleep(REVOKE_TIME).await;
+    let sent = (0..8).map(|number| {
+        let call = harness.call(0, "safe", &format!("late-{number}"));
+        let call = call.with_header("authorization", "Token k-brin");
+        tokio::spawn(async move { Client::new().send(call).await })
+    });
+    let sent: Vec<_> = sent.collect();
+    sleep(Duration::from_millis(100)).await;
+    harness.resume_relay(0)?;
+    for (number, sent) in sent.into_iter().enumerate() {
+        expect_that!(sent.await??.status, any![eq(401), eq(503)]);
+        expect_that!(ran(&harness, &format!("late-{number}")), is_false());
+    }
+    Ok(())
+}
+
 /// Guards against answers to other relays that hold the keys of a configuration which they have, or that state
 /// a younger evidence than there is, and against questions that are taken for other ones.
 #[gtest]
