--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -10,6 +10,7 @@
 //! overfill its upstreams for a time, and a lost message is repaired by the next [`Sync`].
 
 pub mod fairness;
+mod measuring;
 mod message;
 pub mod pace;
 mod placement;
@@ -27,7 +28,7 @@
 use self::{
     pace::Paces,
     queue::{Queue, Waiting},
-    speed::{Sample, Speeds},
+    speed::Speeds,
 };
 use crate::{
     relay::{
@@ -164,22 +165,6 @@
         self.limit_started(&former);
     }
 
-    /// Limits the upstreams that were not listed before. When most of a shard is new, this broker has just begun
-    /// and nothing says that they have started.
-    fn limit_started(&mut self, former: &BTreeMap<u32, Place>) {
-        let is_new = |place: &Place| {
-            former.get(&place.upstream).is_none_or(|former| former.start != place.start)
-        };
-        for upstreams in self.by_shard.values() {
-            let places = upstreams.iter().filter_map(|upstream| self.places.get(upstream));
-            let started: Vec<u32> =
-                places.filter(|place| is_new(place)).map(|place| place.upstream).collect();
-            if started.len() * 2 <= upstreams.len() {
-                started.into_iter().for_each(|upstream| self.paces.record_start(upstream));
-            }
-        }
-    }
-
     /// Handles a request for a slot. A repeated request gets the current state of the first one.
     pub fn ask(&mut self, now: Time, from: Holder, ask: Ask) -> Vec<Outgoing> {
         let (ticket, shard) = (ask.ticket, ask.shard);
@@ -261,42 +246,6 @@
         self.fill_all(now, shards)
     }
 
-    /// Records how upstreams answered requests that hold slots.
-    pub fn measure(&mut self, now: Time, from: Holder, measures: &[Measure]) -> Vec<Outgoing> {
-        let mut shards = BTreeSet::new();
-        for measure in measures {
-            let grants = self.clients.get(&from).map(|client| &client.grants);
-            let Some(grant) = grants.and_then(|grants| grants.get(&measure.ticket)).copied() else {
-                continue;
-            };
-            let Some(place) = self.places.get(&grant.upstream).copied() else { continue };
-            let (upstream, shard) = (place.upstream, place.shard);
-            let usual = self.speeds.usual_first(shard).unwrap_or(measure.first);
-            if self.paces.available(upstream, now).is_some() {
-                self.paces.record_answer(upstream, from, measure, usual, place.slots, now);
-                shards.insert(shard);
-            } else if grant.class == Class::Online {
-                self.speeds.record_first(shard, measure.first);
-            }
-            if measure.complete {
-                let requests = (grant.requests + self.used(upstream).total()).div_ceil(2);
-                let Measure { gap, events, .. } = *measure;
-                self.speeds.record_gap(Sample { shard, upstream, requests, gap, events }, now);
-            }
-        }
-        self.fill_all(now, shards)
-    }
-
-    /// Returns what is known of the paces of upstreams, for a broker that takes this one's place.
-    pub fn paces(&self, now: Time) -> Vec<pace::News> {
-        self.paces.news(now)
-    }
-
-    /// Returns what is known of the speeds of upstreams, for a broker that takes this one's place.
-    pub fn speeds(&self, now: Time) -> Vec<speed::News> {
-        self.speeds.news(now)
-    }
-
     /// Frees slots that were granted and with which nothing was sent to the upstream.
     pub fn give_back(&mut self, now: Time, from: Holder, tickets: &[Ticket]) -> Vec<Outgoing> {
         for ticket in tickets {
