Refuse jobs of accounts whose items another submission stored

A submission stores its items under the id of the job before the row, and takes items that are there for its own. If they are of a submission of another account which got no further, the job of the caller has its row and the other account's items, which run in its name at the next takeover and are read by it. A job of an account is now stored only with items equal to its own, or answered 503.

Test foreign_items: 202 before, and the job has the other items; 503 now.

--- a/components/relay/src/job/store.rs
+++ b/components/relay/src/job/store.rs
@@ -67,12 +67,28 @@
     body: Bytes,
     job: &row::Job,
 ) -> Result<(), (Write, Error)> {
-    let put = shared.objects.put_new(key::input(id), body).await;
-    put.map_err(|error| (Write::Object, error))?;
+    let put = shared.objects.put_new(key::input(id), body.clone()).await;
+    let is_new = put.map_err(|error| (Write::Object, error))?;
     shared.record_store_contact();
+    if !is_new && job.account.is_some() {
+        check_items(shared, id, &body).await.map_err(|error| (Write::Object, error))?;
+    }
     write_row(shared, id, job).await.map_err(|error| (Write::Row, error))
 }
 
+/// Fails if the items in the store are those of another submission, whose row was not written. It may be one of
+/// another account, and its items would run in place of those of this job.
+async fn check_items(shared: &Shared, id: &str, body: &[u8]) -> Result<(), Error> {
+    let stored = shared.objects.get(key::input(id)).await?;
+    shared.record_store_contact();
+    let items = |body: &[u8]| shared.dialect.read_job(body);
+    let is_same = stored.is_none_or(|stored| stored == body || items(&stored) == items(body));
+    if is_same || read(shared, id).await?.is_some() {
+        return Ok(());
+    }
+    Err(Error::Protocol(format!("the object with the items of job {id} is of another submission")))
+}
+
 async fn write_row(shared: &Shared, id: &str, job: &row::Job) -> Result<(), Error> {
     let value = encode(job)?;
     let transaction =
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -167,6 +167,11 @@
         serde_json::from_slice(&bytes).ok()
     }
 
+    /// Writes an object.
+    pub fn put_object(&self, name: &str, content: &[u8]) {
+        self.shared.state().objects.insert(name.to_owned(), Bytes::copy_from_slice(content));
+    }
+
     /// Returns the names of all objects.
     pub fn objects(&self) -> Vec<String> {
         self.shared.state().objects.keys().cloned().collect()
--- a/tests/relay_accounts.rs
+++ b/tests/relay_accounts.rs
@@ -299,6 +299,29 @@
     expect_no_keys(&harness).await
 }
 
+/// Guards against a job that runs the items of another account, whose submission with the same id stored them but
+/// not its row.
+#[gtest]
+#[tokio::test]
+async fn foreign_items() -> Result<()> {
+    let harness = start(1).await?;
+    let foreign = json!({"Items": [{
+        "Id": "foreign-0", "Path": "/batch/item", "Tokens": 14, "Body": "eQ==", "Headers": {}
+    }]});
+    harness.store.put_object("jobs-j-1", foreign.to_string().as_bytes());
+    expect_that!(submit(&harness, "batch", "j-1", ALBA, 14).await?, eq(503));
+    expect_that!(results(&harness, 0, "j-1", ALBA).await?.status, eq(404));
+    // The items of an earlier submission of the same job are its own.
+    let own = json!({"Items": [{
+        "Id": "j-2-0", "Path": "/batch/item", "Tokens": 14, "Body": "eA==",
+        "Headers": {"Tenant": "item", "Token-Counts": "10,4", "Authorization": "Token kxitem"}
+    }]});
+    harness.store.put_object("jobs-j-2", own.to_string().as_bytes());
+    expect_that!(submit(&harness, "batch", "j-2", ALBA, 14).await?, eq(202));
+    await_result(&harness, "j-2", ALBA).await?;
+    verify_that!(runs(&harness, "foreign"), is_empty())
+}
+
 /// Guards against a job without an account that needs a key on a public route, or none on another one.
 #[gtest]
 #[tokio::test]
