Pass the work of a job on when its owner loses the store

Cause: a relay without the store keeps running the items of its jobs and cannot list them. Another relay takes a job over after 3 s, but begins its items again from the stored texts, while the former owner goes on with the same items and takes slots until it reads the store again. Besides, a monitor's news leave the monitor itself out, which the receivers took for being well, so that the jobs of a monitor without the store often stayed with it.

Change: after the takeover is stored, the new owner asks the former one at its `peer_listen` (`POST /job`). That one ends its runs and answers with its results, texts and counts of failures, which the new owner commits and continues under its own fence (event 1269). Only relays that are heard are asked. News of a monitor no longer say anything about itself.

--- a/components/control/src/relay/job.rs
+++ b/components/control/src/relay/job.rs
@@ -61,6 +61,16 @@
         self
     }
 
+    /// Raises the failures of an item to those that its former owner counted. Positions outside the job are
+    /// ignored. Returns whether the count has changed.
+    pub fn raise_failures(&mut self, item: usize, count: u32) -> bool {
+        let is_raised = item < self.items.len() && count > self.failures(item);
+        if is_raised {
+            self.failures.insert(item, count);
+        }
+        is_raised
+    }
+
     /// Returns the items that wait for a run, in the order of the job.
     pub fn waiting(&self) -> impl Iterator<Item = usize> + '_ {
         let items = self.items.iter().enumerate();
@@ -79,6 +89,11 @@
         }
     }
 
+    /// Whether an item waits for a run. Positions outside the job do not.
+    pub fn is_waiting(&self, item: usize) -> bool {
+        self.items.get(item) == Some(&State::Waiting)
+    }
+
     /// Whether an item has ended. Positions outside the job have not.
     pub fn has_ended(&self, item: usize) -> bool {
         self.items.get(item) == Some(&State::Ended)
--- a/components/control/src/relay/owner.rs
+++ b/components/control/src/relay/owner.rs
@@ -55,8 +55,22 @@
 impl Peer {
     /// Whether the peer can run jobs.
     pub fn is_alive(&self) -> bool {
-        self.silence <= PEER_TIMEOUT && self.store_disconnection <= STORE_TIMEOUT
+        self.is_heard() && self.store_disconnection <= STORE_TIMEOUT
     }
+
+    fn is_heard(&self) -> bool {
+        self.silence <= PEER_TIMEOUT
+    }
+}
+
+/// Whether the former owner of a job that was just taken over may still run its items, so that the new
+/// owner asks it for their results and texts.
+///
+/// A relay that is heard loses its jobs only when it is disconnected from the store, so that it does not
+/// learn of the takeover. Others are not asked: they would not answer, and the takeover would wait for them.
+pub fn holds_work(own: Instance<'_>, former: Instance<'_>, peers: &BTreeMap<String, Peer>) -> bool {
+    let known = peers.get(former.name).filter(|_| former.name != own.name);
+    known.is_some_and(|peer| peer.incarnation == former.incarnation && peer.is_heard())
 }
 
 /// Whether the relay `own`, which does not run the job, takes it over from `owner`.
--- a/components/control/src/relay/results.rs
+++ b/components/control/src/relay/results.rs
@@ -101,6 +101,36 @@
         items.len()
     }
 
+    /// Returns the results that are not committed, without those that exceed `max_bytes` of text in all.
+    pub fn uncommitted_entries(&self, max_bytes: usize) -> Vec<Entry> {
+        let mut bytes = 0;
+        let fitting = self.pending.iter().filter(|entry| {
+            let fits = bytes + entry.text.len() <= max_bytes;
+            bytes += if fits { entry.text.len() } else { 0 };
+            fits
+        });
+        fitting.cloned().collect()
+    }
+
+    /// Adds the results that the former owner of the job had not committed. Items that have a result keep
+    /// it, since the former owner may have committed one whose reply it did not get. Positions outside the
+    /// job are ignored. Returns the number of results that were added.
+    pub fn adopt(&mut self, entries: impl IntoIterator<Item = Entry>) -> usize {
+        let mut count = 0;
+        for Entry { item, state, text } in entries {
+            if self.progress.is_waiting(item) {
+                self.end(item, state, text);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Raises the failures of an item, see [`Progress::raise_failures`].
+    pub fn raise_failures(&mut self, item: usize, count: u32) -> bool {
+        self.progress.raise_failures(item, count)
+    }
+
     fn end(&mut self, item: usize, state: FinalState, text: String) {
         self.progress.end(item);
         self.pending.push(Entry { item, state, text });
--- a/components/control/tests/relay_owner.rs
+++ b/components/control/tests/relay_owner.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use cyclamengrade_control::relay::owner::{Instance, Peer, should_take_over, store_disconnection};
+use cyclamengrade_control::relay::owner::{
+    Instance, Peer, holds_work, should_take_over, store_disconnection,
+};
 use googletest::prelude::*;
 
 /// A change of the owner's state as its peers see it.
@@ -120,3 +122,19 @@
     expect_that!(new_owners(Duration::from_millis(500)), is_empty());
     expect_that!(new_owners(Duration::from_secs(60)).len(), eq(1));
 }
+
+/// Guards against a takeover that waits for the answer of an owner that is dead or has restarted, and against
+/// the loss of what an owner without the store has finished: 28 of 81 relays lose the store for 12 s.
+#[gtest]
+fn former_owner() {
+    let holds = |change: Change| {
+        let mut peers = peers("a");
+        peers.entry("b".to_owned()).and_modify(change);
+        holds_work(instance("a"), instance("b"), &peers)
+    };
+    expect_that!(holds(|peer| peer.store_disconnection = Duration::from_secs(4)), eq(true));
+    expect_that!(holds(|peer| peer.silence = Duration::from_secs(2)), eq(false));
+    expect_that!(holds(|peer| peer.incarnation = 2), eq(false));
+    expect_that!(holds_work(instance("a"), instance("a"), &peers("a")), eq(false));
+    expect_that!(holds_work(instance("a"), instance("gone"), &peers("a")), eq(false));
+}
--- a/components/control/tests/relay_results.rs
+++ b/components/control/tests/relay_results.rs
@@ -6,7 +6,7 @@
 
 use cyclamengrade_control::relay::{
     job::{Progress, RunFailure},
-    results::{Batch, Results},
+    results::{Batch, Entry, Results},
 };
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -195,8 +195,16 @@
             return;
         }
         self.store.version += 1;
-        self.store.owner = relay;
-        let results = Results::new(Progress::new(ITEMS, MAX_FAILURES), &self.store.committed());
+        let former = std::mem::replace(&mut self.store.owner, relay);
+        let mut results = Results::new(Progress::new(ITEMS, MAX_FAILURES), &self.store.committed());
+        // A former owner without the store passes its results on if it answers.
+        if former != relay
+            && self.chance(0.5)
+            && let Some((_, passed)) = self.relays[former].owned.take()
+        {
+            self.relays[former].running.clear();
+            results.adopt(passed.uncommitted_entries(1_000));
+        }
         self.relays[relay].owned = Some((self.store.version, results));
         self.relays[relay].running.clear();
         self.steps.push(format!("relay {relay} takes over at version {}", self.store.version));
@@ -277,3 +285,30 @@
     expect_that!(results.next_batch(3, 10_000).is_last, eq(false));
     expect_that!(results.next_batch(4, 10_000).is_last, eq(true));
 }
+
+/// Guards against results of a former owner that replace those in the store, change the count of failures
+/// downwards, or stand for no item of the job, when its last commit took effect and its reply was lost.
+#[gtest]
+fn adopted() {
+    let mut former = Results::new(Progress::new(4, 3), &[]);
+    for item in [2, 0] {
+        former.start(item);
+        former.complete(item, format!("text of {item}"));
+    }
+    former.start(1);
+    expect_that!(former.record_failure(1, RunFailure::Failed), eq(false));
+    let mut results = Results::new(Progress::new(4, 3).with_failures(1, 2), &[2]);
+    let outside = Entry { item: 9, ..former.uncommitted_entries(1_000)[0].clone() };
+    let passed = former.uncommitted_entries(1_000).into_iter().chain([outside]);
+    expect_that!(results.adopt(passed), eq(1));
+    expect_that!(results.raise_failures(1, former.progress().failures(1)), eq(false));
+    expect_that!(results.raise_failures(9, 1), eq(false));
+    expect_that!(results.progress().failures(1), eq(2));
+    let batch = results.next_batch(10, 1_000);
+    expect_that!(batch.from, eq(1));
+    let listed: Vec<(usize, &str)> =
+        batch.entries.iter().map(|entry| (entry.item, entry.text.as_str())).collect();
+    expect_that!(listed, eq(&[(0, "text of 0")]));
+    expect_that!(results.progress().waiting().collect::<Vec<_>>(), eq(&[1, 3]));
+    expect_that!(former.uncommitted_entries(10).len(), eq(1), "texts of nine bytes");
+}
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -64,7 +64,7 @@
 
 /// Runs the items of the jobs that this relay owns.
 pub struct Dispatcher {
-    pub(super) shared: Arc<Shared>,
+    pub(crate) shared: Arc<Shared>,
     /// Jobs that this relay owns, by id.
     jobs: Mutex<BTreeMap<String, Owned>>,
     /// Ids of the jobs that are being loaded.
--- a/components/relay/src/batch/mod.rs
+++ b/components/relay/src/batch/mod.rs
@@ -7,5 +7,6 @@
 mod item;
 mod owned;
 mod takeover;
+pub mod transfer;
 
 pub use self::dispatcher::Dispatcher;
--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -70,18 +70,29 @@
             store::update(&self.shared, id, job, |row| row.taken_over(previous.as_ref(), &owner))
                 .await?;
         let Some(job) = taken else { return Ok(()) };
-        self.resume(id, job).await
+        self.resume(id, job, previous).await
     }
 
-    /// Reads the items and stored progress of a job and starts to run it.
-    async fn resume(self: &Arc<Self>, id: &str, job: Job) -> Result<(), Error> {
+    /// Reads the items and stored progress of a job, asks its former owner for what is not stored, and
+    /// starts to run it.
+    async fn resume(
+        self: &Arc<Self>,
+        id: &str,
+        job: Job,
+        former: Option<row::Owner>,
+    ) -> Result<(), Error> {
         let items = store::input(&self.shared, id).await?;
         let outcomes = store::all_result_rows(&self.shared, id).await?;
         let failures = store::failures(&self.shared, id).await?;
         let partials = store::partials(&self.shared, id).await?;
-        let mut owned = self.prepare(job, Arc::new(items), &outcomes, &failures);
+        let mut owned = self.prepare(job.clone(), Arc::new(items), &outcomes, &failures);
         owned.restore(partials);
+        // Last, because the former owner keeps nothing of what it passes on.
+        if let Some(former) = former {
+            self.adopt_work(id, &job, &former, &mut owned).await;
+        }
         self.start_job(id, owned);
+        self.commit(id);
         Ok(())
     }
 }
--- a/components/relay/src/evidence.rs
+++ b/components/relay/src/evidence.rs
@@ -16,28 +16,19 @@
 };
 use cyclamengrade_telemetry::{event, metrics::RELAY_EVIDENCE_AGE_SECONDS};
 use futures_util::future::join_all;
-use http_body_util::{BodyExt, Limited};
-use hyper::{
-    Request, Response, StatusCode, Uri,
-    client::conn::http1,
-    header::{CONNECTION, HOST},
-};
-use hyper_util::rt::TokioIo;
+use hyper::{Request, Response, StatusCode, Uri};
 use kameo::prelude::ActorRef;
 use metrics::gauge;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use tokio::{
-    net::TcpStream,
-    task::JoinHandle,
-    time::{sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     body::Body,
     clock::boot_time,
     directory::{Directory, Stated},
     online::empty,
+    question,
     shared::{Shared, lock},
 };
 
@@ -254,32 +245,8 @@
 }
 
 async fn ask(address: SocketAddr, version: u64, max_bytes: usize) -> Option<Answer> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    let _connection = Connection(tokio::spawn(async move {
-        // The exchange reports the error of its connection.
-        let _ = connection.await;
-    }));
-    let request = Request::get(format!("{PATH}?{VERSION}={version}"))
-        .header(HOST, address.to_string())
-        .header(CONNECTION, "close")
-        .body(Body::empty())
-        .ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    if response.status() != StatusCode::OK {
-        return None;
-    }
-    let body = Limited::new(response.into_body(), max_bytes).collect().await.ok()?;
-    serde_json::from_slice(&body.to_bytes()).ok()
-}
-
-/// A task that ends when this is dropped.
-struct Connection(JoinHandle<()>);
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+    let request = Request::get(format!("{PATH}?{VERSION}={version}"));
+    question::send(address, request, Body::empty(), max_bytes).await
 }
 
 /// Answers the question of another relay. A relay without strict revocation has no such path.
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod peers;
 mod pool;
 mod quarantine;
+mod question;
 mod roll_call;
 mod run;
 mod shared;
--- a/components/relay/src/link/carrier.rs
+++ b/components/relay/src/link/carrier.rs
@@ -23,6 +23,7 @@
 };
 
 use crate::{
+    batch::{Dispatcher, transfer},
     body::{Body, Chunk, MAX_BUFFERED_CHUNKS},
     evidence,
     link::{
@@ -117,8 +118,8 @@
     }
 }
 
-/// Accepts requests of other relays to carry connections, until the process ends.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+/// Accepts requests of other relays to carry connections, and their questions, until the process ends.
+pub async fn serve(dispatcher: Arc<Dispatcher>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -129,11 +130,11 @@
             }
         };
         set_options(&stream);
-        let shared = shared.clone();
+        let dispatcher = dispatcher.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
-                let shared = shared.clone();
-                async move { Ok::<_, Infallible>(handle(&shared, request).await) }
+                let dispatcher = dispatcher.clone();
+                async move { Ok::<_, Infallible>(handle(&dispatcher, request).await) }
             });
             // The other relay notices an error of the connection itself.
             let _ = http1::Builder::new()
@@ -146,10 +147,14 @@
     }
 }
 
-async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+async fn handle(dispatcher: &Dispatcher, request: Request<Incoming>) -> Response<Body> {
+    let shared = &dispatcher.shared;
     if request.method() == Method::GET && request.uri().path() == evidence::PATH {
         return evidence::answer(shared, request.uri());
     }
+    if request.method() == Method::POST && request.uri().path() == transfer::PATH {
+        return dispatcher.pass_on(request).await;
+    }
     if request.method() != Method::POST || request.uri().path() != PATH {
         return empty(StatusCode::NOT_FOUND);
     }
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -183,7 +183,7 @@
                 }
                 self.shared.record_answer(message.incarnation, now);
                 if ack.fleet_version > 0 {
-                    self.record_news(&ack, now);
+                    self.record_news(message.incarnation, &ack, now);
                 }
             }
         }
@@ -250,14 +250,21 @@
         ack
     }
 
-    fn record_news(&self, ack: &Ack, now: Time) {
+    /// Records what the monitor with this incarnation tells of the others. It tells nothing of itself,
+    /// which does not mean that it is well.
+    fn record_news(&self, incarnation: u64, ack: &Ack, now: Time) {
         let exceptions = monitor::by_relay(&ack.exceptions);
-        for (name, member) in self.shared.members().iter_mut() {
+        let mut members = self.shared.members();
+        for (name, member) in members.iter_mut() {
+            if member.incarnation == incarnation {
+                continue;
+            }
             let exception = exceptions.get(&member.health.relay()).copied();
             if member.health.record_news(exception, ack.fleet_version, now) {
                 event!(MemberLeaving, member:% = name);
             }
         }
+        drop(members);
         self.shared.record_news(now);
     }
 }
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -156,7 +156,7 @@
     tokio::spawn(dispatcher.clone().watch_owners());
     tokio::spawn(cleanup::run(shared.clone(), settings.store.keep()));
     let carrier = front::bind(settings.peer_listen).await?;
-    tokio::spawn(link::carrier::serve(shared.clone(), carrier));
+    tokio::spawn(link::carrier::serve(dispatcher.clone(), carrier));
     tokio::spawn(shared.clone().probe_lost_links());
     tokio::spawn(close_expired_connections(shared.clone()));
     tokio::spawn(leaving::store_changes(shared.clone()));
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -357,6 +357,11 @@
     /// The configuration is known to be current again. Fields: `revision` in force, `elapsed_ms` since the
     /// evidence was lost.
     1268 Info EvidenceBack "evidence_back" "configuration is known to be current again",
+
+    /// The former owner of a batch job, which has lost the store, ended its runs and passed what they wrote
+    /// to the new owner. Fields: `job`, `member` (the former owner), `results` that were not stored,
+    /// `texts` of unfinished items.
+    1269 Info JobPassedOn "job_passed_on" "former owner of a batch job passed its results on",
 }
 
 /// Logs a numbered event with key-value fields.
