Explain where a request would go

An operator who is told that requests fail now could only wait for log lines. The new subcommand `explain` asks a relay, at its metrics_listen under /explain, what it would do with a request or a batch job, and why: route, account, age of the evidence, quota, charge, broker, load, and each upstream with its slots, pace, slowness and the reason why it is passed over, or the refusal with its Retry-After.

The answer comes from read-only views. A broker is asked in a copy of its state, so that the explanation is the decision and nothing is taken; the same holds for the buckets of quotas. The order of upstreams of one request is now the type Rank, which the placement and the explanation share. The key travels in a header only.

--- a/components/control/src/relay/allowance/client.rs
+++ b/components/control/src/relay/allowance/client.rs
@@ -39,7 +39,7 @@
     granted_at: Time,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Account<O> {
     used_at: Time,
     /// Owner that answered last, when, and the level that it stated in thousandths.
@@ -86,7 +86,7 @@
 }
 
 /// What a relay remembers of the answers of owners, by account. `O` identifies an owner.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Client<O> {
     accounts: BTreeMap<u64, Account<O>>,
     pruned_at: Time,
@@ -135,6 +135,17 @@
         Decision::Ask((f64::from(account.rate) * BLOCK_PERIOD.as_secs_f64()).ceil() as u32)
     }
 
+    /// Returns what [`Self::take`] would decide, without taking a token.
+    pub fn preview(&self, now: Time, id: u64, limit: Limit) -> Decision<O> {
+        self.clone().take(now, id, limit)
+    }
+
+    /// Returns the owner that answered last, the time since then, and the level that it stated in thousandths.
+    pub fn stated(&self, now: Time, id: u64) -> Option<(O, Duration, i64)> {
+        let (owner, stated_at, level_milli) = self.accounts.get(&id)?.stated?;
+        Some((owner, now.since(stated_at), level_milli))
+    }
+
     /// Returns what to tell an owner of the level that another one stated.
     pub fn report(&self, now: Time, id: u64, owner: O) -> Option<Report> {
         let (former, stated_at, level_milli) = self.accounts.get(&id)?.stated?;
--- a/components/control/src/relay/allowance/ledger.rs
+++ b/components/control/src/relay/allowance/ledger.rs
@@ -23,7 +23,7 @@
 /// Tokens with which the bucket of a small account starts, although another owner may have granted as many.
 const MIN_START: f64 = 10.0;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Bucket {
     limit: Limit,
     /// Version of the configuration that has the limit.
@@ -206,6 +206,15 @@
         }
     }
 
+    /// Returns the level of an account, and the time after which a caller may retry if it is below one token,
+    /// without taking any. `None` before the first ask.
+    pub fn preview(&self, now: Time, account: u64) -> Option<(f64, Option<Duration>)> {
+        let mut bucket = self.buckets.get(&account)?.clone();
+        bucket.fill(now);
+        let wait = (bucket.level < 1.0).then(|| bucket.next_wait(now));
+        Some((bucket.level, wait))
+    }
+
     /// Returns the number of buckets.
     pub fn len(&self) -> usize {
         self.buckets.len()
--- a/components/control/src/relay/broker/fairness.rs
+++ b/components/control/src/relay/broker/fairness.rs
@@ -49,7 +49,7 @@
 /// The requests of one account keep the order of their keys. The start tag of the first one is the finish
 /// tag of its account, and that of each other one is the finish tag of the request before it. A request
 /// that is refused or withdrawn therefore costs its account nothing.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Order<K> {
     /// Start tag of the last request that was granted.
     virtual_time: u64,
@@ -232,7 +232,7 @@
 }
 
 /// Batch slots that accounts hold, and their waiting items.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Shares {
     /// Slots held by account.
     held: BTreeMap<Member, u32>,
--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod queue;
 pub mod speed;
+pub mod view;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -102,7 +103,7 @@
 }
 
 /// A relay with slots, waiting requests or reported failures.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Client {
     grants: BTreeMap<Ticket, Grant>,
     /// Shards in which the relay has waiting requests.
@@ -115,7 +116,7 @@
 pub type Outgoing = (Holder, Answer);
 
 /// Grants the slots of the shards for which other relays ask it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Broker {
     places: BTreeMap<u32, Place>,
     by_shard: BTreeMap<u32, Vec<u32>>,
--- a/components/control/src/relay/broker/pace.rs
+++ b/components/control/src/relay/broker/pace.rs
@@ -80,7 +80,7 @@
 }
 
 /// Paces by upstream. An upstream without an entry is not limited.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Paces {
     /// Upstreams that relays report as failed.
     reported: BTreeSet<u32>,
--- a/components/control/src/relay/broker/placement.rs
+++ b/components/control/src/relay/broker/placement.rs
@@ -5,6 +5,7 @@
 use super::{
     Ask, Broker, Class, Grant, Holder, LOOKAHEAD, Place, Ticket,
     queue::{BatchKey, Waiting},
+    view::Rank,
 };
 use crate::{relay::origin::Software, time::Time};
 
@@ -92,12 +93,8 @@
             .accepting(ask)
             .filter(|place| self.free(place, now) > 0 && !(has_sound && is_paused(place)));
         let best = usable.min_by_key(|place| {
-            let used = self.used(place.upstream).total();
             (
-                self.speeds.is_slow(place.upstream, now),
-                !ask.connected.contains(&place.upstream),
-                place.data_centre != ask.data_centre,
-                permille(used, place.slots),
+                self.rank(now, place, ask),
                 // Spreads equal choices over the upstreams.
                 place.upstream.wrapping_add(ask.ticket.0 as u32).wrapping_mul(0x9e37_79b9),
             )
@@ -105,6 +102,17 @@
         best.map(|place| place.upstream)
     }
 
+    /// Returns how well an upstream with a free slot suits an online request.
+    pub(super) fn rank(&self, now: Time, place: &Place, ask: &Ask) -> Rank {
+        let used = self.used(place.upstream).total();
+        Rank {
+            is_slow: self.speeds.is_slow(place.upstream, now),
+            is_unconnected: !ask.connected.contains(&place.upstream),
+            is_remote: place.data_centre != ask.data_centre,
+            load_permille: permille(used, place.slots),
+        }
+    }
+
     /// Returns the least urgent batch stream at an upstream that an online request may use.
     pub(super) fn least_urgent(&self, now: Time, ask: &Ask) -> Option<(Holder, Ticket)> {
         self.least_urgent_at(|upstream| {
--- a/components/control/src/relay/broker/queue.rs
+++ b/components/control/src/relay/broker/queue.rs
@@ -29,7 +29,7 @@
 /// Requests that continue a stream go first: few upstreams suit them, and their callers wait in the
 /// middle of a response. The others go in the order of the shares of their accounts, and those of one
 /// account, or without accounts, in the order in which they have to start.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Queue {
     /// Requests that continue a stream.
     continued: BTreeMap<OnlineKey, Waiting>,
@@ -105,6 +105,11 @@
         continued.chain(new)
     }
 
+    /// Returns the number of batch items that wait.
+    pub fn batch_len(&self) -> usize {
+        self.wants.len()
+    }
+
     pub fn online_len(&self) -> usize {
         self.continued.len() + self.new.len()
     }
--- a/components/control/src/relay/broker/speed.rs
+++ b/components/control/src/relay/broker/speed.rs
@@ -70,7 +70,7 @@
 }
 
 /// Speeds of the upstreams of a broker.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Speeds {
     shards: BTreeMap<u32, Shard>,
     by_upstream: BTreeMap<u32, Speed>,
--- a/components/control/src/relay/limit.rs
+++ b/components/control/src/relay/limit.rs
@@ -87,7 +87,7 @@
 }
 
 /// Token bucket of an upstream with a limit.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Bucket {
     limit: Limit,
     /// Requests that may be sent now. Negative after requests that nobody granted.
@@ -124,7 +124,7 @@
 /// The limits of upstreams as a broker keeps them.
 ///
 /// A bucket starts empty: an earlier broker may have just granted what it would hold.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Buckets {
     by_upstream: BTreeMap<u32, Bucket>,
 }
--- a/components/control/src/relay/quota.rs
+++ b/components/control/src/relay/quota.rs
@@ -54,6 +54,11 @@
         Self { limit: if limit == 0 { None } else { Some(limit) } }
     }
 
+    /// Returns the largest number of waiting tokens; `None` for no limit.
+    pub const fn limit(self) -> Option<u64> {
+        self.limit
+    }
+
     /// Whether there is a limit.
     pub const fn is_limited(self) -> bool {
         self.limit.is_some()
--- a/components/control/src/relay/selector.rs
+++ b/components/control/src/relay/selector.rs
@@ -3,6 +3,8 @@
 //! Brokers choose the upstreams of requests, see [`broker`](crate::relay::broker). Without an answer
 //! of a broker, the relay chooses one itself from what it knows.
 
+pub mod view;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -97,7 +99,7 @@
 
 /// Why an upstream may be down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Suspicion {
+pub enum Suspicion {
     /// Nothing arrived from it for a time. It may have paused, as a loaded upstream does, and go on.
     Silent,
     /// A connection or a response failed.
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -23,6 +23,7 @@
 mod admin;
 mod build;
 mod error;
+mod explain;
 pub mod plan;
 mod wire;
 
@@ -30,10 +31,12 @@
 pub use cyclamengrade_configuration::{
     Client, Deployment, Document, Fencing, Kind, Limit, Model, Problem, Version,
 };
+pub use cyclamengrade_explanation::{Answer as Explanation, Question};
 
 pub use crate::{
     admin::{Admin, Attempts},
     build::{Configuration, Refused, parse, print},
     error::Error,
+    explain::explain,
     plan::Plan,
 };
--- a/components/relay/src/allowance.rs
+++ b/components/relay/src/allowance.rs
@@ -28,6 +28,8 @@
 
 use crate::shared::{Shared, lock};
 
+mod view;
+
 /// Time after which an ask is repeated, and again after which the next owner is asked.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Number of times that an ask is sent to one owner.
@@ -366,16 +368,22 @@
         {
             return known.servers;
         }
+        let servers = self.choose_owners(subject, now);
+        let owners = Owners { chosen_at: now, servers: servers.clone() };
+        let mut state = lock(&self.allowance.state);
+        state.owners.retain(|_, owners| now.since(owners.chosen_at) < OWNER_CACHE_TIME);
+        state.owners.insert(subject.id, owners);
+        servers
+    }
+
+    /// Chooses the relays that are asked for tokens of an account.
+    fn choose_owners(&self, subject: Subject<'_>, now: Time) -> Vec<(String, SocketAddr)> {
         let key = format!("account {}", subject.name);
         let mut servers = self.servers(&key, MAX_OWNERS, now);
         if self.is_isolated(now) {
             // The others may have another owner, which grants the whole quota.
             servers.retain(|(name, _)| *name != self.name);
         }
-        let owners = Owners { chosen_at: now, servers: servers.clone() };
-        let mut state = lock(&self.allowance.state);
-        state.owners.retain(|_, owners| now.since(owners.chosen_at) < OWNER_CACHE_TIME);
-        state.owners.insert(subject.id, owners);
         servers
     }
 
--- a/components/relay/src/evidence.rs
+++ b/components/relay/src/evidence.rs
@@ -116,6 +116,11 @@
         lock(&self.evidence.evidence).is_current(boot_time(), within)
     }
 
+    /// Returns the age of the evidence that the configuration is current; `None` without any.
+    pub fn evidence_age(&self) -> Option<Duration> {
+        lock(&self.evidence.evidence).age(boot_time())
+    }
+
     /// Returns the time for which a key that was taken away may be used at most; `None` if revocation is not
     /// strict.
     pub const fn revocation_time(&self) -> Option<Duration> {
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -29,11 +29,11 @@
     attempt::Dispatch,
     batch::Dispatcher,
     body::Body,
-    connection, online,
+    connection, explain, online,
     shared::{Phase, Shared},
 };
 
-mod jobs;
+pub mod jobs;
 
 /// Time without a new connection after which a relay that stops closes its listener.
 const QUIET_TIME: Duration = Duration::from_millis(50);
@@ -202,9 +202,12 @@
     .await;
 }
 
-/// Serves the metrics in the Prometheus text format.
-pub async fn metrics(handle: Handle, listener: TcpListener) {
-    serve_sync(listener, move |_| {
+/// Serves the metrics in the Prometheus text format, and the questions of [`explain`].
+pub async fn metrics(shared: Arc<Shared>, handle: Handle, listener: TcpListener) {
+    serve_sync(listener, move |request| {
+        if request.uri().path() == explain::PATH {
+            return explain::respond(&shared, &request);
+        }
         let mut response = Response::new(Body::new(handle.render()));
         let text = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(CONTENT_TYPE, text);
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -158,7 +158,12 @@
 /// Refuses a call because the store is unavailable. `Retry-After` is the duration of the outage so
 /// far, as an outage is expected to go on for as long as it has lasted.
 fn store_unavailable(shared: &Shared) -> Response<Body> {
-    online::unavailable(shared.store_age().clamp(MIN_STORE_RETRY_AFTER, MAX_STORE_RETRY_AFTER))
+    online::unavailable(store_retry_after(shared))
+}
+
+/// Returns the time after which a call may be repeated that needs the store.
+pub fn store_retry_after(shared: &Shared) -> Duration {
+    shared.store_age().clamp(MIN_STORE_RETRY_AFTER, MAX_STORE_RETRY_AFTER)
 }
 
 fn bad_request(id: &str, cause: &str) -> Response<Body> {
--- a/components/relay/src/learned.rs
+++ b/components/relay/src/learned.rs
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Returns the pace and the slowness of an upstream that a broker told last.
+    pub fn told(&self, upstream: u32) -> (Option<u32>, Option<f64>) {
+        let state = self.learned.state();
+        let pace = state.paces.get(&upstream).map(|told| told.news.limit);
+        let speed = state.speeds.get(&upstream);
+        (pace, speed.map(|told| f64::from(told.news.slowness_milli) / 1_000.0))
+    }
+
     /// Adds what other brokers told to a message to the broker at an address.
     pub fn add_told(&self, to: SocketAddr, sync: &mut Sync, now: Time) {
         let state = self.learned.state();
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod events;
 mod evidence;
 mod exchange;
+mod explain;
 mod flight;
 mod follower;
 mod front;
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -41,7 +41,7 @@
 /// reason than the load of the upstreams.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest time that `Retry-After` states.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Time beyond the deadline of a stream for which its origin is kept, since the caller's clock starts
 /// earlier or later than this relay's.
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -150,7 +150,8 @@
     let listener = front::bind(settings.listen).await?;
     tokio::spawn(clock::watch_pauses(shared.clone()));
     tokio::spawn(front::ready(shared.clone(), front::bind(settings.ready_listen).await?));
-    tokio::spawn(front::metrics(metrics, front::bind(settings.metrics_listen).await?));
+    let metrics_listener = front::bind(settings.metrics_listen).await?;
+    tokio::spawn(front::metrics(shared.clone(), metrics, metrics_listener));
     tokio::spawn(maintain_row(shared.clone(), settings.clone()));
     tokio::spawn(dispatcher.clone().run());
     tokio::spawn(dispatcher.clone().watch_owners());
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -281,7 +281,8 @@
         }
     }
 
-    fn connected(&self) -> BTreeSet<u32> {
+    /// Returns the upstreams to which this relay has an idle connection.
+    pub fn connected(&self) -> BTreeSet<u32> {
         let ids = self.pool.idle_ids(MAX_CONNECTED);
         self.selector().short_ids(&ids)
     }
@@ -468,9 +469,7 @@
         {
             return known;
         }
-        let key = format!("broker {shard}");
-        let name = self.servers(&key, 1, now).into_iter().next();
-        let (name, address) = name.unwrap_or_else(|| (self.name.clone(), self.address()));
+        let (name, address) = self.choose_broker(shard, now);
         let broker = Broker { name, address, chosen_at: now };
         let mut state = self.slots.state();
         let previous = state.brokers.insert(shard, broker.clone());
@@ -484,6 +483,28 @@
         broker
     }
 
+    fn choose_broker(&self, shard: u32, now: Time) -> (String, SocketAddr) {
+        let server = self.servers(&format!("broker {shard}"), 1, now).into_iter().next();
+        server.unwrap_or_else(|| (self.name.clone(), self.address()))
+    }
+
+    /// Returns the name and the address of the broker of a shard, and the load that it stated last, without
+    /// recording the choice.
+    pub fn view_broker(&self, shard: u32) -> (String, SocketAddr, Option<Load>) {
+        let now = self.clock.now();
+        let (known, load) = {
+            let state = self.slots.state();
+            (state.brokers.get(&shard).cloned(), state.loads.get(&shard).copied())
+        };
+        match known.filter(|known| now.since(known.chosen_at) < BROKER_CACHE_TIME) {
+            Some(known) => (known.name, known.address, load),
+            None => {
+                let (name, address) = self.choose_broker(shard, now);
+                (name, address, load)
+            }
+        }
+    }
+
     /// Returns the address of the broker that this relay uses for an upstream.
     pub fn broker_of(&self, upstream: u32) -> Option<SocketAddr> {
         let shard = self.selector().shard_of(upstream)?;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod config;
 mod daemon;
+mod explain;
 mod relay;
 mod report;
 mod settings;
@@ -35,6 +36,7 @@
   upstreams            print the upstreams of a daemon
   story ID FILE...     print what logs say of a request
   report FILE...       sum up what logs say of a time
+  explain              ask a relay where a request goes
 
 Options of all subcommands:
   --server HOST:PORT   daemon to ask
@@ -65,6 +67,7 @@
         "upstreams" => (upstreams::HELP, upstreams::run),
         "story" => (story::HELP, story::run),
         "report" => (report::HELP, report::run),
+        "explain" => (explain::HELP, explain::run),
         _ => return Err(Failure::usage(format!("unknown subcommand {name}; see --help"))),
     };
     if help { print::line(help_text) } else { run(invocation) }
--- a/tests/cli_usage.rs
+++ b/tests/cli_usage.rs
@@ -54,9 +54,17 @@
 /// Guards against a subcommand without a help text, and a help text that is too wide for a phone.
 #[gtest]
 fn help_texts() -> Result<()> {
-    for subcommand in
-        ["", "daemon", "settings", "settings check", "config", "config plan", "batch", "upstreams"]
-    {
+    for subcommand in [
+        "",
+        "daemon",
+        "settings",
+        "settings check",
+        "config",
+        "config plan",
+        "batch",
+        "upstreams",
+        "explain",
+    ] {
         for option in ["--help", "-h"] {
             let output = Program::new(&format!("{subcommand} {option}")).run();
             expect_that!(output.code, eq(0), "{subcommand}");
--- a/tests/docs_pages.rs
+++ b/tests/docs_pages.rs
@@ -127,9 +127,18 @@
 fn cli_page() -> Result<()> {
     let page = fs::read_to_string("docs/cli.md").or_fail()?;
     let mut help = String::new();
-    for subcommand in
-        ["", "daemon", "relay", "settings", "config", "batch", "upstreams", "story", "report"]
-    {
+    for subcommand in [
+        "",
+        "daemon",
+        "relay",
+        "settings",
+        "config",
+        "batch",
+        "upstreams",
+        "story",
+        "report",
+        "explain",
+    ] {
         help += &Program::new(&format!("{subcommand} --help")).run().text;
     }
     expect_that!(long_options(&page), eq(&long_options(&help)));
