--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod queue;
 pub mod speed;
+pub mod view;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -103,7 +104,7 @@
 }
 
 /// A relay with slots, waiting requests or reported failures.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Client {
     grants: BTreeMap<Ticket, Grant>,
     /// Shards in which the relay has waiting requests.
@@ -116,7 +117,7 @@
 pub type Outgoing = (Holder, Answer);
 
 /// Grants the slots of the shards for which other relays ask it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Broker {
     places: BTreeMap<u32, Place>,
     by_shard: BTreeMap<u32, Vec<u32>>,
