Have the soak play accounts

The soak had no accounts: keys, quotas and revocation of the relays ran in single tests only, not under several faults at once. Keys are added, replaced and removed, one account sends far more than its quota, the store refuses relays, relays are killed, stopped, paused and replaced, and the owner of the quota is killed or paused. Checked are the keys and times of runs, the account that upstreams learn, the quota in any 5 s, wrong 401 and 429, and who reads and ends jobs.

--- a/components/standins/src/bridge/caller.rs
+++ b/components/standins/src/bridge/caller.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use hyper::Method;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
     task::{JoinError, JoinHandle},
@@ -17,7 +18,7 @@
 };
 
 use crate::{
-    bridge::{HOST, Job, Profile, Runner, Size},
+    bridge::{ACCOUNTS, Account, HOST, Job, Keyring, Profile, Runner, Size},
     client::{Call, Client, Reply},
 };
 
@@ -30,8 +31,9 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(500);
 /// Time of a request within which a sound upstream's response is not given up: 7/10 of the deadline.
 const WHOLE_TIME: Duration = Duration::from_millis(DEADLINE_MS / 10 * 7);
-/// Callers of streams for each caller of other routes where upstreams are full.
-const STREAM_SHARE: usize = 3;
+/// Callers of streams for each caller of other routes where upstreams are full, and of all accounts for each of
+/// the account that is over its quota.
+const OTHERS_SHARE: usize = 3;
 /// Events of each batch item.
 pub const ITEM_EVENTS: u64 = 30;
 /// Requests for one stream, including those that continue it.
@@ -50,7 +52,7 @@
     OnceEnd,
     /// A whole answer is that of the request.
     Answer,
-    /// A request that was refused with 503 has not run.
+    /// A request that was refused with 401, 429 or 503 has not run.
     Refusal,
     /// A request that may not be sent again runs at most once, and has run if it was answered.
     Once,
@@ -60,6 +62,16 @@
     Whole,
     /// Every request has its final answer when its deadline has passed.
     Deadline,
+    /// A request runs only with a key that is listed, or was until `accounts.revoke_ms` ago.
+    Key,
+    /// Upstreams learn the account of the caller's key, and no key.
+    Account,
+    /// The requests of an account that run within 5 s keep its quota.
+    Quota,
+    /// A listed key is known, and an account without a quota is never over it.
+    Admission,
+    /// A job is read and ended with keys of its account only.
+    Reader,
 }
 
 /// Evidence that a promise was broken.
@@ -132,6 +144,9 @@
     once: BTreeMap<String, bool>,
     exchanges: Vec<Exchange>,
     contradictions: Vec<Contradiction>,
+    /// Keys with which requests were sent, by id, and those of the jobs of items.
+    keys: BTreeMap<String, String>,
+    item_keys: BTreeMap<String, String>,
     /// Streams that were read to their end.
     pub streams: u64,
     /// Requests that continued a stream at another relay.
@@ -199,6 +214,80 @@
         }
         contradictions
     }
+
+    /// Returns the promises about accounts that were broken.
+    pub fn account_contradictions<'a>(
+        &self,
+        runners: impl Iterator<Item = &'a Runner>,
+        keyring: &Keyring,
+    ) -> Vec<Contradiction> {
+        let mut contradictions = Vec::new();
+        let mut note = |promise, id: &str, text| {
+            contradictions.push(Contradiction::new(promise, id, text));
+        };
+        // The first run of each online request, by account.
+        let mut starts: BTreeMap<&str, BTreeMap<String, Instant>> = BTreeMap::new();
+        for run in runners.flat_map(Runner::runs) {
+            let key = self.keys.get(&run.id).or_else(|| self.item_keys.get(&run.id));
+            let key = key.map(String::as_str).unwrap_or_default();
+            let account = keyring.account(key).unwrap_or_default();
+            if run.has_key || run.tenant != account {
+                let text = format!("with key {key:?}: {run:?}");
+                note(Promise::Account, &run.id, text);
+            }
+            // Items run on when the key of their job is removed.
+            if account.is_empty()
+                || (self.keys.contains_key(&run.id) && !keyring.may_run(key, run.started))
+            {
+                note(Promise::Key, &run.id, format!("ran with key {key:?}: {run:?}; {keyring:?}"));
+            }
+            if self.keys.contains_key(&run.id) {
+                let first = starts.entry(account).or_default().entry(run.id).or_insert(run.started);
+                *first = run.started.min(*first);
+            }
+        }
+        for (name, starts) in starts {
+            let excess = Account::named(name)
+                .and_then(|account| account.excess(starts.into_values().collect()));
+            if let Some((first, count)) = excess {
+                note(Promise::Quota, name, format!("{count} requests from {first:?} on"));
+            }
+        }
+        for Exchange { id, relay, begin, end, outcome } in &self.exchanges {
+            let key = self.keys.get(id).map(String::as_str).unwrap_or_default();
+            let account = keyring.account(key).and_then(Account::named);
+            let is_wrong = match outcome {
+                Outcome::Status(401) => keyring.is_known(key, *begin, *end),
+                Outcome::Status(429) => account.is_none_or(|account| !account.has_quota()),
+                _ => false,
+            };
+            if is_wrong {
+                let text =
+                    format!("{outcome:?} from {relay} for key {key:?}: {begin:?} to {end:?}");
+                note(Promise::Admission, id, text);
+            }
+        }
+        contradictions
+    }
+
+    /// Returns for each account the number of online requests that were over its quota.
+    pub fn over_quota(&self, keyring: &Keyring) -> BTreeMap<&'static str, usize> {
+        let mut counts = BTreeMap::new();
+        for exchange in &self.exchanges {
+            if exchange.outcome == Outcome::Status(429)
+                && let Some(account) =
+                    self.keys.get(&exchange.id).and_then(|key| keyring.account(key))
+            {
+                *counts.entry(account).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Returns the number of requests whose keys were rejected.
+    pub fn unauthorized(&self) -> usize {
+        self.exchanges.iter().filter(|exchange| exchange.outcome == Outcome::Status(401)).count()
+    }
 }
 
 /// State that all callers share.
@@ -228,15 +317,25 @@
 
 impl Callers {
     /// Starts callers whose choices follow from `seed`.
-    pub fn start(profile: Profile, size: Size, seed: u64, addresses: Vec<SocketAddr>) -> Self {
+    pub fn start(
+        profile: Profile,
+        size: Size,
+        seed: u64,
+        addresses: Vec<SocketAddr>,
+        keyring: Keyring,
+    ) -> Self {
         let shared = Arc::new(Shared { addresses: Mutex::new(addresses), ..Shared::default() });
         let start = |number| {
             let caller = Caller {
                 client: Client::new(),
                 shared: shared.clone(),
                 random: StdRng::seed_from_u64(seed * 1_000 + number),
+                keyring: keyring.clone(),
+                account: "",
                 uses: match profile {
                     Profile::Faulty => Uses::All,
+                    Profile::Accounts if number < size.callers as u64 => Uses::Accounts,
+                    Profile::Accounts => Uses::Loud,
                     Profile::Quiet if number < size.callers as u64 => Uses::Streams,
                     Profile::Quiet => Uses::Others,
                 },
@@ -245,7 +344,9 @@
         };
         let count = match profile {
             Profile::Faulty => size.callers,
-            Profile::Quiet => size.callers + size.callers.div_ceil(STREAM_SHARE),
+            Profile::Accounts | Profile::Quiet => {
+                size.callers + size.callers.div_ceil(OTHERS_SHARE)
+            }
         };
         let tasks = (0..count as u64).map(start).collect();
         Self { shared, tasks }
@@ -311,6 +412,10 @@
     Streams,
     /// Plain requests and jobs.
     Others,
+    /// All routes, with keys, and jobs of any account.
+    Accounts,
+    /// Plain requests of the account that is over its quota.
+    Loud,
 }
 
 struct Caller {
@@ -318,13 +423,23 @@
     client: Client,
     shared: Arc<Shared>,
     random: StdRng,
+    keyring: Keyring,
+    /// Account for which it sends the current request or stream; empty without accounts.
+    account: &'static str,
 }
 
 impl Caller {
     async fn run(mut self) {
         while !self.shared.is_stopped.load(Ordering::Relaxed) {
+            match self.uses {
+                Uses::Accounts => self.account = Keyring::choose_account(&mut self.random),
+                Uses::Loud => self.account = ACCOUNTS[0].name,
+                Uses::All | Uses::Streams | Uses::Others => {}
+            }
             let choices = match self.uses {
                 Uses::All => 0..20,
+                Uses::Accounts => 0..22,
+                Uses::Loud => 12..18,
                 Uses::Streams => 0..12,
                 Uses::Others => 12..20,
             };
@@ -332,7 +447,8 @@
                 0..10 => self.stream("stream", STREAM_REQUESTS).await,
                 10..12 => self.stream("once", 1).await,
                 12..18 => self.single().await,
-                _ => self.submit().await,
+                18..20 => self.submit().await,
+                _ => self.access().await,
             }
             self.pause(5, 60).await;
         }
@@ -352,18 +468,29 @@
         addresses[self.random.random_range(0..addresses.len())]
     }
 
+    /// Chooses a key of the account.
+    fn key(&mut self) -> String {
+        match self.account {
+            "" => String::new(),
+            account => self.keyring.choose(&mut self.random, account),
+        }
+    }
+
     fn call(&mut self, route: &str, id: &str) -> Call {
+        let key = self.key();
+        self.shared.record().keys.insert(id.to_owned(), key.clone());
         Call::post(self.address(), format!("/{route}/path"))
             .with_header("host", HOST)
             .with_header("request-id", id)
             .with_header("deadline-ms", DEADLINE_MS.to_string())
             .with_body(id.to_owned())
+            .with_key(&key)
             .with_timeout(self.timeout())
     }
 
     const fn timeout(&self) -> Duration {
         match self.uses {
-            Uses::All => CALL_TIMEOUT,
+            Uses::All | Uses::Accounts | Uses::Loud => CALL_TIMEOUT,
             Uses::Streams | Uses::Others => STOPPED_TIMEOUT,
         }
     }
@@ -429,6 +556,9 @@
                 return false;
             }
             status => {
+                if let 401 | 429 = status {
+                    self.shared.record().refused.insert(id.to_owned());
+                }
                 self.record(id, relay, begin, Outcome::Status(status));
                 return false;
             }
@@ -482,7 +612,7 @@
         let call = self.call(route, &id);
         let Some(reply) = self.send(&id, call, 200).await else { return };
         match reply.status {
-            503 => _ = self.shared.record().refused.insert(id),
+            401 | 429 | 503 => _ = self.shared.record().refused.insert(id),
             200 if reply.text() != format!("answer to {id}") => {
                 self.note(Promise::Answer, &id, format!("answer {:?}", reply.text()));
             }
@@ -512,7 +642,13 @@
     }
 
     async fn submit(&mut self) {
-        let job = Job::new(&self.id(), self.random.random_range(1..6));
+        let mut job = Job::new(&self.id(), self.random.random_range(1..6));
+        job.key = self.key();
+        {
+            let mut record = self.shared.record();
+            record.keys.insert(job.id.clone(), job.key.clone());
+            record.item_keys.extend(job.items.iter().map(|item| (item.clone(), job.key.clone())));
+        }
         let call = job
             .submission(self.address(), "batch", ITEM_EVENTS)
             .with_header("deadline-ms", DEADLINE_MS.to_string())
@@ -520,8 +656,36 @@
         let Some(reply) = self.send(&job.id, call, 202).await else { return };
         match reply.status {
             202 => self.shared.record().jobs.push(job),
-            503 => self.shared.record().refused.extend(job.items),
+            401 | 429 | 503 => self.shared.record().refused.extend(job.items),
             _ => {}
         }
     }
+
+    /// Reads an accepted job, or ends one of another account.
+    async fn access(&mut self) {
+        let jobs: Vec<(String, String)> = {
+            let record = self.shared.record();
+            record.jobs.iter().map(|job| (job.id.clone(), job.key.clone())).collect()
+        };
+        if jobs.is_empty() {
+            return;
+        }
+        let (id, owner) = &jobs[self.random.random_range(0..jobs.len())];
+        let (key, address) = (self.key(), self.address());
+        let is_own = self.keyring.account(&key) == self.keyring.account(owner);
+        let method = match !is_own && self.random.random_bool(0.3) {
+            true => Method::DELETE,
+            false => Method::GET,
+        };
+        let begin = Instant::now();
+        let call = Call::new(method, address, format!("/-/lots/{id}?After=0"))
+            .with_header("host", HOST)
+            .with_key(&key)
+            .with_timeout(self.timeout());
+        let Ok(reply) = self.client.send(call).await else { return };
+        if (200..300).contains(&reply.status) && !(is_own && self.keyring.may_run(&key, begin)) {
+            let text = format!("{} from {address} for key {key:?}, not {owner:?}", reply.status);
+            self.note(Promise::Reader, id, text);
+        }
+    }
 }
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -57,13 +57,15 @@
 pub struct Job {
     pub id: String,
     pub items: Vec<String>,
+    /// Key of the job's account; empty without one.
+    pub key: String,
 }
 
 impl Job {
     /// Creates a job with `count` items, whose ids begin with that of the job.
     pub fn new(id: &str, count: usize) -> Self {
         let items = (0..count).map(|item| format!("{id}-{item}")).collect();
-        Self { id: id.to_owned(), items }
+        Self { id: id.to_owned(), items, key: String::new() }
     }
 
     /// Builds the request that submits this job to a relay; each item asks for `events` events.
@@ -80,6 +82,14 @@
             .with_header("host", HOST)
             .with_header("request-id", &self.id)
             .with_json(&body)
+            .with_key(&self.key)
+    }
+
+    /// Builds the request for the results of this job with a key.
+    pub(super) fn query(&self, relay: SocketAddr, key: &str) -> Call {
+        Call::get(relay, format!("/-/lots/{}?After=0", self.id))
+            .with_header("host", HOST)
+            .with_key(key)
     }
 }
 
--- a/components/standins/src/bridge/listing.rs
+++ b/components/standins/src/bridge/listing.rs
@@ -24,6 +24,29 @@
         join_all(checks).await.into_iter().flatten().collect()
     }
 
+    /// Returns the jobs that relays list for a caller without a key or with one of no account.
+    pub async fn reader_contradictions(
+        &self,
+        relays: &[usize],
+        jobs: &[Job],
+    ) -> Vec<Contradiction> {
+        let checks = zip(jobs, relays.iter().cycle()).map(|(job, relay)| async move {
+            let mut contradictions = Vec::new();
+            for key in ["", "kx-unknown"] {
+                let reply = self.send(job.query(self.address(*relay), key)).await;
+                if let Ok(reply) = reply
+                    && reply.status != 401
+                    && reply.status != 503
+                {
+                    let text = format!("{} from relay {relay} for key {key:?}", reply.status);
+                    contradictions.push(Contradiction::new(Promise::Reader, &job.id, text));
+                }
+            }
+            contradictions
+        });
+        join_all(checks).await.into_iter().flatten().collect()
+    }
+
     async fn job_contradiction(
         &self,
         first: usize,
@@ -54,7 +77,12 @@
     /// Returns the results of a job that a relay lists, when they are as many as its items or more.
     async fn listing(&self, relay: usize, job: &Job) -> Result<Vec<Value>, Error> {
         self.eventually(&format!("all results of a job at relay {relay}"), async || {
-            let page: Value = self.results(relay, &job.id, 0).await.ok()?.json().ok()?;
+            let page: Value = self
+                .send(job.query(self.address(relay), &job.key).with_header("wait-ms", "500"))
+                .await
+                .ok()?
+                .json()
+                .ok()?;
             let results = page["Results"].as_array()?;
             (results.len() >= job.items.len()).then(|| results.clone())
         })
--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod harness;
+mod keyring;
 mod links;
 mod listing;
 mod plan;
@@ -14,6 +15,7 @@
 pub use self::{
     caller::{Callers, Contradiction, ITEM_EVENTS, Promise, Record, Stops},
     harness::{Harness, Job},
+    keyring::{ACCOUNTS, Account, Keyring, REVOKE_MS},
     links::{Cut, Links},
     plan::{Disturbance, Plan, Profile, Size, Step},
     run::{End, Run},
--- a/components/standins/src/bridge/plan.rs
+++ b/components/standins/src/bridge/plan.rs
@@ -4,7 +4,7 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::index::sample};
 
-use crate::bridge::{Cut, Endless, Fault, Faults};
+use crate::bridge::{ACCOUNTS, Cut, Endless, Fault, Faults};
 
 /// Size of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +22,8 @@
 pub enum Profile {
     /// Processes and connections fail, and upstreams answer wrongly.
     Faulty,
+    /// Callers have keys of accounts, which change; relays fail, and the store refuses them.
+    Accounts,
     /// Nothing fails: upstreams are quiet and full, relays get no processor time, and the configuration changes.
     Quiet,
 }
@@ -88,6 +90,16 @@
     Leave(usize),
     /// Starts a runner again under its id, and lists the new start.
     Restart(usize),
+    /// Removes the keys of an account, and adds one if the second value says so.
+    ReplaceKeys(&'static str, bool),
+    /// Adds a key to an account.
+    AddKey(&'static str),
+    /// Has the store refuse the calls of relays, or answer them again.
+    Refuse(Vec<usize>, bool),
+    /// Kills the relay that owns the quota of an account.
+    KillOwner(&'static str),
+    /// The same, with a pause.
+    PauseOwner(&'static str),
 }
 
 /// What a plan does to the system, in one or several steps.
@@ -136,6 +148,18 @@
     Quota,
     /// The streams are another service's for a time.
     Move,
+    /// An account gets a further key.
+    AddedKey,
+    /// An account gets another key in place of all of its own.
+    ReplacedKeys,
+    /// An account has no key for a time.
+    RemovedKeys,
+    /// The store refuses the calls of some relays.
+    Refused,
+    /// The owner of a quota is killed.
+    OwnerKilled,
+    /// The owner of a quota gets no processor time.
+    OwnerPaused,
 }
 
 /// Disturbances of a quiet plan, each series with the range of times between two of them in milliseconds.
@@ -156,6 +180,40 @@
         100..600,
     ),
 ];
+/// Disturbances of a plan with accounts, as in [`QUIET_SERIES`].
+const ACCOUNT_SERIES: [(&[Disturbance], Range<u64>); 4] = [
+    (
+        &[
+            Disturbance::ReplacedKeys,
+            Disturbance::ReplacedKeys,
+            Disturbance::RemovedKeys,
+            Disturbance::AddedKey,
+        ],
+        200..1_200,
+    ),
+    (&[Disturbance::Refused], 300..2_000),
+    (&[Disturbance::OwnerKilled, Disturbance::OwnerPaused], 1_500..5_000),
+    (
+        &[
+            Disturbance::Kill,
+            Disturbance::Terminate,
+            Disturbance::Pause,
+            Disturbance::PauseMany,
+            Disturbance::Replace,
+            Disturbance::Crash,
+            Disturbance::Upstream,
+            Disturbance::StoreRefuses,
+            Disturbance::RepliesLost,
+            Disturbance::Configuration,
+        ],
+        300..1_500,
+    ),
+];
+/// Times in milliseconds for which the store refuses relays, an account has no key, and the owner of a quota
+/// is lost.
+const REFUSED_MS: Range<u64> = 500..5_000;
+const NO_KEY_MS: Range<u64> = 100..3_500;
+const OWNER_LOST_MS: Range<u64> = 300..3_000;
 /// Times in milliseconds for which upstreams are quiet and relays stopped.
 const QUIET_MS: Range<u64> = 500..3_000;
 const STOP_MS: Range<u64> = 800..2_000;
@@ -237,10 +295,18 @@
 
     /// Creates a plan under which no process, connection or answer fails.
     pub fn quiet(seed: u64, size: Size) -> Self {
-        let mut planner = Planner::new(seed, size, Profile::Quiet);
+        Self::with_series(Planner::new(seed, size, Profile::Quiet), QUIET_SERIES)
+    }
+
+    /// Creates a plan in which the keys of accounts change while relays fail and are refused by the store.
+    pub fn accounts(seed: u64, size: Size) -> Self {
+        Self::with_series(Planner::new(seed, size, Profile::Accounts), ACCOUNT_SERIES)
+    }
+
+    fn with_series(mut planner: Planner, series: [(&[Disturbance], Range<u64>); 4]) -> Self {
         let mut disturbances = BTreeMap::new();
-        let end = Duration::from_secs(size.seconds);
-        for (choices, pauses) in QUIET_SERIES {
+        let end = Duration::from_secs(planner.size.seconds);
+        for (choices, pauses) in series {
             planner.now = planner.time(pauses.clone());
             while planner.now < end {
                 let disturbance = choices[planner.random.random_range(0..choices.len())];
@@ -296,6 +362,10 @@
         self.random.random_range(0..self.size.relays)
     }
 
+    fn account(&mut self) -> &'static str {
+        ACCOUNTS[self.random.random_range(0..ACCOUNTS.len())].name
+    }
+
     fn runner(&mut self) -> usize {
         self.random.random_range(0..self.size.runners)
     }
@@ -452,6 +522,37 @@
                 let back = self.time(200..900);
                 self.step(back, Step::Move("model"));
             }
+            Disturbance::AddedKey => {
+                let account = self.account();
+                self.step(Duration::ZERO, Step::AddKey(account));
+            }
+            Disturbance::ReplacedKeys => {
+                let account = self.account();
+                self.step(Duration::ZERO, Step::ReplaceKeys(account, true));
+            }
+            Disturbance::RemovedKeys => {
+                let account = self.account();
+                self.step(Duration::ZERO, Step::ReplaceKeys(account, false));
+                let back = self.time(NO_KEY_MS);
+                self.step(back, Step::AddKey(account));
+            }
+            Disturbance::Refused => {
+                let relays = self.relays(1);
+                self.step(Duration::ZERO, Step::Refuse(relays.clone(), true));
+                let back = self.time(REFUSED_MS);
+                self.step(back, Step::Refuse(relays, false));
+            }
+            Disturbance::OwnerKilled | Disturbance::OwnerPaused => {
+                let all: Vec<usize> = (0..self.size.relays).collect();
+                let account = ACCOUNTS[0].name;
+                let (step, back) = match disturbance {
+                    Disturbance::OwnerKilled => (Step::KillOwner(account), Step::Start(all)),
+                    _ => (Step::PauseOwner(account), Step::Resume(all)),
+                };
+                self.step(Duration::ZERO, step);
+                let lost = self.time(OWNER_LOST_MS);
+                self.step(lost, back);
+            }
         }
     }
 
--- a/components/standins/src/client.rs
+++ b/components/standins/src/client.rs
@@ -73,6 +73,15 @@
         self.address
     }
 
+    /// Adds the key of a client account of the platform, unless it is empty.
+    pub fn with_key(self, key: &str) -> Self {
+        if key.is_empty() {
+            self
+        } else {
+            self.with_header("authorization", format!("Token {key}"))
+        }
+    }
+
     /// Adds the bearer token of a client account.
     pub fn with_token(self, token: &str) -> Self {
         self.with_header("authorization", format!("Bearer {token}"))
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -4,15 +4,20 @@
 //!
 //! | variable | meaning | default |
 //! | --- | --- | --- |
-//! | `SOAK_PROFILE` | `faulty` or `quiet`: plans in which nothing fails | `faulty` |
+//! | `SOAK_PROFILE` | `faulty`; `quiet`: plans in which nothing fails; `accounts`: callers have keys | `faulty` |
 //! | `SOAK_SEED` | first seed | 1 |
 //! | `SOAK_RUNS` | number of seeds | 3 |
 //! | `SOAK_RELAYS`, `SOAK_CALLERS`, `SOAK_RUNNERS` | relays, callers, upstreams of streams | 4, 6, 5 |
 //! | `SOAK_SECONDS` | time in which faults are injected | 6 |
 //! | `SOAK_REGRESSIONS` | 1 also plays the seeds that failed in larger runs | 0 |
 //! | `SOAK_PROGRAM` | path of the program whose relays are played | the built one |
-//! | `SOAK_OLDER` | path of an older build, which relays run at every other start | none |
+//! | `SOAK_OLDER` | path of an older build, which relays run at every other start; not with `accounts` | none |
 //! | `SOAK_LOGS` | folder for the logs of seeds that fail | none are kept |
+//!
+//! With `accounts`, keys of four accounts of unequal size are added and removed under strict revocation, one
+//! account sends far more than its quota, the store refuses relays, and the owner of that quota is killed or
+//! paused. Checked are which keys run requests and until when, what upstreams learn of them, the quota in any
+//! 5 s, and who reads jobs.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -24,10 +29,11 @@
     time::{Duration, Instant},
 };
 
+use cyclamengrade_control::hash;
 use cyclamengrade_standins::{
     bridge::{
-        Callers, Contradiction, Cut, Faults, Harness, Plan, Profile, Promise, Record, Runner, Size,
-        Step, Stops,
+        ACCOUNTS, Callers, Contradiction, Cut, Faults, Harness, Job, Keyring, Plan, Profile,
+        Promise, REVOKE_MS, Record, Runner, Size, Step, Stops,
     },
     fleet::{Error, binary},
 };
@@ -37,6 +43,9 @@
 
 const DEFAULT_SIZE: Size = Size { relays: 4, callers: 6, runners: 5, seconds: 6 };
 const QUIET_SIZE: Size = Size { relays: 4, callers: 18, runners: 5, seconds: 3 };
+const ACCOUNTS_SIZE: Size = Size { relays: 4, callers: 12, runners: 5, seconds: 6 };
+/// Seeds of plans with accounts in CI.
+const ACCOUNTS_SEEDS: [u64; 2] = [1, 2];
 /// Seeds of quiet plans in CI.
 const QUIET_SEEDS: [u64; 2] = [1, 2];
 /// Time between the last fault and the last new request.
@@ -104,6 +113,7 @@
 fn size(profile: Profile) -> Result<Size> {
     let default = match profile {
         Profile::Faulty => DEFAULT_SIZE,
+        Profile::Accounts => ACCOUNTS_SIZE,
         Profile::Quiet => QUIET_SIZE,
     };
     let count = |name, default: usize, range| -> Result<usize> {
@@ -135,6 +145,7 @@
     stops: Stops,
     harness: Harness,
     callers: Callers,
+    keyring: Keyring,
     /// Number in the harness of each relay of the plan, which changes when it is replaced.
     relays: Vec<usize>,
     /// Relays that were replaced and may still run.
@@ -146,13 +157,28 @@
 
 impl Run {
     async fn start(profile: Profile, seed: u64, size: Size) -> Result<Self> {
-        let mut harness =
-            Harness::start_mixed(size.relays, program()?, older_program(), true).await?;
+        let keyring = Keyring::new();
+        let is_strict = profile == Profile::Accounts;
+        if is_strict && older_program().is_some() {
+            fail!("older builds do not play accounts")?;
+        }
+        let relays = if is_strict { 0 } else { size.relays };
+        let mut harness = Harness::start_mixed(relays, program()?, older_program(), true).await?;
+        if is_strict {
+            harness.accounts = keyring.tenants();
+            harness.revoke_ms = Some(REVOKE_MS);
+        }
         // Longer than a run, so that no item is abandoned.
         harness.retention_s = 120 + 2 * size.seconds;
         harness.configure(json!([]));
+        for number in relays..size.relays {
+            harness.add_relay(number)?;
+        }
+        for number in relays..size.relays {
+            harness.await_ready(number).await?;
+        }
         let runners = match profile {
-            Profile::Faulty => size.runners,
+            Profile::Faulty | Profile::Accounts => size.runners,
             Profile::Quiet => size.runners + Size::OTHERS,
         };
         for runner in harness.runners.len()..runners {
@@ -164,7 +190,7 @@
             runner.name_version();
             match profile {
                 Profile::Faulty if Size::is_unframed(number) => runner.omit_framing(),
-                Profile::Faulty => {}
+                Profile::Faulty | Profile::Accounts => {}
                 Profile::Quiet => runner.limit_slots(size.slots()),
             }
             let entry = runner.entry(size.service(number), "ready");
@@ -178,7 +204,8 @@
         let relays: Vec<usize> = (0..size.relays).collect();
         let addresses = relays.iter().map(|relay| harness.address(*relay)).collect();
         Ok(Self {
-            callers: Callers::start(profile, size, seed, addresses),
+            callers: Callers::start(profile, size, seed, addresses, keyring.clone()),
+            keyring,
             profile,
             size,
             stops: Stops::default(),
@@ -274,10 +301,51 @@
                 self.harness.store.discard_history();
                 self.harness.configure(json!([]));
             }
+            Step::ReplaceKeys(account, is_replaced) => {
+                self.keyring.remove(account);
+                if *is_replaced {
+                    self.keyring.add(account);
+                }
+                self.write_keys();
+            }
+            Step::AddKey(account) => {
+                self.keyring.add(account);
+                self.write_keys();
+            }
+            Step::Refuse(relays, is_refused) => {
+                for number in self.numbers(relays) {
+                    self.harness.refuse_relay(number, *is_refused);
+                }
+            }
+            Step::KillOwner(account) => {
+                let owner = self.owner(account)?;
+                self.apply(&Step::Kill(owner))?;
+            }
+            Step::PauseOwner(account) => {
+                let owner = self.owner(account)?;
+                self.apply(&Step::Pause(owner))?;
+            }
         }
         Ok(())
     }
 
+    fn write_keys(&mut self) {
+        self.harness.accounts = self.keyring.tenants();
+        self.harness.configure(json!([]));
+    }
+
+    /// Returns the relay that owns the quota of an account, unless it joined a short time ago.
+    fn owner(&mut self, account: &str) -> Result<Vec<usize>> {
+        let mut names = BTreeMap::new();
+        for (relay, number) in self.relays.clone().into_iter().enumerate() {
+            if self.harness.is_running(number)? {
+                names.insert(format!("vm-{number}"), relay);
+            }
+        }
+        let owner = hash::owner(names.keys().map(String::as_str), &format!("account {account}"));
+        Ok(owner.map(|name| names[name]).into_iter().collect())
+    }
+
     fn terminate(&mut self, number: usize) -> Result<()> {
         if self.harness.is_running(number)? {
             self.harness.terminate_relay(number)?;
@@ -347,6 +415,13 @@
         self.apply(&Step::Store(Faults::default()))?;
         self.apply(&Step::Cut(all.clone(), Cut::None))?;
         self.harness.stream_service = "model";
+        if self.profile == Profile::Accounts {
+            self.apply(&Step::Refuse(all.clone(), false))?;
+            let missing =
+                ACCOUNTS.iter().filter(|account| self.keyring.listed(account.name).is_none());
+            missing.for_each(|account| self.keyring.add(account.name));
+            self.harness.accounts = self.keyring.tenants();
+        }
         self.apply(&Step::Configure)?;
         self.harness.runners.iter().for_each(Runner::stay);
         if self.profile == Profile::Quiet {
@@ -376,16 +451,29 @@
         self.play(plan).await?;
         self.heal().await?;
         sleep(CALM_TIME).await;
-        let record = self.callers.stop().await?;
+        let mut record = self.callers.stop().await?;
         let runners = self.harness.runners.iter().chain([&self.harness.plain]);
         let mut contradictions = record.contradictions(runners.clone());
         if plan.profile == Profile::Quiet {
             contradictions.extend(record.quiet_contradictions(runners, &self.stops));
         }
+        if plan.profile == Profile::Accounts {
+            let runners = self.harness.runners.iter().chain([&self.harness.plain]);
+            contradictions.extend(record.account_contradictions(runners, &self.keyring));
+            contradictions
+                .extend(self.harness.reader_contradictions(&self.relays, &record.jobs).await);
+            record.jobs.iter_mut().for_each(|job| self.list_key(job));
+        }
         contradictions.extend(self.harness.job_contradictions(&self.relays, &record.jobs).await);
         Ok((record, contradictions))
     }
 
+    /// Gives a job a key of its account that is listed.
+    fn list_key(&self, job: &mut Job) {
+        let account = self.keyring.account(&job.key);
+        job.key = account.and_then(|account| self.keyring.listed(account)).unwrap_or_default();
+    }
+
     /// Returns the number of runs, and of those that relays dropped before their time limits.
     fn runs(&self) -> (usize, usize) {
         let runners = self.harness.runners.iter().chain([&self.harness.plain]);
@@ -411,6 +499,7 @@
 async fn soak(profile: Profile, seed: u64, size: Size) -> Result<()> {
     let plan = match profile {
         Profile::Faulty => Plan::new(seed, size),
+        Profile::Accounts => Plan::accounts(seed, size),
         Profile::Quiet => Plan::quiet(seed, size),
     };
     let mut run = Run::start(profile, seed, size).await?;
@@ -439,6 +528,12 @@
         record.jobs.len(),
         plan.disturbances
     );
+    if profile == Profile::Accounts {
+        let (over, unauthorized) = (record.over_quota(&run.keyring), record.unauthorized());
+        println!("seed {seed}: {unauthorized} unauthorized, over the quota {over:?}");
+        expect_that!(over.get("loud"), some(gt(&0)), "seed {seed}");
+        expect_that!(unauthorized, gt(0), "seed {seed}");
+    }
     expect_that!(contradictions, is_empty(), "seed {seed}");
     verify_that!(record.streams, gt(10))
 }
@@ -449,8 +544,11 @@
 async fn random_faults() -> Result<()> {
     let profile = match env::var("SOAK_PROFILE").as_deref() {
         Err(_) | Ok("faulty") => Profile::Faulty,
+        Ok("accounts") => Profile::Accounts,
         Ok("quiet") => Profile::Quiet,
-        Ok(other) => return fail!("SOAK_PROFILE is {other:?}, and has to be faulty or quiet"),
+        Ok(other) => {
+            return fail!("SOAK_PROFILE is {other:?}, and has to be faulty, quiet or accounts");
+        }
     };
     let size = size(profile)?;
     let first = number("SOAK_SEED", DEFAULT_SEED, 0..=u64::MAX >> 16)?;
@@ -473,6 +571,18 @@
     Ok(())
 }
 
+/// Guards against removed keys that run requests, quotas that are exceeded and jobs that strangers read while
+/// relays fail and the store refuses them.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn accounts() -> Result<()> {
+    for seed in ACCOUNTS_SEEDS {
+        let outcome = soak(Profile::Accounts, seed, ACCOUNTS_SIZE).await;
+        expect_that!(outcome, ok(anything()), "seed {seed}");
+    }
+    Ok(())
+}
+
 /// Guards against the causes of earlier failures. Larger runs are played with `SOAK_REGRESSIONS=1`.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
