Tell an owner without the store that its job was ended

Cause: only open jobs are taken over. An owner that lost the store within the time until a takeover did not learn that a caller had ended its job at another relay, and ran its items until it reached the store again.

Change: the relay at which the caller ended the job sends the ended row to the owner, by the question of takeovers (`POST /job`), if the owner is known to be without the store within 3 s after that. Otherwise nothing is sent.

--- a/components/relay/src/batch/transfer.rs
+++ b/components/relay/src/batch/transfer.rs
@@ -5,14 +5,14 @@
 //! conditional, so that nothing of the former owner can take effect any more. The former owner ends its runs
 //! and answers with the results that it could not commit and the texts of its unfinished items.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use cyclamengrade_control::relay::{owner, results::Entry};
 use cyclamengrade_telemetry::event;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde::{Deserialize, Serialize};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     batch::{Dispatcher, owned::Owned},
@@ -31,10 +31,15 @@
 const MAX_TEXT_BYTES: usize = 1 << 20;
 /// Limit on the bytes of an answer: JSON escapes at most double the length of an ordinary text.
 const MAX_ANSWER_BYTES: usize = 3 * MAX_TEXT_BYTES;
+/// Time after the end of a job by its caller in which its owner may turn out to be without the store. Other
+/// relays learn this within 2.5 s.
+const NOTICE_TIME: Duration = Duration::from_secs(3);
+/// Time between two checks whether the owner of an ended job reaches the store.
+const NOTICE_PERIOD: Duration = Duration::from_millis(100);
 /// Limit on the bytes of a question beyond those of a row.
 const QUESTION_BYTES: usize = 4 << 10;
 
-/// Tells the former owner of a job that it was taken over.
+/// Tells the former owner of a job that it was taken over or ended.
 #[derive(Serialize, Deserialize)]
 struct Question {
     job: String,
@@ -136,11 +141,7 @@
         }
         let address = self.shared.members().get(&former.name).map(|member| member.address);
         let Some(address) = address else { return };
-        let question = Question { job: id.to_owned(), version: job.version, row: job.row.clone() };
-        let Ok(body) = serde_json::to_vec(&question) else { return };
-        let exchange =
-            question::send::<Work>(address, Request::post(PATH), Body::new(body), MAX_ANSWER_BYTES);
-        let Ok(Some(work)) = timeout(EXCHANGE_TIMEOUT, exchange).await else { return };
+        let Some(work) = ask(address, id, job).await else { return };
         let (results, texts) = owned.adopt(work);
         event!(
             JobPassedOn,
@@ -151,8 +152,40 @@
         );
     }
 
-    /// Answers the new owner of a job: ends the runs of the job and passes its work on. Only a question with
-    /// a newer row, of another owner, has an effect.
+    /// Tells the owner of a job that the caller has ended it, if it is or soon becomes known that the owner
+    /// does not reach the store, where it would see this.
+    pub fn notify_end(self: &Arc<Self>, id: &str) {
+        let known = self.shared.jobs().get(id).cloned();
+        let Some(job) = known.filter(|job| job.row.state == row::State::Ended) else { return };
+        let Some(owner) = job.row.owner.clone().filter(|owner| owner.name != self.shared.name)
+        else {
+            return;
+        };
+        let (dispatcher, id) = (self.clone(), id.to_owned());
+        tokio::spawn(async move {
+            let started = Instant::now();
+            while started.elapsed() < NOTICE_TIME {
+                if let Some(address) = dispatcher.disconnected_address(&owner)
+                    && ask(address, &id, &job).await.is_some()
+                {
+                    return;
+                }
+                sleep(NOTICE_PERIOD).await;
+            }
+        });
+    }
+
+    /// Returns the address of the owner of a job, if it does not reach the store.
+    fn disconnected_address(&self, owner: &row::Owner) -> Option<SocketAddr> {
+        let members = self.shared.members();
+        let member = members.get(&owner.name)?;
+        let is_disconnected =
+            member.incarnation == owner.incarnation && !member.health.reaches_store();
+        is_disconnected.then_some(member.address)
+    }
+
+    /// Answers the new owner of a job, or a relay at which the caller has ended it: ends the runs of the job
+    /// and passes its work on. Only a question with a newer row has an effect.
     pub async fn pass_on(&self, request: Request<Incoming>) -> Response<Body> {
         let max_bytes = self.shared.row_bytes.saturating_add(QUESTION_BYTES);
         let Ok(body) = Limited::new(request.into_body(), max_bytes).collect().await else {
@@ -170,12 +203,14 @@
         }
     }
 
-    /// Releases a job whose row, of this version, names another owner. Returns its work, or `None` if this
-    /// relay does not run the job or knows a newer row.
+    /// Releases a job whose row, of this version, names another owner or says that it was ended. Returns its
+    /// work, or `None` if this relay does not run the job or knows a newer row.
     fn release_to(&self, id: &str, version: u64, row: row::Job) -> Option<Work> {
-        if row.is_owned_by(&self.shared.as_owner()) {
-            return None;
-        }
+        let reason = match row.state {
+            row::State::Ended => "its caller ended it",
+            _ if row.is_owned_by(&self.shared.as_owner()) => return None,
+            row::State::Open | row::State::Done => "another relay owns it",
+        };
         let mut jobs = self.jobs();
         if jobs.get(id)?.job.version >= version {
             return None;
@@ -185,7 +220,15 @@
         owned.stop();
         drop(jobs);
         store::record_row(&self.shared, id, version, row);
-        event!(JobReleased, job:% = id, reason:% = "another relay owns it");
+        event!(JobReleased, job:% = id, reason:% = reason);
         Some(owned.work())
     }
 }
+
+/// Tells the former owner of a job its new row, and returns the work that it had not stored.
+async fn ask(address: SocketAddr, id: &str, job: &Job) -> Option<Work> {
+    let question = Question { job: id.to_owned(), version: job.version, row: job.row.clone() };
+    let body = Body::new(serde_json::to_vec(&question).ok()?);
+    let exchange = question::send(address, Request::post(PATH), body, MAX_ANSWER_BYTES);
+    timeout(EXCHANGE_TIMEOUT, exchange).await.ok()?
+}
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -244,10 +244,11 @@
     Ok(found.map(|found| Response::new(Body::new(found.body.clone()))))
 }
 
-async fn end(shared: &Arc<Shared>, dispatcher: &Dispatcher, id: &str) -> Response<Body> {
+async fn end(shared: &Arc<Shared>, dispatcher: &Arc<Dispatcher>, id: &str) -> Response<Body> {
     match store::end(shared, id).await {
         Ok(true) => {
             dispatcher.release(id, "its caller ended it");
+            dispatcher.notify_end(id);
             online::empty(StatusCode::OK)
         }
         Ok(false) => online::empty(StatusCode::NOT_FOUND),
--- a/tests/relay_handover.rs
+++ b/tests/relay_handover.rs
@@ -101,3 +101,26 @@
     }
     verify_that!(harness.events(0, "job_owned").len(), eq(1))
 }
+
+/// Time within which a job stops after its caller has ended it.
+const STOP_TIME: Duration = Duration::from_secs(3);
+
+/// Guards against an owner that does not learn from the store that a caller has ended the job at another relay,
+/// and goes on with its items until it reaches the store again.
+#[gtest]
+#[tokio::test]
+async fn ended_job() -> Result<()> {
+    let harness = Harness::start_linked(3).await?;
+    sleep(CONTACT_TIME).await;
+    harness.submit(0, "j-1", 2, 2_000).await?;
+    harness
+        .eventually("runs of the job", async || (runs(&harness).len() >= 2).then_some(()))
+        .await?;
+    harness.refuse_relay(0, true);
+    sleep(Duration::from_millis(300)).await;
+    expect_that!(harness.end_job(1, "j-1").await?.status, eq(200));
+    sleep(STOP_TIME).await;
+    let released = harness.events(0, "job_released");
+    expect_that!(released.len(), eq(1));
+    verify_that!(runs(&harness).len(), eq(2))
+}
