--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -226,7 +226,7 @@
     /// have arrived meanwhile. Fields: `pause_ms`.
     1216 Warn RelayPaused "relay_paused" "relay got no processor time",
     /// An attempt at an upstream is silent, and another upstream is sought for the request, which goes on
-    /// until there is one. Fields: `request`, `upstream`, `quiet_ms` since anything arrived from the upstream.
+    /// until one accepts it. Fields: `request`, `upstream`, `quiet_ms` since anything arrived from the upstream.
     1217 Info AttemptSilent "attempt_silent" "upstream of an attempt is silent, and another one is sought",
 
     /// The change feed of a table in the store cannot be read. Fields: `table`, `error`, `version`.
