--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -185,7 +185,7 @@
         if is_waiting {
             return vec![(from, Answer::Queued { ticket, load })];
         }
-        if ask.software.is_some() && self.accepting(&ask).next().is_none() {
+        if ask.is_restricted() && self.accepting(&ask).next().is_none() {
             return vec![(from, Answer::Refused { ticket, load })];
         }
         let start_by = now + ask.start_within;
--- a/components/control/tests/relay_broker.rs
+++ b/components/control/tests/relay_broker.rs
@@ -353,6 +353,14 @@
     expect_that!(is_refused(&outgoing, 1), eq(true));
 }
 
+/// Guards against a request that waits although it may be sent to none of the upstreams.
+#[gtest]
+fn avoided_upstreams() {
+    let mut broker = broker(2);
+    let outgoing = broker.ask(NOW, Holder(1), Ask { avoid: [0, 1].into(), ..ask(1) });
+    expect_that!(is_refused(&outgoing, 1), eq(true));
+}
+
 /// Guards against requests that all go to failed upstreams because these have free slots: while the
 /// others are full, requests wait, and after the relay that reported the failure has forgotten it, a
 /// single request tries the upstream.
--- a/components/relay/src/learned.rs
+++ b/components/relay/src/learned.rs
@@ -71,10 +71,12 @@
                 told.by = by;
             }
         }
-        for news in &ack.paces {
+        // A former broker does not know what happened since.
+        let is_broker = |upstream: u32| self.broker_of(upstream).is_none_or(|broker| broker == by);
+        for news in ack.paces.iter().filter(|news| is_broker(news.upstream)) {
             state.paces.insert(news.upstream, Told { news: *news, at: now, by });
         }
-        for news in &ack.speeds {
+        for news in ack.speeds.iter().filter(|news| is_broker(news.upstream)) {
             state.speeds.insert(news.upstream, Told { news: *news, at: now, by });
         }
     }
