Do not search all upstreams for each pace and speed that a broker told

Each acknowledgement looked up the shard of every known speed, which counts all upstreams of the deployment. The shard is now kept with what was told.

--- a/components/relay/src/learned.rs
+++ b/components/relay/src/learned.rs
@@ -24,10 +24,11 @@
 /// The speeds are in every such acknowledgement, since they change slowly.
 const SPEED_PERIOD: u64 = 64;
 
-/// News with the time at which they arrived and the broker that sent them.
+/// News with the shard of the upstream, the time at which they arrived and the broker that sent them.
 #[derive(Clone, Copy, Debug)]
 struct Told<T> {
     news: T,
+    shard: u32,
     at: Time,
     by: SocketAddr,
 }
@@ -60,24 +61,32 @@
 
     /// Takes over what a broker tells of its upstreams.
     pub fn learn(&self, by: SocketAddr, ack: &Ack, now: Time) {
+        let brokers = self.broker_addresses();
+        let shard_of = |upstream: u32| self.selector().shard_of(upstream);
+        // A former broker does not know what happened since.
+        let is_broker = |shard: u32| brokers.get(&shard).is_none_or(|broker| *broker == by);
         let mut state = self.learned.state();
-        state.paces.retain(|upstream, told| {
-            now.since(told.at) < MAX_PACE_AGE && self.broker_of(*upstream) != Some(by)
+        state.paces.retain(|_, told| {
+            now.since(told.at) < MAX_PACE_AGE && brokers.get(&told.shard) != Some(&by)
         });
         state.speeds.retain(|_, told| now.since(told.at) < MAX_SPEED_AGE);
         for told in state.speeds.values_mut() {
-            if self.broker_of(told.news.upstream) == Some(by) {
+            if brokers.get(&told.shard) == Some(&by) {
                 // It was sent what this relay knows, and has learned the rest itself.
                 told.by = by;
             }
         }
-        // A former broker does not know what happened since.
-        let is_broker = |upstream: u32| self.broker_of(upstream).is_none_or(|broker| broker == by);
-        for news in ack.paces.iter().filter(|news| is_broker(news.upstream)) {
-            state.paces.insert(news.upstream, Told { news: *news, at: now, by });
+        for news in &ack.paces {
+            let shard = shard_of(news.upstream).filter(|shard| is_broker(*shard));
+            if let Some(shard) = shard {
+                state.paces.insert(news.upstream, Told { news: *news, shard, at: now, by });
+            }
         }
-        for news in ack.speeds.iter().filter(|news| is_broker(news.upstream)) {
-            state.speeds.insert(news.upstream, Told { news: *news, at: now, by });
+        for news in &ack.speeds {
+            let shard = shard_of(news.upstream).filter(|shard| is_broker(*shard));
+            if let Some(shard) = shard {
+                state.speeds.insert(news.upstream, Told { news: *news, shard, at: now, by });
+            }
         }
     }
 
@@ -89,23 +98,26 @@
         (pace, speed.map(|told| f64::from(told.news.slowness_milli) / 1_000.0))
     }
 
-    /// Adds what other brokers told to a message to the broker at an address.
-    pub fn add_told(&self, to: SocketAddr, sync: &mut Sync, now: Time) {
+    /// Adds what other brokers told to a message to the broker at an address. `brokers` are those that this relay
+    /// uses, by shard.
+    pub fn add_told(
+        &self,
+        to: SocketAddr,
+        brokers: &BTreeMap<u32, SocketAddr>,
+        sync: &mut Sync,
+        now: Time,
+    ) {
         let state = self.learned.state();
-        let is_for =
-            |upstream: u32, by: SocketAddr| by != to && self.broker_of(upstream) == Some(to);
-        let paces = state.paces.iter().filter(|(upstream, told)| is_for(**upstream, told.by));
-        sync.paces.extend(paces.map(|(_, told)| {
+        let is_for = |shard: u32, by: SocketAddr| by != to && brokers.get(&shard) == Some(&to);
+        let paces = state.paces.values().filter(|told| is_for(told.shard, told.by));
+        sync.paces.extend(paces.map(|told| {
             let elapsed = now.since(told.at);
             let pause = told.news.pause.saturating_sub(elapsed);
             pace::News { pause, age: told.news.age + elapsed, ..told.news }
         }));
-        let speeds = state.speeds.iter().filter(|(upstream, told)| is_for(**upstream, told.by));
+        let speeds = state.speeds.values().filter(|told| is_for(told.shard, told.by));
         sync.speeds.extend(
-            speeds.map(|(_, told)| speed::News {
-                age: told.news.age + now.since(told.at),
-                ..told.news
-            }),
+            speeds.map(|told| speed::News { age: told.news.age + now.since(told.at), ..told.news }),
         );
     }
 }
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -505,10 +505,10 @@
         }
     }
 
-    /// Returns the address of the broker that this relay uses for an upstream.
-    pub fn broker_of(&self, upstream: u32) -> Option<SocketAddr> {
-        let shard = self.selector().shard_of(upstream)?;
-        self.slots.state().brokers.get(&shard).map(|broker| broker.address)
+    /// Returns the addresses of the brokers that this relay uses, by shard.
+    pub fn broker_addresses(&self) -> BTreeMap<u32, SocketAddr> {
+        let state = self.slots.state();
+        state.brokers.iter().map(|(shard, broker)| (*shard, broker.address)).collect()
     }
 
     /// Returns the relays, with their addresses, that serve a key for all others.
@@ -597,8 +597,9 @@
             }
         }
         drop(state);
+        let addresses = self.broker_addresses();
         for (address, (_, sync)) in &mut syncs {
-            self.add_told(*address, sync, now);
+            self.add_told(*address, &addresses, sync, now);
         }
         syncs
     }
