Limit started upstreams only where this relay is their broker

A list of thousands of upstreams arrives in parts, so every relay limited up to half of them and named all of these in each acknowledgement. Test: growing_list fails before.

--- a/components/control/src/relay/broker/measuring.rs
+++ b/components/control/src/relay/broker/measuring.rs
@@ -5,14 +5,19 @@
 use super::{Broker, Class, Holder, Measure, Outgoing, Place, pace, speed, speed::Sample};
 use crate::time::Time;
 
+/// Largest number of paces in one acknowledgement, which goes to every relay twice a second.
+const MAX_NEWS: usize = 64;
+
 impl Broker {
-    /// Limits the upstreams that were not listed before. When most of a shard is new, this broker has just begun
-    /// and nothing says that they have started.
+    /// Limits the upstreams that were not listed before, in the shards for which this broker is asked. When most of a
+    /// shard is new, this broker has just begun and nothing says that they have started.
     pub(super) fn limit_started(&mut self, former: &BTreeMap<u32, Place>) {
         let is_new = |place: &Place| {
             former.get(&place.upstream).is_none_or(|former| former.start != place.start)
         };
-        for upstreams in self.by_shard.values() {
+        // A list that is read in parts would else have most upstreams of a large fleet limited at each relay.
+        let asked = self.by_shard.iter().filter(|(shard, _)| self.contacts.contains_key(shard));
+        for (_, upstreams) in asked {
             let places = upstreams.iter().filter_map(|upstream| self.places.get(upstream));
             let started: Vec<u32> =
                 places.filter(|place| is_new(place)).map(|place| place.upstream).collect();
@@ -48,9 +53,16 @@
         self.fill_all(now, shards)
     }
 
-    /// Returns what is known of the paces of upstreams, for a broker that takes this one's place.
+    /// Returns what is known of the paces of upstreams, for a broker that takes this one's place: those of the shards
+    /// for which this one is asked. There are few, since reports that name more than half of a shard are ignored.
     pub fn paces(&self, now: Time) -> Vec<pace::News> {
-        self.paces.news(now)
+        let mut news = self.paces.news(now);
+        news.retain(|news| {
+            let place = self.places.get(&news.upstream);
+            place.is_some_and(|place| self.contacts.contains_key(&place.shard))
+        });
+        news.truncate(MAX_NEWS);
+        news
     }
 
     /// Returns what is known of the speeds of upstreams, for a broker that takes this one's place.
--- a/components/control/tests/relay_pace.rs
+++ b/components/control/tests/relay_pace.rs
@@ -236,3 +236,16 @@
     next.broker.sync(now, Holder(4), Sync { paces, ..Sync::default() });
     expect_that!(next.ask(now, 20).len(), eq(1));
 }
+
+/// Guards against a relay that is asked for no slots, and limits the upstreams of a list that it reads in parts: it
+/// would name thousands of them in each acknowledgement.
+#[gtest]
+fn growing_list() {
+    let mut broker = Broker::new();
+    for count in 1..=40 {
+        broker.set_places((0..count * 100).map(|id| Place { shard: id / 64, ..place(id, 0) }));
+        broker.tick(NOW);
+        broker.sync(NOW, RELAY, Sync::default());
+    }
+    expect_that!(broker.paces(NOW), is_empty());
+}
