--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -2,7 +2,7 @@
 
 All of them run in one asyncio loop. The relays are separate processes, started with the command of the deploy file.
 """
-import asyncio, base64, json, os, shutil, signal, socket, subprocess, sys, tempfile, time, uuid
+import asyncio, base64, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, uuid
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -10,26 +10,20 @@
 HOST = "ficu95.example"
 
 
-def free_port(udp=False):
-    s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM if udp else socket.SOCK_STREAM)
-    s.bind(("127.0.0.1", 0))
-    port = s.getsockname()[1]
-    s.close()
-    return port
+PORTS = iter(random.sample(range(12000, 32000), 2000))  # below the ports of outgoing channels
 
 
-def free_peer_port():
+def free_port():
     """A port that is free for TCP and for UDP."""
-    while True:
-        port = free_port()
-        s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            s.bind(("127.0.0.1", port))
-            return port
-        except OSError:
-            continue
-        finally:
-            s.close()
+    for port in PORTS:
+        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    raise RuntimeError("no free port")
 
 
 class Record:
@@ -333,7 +327,7 @@
 
     def __init__(self, world, name, zone="ktm-a", memory_mb=130, extra=None):
         self.world, self.name, self.zone, self.memory_mb, self.extra = world, name, zone, memory_mb, extra or {}
-        self.front, self.ready, self.metrics, self.peer = free_port(), free_port(), free_port(), free_peer_port()
+        self.front, self.ready, self.metrics, self.peer = free_port(), free_port(), free_port(), free_port()
         self.path = os.path.join(world.folder, f"{name}.json")
         self.log = open(os.path.join(world.folder, f"{name}.log"), "ab")
         self.process = None
