Keep a result that the store refuses from holding up its job

The owner sent the same transaction again about 50 times a second without end.

Cause: the size of a row was estimated from its text as if JSON at most doubled it, and a refusal for the content counted as an unknown outcome, after which the same transaction followed at once with all pending results in it. Texts of unfinished items, transactions, pages and passed work used the same estimate. Rows of jobs and items with long ids were accepted and never stored.

Change: sizes are counted as they are written. A refusal for the content is an outcome of its own: the results of such a transaction are stored one by one after the others, a text that is refused alone as an object, with a pause between two refusals. An outcome that stays unknown is repeated with the same pause. What no row can hold is rejected with 400 when it is submitted.

Ruled out: that the runner's answer itself breaks the job: all events arrive and the item ends as completed.

--- a/components/control/src/relay/results.rs
+++ b/components/control/src/relay/results.rs
@@ -5,6 +5,8 @@
 //! later time. The owner therefore reads the committed results again and continues after them; the
 //! late write then fails because its first position is taken.
 
+use std::collections::BTreeMap;
+
 use crate::relay::job::{FinalState, Progress, RunFailure};
 
 /// Result of an item.
@@ -35,13 +37,17 @@
     progress: Progress,
     pending: Vec<Entry>,
     committed: usize,
+    /// Items whose results were in a transaction that the store refused for its content, with the number of
+    /// transactions that had no other result.
+    refused: BTreeMap<usize, u32>,
 }
 
 impl Results {
     /// Creates the results of a job whose first results belong to the items `committed`, in this
     /// order.
     pub fn new(progress: Progress, committed: &[usize]) -> Self {
-        let mut results = Self { progress, pending: Vec::new(), committed: 0 };
+        let mut results =
+            Self { progress, pending: Vec::new(), committed: 0, refused: BTreeMap::new() };
         results.reconcile(committed);
         results
     }
@@ -101,12 +107,17 @@
         items.len()
     }
 
-    /// Returns the results that are not committed, without those that exceed `max_bytes` of text in all.
-    pub fn uncommitted_entries(&self, max_bytes: usize) -> Vec<Entry> {
-        let mut bytes = 0;
+    /// Returns the results that are not committed, without those that exceed `max_bytes` in all by `size`.
+    pub fn uncommitted_entries(
+        &self,
+        max_bytes: usize,
+        size: impl Fn(&Entry) -> usize,
+    ) -> Vec<Entry> {
+        let mut bytes: usize = 0;
         let fitting = self.pending.iter().filter(|entry| {
-            let fits = bytes + entry.text.len() <= max_bytes;
-            bytes += if fits { entry.text.len() } else { 0 };
+            let with_entry = bytes.saturating_add(size(entry));
+            let fits = with_entry <= max_bytes;
+            bytes = if fits { with_entry } else { bytes };
             fits
         });
         fitting.cloned().collect()
@@ -136,24 +147,64 @@
         self.pending.push(Entry { item, state, text });
     }
 
-    /// Returns the results to commit next: at most `max_results` with `max_bytes` of text, but at
-    /// least one if any is pending.
-    pub fn next_batch(&self, max_results: usize, max_bytes: usize) -> Batch {
-        let mut bytes = 0;
-        let fitting = self.pending.iter().take(max_results).take_while(|result| {
+    /// Returns the results to commit next: at most `max_results` of `max_bytes` in all by `size`, but at least
+    /// one if any is pending. Results that were refused follow after all others, one by one, so that no
+    /// other result fails with them.
+    pub fn next_batch(
+        &self,
+        max_results: usize,
+        max_bytes: usize,
+        size: impl Fn(&Entry) -> usize,
+    ) -> Batch {
+        let mut bytes: usize = 0;
+        let sound = self.pending.iter().filter(|entry| !self.refused.contains_key(&entry.item));
+        let fitting = sound.take(max_results).take_while(|entry| {
             let is_first = bytes == 0;
-            bytes += result.text.len() + 1;
+            bytes = bytes.saturating_add(size(entry).max(1));
             is_first || bytes <= max_bytes
         });
-        let entries: Vec<Entry> = fitting.cloned().collect();
+        let mut entries: Vec<Entry> = fitting.cloned().collect();
+        if entries.is_empty() {
+            entries.extend(self.pending.first().cloned());
+        }
         let is_last = self.progress.is_done() && entries.len() == self.pending.len();
         Batch { from: self.committed, entries, is_last }
     }
 
+    /// Records that the store refused a transaction for its content.
+    pub fn record_refusal(&mut self, batch: &Batch) {
+        let is_alone = batch.entries.len() == 1;
+        for entry in &batch.entries {
+            *self.refused.entry(entry.item).or_default() += u32::from(is_alone);
+        }
+        if let [entry] = batch.entries.as_slice() {
+            // The others are tried before it comes again.
+            self.pending.sort_by_key(|pending| pending.item == entry.item);
+        }
+    }
+
+    /// Whether the store refused a transaction with the result of an item.
+    pub fn was_refused(&self, item: usize) -> bool {
+        self.refused.contains_key(&item)
+    }
+
+    /// Returns how often the store refused the result of an item alone.
+    pub fn refusals(&self, item: usize) -> u32 {
+        self.refused.get(&item).copied().unwrap_or(0)
+    }
+
+    /// Whether the store may take more of the pending results now: some were not refused alone.
+    pub fn is_storable(&self) -> bool {
+        self.pending.iter().any(|entry| self.refusals(entry.item) == 0)
+    }
+
     /// Records that a transaction took effect.
     pub fn record_commit(&mut self, batch: &Batch) {
         self.committed = batch.from + batch.entries.len();
         self.pending.retain(|pending| !batch.entries.contains(pending));
+        for entry in &batch.entries {
+            self.refused.remove(&entry.item);
+        }
     }
 
     /// Replaces the committed results with those read from the store, after a transaction whose
--- a/components/control/tests/relay_results.rs
+++ b/components/control/tests/relay_results.rs
@@ -18,6 +18,11 @@
 /// Failures after which an item is abandoned.
 const MAX_FAILURES: u32 = 3;
 
+/// Returns the size of the text of a result.
+fn text_bytes(entry: &Entry) -> usize {
+    entry.text.len()
+}
+
 /// A transaction that commits results.
 #[derive(Clone, Debug)]
 struct Write {
@@ -134,7 +139,8 @@
     fn commit(&mut self, relay: usize, has_faults: bool) {
         let max_results = self.random.random_range(1..4);
         let Some((version, results)) = &self.relays[relay].owned else { return };
-        let write = Write { version: *version, batch: results.next_batch(max_results, 1_000) };
+        let write =
+            Write { version: *version, batch: results.next_batch(max_results, 1_000, text_bytes) };
         if write.batch.entries.is_empty() && !write.batch.is_last {
             return;
         }
@@ -203,7 +209,7 @@
             && let Some((_, passed)) = self.relays[former].owned.take()
         {
             self.relays[former].running.clear();
-            results.adopt(passed.uncommitted_entries(1_000));
+            results.adopt(passed.uncommitted_entries(1_000, text_bytes));
         }
         self.relays[relay].owned = Some((self.store.version, results));
         self.relays[relay].running.clear();
@@ -279,11 +285,43 @@
         results.start(item);
         results.complete(item, "x".repeat(600));
     }
-    expect_that!(results.next_batch(10, 1_000).entries.len(), eq(1));
-    expect_that!(results.next_batch(10, 100).entries.len(), eq(1));
-    expect_that!(results.next_batch(3, 10_000).entries.len(), eq(3));
-    expect_that!(results.next_batch(3, 10_000).is_last, eq(false));
-    expect_that!(results.next_batch(4, 10_000).is_last, eq(true));
+    expect_that!(results.next_batch(10, 1_000, text_bytes).entries.len(), eq(1));
+    expect_that!(results.next_batch(10, 100, text_bytes).entries.len(), eq(1));
+    expect_that!(results.next_batch(3, 10_000, text_bytes).entries.len(), eq(3));
+    expect_that!(results.next_batch(3, 10_000, text_bytes).is_last, eq(false));
+    expect_that!(results.next_batch(4, 10_000, text_bytes).is_last, eq(true));
+}
+
+/// Guards against a refused result that holds up the others, is tried with them again, or is lost.
+#[gtest]
+fn refused_results() {
+    let mut results = Results::new(Progress::new(4, 1), &[]);
+    for item in 0..4 {
+        results.start(item);
+        results.complete(item, format!("text of {item}"));
+    }
+    let items = |batch: &Batch| batch.entries.iter().map(|entry| entry.item).collect::<Vec<_>>();
+    let first = results.next_batch(3, 1_000, text_bytes);
+    results.record_refusal(&first);
+    // The fourth one was not refused.
+    let sound = results.next_batch(3, 1_000, text_bytes);
+    expect_that!(items(&sound), elements_are![eq(&3)]);
+    results.record_commit(&sound);
+    for item in [0, 1, 2] {
+        let alone = results.next_batch(3, 1_000, text_bytes);
+        expect_that!(items(&alone), elements_are![eq(&item)]);
+        expect_that!(results.is_storable(), is_true());
+        match item {
+            1 => results.record_refusal(&alone),
+            _ => results.record_commit(&alone),
+        }
+    }
+    expect_that!(results.refusals(1), eq(1));
+    expect_that!(results.is_storable(), is_false());
+    let last = results.next_batch(3, 1_000, text_bytes);
+    expect_that!((items(&last), last.from, last.is_last), eq(&(vec![1], 3, true)));
+    results.record_commit(&last);
+    expect_that!((results.is_committed(), results.refusals(1)), eq((true, 0)));
 }
 
 /// Guards against results of a former owner that replace those in the store, change the count of failures
@@ -298,17 +336,17 @@
     former.start(1);
     expect_that!(former.record_failure(1, RunFailure::Failed), eq(false));
     let mut results = Results::new(Progress::new(4, 3).with_failures(1, 2), &[2]);
-    let outside = Entry { item: 9, ..former.uncommitted_entries(1_000)[0].clone() };
-    let passed = former.uncommitted_entries(1_000).into_iter().chain([outside]);
+    let outside = Entry { item: 9, ..former.uncommitted_entries(1_000, text_bytes)[0].clone() };
+    let passed = former.uncommitted_entries(1_000, text_bytes).into_iter().chain([outside]);
     expect_that!(results.adopt(passed), eq(1));
     expect_that!(results.raise_failures(1, former.progress().failures(1)), eq(false));
     expect_that!(results.raise_failures(9, 1), eq(false));
     expect_that!(results.progress().failures(1), eq(2));
-    let batch = results.next_batch(10, 1_000);
+    let batch = results.next_batch(10, 1_000, text_bytes);
     expect_that!(batch.from, eq(1));
     let listed: Vec<(usize, &str)> =
         batch.entries.iter().map(|entry| (entry.item, entry.text.as_str())).collect();
     expect_that!(listed, eq(&[(0, "text of 0")]));
     expect_that!(results.progress().waiting().collect::<Vec<_>>(), eq(&[1, 3]));
-    expect_that!(former.uncommitted_entries(10).len(), eq(1), "texts of nine bytes");
+    expect_that!(former.uncommitted_entries(10, text_bytes).len(), eq(1), "texts of nine bytes");
 }
--- a/components/daemon/src/instrumented.rs
+++ b/components/daemon/src/instrumented.rs
@@ -67,6 +67,7 @@
             Err(Error::RateLimited) => "limited",
             Err(Error::OutcomeUnknown(_)) => "unknown",
             Err(Error::Protocol(_)) => "protocol",
+            Err(Error::Rejected(_)) => "rejected",
             Err(Error::HistoryLost(_)) => "history_lost",
         };
         let service = self.name;
--- a/components/platform/src/error.rs
+++ b/components/platform/src/error.rs
@@ -11,6 +11,8 @@
     RateLimited,
     /// the platform did not confirm a write, which may have taken effect: {0}
     OutcomeUnknown(String),
+    /// the platform refused the call for what it holds, and would refuse it again: {0}
+    Rejected(String),
     /// the platform's answer is invalid: {0}
     Protocol(String),
     /// the platform no longer has the changes since version {0}
@@ -23,7 +25,9 @@
     /// Returns whether the write that failed with this error may have taken effect.
     pub const fn may_have_taken_effect(&self) -> bool {
         match self {
-            Self::Unreachable(_) | Self::RateLimited | Self::HistoryLost(_) => false,
+            Self::Unreachable(_) | Self::RateLimited | Self::HistoryLost(_) | Self::Rejected(_) => {
+                false
+            }
             Self::OutcomeUnknown(_) | Self::Protocol(_) => true,
         }
     }
--- a/components/platform/src/transport.rs
+++ b/components/platform/src/transport.rs
@@ -341,7 +341,12 @@
     /// body.
     pub fn unexpected(&self) -> Error {
         let body = String::from_utf8_lossy(&self.body[..self.body.len().min(200)]).into_owned();
-        Error::Protocol(format!("unexpected status {}: {body}", self.status))
+        let text = format!("unexpected status {}: {body}", self.status);
+        // A timeout says nothing of the content of the call.
+        match self.status.is_client_error() && self.status != StatusCode::REQUEST_TIMEOUT {
+            true => Error::Rejected(text),
+            false => Error::Protocol(text),
+        }
     }
 }
 
--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -10,22 +10,29 @@
     Error,
     table::{Commit, Transaction},
 };
-use cyclamengrade_telemetry::{event, metrics::RELAY_RESULTS};
+use cyclamengrade_telemetry::{
+    event,
+    metrics::{RELAY_RESULTS, RELAY_TRANSACTIONS_REJECTED},
+};
 use metrics::counter;
 use tokio::time::sleep;
 
 use crate::{
     batch::{Dispatcher, dispatcher::MIN_UNSAVED_EVENTS, owned::Owned},
-    job::{key, row, store},
+    job::{
+        key, row,
+        size::{self, encoded_bytes},
+        store,
+    },
     shared::{Job, lock},
 };
 
 /// Largest number of results in one transaction; at most half as many texts of unfinished items are
 /// added. The store limits a transaction to 100 entries, and a result takes two of them.
 const MAX_RESULTS_PER_COMMIT: usize = 36;
-/// Largest number of bytes of text in one transaction. The store's limit is 1 MB, and the encoding
-/// adds to the text.
-const MAX_COMMIT_BYTES: usize = 400 << 10;
+/// Largest number of bytes of the rows with texts in one transaction. The store's limit is 1 MB, and base64
+/// adds a third.
+const MAX_COMMIT_BYTES: usize = 500 << 10;
 /// Backoff after the first failed commit; doubled for each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after a failed commit.
@@ -50,6 +57,8 @@
     Unknown,
     /// Nothing was stored.
     Failed(Error),
+    /// Nothing was stored, and the same transaction would be refused again.
+    Rejected(Error),
 }
 
 impl Dispatcher {
@@ -68,12 +77,13 @@
 
     async fn commit_all(&self, id: &str) {
         let mut backoff = MIN_BACKOFF;
+        let mut was_unknown = false;
         while let Some(write) = self.next_write(id) {
             let Batch { from, is_last, .. } = write.results;
             let count = write.results.entries.len();
             match self.store(id, &write).await {
                 Outcome::Stored(version) => {
-                    backoff = MIN_BACKOFF;
+                    (backoff, was_unknown) = (MIN_BACKOFF, false);
                     self.record_stored(id, &write, version);
                     counter!(RELAY_RESULTS).increment(count as u64);
                     if count > 0 {
@@ -92,8 +102,12 @@
                     }
                 }
                 Outcome::Unknown => {
-                    if let Err(error) = self.resync(id).await {
+                    let resynced = self.resync(id).await;
+                    if let Err(error) = &resynced {
                         event!(ResultsWaiting, job:% = id, error:% = error);
+                    }
+                    // One lost reply is no reason to wait.
+                    if resynced.is_err() || std::mem::replace(&mut was_unknown, true) {
                         sleep(backoff).await;
                         backoff = (backoff * 2).min(MAX_BACKOFF);
                     }
@@ -103,6 +117,13 @@
                     sleep(backoff).await;
                     backoff = (backoff * 2).min(MAX_BACKOFF);
                 }
+                Outcome::Rejected(error) => {
+                    counter!(RELAY_TRANSACTIONS_REJECTED).increment(1);
+                    event!(ResultsRejected, job:% = id, count = count, error:% = error);
+                    self.record_rejection(id, &write);
+                    sleep(backoff).await;
+                    backoff = (backoff * 2).min(MAX_BACKOFF);
+                }
             }
         }
     }
@@ -112,11 +133,16 @@
     fn next_write(&self, id: &str) -> Option<Write> {
         let mut jobs = self.jobs();
         let owned = jobs.get_mut(id)?;
-        let results = owned.results.next_batch(MAX_RESULTS_PER_COMMIT, MAX_COMMIT_BYTES);
-        let bytes: usize = results.entries.iter().map(|entry| entry.text.len()).sum();
+        let max_row_bytes = size::max_row_bytes(&self.shared);
+        // A text that does not fit into its row is stored as an object.
+        let size = |entry: &Entry| encoded_bytes(&entry.text).min(max_row_bytes);
+        let results = owned.results.next_batch(MAX_RESULTS_PER_COMMIT, MAX_COMMIT_BYTES, size);
+        let bytes: usize = results.entries.iter().map(size).sum();
         let progress = owned.results.progress();
-        let failures = owned.failures_changed.then(|| failures_row(progress, owned.items.len()));
-        let partials = match std::mem::take(&mut owned.save_requested) {
+        let is_sound = results.entries.iter().all(|entry| !owned.results.was_refused(entry.item));
+        let failures =
+            (owned.failures_changed && is_sound).then(|| failures_row(progress, owned.items.len()));
+        let partials = match is_sound && std::mem::take(&mut owned.save_requested) {
             true => {
                 self.partials(owned, MIN_UNSAVED_EVENTS, MAX_COMMIT_BYTES.saturating_sub(bytes))
             }
@@ -128,7 +154,7 @@
             owned.committing = false;
             return None;
         }
-        owned.failures_changed = false;
+        owned.failures_changed &= failures.is_none();
         let row = match results.is_last {
             true => Some(owned.job.row.done()),
             false if results.entries.is_empty() => None,
@@ -163,9 +189,10 @@
         max_bytes: usize,
     ) -> Vec<(usize, row::Partial)> {
         let mut bytes = 0;
-        let unsaved = owned.unsaved(min_events, self.shared.row_bytes / 2).into_iter();
+        let max_row_bytes = size::max_row_bytes(&self.shared);
+        let unsaved = owned.unsaved(min_events, max_row_bytes).into_iter();
         let fitting = unsaved.take_while(|(_, partial)| {
-            bytes += partial.text.len();
+            bytes += encoded_bytes(partial);
             bytes <= max_bytes
         });
         fitting.take(MAX_RESULTS_PER_COMMIT / 2).collect()
@@ -183,8 +210,15 @@
             Write { job: owned.job.clone(), results, failures: None, row: None, partials }
         };
         if !write.partials.is_empty() {
-            // A conflict is ignored: it means that the job has ended or belongs to another relay.
-            self.try_store(id, &write).await?;
+            match self.try_store(id, &write).await {
+                // A conflict is ignored: it means that the job has ended or belongs to another relay.
+                Ok(_) => {}
+                // Without the texts, the next owner repeats the runs.
+                Err(error @ Error::Rejected(_)) => {
+                    event!(ResultsRejected, job:% = id, count = 0, error:% = error);
+                }
+                Err(error) => return Err(error),
+            }
         }
         Ok(())
     }
@@ -196,6 +230,7 @@
             }
             Ok(Commit::Conflict { .. }) => Outcome::Unknown,
             Err(error) if error.may_have_taken_effect() => Outcome::Unknown,
+            Err(error @ Error::Rejected(_)) => Outcome::Rejected(error),
             Err(error) => {
                 self.mark_failures_unstored(id, write);
                 Outcome::Failed(error)
@@ -229,17 +264,21 @@
     /// Returns the row of a result. A text that does not fit into the row is stored as an object
     /// first.
     async fn result_row(&self, id: &str, pending: &Entry) -> Result<row::Outcome, Error> {
-        let item = {
+        let found = {
             let jobs = self.jobs();
-            jobs.get(id).and_then(|owned| owned.items.get(pending.item)).map(|item| item.id.clone())
+            jobs.get(id).and_then(|owned| {
+                let item = owned.items.get(pending.item)?.id.clone();
+                Some((item, owned.results.refusals(pending.item)))
+            })
         };
-        let item = item
+        let (item, refusals) = found
             .ok_or_else(|| Error::Unreachable(format!("job {id} was released during a commit")))?;
         let state = pending.state.into();
-        // JSON escapes at most double the length of an ordinary text; longer texts become objects.
-        if pending.text.len() <= self.shared.row_bytes / 2 {
-            let text = Some(pending.text.clone());
-            return Ok(row::Outcome { item, state, text, object: None });
+        let text = Some(pending.text.clone());
+        let whole = row::Outcome { item: item.clone(), state, text, object: None };
+        let is_accepted = refusals == 0 || pending.text.is_empty();
+        if is_accepted && size::fits_row(&self.shared, &whole) {
+            return Ok(whole);
         }
         let object = key::text(id, pending.item);
         let text = pending.text.clone().into();
@@ -247,6 +286,7 @@
         let put = self.shared.objects.put_new(object.clone(), text).await;
         match put {
             Ok(_) => Ok(row::Outcome { item, state, text: None, object: Some(object) }),
+            Err(error @ Error::Rejected(_)) => Err(error),
             // The transaction is not sent, so the error must be one of a write without effect.
             Err(error) => Err(Error::Unreachable(error.to_string())),
         }
@@ -268,6 +308,20 @@
         }
     }
 
+    /// Separates what the store refuses for its content from what it may take.
+    fn record_rejection(&self, id: &str, write: &Write) {
+        self.mark_failures_unstored(id, write);
+        let mut jobs = self.jobs();
+        let Some(owned) = jobs.get_mut(id) else { return };
+        owned.results.record_refusal(&write.results);
+        for (item, partial) in &write.partials {
+            // Not stored again before the text has grown.
+            if let Some(transcript) = owned.transcripts.get(item) {
+                lock(transcript).saved = Some(partial.last);
+            }
+        }
+    }
+
     fn mark_failures_unstored(&self, id: &str, write: &Write) {
         if write.failures.is_some()
             && let Some(owned) = self.jobs().get_mut(id)
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -25,7 +25,7 @@
     },
     charge,
     dialect::Item,
-    job::row,
+    job::{row, size},
     shared::{Job, Phase, Shared, lock},
     successor::Successor,
 };
@@ -403,7 +403,7 @@
     /// Saves the unfinished texts that have enough new events, so that the next owner of a job can
     /// resume them.
     fn request_saves(self: &Arc<Self>) {
-        let max_bytes = self.shared.row_bytes / 2;
+        let max_bytes = size::max_row_bytes(&self.shared);
         let mut ids = Vec::new();
         for (id, owned) in self.jobs().iter_mut() {
             if owned.is_open() && !owned.unsaved(MIN_UNSAVED_EVENTS, max_bytes).is_empty() {
--- a/components/relay/src/batch/owned.rs
+++ b/components/relay/src/batch/owned.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     dialect::Item,
-    job::row::{self, Outcome},
+    job::{
+        row::{self, Outcome},
+        size::encoded_bytes,
+    },
     shared::{Job, lock},
 };
 
@@ -120,9 +123,12 @@
         self.job.row.state == row::State::Open
     }
 
-    /// Whether the result of every item that ended is committed.
-    pub const fn is_stored(&self) -> bool {
-        self.results.is_committed() && !self.committing
+    /// Whether the result of every item that ended is committed, except for those that the store refuses.
+    pub fn is_stored(&self) -> bool {
+        match self.results.is_committed() {
+            true => !self.committing,
+            false => !self.results.is_storable(),
+        }
     }
 
     /// Returns the tokens of the items without a committed result.
@@ -149,7 +155,7 @@
     }
 
     /// Returns the texts of unfinished items that have at least `min_events` new events since they
-    /// were last stored and are at most `max_bytes` long.
+    /// were last stored, if their rows have at most `max_bytes`.
     pub fn unsaved(&self, min_events: u64, max_bytes: usize) -> Vec<(usize, row::Partial)> {
         let texts = self.transcripts.iter().filter_map(|(item, transcript)| {
             let transcript = lock(transcript);
@@ -162,7 +168,7 @@
                 (*item, row::Partial { last, text, events, software })
             })
         });
-        texts.collect()
+        texts.filter(|(_, partial)| encoded_bytes(partial) <= max_bytes).collect()
     }
 
     /// Returns the number of events that an item has produced.
--- a/components/relay/src/batch/transfer.rs
+++ b/components/relay/src/batch/transfer.rs
@@ -17,7 +17,7 @@
 use crate::{
     batch::{Dispatcher, owned::Owned},
     body::Body,
-    job::{row, store},
+    job::{row, size::encoded_bytes, store},
     online::empty,
     question,
     shared::{Job, lock},
@@ -27,10 +27,10 @@
 pub const PATH: &str = "/job";
 /// Timeout of the exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest number of bytes of text in an answer. The items of further texts run again.
-const MAX_TEXT_BYTES: usize = 1 << 20;
-/// Limit on the bytes of an answer: JSON escapes at most double the length of an ordinary text.
-const MAX_ANSWER_BYTES: usize = 3 * MAX_TEXT_BYTES;
+/// Largest number of bytes of encoded texts in an answer. The items of further texts run again.
+const MAX_TEXT_BYTES: usize = 2 << 20;
+/// Limit on the bytes of an answer, with what is not text.
+const MAX_ANSWER_BYTES: usize = MAX_TEXT_BYTES + (1 << 20);
 /// Time after the end of a job by its caller in which its owner may turn out to be without the store. Other
 /// relays learn this within 2.5 s.
 const NOTICE_TIME: Duration = Duration::from_secs(3);
@@ -73,11 +73,13 @@
 impl Owned {
     /// Returns what is not in the store, with a limited number of bytes.
     fn work(&self) -> Work {
-        let entries = self.results.uncommitted_entries(MAX_TEXT_BYTES);
-        let mut bytes: usize = entries.iter().map(|entry| entry.text.len()).sum();
+        let size = |entry: &Entry| encoded_bytes(&entry.text);
+        let entries = self.results.uncommitted_entries(MAX_TEXT_BYTES, size);
+        let mut bytes: usize = entries.iter().map(size).sum();
         let texts = self.unsaved(1, MAX_TEXT_BYTES).into_iter().filter(|(_, partial)| {
-            let fits = bytes + partial.text.len() <= MAX_TEXT_BYTES;
-            bytes += if fits { partial.text.len() } else { 0 };
+            let with_text = bytes.saturating_add(encoded_bytes(&partial.text));
+            let fits = with_text <= MAX_TEXT_BYTES;
+            bytes = if fits { with_text } else { bytes };
             fits
         });
         let texts = texts.collect();
--- a/components/relay/src/front/jobs.rs
+++ b/components/relay/src/front/jobs.rs
@@ -17,8 +17,13 @@
     admission,
     batch::Dispatcher,
     body::Body,
-    dialect::JobCall,
-    job::{reservation::Reservation, row, store, store::Acceptance},
+    dialect::{Item, JobCall},
+    job::{
+        key,
+        reservation::Reservation,
+        row, size,
+        store::{self, Acceptance},
+    },
     online,
     shared::{Phase, Shared},
 };
@@ -53,6 +58,9 @@
         Ok(caller) => caller,
         Err(rejection) => return reject(rejection),
     };
+    if !key::is_storable(&id) {
+        return bad_request(&id, "the id of the job is too long");
+    }
     let limits = shared.routes.load().limits;
     let body = match admission::read_body(&shared.body_memory, body, &limits, BODY_TIMEOUT).await {
         Ok(body) => body,
@@ -63,6 +71,15 @@
         Ok(_) => return bad_request(&id, "too many items"),
         Err(cause) => return bad_request(&id, &cause),
     };
+    let result = |(position, item): (usize, &Item)| row::Outcome {
+        item: item.id.clone(),
+        state: row::FinalState::Abandoned,
+        text: None,
+        object: Some(key::text(&id, position)),
+    };
+    if !items.iter().enumerate().map(result).all(|result| size::fits_row(shared, &result)) {
+        return bad_request(&id, "the id of an item is too long");
+    }
     let tokens = items.iter().map(|item| item.tokens).fold(0, u64::saturating_add);
     let _reservation = match reserve(shared, &route, &id, &caller, tokens).await {
         Ok(reservation) => reservation,
@@ -90,6 +107,9 @@
         account: caller.account().map(|account| account.name.clone()),
         public: caller == Caller::Anonymous,
     };
+    if !size::fits_row(shared, &job) {
+        return bad_request(&id, "the host and the path are too long");
+    }
     let loading = dispatcher.begin_loading(&id);
     match store::accept(shared, &id, body.bytes.clone(), &job).await {
         Acceptance::Stored => {}
@@ -182,6 +202,9 @@
         JobCall::Results { job, .. } | JobCall::Item { job, .. } | JobCall::End { job } => job,
     };
     let id = id.clone();
+    if !key::is_storable(&id) {
+        return online::empty(StatusCode::NOT_FOUND);
+    }
     let job = match store::find(shared, &id).await {
         Ok(job) => job,
         Err(error) => return call_failed(shared, &id, &error),
--- a/components/relay/src/job/key.rs
+++ b/components/relay/src/job/key.rs
@@ -2,6 +2,8 @@
 
 use cyclamengrade_control::hash;
 
+use crate::job::size::MAX_KEY_BYTES;
+
 /// Table of the relays and the jobs, which every relay follows.
 pub const FLEET: &str = "fleet";
 /// Table of the results, which are read on demand.
@@ -103,6 +105,12 @@
     format!("texts-{id}-{item}")
 }
 
+/// Whether the rows of a job with this id have keys that the store takes.
+pub fn is_storable(id: &str) -> bool {
+    // A result has the longest key.
+    id.len() + "/000000".len() <= MAX_KEY_BYTES
+}
+
 fn part(id: &str) -> String {
     format!("jobs-{}", hash::stable(&[id]) % PARTS)
 }
--- a/components/relay/src/job/mod.rs
+++ b/components/relay/src/job/mod.rs
@@ -9,4 +9,5 @@
 pub mod key;
 pub mod reservation;
 pub mod row;
+pub mod size;
 pub mod store;
--- a/components/relay/src/job/store.rs
+++ b/components/relay/src/job/store.rs
@@ -14,7 +14,7 @@
 use crate::{
     dialect::{Item, Outcome, Page},
     directory::log_unusable,
-    job::{key, row},
+    job::{key, row, size::encoded_bytes},
     shared::{Job, Shared},
 };
 
@@ -22,9 +22,10 @@
 const RESULT_POLL_INTERVAL: Duration = Duration::from_millis(450);
 /// Largest number of rows of one read.
 const MAX_ROWS_PER_READ: usize = 100;
-/// Largest number of bytes of text in one page of results. A page with a single result may exceed
-/// it.
-const MAX_PAGE_BYTES: usize = 1 << 20;
+/// Largest number of bytes of one page of results. A page with a single result may exceed it.
+const MAX_PAGE_BYTES: usize = 1_000_000;
+/// Limit on the bytes of a result in a page without its id and text.
+const RESULT_BYTES: usize = 100;
 /// Delay before the writes of a submission are retried.
 const SUBMISSION_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Largest number of attempts to update a row that others change at the same time.
@@ -292,7 +293,7 @@
                 ));
             }
         };
-        bytes += text.len();
+        bytes += encoded_bytes(&text) + encoded_bytes(&row.item) + RESULT_BYTES;
         if bytes > MAX_PAGE_BYTES && !results.is_empty() {
             break;
         }
--- a/components/relay/src/origin/archive.rs
+++ b/components/relay/src/origin/archive.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    job::{key, row, store},
+    job::{key, row, size, store},
     shared::{MONITOR_KEY, MONITORS, Shared, lock},
 };
 
@@ -34,6 +34,8 @@
 const FLEET_WRITES_PER_S: u32 = 400;
 /// Limit on the streams in a row; those that may be continued for the longest time are kept.
 const MAX_STORED_STREAMS: usize = 1_000;
+/// Longest entry of a stream in a row, in bytes.
+const STREAM_BYTES: usize = 64;
 /// Time after which the origins in the store are read again for a stream that is not among them.
 const RELOAD_PERIOD: Duration = Duration::from_millis(500);
 /// Timeout of reading the origins, while a caller waits.
@@ -171,7 +173,7 @@
             })
             .collect();
         streams.sort_unstable_by_key(|(_, _, expires_ms)| std::cmp::Reverse(*expires_ms));
-        streams.truncate(MAX_STORED_STREAMS);
+        streams.truncate(MAX_STORED_STREAMS.min(size::max_row_bytes(self) / STREAM_BYTES));
         let value = store::encode(&row::Origins { streams })?;
         let write = Transaction::new().with_write(key::origins(&self.name), value);
         self.table.commit(write).await.map(|_| ())
--- a/components/relay/tests/job_schedules.rs
+++ b/components/relay/tests/job_schedules.rs
@@ -9,7 +9,7 @@
 use cyclamengrade_control::relay::{
     job::{Progress, RunFailure},
     owner::{Instance, Peer, should_take_over},
-    results::{Batch, Results},
+    results::{Batch, Entry, Results},
     submission::{Action, Submission, Write},
 };
 use cyclamengrade_relay::job::row::{Job, Owner, State};
@@ -26,6 +26,11 @@
 const ITEMS: usize = 6;
 const NAMES: [&str; 3] = ["vm-a", "vm-b", "vm-c"];
 
+/// Returns the size of the text of a result.
+fn text_bytes(entry: &Entry) -> usize {
+    entry.text.len()
+}
+
 /// A conditional write to the store.
 #[derive(Clone, Debug)]
 enum Change {
@@ -380,7 +385,7 @@
     fn commit(&mut self, relay: usize) {
         let max_results = self.random.random_range(1..4);
         let Some(owned) = &self.relays[relay].owned else { return };
-        let batch = owned.results.next_batch(max_results, 1_000);
+        let batch = owned.results.next_batch(max_results, 1_000, text_bytes);
         if batch.entries.is_empty() && !batch.is_last {
             return;
         }
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -242,6 +242,8 @@
     is_unframed: bool,
     /// Whether the data of events names the version.
     names_version: bool,
+    /// Text at the end of each event.
+    fill: String,
     /// Requests a second that the responses name (`Server-Limit`).
     limit: Option<f64>,
     /// Part of a prompt under which the runner crashes.
@@ -427,6 +429,11 @@
         self.state().names_version = true;
     }
 
+    /// Adds a text to the data of all further events.
+    pub fn fill_events(&self, fill: &str) {
+        fill.clone_into(&mut self.state().fill);
+    }
+
     /// Names a limit in all further responses, or none. The runner goes on serving what exceeds it.
     pub fn set_limit(&self, requests_per_s: Option<f64>) {
         self.state().limit = requests_per_s;
@@ -835,9 +842,10 @@
             Some(Fault::OmitIds(_) | Fault::PauseUnnumbered(_)) => String::new(),
             _ => format!("id: {number}\n"),
         };
+        let fill = self.state().fill.clone();
         let suffix = match self.state().names_version {
-            true => format!(" {}", self.version),
-            false => String::new(),
+            true => format!(" {}{fill}", self.version),
+            false => fill,
         };
         format!("{kind}{id}data: piece {number}{suffix}\n\n")
     }
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -47,12 +47,22 @@
     pub lost_replies: u32,
     /// Number of transactions that get no response and take effect only after a delay.
     pub late_transactions: u32,
+    /// Answers every transaction with 500, without any effect.
+    pub failing_transactions: bool,
+    /// Refuses transactions with a value that contains this text, as if it were not allowed.
+    pub refused_text: Option<&'static str>,
 }
 
 /// Bytes that an endless answer sends at once.
 const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
 /// Limit on the values in the answer to one read of rows.
 const MAX_READ_BYTES: usize = 1 << 20;
+/// Limits on a transaction: entries, bytes of the call, and bytes of a value before base64.
+const MAX_ENTRIES: usize = 100;
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+const MAX_ROW_BYTES: usize = 65_536;
+/// Limit on the bytes of each part of a key.
+const MAX_KEY_BYTES: usize = 200;
 /// Delay after which a late transaction takes effect.
 const LATE_TRANSACTION_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -79,6 +89,8 @@
     objects: HashMap<String, Bytes>,
     faults: Faults,
     calls: u64,
+    /// Transactions that were refused for their content.
+    rejected: u64,
 }
 
 pub struct Store {
@@ -117,6 +129,11 @@
         Ok(address)
     }
 
+    /// Returns the number of transactions that were refused for their content.
+    pub fn rejected(&self) -> u64 {
+        self.shared.state().rejected
+    }
+
     /// Writes a row with a JSON value, as operators and runners do.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().as_bytes());
@@ -241,6 +258,25 @@
         self.version
     }
 
+    /// Whether a transaction exceeds the limits, or has the text that is refused.
+    fn is_rejected(&self, body: &Value, bytes: usize) -> bool {
+        let entries = ["ExpectedRev", "Put", "Remove"].map(|field| body[field].as_array());
+        let mut entries = entries.iter().flatten().copied().flatten();
+        let count = entries.clone().count();
+        let is_bad = |entry: &Value| {
+            let value = entry["Value"].as_str().and_then(|value| STANDARD.decode(value).ok());
+            let value = value.unwrap_or_default();
+            let (table, part, key) = row_name(entry);
+            let is_refused = self.faults.refused_text.is_some_and(|text| {
+                value.windows(text.len()).any(|window| window == text.as_bytes())
+            });
+            is_refused
+                || value.len() > MAX_ROW_BYTES
+                || [table, part, key].iter().any(|name| name.len() > MAX_KEY_BYTES)
+        };
+        count > MAX_ENTRIES || bytes > MAX_TRANSACTION_BYTES || entries.any(is_bad)
+    }
+
     /// Applies a transaction and returns its version.
     ///
     /// # Errors
@@ -316,6 +352,9 @@
     if faults.refuse || is_refused() {
         return Ok(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
     }
+    if head.method == Method::POST && faults.failing_transactions {
+        return Ok(response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()));
+    }
     let is_write = head.method != Method::GET;
     if head.method == Method::POST && faults.late_transactions > 0 {
         shared.state().faults.late_transactions -= 1;
@@ -361,9 +400,17 @@
         shared.state().objects.remove(object);
         return response(StatusCode::OK, Bytes::new());
     }
+    let bytes = body.len();
     let Ok(body) = serde_json::from_slice::<Value>(body) else {
         return response(StatusCode::BAD_REQUEST, Bytes::new());
     };
+    {
+        let mut state = shared.state();
+        if state.is_rejected(&body, bytes) {
+            state.rejected += 1;
+            return response(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
+        }
+    }
     let committed = shared.state().commit(&body);
     shared.changed.notify_waiters();
     match committed {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -368,6 +368,10 @@
     /// This relay stops and has told the next owners of quotas their levels. It grants no more tokens itself. Fields:
     /// `accounts` (number).
     1271 Info QuotasHandedOver "quotas_handed_over" "levels of quotas were passed to the next owners",
+    /// The store refused results of a batch job for their content. They are stored one by one, and a text that is
+    /// refused alone as an object; the other results go before them. Fields: `job`, `count` (results; 0 for
+    /// texts of unfinished items or counts of failures), `error`.
+    1272 Warn ResultsRejected "results_rejected" "store refused results of a batch job for their content",
 }
 
 /// Logs a numbered event with key-value fields.
