Limit the idle timeout that an upstream may state

Change: more than an hour counts as an hour.

Ruled out: other sums with numbers from outside. Times of the configuration and of requests are limited before they are used, as relay_numbers::configured_times shows, which passes before the change too.

--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -35,6 +35,8 @@
 
 /// Idle timeout assumed for an upstream that does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest idle timeout that is used of those that upstreams state.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Time before the end of the idle timeout from which a connection is no longer reused, so that
 /// no request is sent while the upstream closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -378,5 +380,5 @@
     let seconds = value
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse::<u64>().ok())?;
-    Some(Duration::from_secs(seconds))
+    Some(Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -111,6 +111,8 @@
     pub accounts: Value,
     /// Setting `accounts.revoke_ms` of the relays that are added later.
     pub revoke_ms: Option<u64>,
+    /// Limits of callers from the next configuration on; `None` for the default ones.
+    pub limits: Option<Value>,
     /// Setting `stop.leave_ms` of the relays that are added later.
     pub leave_ms: u64,
     relays: Vec<Relay>,
@@ -204,6 +206,7 @@
             stream_service: "model",
             accounts: Value::Null,
             revoke_ms: None,
+            limits: None,
             leave_ms: 300,
             relays: Vec::new(),
             program,
@@ -269,10 +272,11 @@
             {"Name": "other", "HealthPath": "/healthz", "MaxConns": self.max_connections},
             {"Name": "plain", "HealthPath": "/healthz", "MaxConns": self.max_connections}
         ]);
-        let limits = json!({
+        let default_limits = json!({
             "MaxHeaderBytes": 16_384, "MaxBodyBytes": 1_048_576, "HeaderTimeoutMs": 3_000,
             "IdleTimeoutMs": 15_000
         });
+        let limits = self.limits.as_ref().unwrap_or(&default_limits);
         let mut manifest = json!({
             "Version": self.version, "Routes": routes, "Services": services, "Limits": limits
         });
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -246,6 +246,8 @@
     fill: String,
     /// Requests a second that the responses name (`Server-Limit`).
     limit: Option<f64>,
+    /// Value of `Keep-Alive` in the responses.
+    keep_alive: Option<String>,
     /// Part of a prompt under which the runner crashes.
     fatal_part: Option<String>,
     /// Body of a request under which the runner crashes.
@@ -429,6 +431,11 @@
         self.state().names_version = true;
     }
 
+    /// States an idle timeout in all further responses.
+    pub fn set_keep_alive(&self, value: &str) {
+        self.state().keep_alive = Some(value.to_owned());
+    }
+
     /// Adds a text to the data of all further events.
     pub fn fill_events(&self, fill: &str) {
         fill.clone_into(&mut self.state().fill);
@@ -632,6 +639,10 @@
         if let Some(limit) = &limit {
             headers.push(("Server-Limit", limit));
         }
+        let keep_alive = self.state().keep_alive.clone();
+        if let Some(keep_alive) = &keep_alive {
+            headers.push(("Keep-Alive", keep_alive));
+        }
         match fault {
             Some(Fault::Silent) => {
                 sleep(Duration::from_secs(30)).await;
