Look at the end of tasks that panic

Cause: the state that a task owns was released by the task alone, and nothing watched its end. One entry of an upstream whose reading panics ended the actor that applies the store's rows.

Change: runs and starts of items, commits, requests, streams, datagrams and single rows are isolated; what they own is released, and the panic is logged and counted. A relay that loses any other task shuts down as after a signal and ends with an error.

Ruled out: ending the process at any panic. The response that causes it would end one relay after the other, each with its open requests.

--- a/components/relay/src/batch/commit.rs
+++ b/components/relay/src/batch/commit.rs
@@ -25,6 +25,7 @@
         store,
     },
     shared::{Job, lock},
+    task,
 };
 
 /// Largest number of results in one transaction; at most half as many texts of unfinished items are
@@ -72,7 +73,13 @@
         owned.committing = true;
         drop(jobs);
         let (dispatcher, id) = (self.clone(), id.to_owned());
-        tokio::spawn(async move { dispatcher.commit_all(&id).await });
+        tokio::spawn(async move {
+            if task::catch("commit", dispatcher.commit_all(&id)).await.is_err()
+                && let Some(owned) = dispatcher.jobs().get_mut(&id)
+            {
+                owned.committing = false;
+            }
+        });
     }
 
     async fn commit_all(&self, id: &str) {
--- a/components/relay/src/batch/dispatcher.rs
+++ b/components/relay/src/batch/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use cyclamengrade_control::relay::{
     broker::{Ticket, Urgency},
+    failure::Failure,
     job::RunFailure,
     origin::Software,
     priority::{Estimate, Priority},
@@ -21,13 +22,14 @@
 use crate::{
     batch::{
         item::{self, End, Start},
-        owned::{Owned, Run},
+        owned::{Owned, Run, Transcript},
     },
     charge,
     dialect::Item,
     job::{row, size},
     shared::{Job, Phase, Shared, lock},
     successor::Successor,
+    task,
 };
 
 /// Longest time between two passes of the dispatcher.
@@ -416,7 +418,17 @@
         }
     }
 
+    /// Starts a run of an item. If that panics, the item waits before the next attempt, and the others go on.
     fn start_item(self: &Arc<Self>, id: &str, item: usize, start: Start) {
+        let started = task::catch_step("item start", || self.begin_run(id, item, start));
+        if started.is_err()
+            && let Some(owned) = self.jobs().get_mut(id)
+        {
+            owned.not_before.insert(item, self.shared.clock.now() + FAILED_RETRY_DELAY);
+        }
+    }
+
+    fn begin_run(self: &Arc<Self>, id: &str, item: usize, start: Start) {
         let mut jobs = self.jobs();
         let Some(owned) = jobs.get_mut(id) else { return };
         let job = &owned.job.row;
@@ -451,7 +463,13 @@
         let task = tokio::spawn(async move {
             let shared = dispatcher.shared.clone();
             let route = || dispatcher.route(&row);
-            let (end, next) = item::run(shared, outgoing, start, transcript, urgency, route).await;
+            let run = item::run(shared, outgoing, start, transcript.clone(), urgency, route);
+            let ended = task::catch("item", run).await;
+            let (end, next) = ended.unwrap_or_else(|_| {
+                // The text may end in the middle of an event.
+                *lock(&transcript) = Transcript::default();
+                (End::Interrupted(Failure::Broken), None)
+            });
             dispatcher.finish_run(&id, item, end, next);
         });
         let (started, events_before) = (self.shared.clock.now(), owned.events(item));
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -32,6 +32,7 @@
     },
     listing::Follow,
     shared::{Job, Member, OwnRow, Shared},
+    task,
 };
 
 /// Longest logged reason for which a row cannot be used, in characters.
@@ -136,7 +137,8 @@
 
     /// Puts a configuration in force if it is newer. Returns its version, or `None` if it is not newer.
     fn put_configuration(&self, value: &Value) -> Result<Option<u64>, String> {
-        let table = self.shared.dialect.configuration(value)?;
+        let read = task::catch_step("configuration", || self.shared.dialect.configuration(value));
+        let table = read.unwrap_or_else(|panicked| Err(panicked.to_string()))?;
         let version = table.version;
         if version <= self.shared.routes.load().version {
             return Ok(None);
@@ -209,7 +211,10 @@
     fn apply_upstream(&mut self, id: &str, row: &Change, now: Time) -> registry::Change {
         let parsed = match &row.content {
             Content::Deleted => return self.registry.record_missing(id, now),
-            Content::Value(value) => self.shared.dialect.upstream(id, value),
+            Content::Value(value) => {
+                let read = task::catch_step("upstream", || self.shared.dialect.upstream(id, value));
+                read.unwrap_or_else(|panicked| Err(panicked.to_string()))
+            }
             Content::Malformed(error) => Err(error.clone()),
         };
         let plausible = parsed.and_then(|upstream| match entry::flaw(&upstream) {
--- a/components/relay/src/error.rs
+++ b/components/relay/src/error.rs
@@ -1,4 +1,4 @@
-//! Errors that keep a relay from starting.
+//! Errors that keep a relay from starting or end it.
 
 use std::{io, net::SocketAddr};
 
@@ -14,6 +14,8 @@
     Thread(io::Error),
     /// cannot install the metrics: {0}
     Metrics(String),
+    /// a task of the relay has failed, see event 1273
+    Task,
 }
 
 impl std::error::Error for Error {}
--- a/components/relay/src/front.rs
+++ b/components/relay/src/front.rs
@@ -31,6 +31,7 @@
     body::Body,
     connection, explain, online,
     shared::{Phase, Shared},
+    task,
 };
 
 pub mod jobs;
@@ -123,7 +124,12 @@
         let dispatch = Dispatch::default();
         let mut response = tokio::select! {
             biased;
-            response = self.handle(head, body, &dispatch) => response,
+            handled = task::catch("request", self.handle(head, body, &dispatch)) => {
+                handled.unwrap_or_else(|_| match dispatch.may_have_run() {
+                    true => online::empty(StatusCode::BAD_GATEWAY),
+                    false => online::unavailable(online::MIN_RETRY_AFTER),
+                })
+            }
             () = self.shared.wait_for_final_answers() => {
                 let status = match dispatch.may_have_run() {
                     true => StatusCode::GATEWAY_TIMEOUT,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -43,6 +43,7 @@
 mod slots;
 mod stop;
 mod successor;
+pub mod task;
 
 pub use crate::{
     caller::{check_object, read_accounts},
--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -35,6 +35,7 @@
     flight::Flight,
     shared::Shared,
     slots::Placement,
+    task,
 };
 
 /// Shortest time that `Retry-After` states. It is also stated if a request is refused for another
@@ -197,7 +198,10 @@
                     ending: Ending::default(),
                 };
                 let run = Run { flight, events, next: Ok(first) };
-                tokio::spawn(async move { forwarder.run(run).await });
+                tokio::spawn(async move {
+                    // After a panic, the response ends without its last chunk.
+                    let _ = task::catch("stream", forwarder.run(run)).await;
+                });
                 let mut response = Response::new(body);
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -22,7 +22,10 @@
     time::{sleep, timeout},
 };
 
-use crate::shared::{MONITOR_KEY, MONITORS, Phase, Shared};
+use crate::{
+    shared::{MONITOR_KEY, MONITORS, Phase, Shared},
+    task,
+};
 
 /// Time between two regular messages to brokers and monitors.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
@@ -118,7 +121,8 @@
             }
         };
         if let Some((from, message)) = received {
-            server.handle(from, message);
+            // A message that cannot be handled is as one that was lost.
+            let _ = task::catch_step("message", || server.handle(from, message));
         }
         let now = shared.clock.now();
         if now.since(ticked_at) >= limit {
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -30,6 +30,7 @@
     peers, quarantine, roll_call,
     shared::{Phase, Readiness, Shared},
     stop,
+    task::{self, spawn_essential},
 };
 
 /// Time between two removals of expired upstreams. Expired connections are closed every fifth
@@ -105,10 +106,15 @@
     shared.slots.set_socket(socket.clone());
     let body = move || {
         runtime.block_on(async move {
-            tokio::spawn(peers::receive(shared.clone(), socket));
-            tokio::spawn(peers::report(shared.clone()));
-            tokio::spawn(peers::report_changes(shared.clone()));
-            follow_store(shared, feed, grace_period, apply).await;
+            spawn_essential(&shared, "messages", peers::receive(shared.clone(), socket));
+            spawn_essential(&shared, "reports", peers::report(shared.clone()));
+            spawn_essential(&shared, "changes", peers::report_changes(shared.clone()));
+            let follow = follow_store(shared.clone(), feed, grace_period, apply);
+            if task::catch("store", follow).await.is_err() {
+                shared.fail();
+            }
+            // The other tasks of this thread go on while the relay shuts down.
+            std::future::pending::<()>().await
         });
     };
     thread::Builder::new().name("control".into()).spawn(body).map_err(Error::Thread)
@@ -123,17 +129,18 @@
     let directory = Directory::spawn(Directory::new(shared.clone(), grace_period));
     let sources = shared.dialect.sources().clone();
     let list = sources.upstream_table.clone();
-    tokio::spawn(listing::confirm(shared.clone(), feed.clone(), list));
+    spawn_essential(&shared, "listing", listing::confirm(shared.clone(), feed.clone(), list));
     for table in [sources.configuration_table, sources.upstream_table, key::FLEET.into()] {
         let follower = Follower::new(shared.clone(), feed.clone(), directory.clone(), table, apply);
-        tokio::spawn(follower.run());
+        spawn_essential(&shared, "feed", follower.run());
     }
-    tokio::spawn(evidence::run(shared, directory.clone()));
+    spawn_essential(&shared, "evidence", evidence::run(shared.clone(), directory.clone()));
     let mut period = interval(SWEEP_PERIOD);
     loop {
         period.tick().await;
         if directory.tell(Sweep).await.is_err() {
             event!(InternalFault, error = "the directory actor has stopped");
+            shared.fail();
             return;
         }
     }
@@ -148,23 +155,27 @@
     let dispatcher = Dispatcher::new(shared.clone());
     let front = Arc::new(front::Server::new(shared.clone(), dispatcher.clone()));
     let listener = front::bind(settings.listen).await?;
-    tokio::spawn(clock::watch_pauses(shared.clone()));
-    tokio::spawn(front::ready(shared.clone(), front::bind(settings.ready_listen).await?));
+    spawn_essential(&shared, "pauses", clock::watch_pauses(shared.clone()));
+    spawn_essential(
+        &shared,
+        "readiness",
+        front::ready(shared.clone(), front::bind(settings.ready_listen).await?),
+    );
     let metrics_listener = front::bind(settings.metrics_listen).await?;
-    tokio::spawn(front::metrics(shared.clone(), metrics, metrics_listener));
-    tokio::spawn(maintain_row(shared.clone(), settings.clone()));
-    tokio::spawn(dispatcher.clone().run());
-    tokio::spawn(dispatcher.clone().watch_owners());
-    tokio::spawn(cleanup::run(shared.clone(), settings.store.keep()));
+    spawn_essential(&shared, "metrics", front::metrics(shared.clone(), metrics, metrics_listener));
+    spawn_essential(&shared, "row", maintain_row(shared.clone(), settings.clone()));
+    spawn_essential(&shared, "dispatcher", dispatcher.clone().run());
+    spawn_essential(&shared, "takeovers", dispatcher.clone().watch_owners());
+    spawn_essential(&shared, "cleanup", cleanup::run(shared.clone(), settings.store.keep()));
     let carrier = front::bind(settings.peer_listen).await?;
-    tokio::spawn(link::carrier::serve(dispatcher.clone(), carrier));
-    tokio::spawn(shared.clone().probe_lost_links());
-    tokio::spawn(close_expired_connections(shared.clone()));
-    tokio::spawn(leaving::store_changes(shared.clone()));
-    tokio::spawn(roll_call::run(shared.clone()));
-    tokio::spawn(quarantine::store_changes(shared.clone()));
-    tokio::spawn(archive::write_changes(shared.clone()));
-    tokio::spawn(archive::watch_versions(shared.clone()));
+    spawn_essential(&shared, "carrier", link::carrier::serve(dispatcher.clone(), carrier));
+    spawn_essential(&shared, "probes", shared.clone().probe_lost_links());
+    spawn_essential(&shared, "connections", close_expired_connections(shared.clone()));
+    spawn_essential(&shared, "leaving", leaving::store_changes(shared.clone()));
+    spawn_essential(&shared, "roll call", roll_call::run(shared.clone()));
+    spawn_essential(&shared, "quarantine", quarantine::store_changes(shared.clone()));
+    spawn_essential(&shared, "origins", archive::write_changes(shared.clone()));
+    spawn_essential(&shared, "versions", archive::watch_versions(shared.clone()));
     tokio::spawn(log_ready(shared.clone()));
     let server: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(front.run(listener));
     stop::run(shared, dispatcher, settings, path, server).await
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -178,6 +178,7 @@
     pub batch_changed: Notify,
     /// Phase of this relay.
     pub phase: watch::Sender<Phase>,
+    has_failed: watch::Sender<bool>,
     /// Times of the planned stop, once one was asked for.
     stop: watch::Sender<Option<Stop>>,
     /// Which tables of the store have been read.
@@ -251,6 +252,7 @@
             heard_until: AtomicU64::new(0),
             batch_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Running),
+            has_failed: watch::Sender::new(false),
             stop: watch::Sender::default(),
             readiness: watch::Sender::new(Readiness::default()),
             last_store_contact: AtomicU64::new(0),
@@ -514,6 +516,22 @@
         self.clock.now().since(Time(self.last_store_contact.load(Ordering::Relaxed)))
     }
 
+    /// Records that a task without which this relay cannot serve has ended.
+    pub fn fail(&self) {
+        self.has_failed.send_replace(true);
+    }
+
+    /// Whether a task without which this relay cannot serve has ended.
+    pub fn has_failed(&self) -> bool {
+        *self.has_failed.borrow()
+    }
+
+    /// Waits until a task without which this relay cannot serve has ended.
+    pub async fn wait_for_failure(&self) {
+        // Cannot fail: the sender is a field of `self`.
+        let _ = self.has_failed.subscribe().wait_for(|has_failed| *has_failed).await;
+    }
+
     /// Begins a planned stop.
     pub fn begin_stop(&self, stop: Stop) {
         self.stop.send_replace(Some(stop));
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -31,14 +31,14 @@
 /// Timeout for the removal of this relay's row from the store.
 const REMOVAL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Waits for a termination signal, then shuts down in phases.
+/// Waits for a termination signal or the failure of a task, then shuts down in phases.
 ///
 /// New connections are accepted while the load balancer may still open them. After that, the
 /// requests in flight are finished. Those that take too long get a final answer before the process ends.
 ///
 /// # Errors
 ///
-/// Fails if the signal handlers cannot be installed.
+/// Fails if the signal handlers cannot be installed, or if the relay stops because one of its tasks has failed.
 pub async fn run(
     shared: Arc<Shared>,
     dispatcher: Arc<Dispatcher>,
@@ -56,6 +56,7 @@
             _ = interrupt.recv() => break,
             _ = hangup.recv() => reload(&path, &mut settings),
             () = &mut server => break,
+            () = shared.wait_for_failure() => break,
         }
     }
     let times = settings.stop;
@@ -92,7 +93,10 @@
     event!(Stopped, daemon:% = shared.name);
     // Gives the log writer time to write its last lines.
     sleep(Duration::from_millis(20)).await;
-    Ok(())
+    match shared.has_failed() {
+        true => Err(Error::Task),
+        false => Ok(()),
+    }
 }
 
 /// Reads the settings again and applies those that can change at run time: the log level and the
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -158,7 +158,12 @@
 
     /// Deletes a row.
     pub fn remove(&self, table: &str, key: &str) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.remove_row(table, "", key);
+    }
+
+    /// Deletes a row of a part of a table.
+    pub fn remove_row(&self, table: &str, part: &str, key: &str) {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
         self.shared.write(vec![(name, None)]);
     }
 
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -372,6 +372,9 @@
     /// refused alone as an object; the other results go before them. Fields: `job`, `count` (results; 0 for
     /// texts of unfinished items or counts of failures), `error`.
     1272 Warn ResultsRejected "results_rejected" "store refused results of a batch job for their content",
+    /// A task of a relay ended by a panic, which is a fault of the program. A request or item gets a failure in its
+    /// place; without any other task the relay shuts down. Fields: `task`, `error`.
+    1273 Error TaskPanicked "task_panicked" "task ended by a panic",
 }
 
 /// Logs a numbered event with key-value fields.
