Confirm no configuration while a newer one cannot be used

Cause: the answer of the store that brought an unusable version, and each one after it, was recorded as evidence for the version in force, so that strict revocation failed open.

Change: from then on neither the store nor another relay confirms the version in force, until a usable newer one is. Keys are refused with 503 when the evidence is too old; event 1274 and a metric tell why.

--- a/components/control/src/relay/evidence.rs
+++ b/components/control/src/relay/evidence.rs
@@ -91,6 +91,9 @@
     heard: BTreeMap<String, Heard>,
     /// Since when the evidence is too old, if a change of this was reported.
     lost_since: Option<Time>,
+    /// Version in force when the store had a newer configuration that could not be used. Nothing confirms
+    /// this version or an older one from then on.
+    superseded: Option<u64>,
 }
 
 impl Evidence {
@@ -120,6 +123,14 @@
         self.record(confirmation, in_force);
     }
 
+    /// Records that the store has a newer configuration than the one in force, which cannot be used. The
+    /// evidence grows old until a usable one is in force.
+    pub const fn record_unusable(&mut self, in_force: u64) {
+        self.superseded = Some(in_force);
+        // Another relay may have a configuration that this one can use.
+        self.due = None;
+    }
+
     /// Records that a call on the configuration table failed.
     pub const fn record_store_failure(&mut self) {
         self.due = None;
@@ -167,7 +178,8 @@
         let is_younger = self.known.is_none_or(|known| known.begin < confirmation.begin);
         // The other relay has a newer configuration, which this one could not apply.
         let is_covered = confirmation.version <= in_force;
-        if is_younger && is_covered {
+        let is_superseded = self.superseded.is_some_and(|version| in_force <= version);
+        if is_younger && is_covered && !is_superseded {
             self.known = Some(confirmation);
         }
     }
--- a/components/control/tests/relay_evidence.rs
+++ b/components/control/tests/relay_evidence.rs
@@ -167,6 +167,26 @@
     expect_that!(evidence.is_current(START + LIMIT, LIMIT), eq(true));
 }
 
+/// Guards against a version that the store or another relay confirms although the store has a newer one, which
+/// cannot be used; and against a usable one that nothing confirms after that.
+#[gtest]
+fn unusable_version() {
+    let mut evidence = confirmed(START, Duration::ZERO);
+    evidence.record_unusable(VERSION);
+    let later = START + LIMIT / 2;
+    let confirmation = Confirmation { version: VERSION, begin: later };
+    evidence.record_store(confirmation, VERSION, later, Duration::ZERO);
+    let statement = Statement { version: VERSION, age_ms: 0 };
+    evidence.record_statement("vm-2", Some(&statement), later, VERSION, later);
+    expect_that!(evidence.age(later), some(eq(LIMIT / 2)));
+    // Another relay may have a newer version that this one can use.
+    evidence.record_unusable(VERSION);
+    expect_that!(evidence.begin_round(later, 0.5), is_true());
+    let newer = Statement { version: VERSION + 1, age_ms: 0 };
+    evidence.record_statement("vm-2", Some(&newer), later, VERSION + 1, later);
+    expect_that!(evidence.age(later), some(eq(Duration::ZERO)));
+}
+
 /// Guards against the refusal of keys at a relay that the store refuses while others have evidence, over one
 /// relay between them.
 #[gtest]
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -16,11 +16,12 @@
     time::Time,
 };
 use cyclamengrade_platform::feed::{Change, Changes, Content};
-use cyclamengrade_telemetry::event;
+use cyclamengrade_telemetry::{event, metrics::RELAY_CONFIGURATION_UNUSABLE};
 use kameo::{
     Actor,
     message::{Context, Message},
 };
+use metrics::gauge;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -79,6 +80,9 @@
     registry: Registry,
     /// Newest version seen of each table; older snapshots are ignored.
     versions: BTreeMap<String, u64>,
+    /// Whether the configuration in the store can be used. If not, no answer of the store confirms the one in
+    /// force.
+    is_usable: bool,
     /// Why the last configuration of another relay could not be used. Each answer brings it again.
     rejection: Option<String>,
 }
@@ -88,7 +92,7 @@
     /// return within `grace_period` after it.
     pub fn new(shared: Arc<Shared>, grace_period: Duration) -> Self {
         let registry = Registry::new(grace_period);
-        Self { shared, registry, versions: BTreeMap::new(), rejection: None }
+        Self { shared, registry, versions: BTreeMap::new(), is_usable: true, rejection: None }
     }
 
     fn apply(&mut self, update: Update) {
@@ -101,9 +105,9 @@
         let now = self.shared.clock.now();
         let sources = self.shared.dialect.sources().clone();
         if update.table == sources.configuration_table {
-            self.apply_configuration(&sources.configuration_key, update.changes);
+            self.apply_configuration(&sources.configuration_key, &update);
             if let Some(call) = update.call {
-                self.shared.record_confirmed(call);
+                self.confirm(call);
             }
         } else if update.table == sources.upstream_table {
             let (version, follow) = (update.changes.version, update.follow);
@@ -114,27 +118,63 @@
         }
     }
 
-    fn apply_configuration(&self, key: &str, changes: Changes) {
-        for change in changes.rows.into_iter().filter(|change| change.key == key) {
-            let Content::Value(value) = &change.content else {
-                log_malformed(&change);
-                continue;
-            };
+    fn apply_configuration(&mut self, key: &str, update: &Update) {
+        let mut rows = update.changes.rows.iter().filter(|change| change.key == key).peekable();
+        if update.is_snapshot && rows.peek().is_none() {
+            self.record_unusable(update.changes.version, "the store has no configuration");
+        }
+        for change in rows {
             let begin = self.shared.clock.now();
-            match self.put_configuration(value) {
-                Err(error) => log_unusable(key, change.version, &error),
-                Ok(None) => {}
-                Ok(Some(revision)) => event!(
-                    ConfigurationInForce,
-                    revision = revision,
-                    row_version = change.version,
-                    elapsed_ms = self.shared.clock.now().since(begin).as_millis() as u64
-                ),
+            let put = match &change.content {
+                Content::Value(value) => self.put_configuration(value),
+                Content::Malformed(error) => Err(error.clone()),
+                Content::Deleted => Err("it was deleted".to_owned()),
+            };
+            match put {
+                Err(error) => {
+                    log_unusable(key, change.version, &error);
+                    self.record_unusable(change.version, &error);
+                }
+                Ok(revision) => {
+                    self.is_usable = true;
+                    gauge!(RELAY_CONFIGURATION_UNUSABLE).set(0.0);
+                    if let Some(revision) = revision {
+                        event!(
+                            ConfigurationInForce,
+                            revision = revision,
+                            row_version = change.version,
+                            elapsed_ms = self.shared.clock.now().since(begin).as_millis() as u64
+                        );
+                    }
+                }
             }
         }
         self.record_usable();
     }
 
+    /// Records that the newest configuration in the store cannot be used. Keys that it takes away would work on
+    /// if the store went on to confirm the one before.
+    fn record_unusable(&mut self, row_version: u64, error: &str) {
+        let in_force = self.shared.routes.load().version;
+        self.is_usable = false;
+        self.shared.record_unusable();
+        gauge!(RELAY_CONFIGURATION_UNUSABLE).set(1.0);
+        event!(
+            ConfigurationOutdated,
+            row_version = row_version,
+            revision = in_force,
+            error:% = shortened(error)
+        );
+    }
+
+    /// Records that the store confirmed the configuration, unless the newest one cannot be used.
+    fn confirm(&self, call: Call) {
+        match self.is_usable {
+            true => self.shared.record_confirmed(call),
+            false => self.shared.record_unusable(),
+        }
+    }
+
     /// Puts a configuration in force if it is newer. Returns its version, or `None` if it is not newer.
     fn put_configuration(&self, value: &Value) -> Result<Option<u64>, String> {
         let read = task::catch_step("configuration", || self.shared.dialect.configuration(value));
@@ -410,7 +450,7 @@
     type Reply = ();
 
     async fn handle(&mut self, Confirmed(call): Confirmed, _: &mut Context<Self, ()>) {
-        self.shared.record_confirmed(call);
+        self.confirm(call);
     }
 }
 
@@ -435,16 +475,13 @@
     key.strip_prefix(table)?.strip_prefix("//")
 }
 
-fn log_malformed(change: &Change) {
-    if let Content::Malformed(error) = &change.content {
-        log_unusable(&change.key, change.version, error);
-    }
-}
-
 /// Logs that a row cannot be used. The reason may quote a text that fills the row, and is shortened.
 pub fn log_unusable(key: &str, version: u64, reason: &str) {
-    let reason: String = reason.chars().take(MAX_REASON_CHARS).collect();
-    event!(RowUnusable, key:% = key, version = version, error:% = reason);
+    event!(RowUnusable, key:% = key, version = version, error:% = shortened(reason));
+}
+
+fn shortened(reason: &str) -> String {
+    reason.chars().take(MAX_REASON_CHARS).collect()
 }
 
 fn decode<T: DeserializeOwned>(change: &Change) -> Option<T> {
--- a/components/relay/src/evidence.rs
+++ b/components/relay/src/evidence.rs
@@ -126,6 +126,11 @@
         lock(&self.evidence.evidence).record_store(confirmation, version, boot_time(), call.wait);
     }
 
+    /// Records that the store has a newer configuration, which cannot be used.
+    pub fn record_unusable(&self) {
+        lock(&self.evidence.evidence).record_unusable(self.routes.load().version);
+    }
+
     /// Records that a call on the configuration table failed.
     pub fn record_configuration_loss(&self) {
         lock(&self.evidence.evidence).record_store_failure();
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -375,6 +375,10 @@
     /// A task of a relay ended by a panic, which is a fault of the program. A request or item gets a failure in its
     /// place; without any other task the relay shuts down. Fields: `task`, `error`.
     1273 Error TaskPanicked "task_panicked" "task ended by a panic",
+    /// The newest configuration in the store cannot be used; an older one stays in force. If revocation is strict,
+    /// requests with keys are refused when its evidence is too old. Fields: `row_version`, `revision` in force,
+    /// `error`.
+    1274 Error ConfigurationOutdated "configuration_outdated" "newest configuration cannot be used",
 }
 
 /// Logs a numbered event with key-value fields.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -151,6 +151,8 @@
         "Runs of batch items, by outcome: completed, abandoned, failed, interrupted or paused.",
     RELAY_RESULTS "relay_results_total" Counter Count ""
         "Results of batch jobs that a relay stored.",
+    RELAY_CONFIGURATION_UNUSABLE "relay_configuration_unusable" Gauge Count ""
+        "1 while the newest configuration in the store cannot be used and an older one is in force, else 0.",
     RELAY_TASKS_PANICKED "relay_tasks_panicked_total" Counter Count "task"
         "Tasks of a relay that ended by a panic, by task.",
     RELAY_TRANSACTIONS_REJECTED "relay_transactions_rejected_total" Counter Count ""
--- a/tests/relay_revocation.rs
+++ b/tests/relay_revocation.rs
@@ -271,6 +271,41 @@
     Ok(())
 }
 
+/// Guards against a removed key that works on because the configuration which removes it cannot be used, also after
+/// a restart of a relay beside it; and against a relay that stays so when a usable one follows.
+#[gtest]
+#[tokio::test]
+async fn unusable_configuration() -> Result<()> {
+    let mut harness = start(2, 2).await?;
+    configure_accounts(&mut harness, &["alba", "brin"]);
+    for relay in 0..2 {
+        await_status(&harness, relay, "k-brin", 200).await?;
+    }
+    harness.accounts = json!("alba");
+    harness.configure(json!([]));
+    let removed = Instant::now();
+    for relay in 0..2 {
+        await_status(&harness, relay, "k-brin", 503).await?;
+        expect_that!(removed.elapsed(), lt(REVOKE_TIME + Duration::from_millis(500)));
+        let line = await_event(&harness, relay, "configuration_outdated").await?;
+        expect_that!(line["revision"].as_u64(), some(eq(harness.version() - 3)));
+    }
+    harness.kill_relay(1)?;
+    harness.start_relay(1)?;
+    sleep(REVOKE_TIME).await;
+    for relay in 0..2 {
+        let id = format!("late-{relay}");
+        expect_that!(call(&harness, relay, &id, "k-brin").await?.status, eq(503));
+        expect_that!(ran(&harness, &id), is_false());
+    }
+    configure_accounts(&mut harness, &["alba"]);
+    for relay in 0..2 {
+        await_status(&harness, relay, "k-brin", 401).await?;
+        expect_that!(call(&harness, relay, "r-1", "k-alba").await?.status, eq(200));
+    }
+    Ok(())
+}
+
 /// Guards against answers to other relays that hold the keys of a configuration which they have, or that state
 /// a younger evidence than there is, and against questions that are taken for other ones.
 #[gtest]
