Leave out the part of a configuration that cannot be used

Cause: the first error of the decoder or of the list of accounts made the whole version unusable.

Names of accounts may have all characters that a header can hold, up to 8 KB.

Ruled out: keeping the former version of a part, which the operator has replaced, and serving accounts whose limit cannot be read.

--- a/components/control/src/relay/account.rs
+++ b/components/control/src/relay/account.rs
@@ -3,7 +3,7 @@
 //! Keys are held as keyed digests, so that neither the time of a comparison nor a debug output tells one.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fmt::{self, Debug, Formatter},
     sync::Arc,
 };
@@ -16,9 +16,11 @@
 };
 
 /// Longest name of an account, in bytes. It is sent to upstreams as a header.
-const MAX_NAME_BYTES: usize = 200;
-/// Largest rate a second and largest burst of a quota.
+const MAX_NAME_BYTES: usize = 8 << 10;
+/// Largest rate a second and largest burst of a quota. Larger ones have the same effect.
 const MAX_QUOTA: f64 = 1e12;
+/// Characters of a name that cannot be used which are quoted.
+const MAX_QUOTED_CHARS: usize = 50;
 
 /// A client account.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -114,42 +116,55 @@
 impl Accounts {
     /// Creates the accounts of a configuration. `secret` is drawn at random by each process.
     ///
-    /// # Errors
-    ///
-    /// Returns which account is invalid and why. The text does not contain a key.
-    pub fn new(secret: Secret, entries: impl IntoIterator<Item = Entry>) -> Result<Self, String> {
+    /// Also returns the parts that are left out, with the causes: an account whose name no header can hold or
+    /// whose quota is no number, an empty key, and a key of several accounts, which belongs to none of them. Two
+    /// entries with one name are one account with the keys of both. The texts do not contain a key.
+    pub fn new(secret: Secret, entries: impl IntoIterator<Item = Entry>) -> (Self, Vec<String>) {
         let mut accounts = Self { secret, by_key: BTreeMap::new(), by_name: BTreeMap::new() };
+        let (mut flaws, mut shared) = (Vec::new(), BTreeSet::new());
         for entry in entries {
-            accounts.insert(entry)?;
+            accounts.insert(entry, &mut flaws, &mut shared);
         }
-        Ok(accounts)
+        accounts.by_key.retain(|digest, _| !shared.contains(digest));
+        (accounts, flaws)
     }
 
-    fn insert(&mut self, entry: Entry) -> Result<(), String> {
+    fn insert(&mut self, entry: Entry, flaws: &mut Vec<String>, shared: &mut BTreeSet<Digest>) {
         let Entry { name, keys, priority, rate, burst } = entry;
-        let is_valid_name = !name.is_empty()
-            && name.len() <= MAX_NAME_BYTES
-            && name.bytes().all(|byte| byte.is_ascii_graphic() || byte == b' ')
-            && name.trim() == name;
-        if !is_valid_name {
-            return Err(format!("account {name:?} has an invalid name"));
-        }
-        if self.by_name.contains_key(&name) {
-            return Err(format!("account {name} is listed twice"));
+        if !is_header_value(&name) {
+            let start: String = name.chars().take(MAX_QUOTED_CHARS).collect();
+            flaws.push(format!("account {start:?}: no header can hold its name"));
+            return;
         }
-        let quota = quota(rate, burst).map_err(|cause| format!("account {name}: {cause}"))?;
-        let account = Arc::new(Account { name, priority, quota });
+        let Some(quota) = quota(rate, burst) else {
+            flaws.push(format!("account {name}: its rate {rate} or burst {burst} is no limit"));
+            return;
+        };
+        let account = match self.by_name.get(&name) {
+            Some(known) => {
+                flaws.push(format!(
+                    "account {name} is listed twice; the first priority and quota count"
+                ));
+                known.clone()
+            }
+            None => Arc::new(Account { name, priority, quota }),
+        };
         for key in keys {
             if key.is_empty() {
-                return Err(format!("account {} has an empty key", account.name));
+                flaws.push(format!("account {} has an empty key", account.name));
+                continue;
             }
-            let former = self.by_key.insert(self.secret.digest(&key), account.clone());
+            let digest = self.secret.digest(&key);
+            let former = self.by_key.insert(digest, account.clone());
             if let Some(former) = former.filter(|former| former.name != account.name) {
-                return Err(format!("accounts {} and {} share a key", former.name, account.name));
+                flaws.push(format!(
+                    "accounts {} and {} have a key in common, which is valid for neither",
+                    former.name, account.name
+                ));
+                shared.insert(digest);
             }
         }
         self.by_name.insert(account.name.clone(), account);
-        Ok(())
     }
 
     /// Returns the account that holds a key.
@@ -190,15 +205,23 @@
     }
 }
 
-/// Returns the quota of a rate and a burst; `None` for a rate of 0.
-fn quota(rate: f64, burst: f64) -> Result<Option<Limit>, String> {
-    for (name, value) in [("rate", rate), ("burst", burst)] {
-        if !(0.0..=MAX_QUOTA).contains(&value) {
-            return Err(format!("the {name} {value} is not between 0 and {MAX_QUOTA}"));
-        }
-    }
-    let milli = |value: f64| (value * 1_000.0) as u64;
+/// Whether a name arrives unchanged as the value of a header (RFC 9110, section 5.5), whose blanks at the ends are
+/// dropped.
+fn is_header_value(name: &str) -> bool {
+    let is_text = |byte: u8| byte >= b' ' && byte != 0x7f;
+    !name.is_empty()
+        && name.len() <= MAX_NAME_BYTES
+        && name.bytes().all(is_text)
+        && !name.starts_with(' ')
+        && !name.ends_with(' ')
+}
+
+/// Returns the quota of a rate and a burst, or no quota for a rate of 0; `None` if they are negative or no
+/// numbers.
+fn quota(rate: f64, burst: f64) -> Option<Option<Limit>> {
+    let is_limit = |value: f64| value >= 0.0;
+    let milli = |value: f64| (value.min(MAX_QUOTA) * 1_000.0) as u64;
     // A rate that is not 0 limits the requests, also if it rounds to 0.
     let limit = || Limit { rate_milli: milli(rate).max(1), burst_milli: milli(burst) };
-    Ok((rate > 0.0).then(limit))
+    (is_limit(rate) && is_limit(burst)).then(|| (rate > 0.0).then(limit))
 }
--- a/components/control/src/relay/route.rs
+++ b/components/control/src/relay/route.rs
@@ -75,7 +75,8 @@
     pub retention: Duration,
     /// Limit on the tokens that wait for a run, for a batch route.
     pub quota: Quota,
-    /// Deployments that serve the route; never empty.
+    /// Deployments that serve the route. If the configuration does not name any, there are none, and
+    /// requests are refused.
     pub targets: Vec<Target>,
 }
 
@@ -176,6 +177,8 @@
     pub limits: Limits,
     /// Client accounts; `None` if the configuration has none and requests need no key.
     pub accounts: Option<Accounts>,
+    /// Parts of the configuration that are left out because they cannot be used, with the causes.
+    pub flaws: Vec<String>,
 }
 
 impl Table {
@@ -198,7 +201,8 @@
                 std::cmp::Reverse(route.path_prefix.len())
             });
         }
-        Self { version, routes: by_host, deployments, limits: limits.bounded(), accounts: None }
+        let (limits, flaws) = (limits.bounded(), Vec::new());
+        Self { version, routes: by_host, deployments, limits, accounts: None, flaws }
     }
 
     /// Sets the client accounts.
@@ -206,6 +210,11 @@
         Self { accounts, ..self }
     }
 
+    /// Sets the parts that are left out.
+    pub fn with_flaws(self, flaws: Vec<String>) -> Self {
+        Self { flaws, ..self }
+    }
+
     /// Returns the route of the host with the longest prefix of the path. Ignores a port after the
     /// host, and the case of the host.
     pub fn find(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
--- a/components/relay/src/caller.rs
+++ b/components/relay/src/caller.rs
@@ -109,7 +109,8 @@
         let name = &self.dialect.headers().account;
         headers.remove(AUTHORIZATION);
         headers.remove(name);
-        if let Some(value) = account.and_then(|account| HeaderValue::from_str(account).ok()) {
+        let value = account.and_then(|account| HeaderValue::from_bytes(account.as_bytes()).ok());
+        if let Some(value) = value {
             headers.insert(name, value);
         }
     }
@@ -129,28 +130,35 @@
 }
 
 /// Decodes the accounts of a configuration, of the dialect's type `T`; `None` if it has no list of them.
-/// `name_field` is the field with the name of an account.
+/// `name_field` is the field with the name of an account. Accounts and keys that cannot be used are left out,
+/// and added to `flaws` without the keys.
 ///
 /// # Errors
 ///
-/// Returns which account is invalid. The text does not contain a key.
+/// Fails if the accounts are not a list, so that no key can be told from others.
 pub fn read_accounts<T: DeserializeOwned + Into<Entry>>(
     list: Option<Value>,
     name_field: &str,
+    flaws: &mut Vec<String>,
 ) -> Result<Option<Accounts>, String> {
     let list = match list {
         None => return Ok(None),
         Some(Value::Array(list)) => list,
         Some(_) => return Err("the accounts are not a list".to_owned()),
     };
-    let decode = |(index, value): (usize, Value)| {
+    let mut entries: Vec<Entry> = Vec::new();
+    for (index, value) in list.into_iter().enumerate() {
         let name = value.get(name_field).and_then(Value::as_str).map(str::to_owned);
-        let entry = T::deserialize(value).map(Into::into);
-        entry.map_err(|_| match name {
-            Some(name) => format!("account {name:?} is malformed"),
-            None => format!("account {index} of the list is malformed"),
-        })
-    };
-    let entries = list.into_iter().enumerate().map(decode).collect::<Result<Vec<Entry>, _>>()?;
-    Accounts::new(*SECRET, entries).map(Some)
+        match T::deserialize(value) {
+            Ok(entry) => entries.push(entry.into()),
+            // The error of the decoder may quote a key.
+            Err(_) => flaws.push(match name {
+                Some(name) => format!("account {name:?} is malformed"),
+                None => format!("account {index} of the list is malformed"),
+            }),
+        }
+    }
+    let (accounts, unusable) = Accounts::new(*SECRET, entries);
+    flaws.extend(unusable);
+    Ok(Some(accounts))
 }
--- a/components/relay/src/directory.rs
+++ b/components/relay/src/directory.rs
@@ -39,6 +39,9 @@
 /// Longest logged reason for which a row cannot be used, in characters.
 const MAX_REASON_CHARS: usize = 200;
 
+/// Largest number of parts of one configuration that are logged as left out.
+const MAX_FLAWS: usize = 20;
+
 /// Changes of one table, or a snapshot of it.
 pub struct Update {
     pub table: String,
@@ -183,6 +186,9 @@
         if version <= self.shared.routes.load().version {
             return Ok(None);
         }
+        for flaw in table.flaws.iter().take(MAX_FLAWS) {
+            event!(ConfigurationPartIgnored, revision = version, error:% = shortened(flaw));
+        }
         self.shared.routes.store(Arc::new(table));
         self.shared.keep_configuration(version, value);
         self.shared.batch_changed.notify_one();
--- a/components/relay/src/native.rs
+++ b/components/relay/src/native.rs
@@ -251,13 +251,14 @@
     fn configuration(&self, value: &Value) -> Result<Table, String> {
         caller::check_object(value)?;
         let json = ConfigurationJson::deserialize(value).map_err(|error| error.to_string())?;
-        let accounts = caller::read_accounts::<AccountJson>(json.accounts, "name")?;
+        let mut flaws = Vec::new();
+        let accounts = caller::read_accounts::<AccountJson>(json.accounts, "name", &mut flaws)?;
         let deployments = json.deployments.into_iter().map(|(name, deployment)| {
             (name, Deployment { max_connections: deployment.max_connections })
         });
         let routes = json.routes.into_iter().map(Route::from).collect();
         let table = Table::new(json.version, routes, deployments.collect(), Limits::default());
-        Ok(table.with_accounts(accounts))
+        Ok(table.with_accounts(accounts).with_flaws(flaws))
     }
 
     fn key_scheme(&self) -> &'static str {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -379,6 +379,9 @@
     /// requests with keys are refused when its evidence is too old. Fields: `row_version`, `revision` in force,
     /// `error`.
     1274 Error ConfigurationOutdated "configuration_outdated" "newest configuration cannot be used",
+    /// A part of the configuration cannot be used and is left out; the rest is in force. At most 20 parts of a version
+    /// are logged. Fields: `revision`, `error` (the part and the cause).
+    1275 Warn ConfigurationPartIgnored "configuration_part_ignored" "part of the configuration cannot be used",
 }
 
 /// Logs a numbered event with key-value fields.
