Pass on no status that promises what an upstream did not state

Cause: every complete response of an upstream was forwarded with its status. 408, 429 and 503 promise callers that the request has not run; the upstream had not said so (`Not-Run`).

Change: such a response counts as an attempt that broke off. Requests that may be repeated go elsewhere, the others get 502 without the stamp and the Retry-After of the upstream. Event 1276 names the status.

--- a/components/relay/src/online.rs
+++ b/components/relay/src/online.rs
@@ -83,10 +83,8 @@
                 if !response.has_marked_end {
                     log_unmarked_end(&request, &flight, 0);
                 }
-                let will_retry =
-                    is_upstream_error(response.status) && prepare_retry(&mut request, &flight);
-                if !will_retry {
-                    return forward(request, response);
+                if let Some(answer) = answer(&mut request, &flight, response) {
+                    return answer;
                 }
             }
             Err(failure) => {
@@ -99,21 +97,48 @@
 }
 
 /// Whether a status reports an error of the upstream. 504 does not, because the upstream was given
-/// all the time for which the caller waits.
+/// all the time for which the caller waits. A status that promises that the request has not run does, since
+/// the response did not say so itself.
 pub fn is_upstream_error(status: StatusCode) -> bool {
-    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+    (status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT) || is_promise(status)
 }
 
-/// Records an error response as a failed attempt if the route allows retries. Returns whether
-/// another attempt is allowed.
-fn prepare_retry(request: &mut Request, flight: &Flight) -> bool {
-    request.route.is_retryable() && request.record_failure(flight, Failure::Broken, 0).is_ok()
+/// Whether callers take a status for the promise that their request has not run and will not run.
+const fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Returns the answer to a caller whose request an upstream has answered as a whole, or `None` if the request is to be
+/// sent to another one.
+fn answer(request: &mut Request, flight: &Flight, collected: Collected) -> Option<Response<Body>> {
+    let status = collected.status;
+    if is_promise(status) {
+        // The upstream may have run the request, so the caller must not read that it has not.
+        event!(
+            StatusWithheld,
+            request:% = request.outgoing.id,
+            upstream:% = flight.upstream.id,
+            status = status.as_u16()
+        );
+        let recorded = request.record_failure(flight, Failure::Broken, 0);
+        return recorded.err().map(|error| error_response(request, error));
+    }
+    let will_retry = is_upstream_error(status)
+        && request.route.is_retryable()
+        && request.record_failure(flight, Failure::Broken, 0).is_ok();
+    (!will_retry).then(|| forward(request, collected))
 }
 
 /// Forwards a complete response of an upstream to the caller.
-fn forward(mut request: Request, collected: Collected) -> Response<Body> {
-    record_first_byte(&mut request);
-    record_end(&request, collected.status, "served");
+fn forward(request: &mut Request, collected: Collected) -> Response<Body> {
+    record_first_byte(request);
+    record_end(request, collected.status, "served");
     let mut response = Response::new(Body::new(collected.body));
     *response.status_mut() = collected.status;
     *response.headers_mut() = collected.headers;
@@ -146,14 +171,10 @@
         if !(response.status.is_success() && response.is_event_stream()) {
             let collecting = response.collect(&flight, request.deadline);
             match request.watch(&flight, None, collecting).await {
-                Ok(response) => {
-                    let will_retry =
-                        is_upstream_error(response.status) && prepare_retry(&mut request, &flight);
-                    if will_retry {
-                        continue;
-                    }
-                    return forward(request, response);
-                }
+                Ok(response) => match answer(&mut request, &flight, response) {
+                    Some(answer) => return answer,
+                    None => continue,
+                },
                 Err(failure) => match request.record_failure(&flight, failure, 0) {
                     Ok(()) => continue,
                     Err(error) => return error_response(&request, error),
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -91,6 +91,8 @@
     Silent,
     /// Responds with 500.
     Failed,
+    /// Responds with this status after it has run the request, and names a time to retry.
+    Status(u16),
     /// Responds with 422.
     Impossible,
     /// Sends bytes that are no answer until the caller closes the connection.
@@ -662,6 +664,11 @@
                 write_plain(stream, "500 Internal Server Error", &headers, "failed").await?;
                 return Ok(true);
             }
+            Some(Fault::Status(status)) => {
+                headers.push(("Retry-After", "0.1"));
+                write_plain(stream, &format!("{status:03} Status"), &headers, "answer").await?;
+                return Ok(true);
+            }
             Some(Fault::Repeated(repeated)) => {
                 self.write_repeated(stream, id, repeated, stray).await?;
                 return Ok(true);
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -382,6 +382,9 @@
     /// A part of the configuration cannot be used and is left out; the rest is in force. At most 20 parts of a version
     /// are logged. Fields: `revision`, `error` (the part and the cause).
     1275 Warn ConfigurationPartIgnored "configuration_part_ignored" "part of the configuration cannot be used",
+    /// An upstream answered with a status by which callers understand that their request has not run, without saying so
+    /// itself. The status is not passed on. Fields: `request`, `upstream`, `status`.
+    1276 Warn StatusWithheld "status_withheld" "status of an upstream is not passed on",
 }
 
 /// Logs a numbered event with key-value fields.
