Mark no end of a carried connection after a failed write

Callers got a part of a response as a whole one, when an upstream answered a long upload without a length and reset the connection while another relay carried it (the report of other systems, over the second hop).

Cause: the system reports a reset once. When the write of the carrying relay got it, its read saw an ordinary end, which was passed on as the close of the connection.

Change: after a failed write, the end of the connection is not marked, and the other relay sees a broken connection.

--- a/components/relay/src/link/carrier.rs
+++ b/components/relay/src/link/carrier.rs
@@ -3,7 +3,10 @@
 use std::{
     convert::Infallible,
     io,
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use bytes::BytesMut;
@@ -206,10 +209,13 @@
 /// Carries the bytes of a connection both ways until one side closes it or is gone.
 async fn carry(upstream: TcpStream, incoming: Incoming, sender: Sender<Chunk>) {
     let (mut from_upstream, to_upstream) = upstream.into_split();
+    let is_broken = AtomicBool::new(false);
     let receive = async {
         loop {
             let mut buffer = BytesMut::with_capacity(READ_BYTES);
             let chunk = match from_upstream.read_buf(&mut buffer).await {
+                // The system reports a reset once. After the write that got it, a read sees an ordinary end.
+                Ok(0) if is_broken.load(Ordering::Relaxed) => return,
                 Ok(0) => Chunk::End,
                 Ok(_) => Chunk::Data(buffer.freeze()),
                 // The response is truncated, like the connection.
@@ -223,19 +229,21 @@
     };
     tokio::select! {
         () = receive => {}
-        () = send(incoming, to_upstream) => {}
+        () = send(incoming, to_upstream, &is_broken) => {}
         () = sender.closed() => {}
     }
 }
 
-/// Passes on the bytes for the upstream. Returns when the other relay closes the connection.
-async fn send(mut incoming: Incoming, mut to_upstream: OwnedWriteHalf) {
+/// Passes on the bytes for the upstream. Returns when the other relay closes the connection. Sets `is_broken` if the
+/// upstream no longer takes them.
+async fn send(mut incoming: Incoming, mut to_upstream: OwnedWriteHalf, is_broken: &AtomicBool) {
     while let Some(Ok(frame)) = incoming.frame().await {
         let written: io::Result<()> = match frame.into_data() {
             Ok(data) => to_upstream.write_all(&data).await,
             Err(_) => Ok(()),
         };
         if written.is_err() {
+            is_broken.store(true, Ordering::Relaxed);
             // The upstream may have answered before it closed the connection.
             return std::future::pending().await;
         }
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -113,6 +113,8 @@
     pub revoke_ms: Option<u64>,
     /// Limits of callers from the next configuration on; `None` for the default ones.
     pub limits: Option<Value>,
+    /// Setting `memory_bytes` of the relays that are added later.
+    pub memory_bytes: u64,
     /// Setting `stop.leave_ms` of the relays that are added later.
     pub leave_ms: u64,
     relays: Vec<Relay>,
@@ -122,8 +124,8 @@
     client: Client,
     folder: PathBuf,
     host: IpAddr,
-    /// Whether the connections of relays to runners can be cut.
-    is_linked: bool,
+    /// Whether the connections to runners can be cut of the relays that are added later.
+    pub is_linked: bool,
     version: u64,
 }
 
@@ -207,6 +209,7 @@
             accounts: Value::Null,
             revoke_ms: None,
             limits: None,
+            memory_bytes: 16 << 20,
             leave_ms: 300,
             relays: Vec::new(),
             program,
@@ -319,7 +322,7 @@
             "name": format!("vm-{number}"), "data_centre": "a", "listen": ports[0],
             "ready_listen": ports[1], "metrics_listen": ports[2], "peer_listen": ports[3],
             "dialect": "bridge", "store": {"address": store, "keep_s": 1},
-            "memory_bytes": 16 << 20, "stop": {"grace_s": 4.0, "leave_ms": self.leave_ms}
+            "memory_bytes": self.memory_bytes, "stop": {"grace_s": 4.0, "leave_ms": self.leave_ms}
         });
         if let Some(revoke_ms) = self.revoke_ms {
             settings["accounts"] = json!({"revoke_ms": revoke_ms});
--- a/components/standins/src/bridge/links.rs
+++ b/components/standins/src/bridge/links.rs
@@ -182,8 +182,9 @@
     }
 }
 
+/// Has the close of a connection reset it.
 #[expect(deprecated, reason = "only a linger time above zero blocks a thread")]
-fn reset(stream: &TcpStream) {
+pub(super) fn reset(stream: &TcpStream) {
     // Without the option, the connection is closed in order.
     let _ = stream.set_linger(Some(Duration::ZERO));
 }
--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -19,6 +19,6 @@
     links::{Cut, Links},
     plan::{Disturbance, Plan, Profile, Size, Step},
     run::{End, Run},
-    runner::{Answer, Endless, Fault, Mark, Moment, Naming, Repeated, Runner},
+    runner::{Answer, Early, Endless, Fault, Mark, Moment, Naming, Repeated, Runner},
     store::{Faults, Store},
 };
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -13,6 +13,7 @@
 };
 
 use serde_json::{Value, json};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -21,7 +22,7 @@
     time::sleep,
 };
 
-use crate::bridge::{End, Run};
+use crate::bridge::{End, Run, links::reset};
 
 /// Time from the start of a request that crashes the runner to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
@@ -29,6 +30,12 @@
 const RESTART_TIME: Duration = Duration::from_millis(1_000);
 /// Slots that an entry states unless they are limited.
 const DEFAULT_SLOTS: usize = 8;
+/// Bytes of a body from which it counts as long.
+const EARLY_BODY_BYTES: usize = 64 << 10;
+/// Bytes of such a body that wait in the system.
+const EARLY_BUFFER_BYTES: usize = 8 << 10;
+/// Time between the part of a response and the reset of its connection.
+const EARLY_RESET_DELAY: Duration = Duration::from_millis(100);
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -103,6 +110,15 @@
     Repeated(Repeated),
 }
 
+/// How the part of a response is framed that is written before the body of its request is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Early {
+    /// With neither length nor chunks, so that the close of the connection marks the end.
+    Unframed,
+    /// In chunks, without the last one.
+    Chunked,
+}
+
 /// A response that is written twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Repeated {
@@ -248,6 +264,8 @@
     fill: String,
     /// Requests a second that the responses name (`Server-Limit`).
     limit: Option<f64>,
+    /// How requests with long bodies are answered before these are read; `None` if they are not.
+    early: Option<Early>,
     /// Value of `Keep-Alive` in the responses.
     keep_alive: Option<String>,
     /// Part of a prompt under which the runner crashes.
@@ -433,6 +451,12 @@
         self.state().names_version = true;
     }
 
+    /// Answers all further requests with long bodies before it reads these, with a part of a response, and resets
+    /// their connections.
+    pub fn reset_uploads(&self, early: Early) {
+        self.state().early = Some(early);
+    }
+
     /// States an idle timeout in all further responses.
     pub fn set_keep_alive(&self, value: &str) {
         self.state().keep_alive = Some(value.to_owned());
@@ -495,7 +519,19 @@
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
         let mut stray: Option<Stray> = None;
-        while let Some(request) = Request::read(&mut stream, &mut buffer).await? {
+        loop {
+            if self.state().early.is_some() {
+                let head = Request::read_head(&mut stream, &mut buffer).await?;
+                let has_body = |(request, length): &(Request, usize)| {
+                    *length > EARLY_BODY_BYTES && request.header("expect-instance") == self.id
+                };
+                if let Some((request, _)) = head.filter(has_body) {
+                    // Otherwise the system takes the whole body, and its sender has nothing left to write.
+                    SockRef::from(&stream).set_recv_buffer_size(EARLY_BUFFER_BYTES)?;
+                    return self.answer_early(stream, &request).await;
+                }
+            }
+            let Some(request) = Request::read(&mut stream, &mut buffer).await? else { break };
             match stray.take() {
                 Some(Stray { head, requests_before: 0 }) => {
                     stream.write_all(head.as_bytes()).await?;
@@ -512,6 +548,33 @@
         Ok(())
     }
 
+    /// Writes a part of a response while the body of the request is still written, of which nothing is read, and
+    /// resets the connection.
+    async fn answer_early(&self, mut stream: TcpStream, request: &Request) -> io::Result<()> {
+        let early = self.state().early;
+        let _occupancy = self.occupy(request);
+        let headers = [("Request-Id", request.header("request-id")), ("Server-Stamp", "stamp")];
+        let mut head = unframed_head("200 OK", &headers);
+        let part = match request.events() {
+            Some(_) => {
+                head += "Content-Type: text/event-stream\r\n";
+                self.event(1, None)
+            }
+            None => "part".to_owned(),
+        };
+        let part = match early {
+            Some(Early::Chunked) => {
+                head += "Transfer-Encoding: chunked\r\n";
+                format!("{:x}\r\n{part}\r\n", part.len())
+            }
+            Some(Early::Unframed) | None => part,
+        };
+        stream.write_all(format!("{head}\r\n{part}").as_bytes()).await?;
+        sleep(EARLY_RESET_DELAY).await;
+        reset(&stream);
+        Ok(())
+    }
+
     /// Writes a response and repeats it at once or keeps it for later.
     async fn write_repeated(
         &self,
@@ -886,6 +949,8 @@
 struct Request {
     headers: HashMap<String, String>,
     body: Vec<u8>,
+    /// Bytes of the head.
+    end: usize,
 }
 
 impl Request {
@@ -898,15 +963,23 @@
         self.header("token-counts").split_once(',')?.1.parse().ok()
     }
 
-    /// Reads the next request. Returns `None` if the connection ends before a complete request.
-    async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Self>> {
+    /// Reads the head of the next request, which stays in the buffer, and the length of its body. Returns `None` if
+    /// the connection ends before a complete head.
+    async fn read_head(
+        stream: &mut TcpStream,
+        buffer: &mut Vec<u8>,
+    ) -> io::Result<Option<(Self, usize)>> {
         let end = loop {
             if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
                 break end + 4;
             }
-            if stream.read_buf(buffer).await? == 0 {
+            // No more than the head and some of the body.
+            let mut bytes = [0; 1_024];
+            let count = stream.read(&mut bytes).await?;
+            if count == 0 {
                 return Ok(None);
             }
+            buffer.extend(&bytes[..count]);
         };
         let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
         let headers: HashMap<String, String> = head
@@ -916,6 +989,15 @@
             .collect();
         let length: usize =
             headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        Ok(Some((Self { headers, body: Vec::new(), end }, length)))
+    }
+
+    /// Reads the next request. Returns `None` if the connection ends before a complete request.
+    async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Self>> {
+        let Some((request, length)) = Self::read_head(stream, buffer).await? else {
+            return Ok(None);
+        };
+        let end = request.end;
         while buffer.len() < end + length {
             if stream.read_buf(buffer).await? == 0 {
                 return Ok(None);
@@ -923,7 +1005,7 @@
         }
         let body = buffer[end..end + length].to_vec();
         buffer.drain(..end + length);
-        Ok(Some(Self { headers, body }))
+        Ok(Some(Self { body, ..request }))
     }
 }
 
