Take a response whose status is none for a broken one

Cause: the HTTP library takes any status of three digits and hands a 101 to its caller, and the relay looked only at the ids, the stamp and the marks of a response.

Change: a response with a status outside of 200 to 599 is none, so the attempt broke off.

--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -1,6 +1,9 @@
 //! Exchange of one request and its response with one upstream.
 
-use std::time::{Duration, Instant};
+use std::{
+    ops::RangeInclusive,
+    time::{Duration, Instant},
+};
 
 use bytes::{Bytes, BytesMut};
 use cyclamengrade_control::relay::{
@@ -214,6 +217,10 @@
     memory: Option<Reservation>,
 }
 
+/// Statuses of final responses (RFC 9110, section 15). The HTTP library takes others as well, and no request asks to
+/// switch protocols.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Id of the first event of a stream.
 const FIRST_EVENT: u64 = 1;
 
@@ -465,6 +472,7 @@
 /// Returns what the head of a response says of the request.
 fn claim(names: &Headers, status: StatusCode, headers: &HeaderMap) -> Claim {
     match status {
+        _ if !FINAL_STATUSES.contains(&status.as_u16()) => Claim::Invalid,
         StatusCode::MISDIRECTED_REQUEST => Claim::Misdirected,
         _ if headers.contains_key(&names.not_run) => Claim::NotRun,
         _ if headers.contains_key(&names.stamp) && !headers.contains_key(CONTENT_ENCODING) => {
