Read the value of the mark of an upstream that is leaving

Cause: any value of the header counted as leaving. Change: zero does not. Result: relay_left::denied fails on, with 503 in place of 200 and the upstream out of use, and passes with the change.

--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -32,7 +32,7 @@
     pub stamp: HeaderName,
     /// Present in a response that reports that the request did not run.
     pub not_run: HeaderName,
-    /// Present in every response of an upstream that is leaving.
+    /// Present in every response of an upstream that is leaving, with another value than 0.
     pub leaving: HeaderName,
     /// In the responses of an upstream in need: the requests a second, a decimal number, that it
     /// takes from all relays together.
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -357,7 +357,7 @@
     headers: &HeaderMap,
     verdict: Result<(), Failure>,
 ) {
-    if headers.contains_key(&names.leaving) {
+    if says_leaving(names, headers) {
         flight.record_leaving();
     }
     match headers.get(&names.limit) {
@@ -371,6 +371,11 @@
     }
 }
 
+/// Whether a response says that its upstream is leaving. Zero says that it is not.
+fn says_leaving(names: &Headers, headers: &HeaderMap) -> bool {
+    headers.get_all(&names.leaving).iter().any(|value| value != "0")
+}
+
 /// Whether the start of the upstream that ran a request still lives: it answers, and no other start of it
 /// is listed. The next start answers as well, and may have begun while this relay was paused or cut off.
 pub async fn is_alive(flight: &Flight) -> bool {
@@ -388,7 +393,7 @@
         // after it has closed its runs.
         Ok(Ok(response)) => {
             response.status() != StatusCode::MISDIRECTED_REQUEST
-                && !response.headers().contains_key(&flight.headers().leaving)
+                && !says_leaving(flight.headers(), response.headers())
         }
         Ok(Err(_)) | Err(_) => false,
     }
--- a/components/standins/src/bridge/runner.rs
+++ b/components/standins/src/bridge/runner.rs
@@ -253,7 +253,7 @@
     slots: Option<usize>,
     /// Requests that run.
     occupied: usize,
-    is_leaving: bool,
+    leaving: Option<&'static str>,
     /// Number of starts before this one, which the entry states after the first.
     restarts: u64,
     /// Whether responses have neither length nor chunks and end with their connections.
@@ -357,7 +357,7 @@
         self.crash();
         let mut state = self.state();
         state.restarts += 1;
-        state.is_leaving = false;
+        state.leaving = None;
     }
 
     /// Refuses requests as not run while this many run. Entries from then on state the number.
@@ -431,12 +431,17 @@
 
     /// Ceases to say that this runner is leaving, as its next start does.
     pub fn stay(&self) {
-        self.state().is_leaving = false;
+        self.state().leaving = None;
     }
 
     /// Says in all further responses that this runner is leaving. Its entry stays as it is.
     pub fn announce_leaving(&self) {
-        self.state().is_leaving = true;
+        self.state().leaving = Some("1");
+    }
+
+    /// Says in all further responses that this runner is not leaving.
+    pub fn deny_leaving(&self) {
+        self.state().leaving = Some("0");
     }
 
     /// Sends all further successful responses without length or chunks, so that they end with their
@@ -697,9 +702,8 @@
         }
         let id = if fault == Some(Fault::WrongId) { "another" } else { id };
         let mut headers = vec![("Request-Id", id), ("Server-Stamp", "stamp")];
-        if self.state().is_leaving {
-            headers.push(("Server-Leaving", "1"));
-        }
+        let leaving = self.state().leaving;
+        headers.extend(leaving.map(|value| ("Server-Leaving", value)));
         let limit = self.state().limit.map(|limit| limit.to_string());
         if let Some(limit) = &limit {
             headers.push(("Server-Limit", limit));
--- a/tests/relay_left.rs
+++ b/tests/relay_left.rs
@@ -73,6 +73,19 @@
     verify_that!(harness.store.keys("fleet").contains(&runner.id), eq(false))
 }
 
+/// Guards against an upstream that gets no more requests because it says that it is not leaving.
+#[gtest]
+#[tokio::test]
+async fn denied() -> Result<()> {
+    let harness = Harness::start(1).await?;
+    harness.runners.iter().for_each(Runner::deny_leaving);
+    for number in 0..4 {
+        let reply = harness.stream(0, "stream", &format!("s-{number}"), 4).await?;
+        expect_that!(reply.status, eq(200));
+    }
+    verify_that!(harness.events(0, "upstream_leaving"), is_empty())
+}
+
 /// Returns the entry of a start of a runner.
 fn entry(runner: &Runner, born: u64) -> Value {
     let mut entry = runner.entry("model", "ready");
