Count the faults of the stand-in store under one lock

Cause: the number of faults that are left was read and lowered under two locks. Change: one takes a fault.

--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -361,8 +361,7 @@
         return Ok(response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()));
     }
     let is_write = head.method != Method::GET;
-    if head.method == Method::POST && faults.late_transactions > 0 {
-        shared.state().faults.late_transactions -= 1;
+    if head.method == Method::POST && take_one(&mut shared.state().faults.late_transactions) {
         tokio::spawn(async move {
             tokio::time::sleep(LATE_TRANSACTION_DELAY).await;
             write(&shared, &head.method, head.uri.path(), &body);
@@ -371,8 +370,7 @@
     }
     if is_write {
         let answer = write(&shared, &head.method, head.uri.path(), &body);
-        if faults.lost_replies > 0 {
-            shared.state().faults.lost_replies -= 1;
+        if take_one(&mut shared.state().faults.lost_replies) {
             return Err(ReplyLost);
         }
         return Ok(answer);
@@ -389,6 +387,13 @@
     Ok(answer)
 }
 
+/// Takes one of a number of faults, if any is left.
+const fn take_one(count: &mut u32) -> bool {
+    let is_left = *count > 0;
+    *count = count.saturating_sub(1);
+    is_left
+}
+
 fn write(shared: &Shared, method: &Method, path: &str, body: &Bytes) -> Response<Full<Bytes>> {
     if let Some(object) = path.strip_prefix("/-/blob-put/")
         && method == Method::PUT
