Pause between takeovers of a job whose items cannot be read

Change: after an answer that cannot be used or a rejection, the same job is taken over again after 2 s.

--- a/components/relay/src/batch/takeover.rs
+++ b/components/relay/src/batch/takeover.rs
@@ -1,8 +1,15 @@
 //! Takes over jobs whose owner has failed or has handed them over.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use cyclamengrade_control::relay::owner::{Instance, should_take_over};
+use cyclamengrade_control::{
+    relay::owner::{Instance, should_take_over},
+    time::Time,
+};
 use cyclamengrade_platform::Error;
 use cyclamengrade_telemetry::event;
 use tokio::{sync::Semaphore, time::sleep};
@@ -10,11 +17,13 @@
 use crate::{
     batch::Dispatcher,
     job::{row, store},
-    shared::{Job, Phase},
+    shared::{Job, Phase, lock},
 };
 
 /// Time between two checks for jobs without a live owner.
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// Time after which a job is taken over again whose rows or items cannot be read. They will hardly be better.
+const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Largest number of concurrent takeovers. Each makes several calls to the store.
 const MAX_CONCURRENT_TAKEOVERS: usize = 4;
 
@@ -22,6 +31,7 @@
     /// Takes over jobs without a live owner until the relay stops.
     pub async fn watch_owners(self: Arc<Self>) {
         let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_TAKEOVERS));
+        let postponed: Arc<Mutex<BTreeMap<String, Time>>> = Arc::default();
         loop {
             sleep(CHECK_PERIOD).await;
             if *self.shared.phase.borrow() != Phase::Running {
@@ -30,13 +40,22 @@
             if !self.shared.readiness.borrow().is_ready() {
                 continue;
             }
+            let now = self.shared.clock.now();
+            lock(&postponed).retain(|_, until| *until > now);
             for (id, job) in self.orphaned_jobs() {
+                if lock(&postponed).contains_key(&id) {
+                    continue;
+                }
                 let Some(loading) = self.begin_loading(&id) else { continue };
                 let Ok(permit) = permits.clone().acquire_owned().await else { return };
-                let dispatcher = self.clone();
+                let (dispatcher, postponed) = (self.clone(), postponed.clone());
                 tokio::spawn(async move {
                     if let Err(error) = dispatcher.take_over(&id, job).await {
                         event!(JobCallFailed, job:% = id, error:% = error);
+                        if matches!(error, Error::Protocol(_) | Error::Rejected(_)) {
+                            let until = dispatcher.shared.clock.now() + UNREADABLE_RETRY_DELAY;
+                            lock(&postponed).insert(id, until);
+                        }
                     }
                     drop((loading, permit));
                 });
--- a/components/standins/src/bridge/store.rs
+++ b/components/standins/src/bridge/store.rs
@@ -194,6 +194,11 @@
         self.shared.state().objects.insert(name.to_owned(), Bytes::copy_from_slice(content));
     }
 
+    /// Removes an object.
+    pub fn remove_object(&self, name: &str) {
+        self.shared.state().objects.remove(name);
+    }
+
     /// Returns the names of all objects.
     pub fn objects(&self) -> Vec<String> {
         self.shared.state().objects.keys().cloned().collect()
--- a/tests/relay_rows.rs
+++ b/tests/relay_rows.rs
@@ -135,6 +135,22 @@
     Ok(())
 }
 
+/// Guards against a takeover that is repeated without a pause, because the items of the job cannot be read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_items() -> Result<()> {
+    let mut harness = Harness::start(2).await?;
+    let (_, status) = harness.submit(0, "j-1", 2, 2_000).await?;
+    expect_that!(status, eq(202));
+    harness.store.remove_object("jobs-j-1");
+    harness.kill_relay(0)?;
+    let failed = || harness.events(1, "job_call_failed").len();
+    harness.eventually("a takeover", async || (failed() > 0).then_some(())).await?;
+    let before = failed();
+    sleep(Duration::from_secs(5)).await;
+    verify_that!(failed() - before, all!(ge(1), le(3)))
+}
+
 /// Guards against jobs that are accepted although the store takes none of their rows.
 #[gtest]
 #[tokio::test]
