Log when a broker answers too late

Change: an answer to a request that was given up is logged with the time since the request (event 1277). At most 256 such requests are kept, for 10 s.

--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -1,7 +1,7 @@
 //! Slots of upstreams that this relay holds, and its requests for them to the brokers.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, OnceLock},
     time::Duration,
@@ -38,6 +38,9 @@
 const BROKER_CACHE_TIME: Duration = Duration::from_millis(200);
 /// Largest number of upstreams with an idle connection that a request names.
 const MAX_CONNECTED: usize = 32;
+/// Time for which a late answer of a broker is expected, and limit on the requests that wait for one.
+const LATE_ANSWER_TIME: Duration = Duration::from_secs(10);
+const MAX_UNANSWERED: usize = 256;
 /// Largest number of waiting batch items in one message; the most urgent ones are named.
 const MAX_WANTS: usize = 64;
 
@@ -93,6 +96,26 @@
     dirty: BTreeSet<u32>,
     /// Addresses that the last regular messages were sent to.
     targets: BTreeSet<SocketAddr>,
+    /// Online requests that were not answered in time, and when they asked, the oldest first.
+    unanswered: VecDeque<(Ticket, Time)>,
+}
+
+impl State {
+    fn record_unanswered(&mut self, ticket: Ticket, asked_at: Time) {
+        let is_old = |at: Time| asked_at.since(at) >= LATE_ANSWER_TIME;
+        while self.unanswered.front().is_some_and(|(_, at)| is_old(*at))
+            || self.unanswered.len() >= MAX_UNANSWERED
+        {
+            self.unanswered.pop_front();
+        }
+        self.unanswered.push_back((ticket, asked_at));
+    }
+
+    /// Returns when a request asked that was not answered in time, at its first late answer.
+    fn take_unanswered(&mut self, ticket: Ticket) -> Option<Time> {
+        let index = self.unanswered.iter().position(|(late, _)| *late == ticket)?;
+        self.unanswered.remove(index).map(|(_, at)| at)
+    }
 }
 
 /// How an online request got its upstream, for logs.
@@ -251,6 +274,7 @@
                     self.send_ask(&Ask { start_within: left, ..ask.clone() }, self.clock.now());
                 }
                 Ok(None) | Err(_) => {
+                    self.slots.state().record_unanswered(ticket, begin);
                     self.record_silence(shard);
                     return Outcome::Unanswered;
                 }
@@ -401,6 +425,14 @@
     /// Handles an answer of a broker.
     pub fn handle_answer(&self, from: SocketAddr, answer: Answer) {
         let mut state = self.slots.state();
+        let (Answer::Granted { ticket, .. }
+        | Answer::Queued { ticket, .. }
+        | Answer::Refused { ticket, .. }
+        | Answer::Stop { ticket }) = answer;
+        if let Some(asked_at) = state.take_unanswered(ticket) {
+            let elapsed = self.clock.now().since(asked_at);
+            event!(BrokerLate, from:% = from, elapsed_ms = elapsed.as_millis() as u64);
+        }
         match answer {
             Answer::Granted { ticket, upstream, load, paced } => {
                 if paced {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -385,6 +385,9 @@
     /// An upstream answered with a status by which callers understand that their request has not run, without saying so
     /// itself. The status is not passed on. Fields: `request`, `upstream`, `status`.
     1276 Warn StatusWithheld "status_withheld" "status of an upstream is not passed on",
+    /// A broker answered a request for a slot after the relay had given it up (event 1226). Fields: `from` (address of the
+    /// broker), `elapsed_ms` since the request.
+    1277 Info BrokerLate "broker_late" "broker answered too late",
 }
 
 /// Logs a numbered event with key-value fields.
