Tell the next owner of a quota the level while the owner runs

Change: an owner tells the relay that owns the account next the level of its bucket when that would assume a twentieth of the burst too much, at most every 0.1 s for each account. A relay that only learns a level does not tell it on. Accounts within their quotas cause no messages (relay_allowance::untold_level).

Ruled out: a start of successors with an empty bucket, which refuses requests within the quota after each change of the owner.

--- a/components/control/src/relay/allowance/ledger.rs
+++ b/components/control/src/relay/allowance/ledger.rs
@@ -23,6 +23,21 @@
 /// Tokens with which the bucket of a small account starts, although another owner may have granted as many.
 const MIN_START: f64 = 4.0;
 
+/// Time between two messages with the level of a bucket to its next owner.
+const TELL_PERIOD: Duration = Duration::from_millis(100);
+/// Part of the burst, and number of tokens, by which the level has to be lower than the next owner believes for
+/// it to be told.
+const TELL_DIFFERENCE: (f64, f64) = (0.05, 1.0);
+
+/// Level that the next owner of a bucket was told.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    /// Hash of the name of that relay.
+    relay: u64,
+    at: Time,
+    level: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Bucket {
     limit: Limit,
@@ -38,24 +53,47 @@
     granted: VecDeque<(Time, u32)>,
     /// Retry time of the last refusal.
     retry_at: Time,
+    /// When this ledger last answered an ask, other than only learning the level.
+    answered_at: Option<Time>,
+    told: Option<Told>,
 }
 
 impl Bucket {
     fn new(now: Time, limit: Limit, configuration: u64) -> Self {
-        // An earlier owner may have just granted a part of the burst.
-        let level = (limit.burst() / 2.0).max(limit.capacity().min(MIN_START));
         Self {
             limit,
             configuration,
-            level,
+            level: Self::start_level(limit),
             filled_at: now,
             asked_at: now,
             is_assumed: true,
             granted: VecDeque::new(),
             retry_at: now,
+            answered_at: None,
+            told: None,
         }
     }
 
+    /// Returns the level of a bucket of which nothing is known.
+    fn start_level(limit: Limit) -> f64 {
+        // An earlier owner may have just granted a part of the burst.
+        (limit.burst() / 2.0).max(limit.capacity().min(MIN_START))
+    }
+
+    /// Whether the relay that owns the bucket next believes that it holds more than it does.
+    fn is_overestimated(&self, now: Time, relay: u64) -> bool {
+        let told = self.told.filter(|told| told.relay == relay);
+        if told.is_some_and(|told| now.since(told.at) < TELL_PERIOD) {
+            return false;
+        }
+        let believed = told.map_or_else(
+            || Self::start_level(self.limit),
+            |told| (told.level + self.limit.gain(now.since(told.at))).min(self.limit.capacity()),
+        );
+        let (part, tokens) = TELL_DIFFERENCE;
+        self.level <= believed - (self.limit.burst() * part).max(tokens)
+    }
+
     fn fill(&mut self, now: Time) {
         let gained = self.limit.gain(now.since(self.filled_at));
         self.level = (self.level + gained).min(self.limit.capacity());
@@ -182,6 +220,28 @@
         }
     }
 
+    /// Returns the accounts for which this ledger has answered asks lately.
+    pub fn active(&self, now: Time) -> Vec<u64> {
+        let is_active =
+            |bucket: &Bucket| bucket.answered_at.is_some_and(|at| now.since(at) < WINDOW);
+        let active = self.buckets.iter().filter(|(_, bucket)| is_active(bucket));
+        active.map(|(account, _)| *account).collect()
+    }
+
+    /// Returns what the relay that owns an account after this one, `relay` by the hash of its name, has to know of the
+    /// level in case this relay ends without a handover; `None` if it knows enough or the ledger is closed.
+    pub fn tell(&mut self, now: Time, account: u64, relay: u64) -> Option<Handover> {
+        let bucket = self.buckets.get_mut(&account).filter(|_| self.closed_at.is_none())?;
+        bucket.fill(now);
+        if !bucket.is_overestimated(now, relay) {
+            return None;
+        }
+        bucket.told = Some(Told { relay, at: now, level: bucket.level });
+        let report = Report { level_milli: bucket.level_milli(), age: Duration::ZERO };
+        let Bucket { limit, configuration, .. } = *bucket;
+        Some(Handover { account, limit, configuration, report })
+    }
+
     /// Returns what the next owners of the accounts have to know of a closed ledger.
     pub fn handovers(&self, now: Time) -> Vec<Handover> {
         let handover = |(account, bucket): (&u64, &Bucket)| {
@@ -237,6 +297,7 @@
             return Message::Closed { ticket, account, report: self.closing_report(now, account) };
         }
         let bucket = self.bucket(now, account, ask.limit, ask.configuration);
+        bucket.answered_at = Some(now);
         if let Some(report) = ask.report {
             bucket.adopt(now, report);
         }
--- a/components/control/src/relay/allowance/mod.rs
+++ b/components/control/src/relay/allowance/mod.rs
@@ -161,6 +161,6 @@
         account: u64,
         report: Option<Report>,
     },
-    /// Tells the next owner of an account the level of its bucket.
+    /// Tells the relay that owns an account next the level of its bucket.
     Handover(Handover),
 }
--- a/components/control/tests/relay_allowance.rs
+++ b/components/control/tests/relay_allowance.rs
@@ -323,6 +323,59 @@
     Ok(())
 }
 
+/// Owners that are killed one after the other, each after it has told the next one its level, under load from relays
+/// that remember nothing. Guards against a part of the burst from each of them, and against a successor that refuses
+/// what the quota allows.
+#[gtest]
+fn killed_owners() -> Result<()> {
+    for usual in [4.0, LARGE] {
+        let limit = quota(usual);
+        let mut ledgers: Vec<Ledger> = (0..6).map(|_| Ledger::new()).collect();
+        let (mut now, mut ticket, mut run) = (START, 0, Vec::new());
+        let gap = Duration::from_secs_f64(1.0 / usual / HEAVY_FACTOR);
+        for owner in 0..ledgers.len() {
+            let end = now + SECOND * if owner == 0 { 10 } else { 1 };
+            let mut told_at = now;
+            while now < end {
+                now = now + gap;
+                ticket += 1;
+                let answer = ledgers[owner].ask(now, Holder(ticket), &ask(ticket, 1, limit));
+                run.extend((granted(answer) > 0).then_some(now));
+                if now.since(told_at) >= SECOND / 10 && owner + 1 < ledgers.len() {
+                    told_at = now;
+                    expect_that!(ledgers[owner].active(now), elements_are![eq(&ACCOUNT)]);
+                    if let Some(handover) = ledgers[owner].tell(now, ACCOUNT, owner as u64 + 1) {
+                        ledgers[owner + 1].take_over(now, &handover);
+                        // One that only learns the level does not answer for it.
+                        expect_that!(ledgers[owner + 1].active(now), is_empty());
+                    }
+                }
+            }
+        }
+        // Without the levels, five owners would begin with half of the burst each.
+        let most = 5.0 * limit.rate() + limit.capacity() + 0.5 * limit.burst() + 2.0;
+        expect_that!(most_in_window(&run), le(most.min(bound(limit))), "{usual} a second");
+        let later = run.iter().filter(|time| **time > START + SECOND * 10).count();
+        expect_that!(later as f64, ge(5.0 * limit.rate() - 2.0), "{usual} a second");
+    }
+    Ok(())
+}
+
+/// An account within its quota. Guards against messages with its level that change nothing.
+#[gtest]
+fn untold_level() -> Result<()> {
+    let limit = quota(LARGE);
+    let mut ledger = Ledger::new();
+    let mut now = START;
+    let mut told = 0;
+    for ticket in 0..2_000 {
+        now = now + Duration::from_secs_f64(1.0 / LARGE);
+        ledger.ask(now, Holder(1), &ask(ticket, 1, limit));
+        told += usize::from(ledger.tell(now, ACCOUNT, 1).is_some());
+    }
+    verify_that!(told, le(1))
+}
+
 /// A ledger that is closed, asked again, and opened after others have granted. Guards against a repeated ask that
 /// is answered otherwise, and against tokens gained while another owner granted them.
 #[gtest]
--- a/components/relay/src/allowance/owner.rs
+++ b/components/relay/src/allowance/owner.rs
@@ -2,19 +2,24 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use cyclamengrade_control::relay::{
-    allowance::{Ask, Message},
-    broker::Holder,
+use cyclamengrade_control::{
+    hash,
+    relay::{
+        allowance::{Ask, Message},
+        broker::Holder,
+    },
 };
 use cyclamengrade_peer::slots::Content;
 use cyclamengrade_telemetry::event;
 use tokio::time::sleep;
 
-use super::{Answer, account_key};
+use super::{Answer, MAX_OWNERS, account_key};
 use crate::shared::{Phase, Shared, lock};
 
-/// Time between two messages with the level of a quota to its next owner. Each one may be lost.
+/// Time between two messages of a relay that stops with the level of a quota. Each one may be lost.
 const HANDOVER_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two checks whether the next owners of quotas know their levels.
+const TELL_PERIOD: Duration = Duration::from_millis(100);
 
 impl Shared {
     /// Answers an ask as the owner of an account.
@@ -48,6 +53,31 @@
         }
     }
 
+    /// Tells the relays that own quotas after this one their levels, as far as they do not know them, until the
+    /// process ends. If this relay is killed, its successor does not grant a second burst.
+    pub(crate) async fn tell_levels(self: Arc<Self>) {
+        loop {
+            sleep(TELL_PERIOD).await;
+            let now = self.clock.now();
+            let active = lock(&self.allowance.ledger).active(now);
+            if active.is_empty() {
+                continue;
+            }
+            let routes = self.routes.load();
+            let accounts = routes.accounts.iter().flat_map(|accounts| accounts.iter());
+            for account in accounts.filter(|account| active.contains(&account.id())) {
+                let servers = self.servers(&account_key(&account.name), MAX_OWNERS, now);
+                let next = servers.into_iter().find(|(name, _)| *name != self.name);
+                let Some((name, address)) = next else { continue };
+                let relay = hash::stable(&[&name]);
+                let told = lock(&self.allowance.ledger).tell(now, account.id(), relay);
+                if let Some(handover) = told {
+                    self.send(address, Content::Quota(Message::Handover(handover)));
+                }
+            }
+        }
+    }
+
     /// Tells the next owners the levels of the quotas that this relay owned, until the process ends.
     pub(crate) async fn hand_over_quotas(self: Arc<Self>) {
         let mut handed_over = 0;
--- a/components/relay/src/run.rs
+++ b/components/relay/src/run.rs
@@ -109,6 +109,7 @@
             spawn_essential(&shared, "messages", peers::receive(shared.clone(), socket));
             spawn_essential(&shared, "reports", peers::report(shared.clone()));
             spawn_essential(&shared, "changes", peers::report_changes(shared.clone()));
+            spawn_essential(&shared, "quotas", shared.clone().tell_levels());
             let follow = follow_store(shared.clone(), feed, grace_period, apply);
             if task::catch("store", follow).await.is_err() {
                 shared.fail();
--- a/tests/relay_quota.rs
+++ b/tests/relay_quota.rs
@@ -111,6 +111,25 @@
     verify_that!(admitted as f64, ge(RATE * 5.0 * 0.9))
 }
 
+/// Guards against a part of the burst from each of several owners that are killed one after the other. The requests
+/// arrive at the owners themselves, so that no other relay remembers what they have granted.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_owners() -> Result<()> {
+    let mut harness = start(4).await?;
+    let order = owners(&harness);
+    let relays: Vec<usize> = (0..harness.relays()).collect();
+    send(&harness, "calm", &relays, RATE / 2.0, Duration::from_secs(2)).await?;
+    for (number, owner) in order.iter().take(3).enumerate() {
+        let prefix = format!("hot-{number}");
+        send(&harness, &prefix, &[*owner], RATE * 5.0, Duration::from_millis(900)).await?;
+        harness.kill_relay(*owner)?;
+    }
+    send(&harness, "last", &order[3..], RATE * 5.0, Duration::from_millis(1_500)).await?;
+    let allowed = (RATE * WINDOW.as_secs_f64() + BURST) * 1.1 + 20.0;
+    verify_that!(most_in_window(&harness) as f64, le(allowed))
+}
+
 /// Guards against requests within a quota that nobody grants because all relays stop at once, or the only one does.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
