Keep the buckets of a stopping relay closed while others are slow to answer

A relay that stops closes its buckets while another relay owns the quotas. Whether there is one followed from answers of the last quarter of a second, so that a relay which gets little processor time might have opened them again for a moment.

Change: a successor is a relay that is neither leaving nor silent for long.

--- a/components/control/src/relay/monitor.rs
+++ b/components/control/src/relay/monitor.rs
@@ -267,6 +267,12 @@
         !self.leaving && self.answers(now, seen)
     }
 
+    /// Whether the relay is neither shutting down nor silent for long, by the last news of the time `seen`. It may
+    /// have missed a message of this relay.
+    pub fn is_running(&self, seen: Time) -> bool {
+        !self.leaving && self.silence(seen) <= PEER_TIMEOUT
+    }
+
     /// Whether the relay answers, also while it is shutting down, by the last news of the time `seen`.
     pub fn answers(&self, now: Time, seen: Time) -> bool {
         let excluded = UNRESPONSIVE_TIME..UNRESPONSIVE_TIME + RETRY_PERIOD;
--- a/components/relay/src/allowance/owner.rs
+++ b/components/relay/src/allowance/owner.rs
@@ -39,7 +39,7 @@
     /// one owns the quotas. Two ledgers of one account would grant its quota twice.
     fn update_ledger(&self) {
         let now = self.clock.now();
-        let is_closed = *self.phase.borrow() >= Phase::Leaving && self.has_successor(now);
+        let is_closed = *self.phase.borrow() >= Phase::Leaving && self.has_successor();
         let routes = self.routes.load();
         let mut ledger = lock(&self.allowance.ledger);
         if ledger.configuration() < routes.version {
--- a/components/relay/src/slots.rs
+++ b/components/relay/src/slots.rs
@@ -549,9 +549,9 @@
     }
 
     /// Whether another relay serves in place of this one when it stops.
-    pub(crate) fn has_successor(&self, now: Time) -> bool {
+    pub(crate) fn has_successor(&self) -> bool {
         let seen = self.last_news();
-        self.members().values().any(|member| member.health.is_responsive(now, seen))
+        self.members().values().any(|member| member.health.is_running(seen))
     }
 
     /// Returns the relays, with their addresses, that serve a key for all others.
