Wait for the line that a test of a removed key reads

relay_accounts::removed_key failed beside other work: it read the log right after the response, and a thread of its own writes the lines.

Cause: in 5 of 8 runs beside 16 busy processes, eight at a time, the test panicked at the first line of an empty list; the response was 401 in each.

--- a/tests/relay_accounts.rs
+++ b/tests/relay_accounts.rs
@@ -242,8 +242,10 @@
     expect_that!(waiting.is_finished(), is_false());
     expect_that!(running.await??.status, eq(200));
     expect_that!(waiting.await??.status, eq(401));
-    let rejected = harness.events(0, "request_unauthorized");
-    expect_that!(rejected[0]["reason"], eq(&json!("key was removed")));
+    // A thread of its own writes the lines, maybe after the response.
+    let first = async || harness.events(0, "request_unauthorized").into_iter().next();
+    let rejected = harness.eventually("the log line", first).await?;
+    expect_that!(rejected["reason"], eq(&json!("key was removed")));
     expect_that!(status(&harness, "safe", "later", ALBA).await?, eq(401));
     expect_that!(runs(&harness, "waiting"), is_empty());
     // The slot of the rejected request is free.
