Play unexpected statuses, numbers and routes in the soak

Plans with faults now add a route of an unknown kind for a time, odd values of Keep-Alive, and responses with 0, 101, 199, 408, 429, 503, 600 or 999 of a service that has run the request; callers check that a status is a final one, and that a refused request has not run. Plans with accounts terminate all relays one after the other. Both use generators of their own, so that the rest of the plan of a seed stays what it was. The disturbances and their shares move to a module of their own.

Not played: long uploads that are answered and reset, and texts that the store refuses; relay_uploads and relay_rows guard against these.

--- a/components/standins/src/bridge/caller.rs
+++ b/components/standins/src/bridge/caller.rs
@@ -56,6 +56,8 @@
     Refusal,
     /// A request that may not be sent again runs at most once, and has run if it was answered.
     Once,
+    /// A request that was answered has a final status of HTTP.
+    Status,
     /// Every item of an accepted job is listed once, with all of its text.
     Item,
     /// The response of an upstream that nothing befalls arrives whole, unless most of its time has passed.
@@ -611,6 +613,9 @@
         }
         let call = self.call(route, &id);
         let Some(reply) = self.send(&id, call, 200).await else { return };
+        if !(200..600).contains(&reply.status) {
+            self.note(Promise::Status, &id, format!("status {}", reply.status));
+        }
         match reply.status {
             401 | 429 | 503 => _ = self.shared.record().refused.insert(id),
             200 if reply.text() != format!("answer to {id}") => {
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -297,6 +297,14 @@
         }]));
     }
 
+    /// Writes a new version of the configuration that has one more route, of a kind that no relay knows.
+    pub fn add_odd_route(&mut self) {
+        self.configure(json!([{
+            "Name": "odd", "Host": HOST, "PathPrefix": "/odd/", "Kind": "duplex",
+            "TimeoutMs": 5_000, "TargetLatencyMs": 400, "MaxAttempts": 2, "Service": "plain"
+        }]));
+    }
+
     /// Returns the number of relays so far, including those that do not run.
     pub const fn relays(&self) -> usize {
         self.relays.len()
--- a/components/standins/src/bridge/mod.rs
+++ b/components/standins/src/bridge/mod.rs
@@ -2,6 +2,7 @@
 //! the protocols which the `platform/` folder translates, and relay processes that use them.
 
 mod caller;
+mod disturbance;
 mod harness;
 mod keyring;
 mod links;
@@ -14,10 +15,11 @@
 use self::harness::HOST;
 pub use self::{
     caller::{Callers, Contradiction, ITEM_EVENTS, Promise, Record, Stops},
+    disturbance::Disturbance,
     harness::{Harness, Job},
     keyring::{ACCOUNTS, Account, Keyring, REVOKE_MS},
     links::{Cut, Links},
-    plan::{Disturbance, Plan, Profile, Size, Step},
+    plan::{Plan, Profile, Size, Step},
     run::{End, Run},
     runner::{Answer, Early, Endless, Fault, Mark, Moment, Naming, Repeated, Runner},
     store::{Faults, Store},
--- a/components/standins/src/bridge/plan.rs
+++ b/components/standins/src/bridge/plan.rs
@@ -4,7 +4,10 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::index::sample};
 
-use crate::bridge::{ACCOUNTS, Cut, Endless, Fault, Faults};
+use crate::bridge::{
+    ACCOUNTS, Cut, Disturbance, Endless, Fault, Faults,
+    disturbance::{ACCOUNT_SERIES, ADDED, ODD, QUIET_SERIES, SHARES},
+};
 
 /// Size of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,115 +103,12 @@
     KillOwner(&'static str),
     /// The same, with a pause.
     PauseOwner(&'static str),
+    /// Writes a configuration with a route of an unknown kind.
+    OddRoute,
+    /// Has an upstream state an idle timeout.
+    KeepAlive(usize, &'static str),
 }
 
-/// What a plan does to the system, in one or several steps.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Disturbance {
-    Kill,
-    KillMany,
-    KillAll,
-    Terminate,
-    TerminateInTurn,
-    Pause,
-    PauseMany,
-    Replace,
-    Crash,
-    CrashDataCentre,
-    Upstream,
-    Service,
-    StoreRefuses,
-    StoreSilent,
-    RepliesLost,
-    LateTransactions,
-    Configuration,
-    Listing,
-    /// Upstreams of one software version leave while those of the other one join, and back.
-    Rollout,
-    /// Relays lose their links to all upstreams.
-    Cut,
-    /// All relays but one are lost for seconds.
-    KillMost,
-    /// The batch route is missing from one version of the configuration.
-    MissingRoute,
-    /// An upstream leaves and starts again while the store refuses.
-    Release,
-    /// An upstream sends an event without end.
-    Endless,
-    /// An upstream is quiet in some of its responses and goes on.
-    Quiet,
-    /// All upstreams are quiet at the same time.
-    QuietAll,
-    /// The upstream of plain responses is quiet.
-    QuietService,
-    /// A relay gets no processor time for about a second, or several do.
-    Stop,
-    StopMany,
-    /// A relay gets a fifth of the processor time for a second.
-    Quota,
-    /// The streams are another service's for a time.
-    Move,
-    /// An account gets a further key.
-    AddedKey,
-    /// An account gets another key in place of all of its own.
-    ReplacedKeys,
-    /// An account has no key for a time.
-    RemovedKeys,
-    /// The store refuses the calls of some relays.
-    Refused,
-    /// The owner of a quota is killed.
-    OwnerKilled,
-    /// The owner of a quota gets no processor time.
-    OwnerPaused,
-}
-
-/// Disturbances of a quiet plan, each series with the range of times between two of them in milliseconds.
-const QUIET_SERIES: [(&[Disturbance], Range<u64>); 4] = [
-    (&[Disturbance::Quiet, Disturbance::Quiet, Disturbance::Quiet, Disturbance::QuietAll], 40..250),
-    (&[Disturbance::QuietService], 40..300),
-    (
-        &[Disturbance::Stop, Disturbance::Stop, Disturbance::StopMany, Disturbance::Quota],
-        300..1_500,
-    ),
-    (
-        &[
-            Disturbance::Configuration,
-            Disturbance::Move,
-            Disturbance::Rollout,
-            Disturbance::Listing,
-        ],
-        100..600,
-    ),
-];
-/// Disturbances of a plan with accounts, as in [`QUIET_SERIES`].
-const ACCOUNT_SERIES: [(&[Disturbance], Range<u64>); 4] = [
-    (
-        &[
-            Disturbance::ReplacedKeys,
-            Disturbance::ReplacedKeys,
-            Disturbance::RemovedKeys,
-            Disturbance::AddedKey,
-        ],
-        200..1_200,
-    ),
-    (&[Disturbance::Refused], 300..2_000),
-    (&[Disturbance::OwnerKilled, Disturbance::OwnerPaused], 1_500..5_000),
-    (
-        &[
-            Disturbance::Kill,
-            Disturbance::Terminate,
-            Disturbance::Pause,
-            Disturbance::PauseMany,
-            Disturbance::Replace,
-            Disturbance::Crash,
-            Disturbance::Upstream,
-            Disturbance::StoreRefuses,
-            Disturbance::RepliesLost,
-            Disturbance::Configuration,
-        ],
-        300..1_500,
-    ),
-];
 /// Times in milliseconds for which the store refuses relays, an account has no key, and the owner of a quota
 /// is lost.
 const REFUSED_MS: Range<u64> = 500..5_000;
@@ -223,33 +123,15 @@
 const QUOTA_STOP: Duration = Duration::from_millis(80);
 const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 const QUOTA_PERIODS: u32 = 10;
-
-/// Disturbances that are added to the plan of a seed by a generator of their own.
-const ADDED: [Disturbance; 4] =
-    [Disturbance::KillMost, Disturbance::MissingRoute, Disturbance::Release, Disturbance::Endless];
-
-/// All disturbances but cuts of links, with the share of each.
-const SHARES: [(Disturbance, u32); 19] = [
-    (Disturbance::Kill, 8),
-    (Disturbance::KillMany, 3),
-    (Disturbance::KillAll, 2),
-    (Disturbance::Terminate, 6),
-    (Disturbance::TerminateInTurn, 3),
-    (Disturbance::Pause, 6),
-    (Disturbance::PauseMany, 3),
-    (Disturbance::Replace, 5),
-    (Disturbance::Crash, 8),
-    (Disturbance::CrashDataCentre, 3),
-    (Disturbance::Upstream, 24),
-    (Disturbance::Service, 8),
-    (Disturbance::StoreRefuses, 5),
-    (Disturbance::StoreSilent, 2),
-    (Disturbance::RepliesLost, 5),
-    (Disturbance::LateTransactions, 2),
-    (Disturbance::Configuration, 4),
-    (Disturbance::Listing, 6),
-    (Disturbance::Rollout, 6),
+/// Idle timeouts and statuses that upstreams state.
+const ODD_KEEP_ALIVES: [&str; 5] = [
+    "timeout=18446744073709551615",
+    "timeout=99999999999999999999",
+    "timeout=0",
+    "timeout=-1",
+    "timeout=5",
 ];
+const ODD_STATUSES: [u16; 8] = [0, 101, 199, 408, 429, 503, 600, 999];
 
 /// Times and steps of all faults of a run. It follows from the seed and the size alone.
 #[derive(Debug)]
@@ -272,50 +154,33 @@
             let pause = planner.time(20..400);
             planner.now += pause;
         }
-        // Of another generator, so that the rest of the plan of a seed stays what it was.
+        // Of other generators, so that the rest of the plan of a seed stays what it was.
         planner.random = StdRng::seed_from_u64(!seed);
         planner.now = planner.time(0..2_000);
-        while planner.now < end {
-            *disturbances.entry(Disturbance::Cut).or_default() += 1;
-            planner.add(Disturbance::Cut);
-            let pause = planner.time(500..4_000);
-            planner.now += pause;
-        }
+        planner.series(&[Disturbance::Cut], 500..4_000, &mut disturbances);
         planner.random = StdRng::seed_from_u64(seed.rotate_left(32));
         planner.now = planner.time(0..4_000);
-        while planner.now < end {
-            let disturbance = ADDED[planner.random.random_range(0..ADDED.len())];
-            *disturbances.entry(disturbance).or_default() += 1;
-            planner.add(disturbance);
-            let pause = planner.time(1_000..5_000);
-            planner.now += pause;
-        }
+        planner.series(&ADDED, 1_000..5_000, &mut disturbances);
+        planner.random = StdRng::seed_from_u64(seed.reverse_bits());
+        planner.now = planner.time(0..1_000);
+        planner.series(&ODD, 200..2_000, &mut disturbances);
         planner.finish(disturbances)
     }
 
     /// Creates a plan under which no process, connection or answer fails.
     pub fn quiet(seed: u64, size: Size) -> Self {
-        Self::with_series(Planner::new(seed, size, Profile::Quiet), QUIET_SERIES)
+        let mut planner = Planner::new(seed, size, Profile::Quiet);
+        let disturbances = planner.all_series(QUIET_SERIES);
+        planner.finish(disturbances)
     }
 
     /// Creates a plan in which the keys of accounts change while relays fail and are refused by the store.
     pub fn accounts(seed: u64, size: Size) -> Self {
-        Self::with_series(Planner::new(seed, size, Profile::Accounts), ACCOUNT_SERIES)
-    }
-
-    fn with_series(mut planner: Planner, series: [(&[Disturbance], Range<u64>); 4]) -> Self {
-        let mut disturbances = BTreeMap::new();
-        let end = Duration::from_secs(planner.size.seconds);
-        for (choices, pauses) in series {
-            planner.now = planner.time(pauses.clone());
-            while planner.now < end {
-                let disturbance = choices[planner.random.random_range(0..choices.len())];
-                *disturbances.entry(disturbance).or_default() += 1;
-                planner.add(disturbance);
-                let pause = planner.time(pauses.clone());
-                planner.now += pause;
-            }
-        }
+        let mut planner = Planner::new(seed, size, Profile::Accounts);
+        let mut disturbances = planner.all_series(ACCOUNT_SERIES);
+        planner.random = StdRng::seed_from_u64(seed.rotate_left(32));
+        planner.now = planner.time(0..3_000);
+        planner.series(&[Disturbance::RollingRestart], 4_000..8_000, &mut disturbances);
         planner.finish(disturbances)
     }
 }
@@ -342,6 +207,38 @@
         Plan { profile: self.profile, steps, disturbances }
     }
 
+    /// Adds some of `choices` from now on, and counts them.
+    fn series(
+        &mut self,
+        choices: &[Disturbance],
+        pauses: Range<u64>,
+        counts: &mut BTreeMap<Disturbance, u32>,
+    ) {
+        let end = Duration::from_secs(self.size.seconds);
+        while self.now < end {
+            let disturbance = match choices {
+                [only] => *only,
+                _ => choices[self.random.random_range(0..choices.len())],
+            };
+            *counts.entry(disturbance).or_default() += 1;
+            self.add(disturbance);
+            let pause = self.time(pauses.clone());
+            self.now += pause;
+        }
+    }
+
+    fn all_series<const N: usize>(
+        &mut self,
+        series: [(&[Disturbance], Range<u64>); N],
+    ) -> BTreeMap<Disturbance, u32> {
+        let mut counts = BTreeMap::new();
+        for (choices, pauses) in series {
+            self.now = self.time(pauses.clone());
+            self.series(choices, pauses, &mut counts);
+        }
+        counts
+    }
+
     fn disturbance(&mut self) -> Disturbance {
         let sum = SHARES.iter().map(|(_, share)| share).sum();
         let mut left = self.random.random_range(0..sum);
@@ -553,6 +450,21 @@
                 let lost = self.time(OWNER_LOST_MS);
                 self.step(lost, back);
             }
+            Disturbance::RollingRestart => self.terminate((0..self.size.relays).collect()),
+            Disturbance::OddRoute => {
+                self.step(Duration::ZERO, Step::OddRoute);
+                let back = self.time(50..1_500);
+                self.step(back, Step::Configure);
+            }
+            Disturbance::OddNumber => {
+                let value = ODD_KEEP_ALIVES[self.random.random_range(0..ODD_KEEP_ALIVES.len())];
+                let runner = self.runner();
+                self.step(Duration::ZERO, Step::KeepAlive(runner, value));
+            }
+            Disturbance::OddStatus => {
+                let status = ODD_STATUSES[self.random.random_range(0..ODD_STATUSES.len())];
+                self.step(Duration::ZERO, Step::Service(Fault::Status(status)));
+            }
         }
     }
 
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -15,9 +15,9 @@
 //! | `SOAK_LOGS` | folder for the logs of seeds that fail | none are kept |
 //!
 //! With `accounts`, keys of four accounts of unequal size are added and removed under strict revocation, one
-//! account sends far more than its quota, the store refuses relays, and the owner of that quota is killed or
-//! paused. Checked are which keys run requests and until when, what upstreams learn of them, the quota in any
-//! 5 s, and who reads jobs.
+//! account sends far more than its quota, the store refuses relays, all of them restart in turn, and the owner of
+//! that quota is killed or paused. Checked are which keys run requests and until when, what upstreams learn of
+//! them, the quota in any 5 s, and who reads jobs.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -288,6 +288,8 @@
                 }
             }
             Step::RemoveRoute => self.harness.configure_without(&["batch"]),
+            Step::OddRoute => self.harness.add_odd_route(),
+            Step::KeepAlive(runner, value) => self.runner(*runner).set_keep_alive(value),
             Step::Leave(runner) => self.runner(*runner).announce_leaving(),
             Step::Restart(runner) => {
                 self.runner(*runner).restart();
