Play routes that cannot be read in the soak

A route of an unknown kind is served like an unsafe one, so the plans did not reach the path that leaves out parts of a configuration. They now write a list with a text, a route without a host, and one whose fields have other types.

--- a/components/standins/src/bridge/disturbance.rs
+++ b/components/standins/src/bridge/disturbance.rs
@@ -62,8 +62,8 @@
     OwnerPaused,
     /// All relays are terminated one after the other.
     RollingRestart,
-    /// The configuration has a route of an unknown kind for a time.
-    OddRoute,
+    /// The configuration has routes that cannot be read for a time.
+    OddRoutes,
     /// An upstream states an idle timeout out of range.
     OddNumber,
     /// The upstream of plain responses runs a request and answers with a status that is none, or that says
@@ -124,7 +124,7 @@
 
 /// The same, of another generator: configurations, numbers and statuses that peers do not expect.
 pub(super) const ODD: [Disturbance; 3] =
-    [Disturbance::OddRoute, Disturbance::OddNumber, Disturbance::OddStatus];
+    [Disturbance::OddRoutes, Disturbance::OddNumber, Disturbance::OddStatus];
 
 /// All disturbances but cuts of links, with the share of each.
 pub(super) const SHARES: [(Disturbance, u32); 19] = [
--- a/components/standins/src/bridge/harness.rs
+++ b/components/standins/src/bridge/harness.rs
@@ -297,12 +297,16 @@
         }]));
     }
 
-    /// Writes a new version of the configuration that has one more route, of a kind that no relay knows.
-    pub fn add_odd_route(&mut self) {
-        self.configure(json!([{
-            "Name": "odd", "Host": HOST, "PathPrefix": "/odd/", "Kind": "duplex",
-            "TimeoutMs": 5_000, "TargetLatencyMs": 400, "MaxAttempts": 2, "Service": "plain"
-        }]));
+    /// Writes a new version of the configuration that has further routes which cannot be read, or only in part.
+    pub fn add_odd_routes(&mut self) {
+        self.configure(json!([
+            "odd",
+            {"Name": "odd", "PathPrefix": ["/odd/"], "Kind": "safe", "Service": "plain"},
+            {
+                "Name": 7, "Host": HOST, "PathPrefix": "/odd/", "Kind": "duplex", "TimeoutMs": "long",
+                "MaxAttempts": -1, "Split": {}
+            }
+        ]));
     }
 
     /// Returns the number of relays so far, including those that do not run.
--- a/components/standins/src/bridge/plan.rs
+++ b/components/standins/src/bridge/plan.rs
@@ -103,8 +103,8 @@
     KillOwner(&'static str),
     /// The same, with a pause.
     PauseOwner(&'static str),
-    /// Writes a configuration with a route of an unknown kind.
-    OddRoute,
+    /// Writes a configuration with routes that cannot be read.
+    OddRoutes,
     /// Has an upstream state an idle timeout.
     KeepAlive(usize, &'static str),
 }
@@ -451,8 +451,8 @@
                 self.step(lost, back);
             }
             Disturbance::RollingRestart => self.terminate((0..self.size.relays).collect()),
-            Disturbance::OddRoute => {
-                self.step(Duration::ZERO, Step::OddRoute);
+            Disturbance::OddRoutes => {
+                self.step(Duration::ZERO, Step::OddRoutes);
                 let back = self.time(50..1_500);
                 self.step(back, Step::Configure);
             }
--- a/tests/relay_soak.rs
+++ b/tests/relay_soak.rs
@@ -288,7 +288,7 @@
                 }
             }
             Step::RemoveRoute => self.harness.configure_without(&["batch"]),
-            Step::OddRoute => self.harness.add_odd_route(),
+            Step::OddRoutes => self.harness.add_odd_routes(),
             Step::KeepAlive(runner, value) => self.runner(*runner).set_keep_alive(value),
             Step::Leave(runner) => self.runner(*runner).announce_leaving(),
             Step::Restart(runner) => {
