--- a/review/lib3/runner.py
+++ b/review/lib3/runner.py
@@ -5,7 +5,8 @@
 503 with `Not-Run` when it is full, and otherwise the echoed id, its stamp and its body.
 
 Settings: `store` (address), `service`, `version`, `zone`, `log`, `heartbeat_s`, `runners`: a list of `id`,
-`address`, `slots`, `work_ms`, `events_ms` and `queue`.
+`address`, `slots`, `work_ms`, `events_ms` and `unframed` (whether answers have neither length nor chunks and end
+with their channel). A runner writes its entry `lag_s` after it has begun to listen, and then every `heartbeat_s`.
 """
 
 import asyncio
@@ -89,21 +90,34 @@
         events = headers.get("token-counts")
         if events is None:
             await asyncio.sleep(self.entry.get("work_ms", 5) / 1000.0)
-            self.plain(writer, 200, stamp, b"answer to " + request_id.encode())
+            body = b"answer to " + request_id.encode()
+            if not self.entry.get("unframed"):
+                self.plain(writer, 200, stamp, body)
+                await writer.drain()
+                return True
+            lines = "".join(f"{name}: {value}\r\n" for name, value in stamp.items())
+            writer.write(f"HTTP/1.1 200 S\r\n{lines}\r\n".encode())
+            for begin in range(0, len(body), 2):
+                writer.write(body[begin:begin + 2])
+                await asyncio.sleep(self.entry.get("events_ms", 10) / 1000.0)
             await writer.drain()
-            return True
+            return False
         last = int(headers.get("last-event-id", "0"))
         total = int(events.split(",")[1])
         lines = "".join(f"{name}: {value}\r\n" for name, value in stamp.items())
-        head = f"HTTP/1.1 200 S\r\n{lines}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        unframed = self.entry.get("unframed")
+        coding = "" if unframed else "Transfer-Encoding: chunked\r\n"
+        head = f"HTTP/1.1 200 S\r\n{lines}Content-Type: text/event-stream\r\n{coding}\r\n"
         writer.write(head.encode())
         for event in range(last + 1, total + 1):
             await asyncio.sleep(self.entry.get("events_ms", 10) / 1000.0)
             if reader.at_eof() or writer.transport.is_closing():
                 raise ConnectionError
             text = f"id: {event}\ndata: {request_id} {event}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+            writer.write(text if unframed else b"%x\r\n%s\r\n" % (len(text), text))
             await writer.drain()
+        if unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
@@ -116,6 +130,10 @@
     for runner in runners:
         host, port = runner.entry["address"].rsplit(":", 1)
         await asyncio.start_server(runner.serve, host, int(port), limit=1 << 24, backlog=1024)
+        log.write(json.dumps({"t": time.monotonic(), "what": "listening", "runner": runner.id}) + "\n")
+        log.flush()
+    await asyncio.sleep(settings.get("lag_s", 0.0))
+    for runner in runners:
         await runner.register()
     print("listening", flush=True)
     while True:
--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -116,8 +116,21 @@
             entries.append({"id": runner, "address": f"{self.prefix}.2:{port}", **behaviour})
         settings = {"store": self.store, "service": service, "log": self.run_log, "runners": entries, **more}
         path = f"{self.folder}/{service}-{len(self.processes)}.json"
-        json.dump(settings, open(path, "w"))
-        return self.spawn(f"runners-{service}", [sys.executable, f"{HERE}/runner.py", path])
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        process = self.spawn(f"runners-{service}", [sys.executable, f"{HERE}/runner.py", path])
+        process.settings_path = path
+        return process
+
+    def restart_runners(self, process, **more):
+        """Starts the runners of a process that has ended once more, under their ids and at their addresses."""
+        with open(process.settings_path) as file:
+            settings = {**json.load(file), **more}
+        with open(process.settings_path, "w") as file:
+            json.dump(settings, file)
+        started = self.spawn("runners-again", [sys.executable, f"{HERE}/runner.py", process.settings_path])
+        started.settings_path = process.settings_path
+        return started
 
     def start_relay(self, relay):
         relay.starts += 1
