--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""All relays are killed at the same moment, as `herd_kill` on the core does, and start again."""
+"""The relay that owns the quota of a tenant freezes for four seconds, as `node_freeze` does, and wakes again."""
 
 import asyncio
 import os
@@ -13,10 +13,10 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 TENANT, KEY = "huka270", "ftimaj3nr26tta828m82"
-RATE, BURST = 230, 230  # those of the pages' example of a manifest (`fleetbench wire`)
+RATE, BURST = 100, 100  # equal, as in the pages' example of a manifest (`fleetbench wire`)
 WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20
-CALM, HOT = 20.0, 1050.0  # requests a second of the tenant; hot_tenant brings up to 7.5 times the usual 144
-DOWN_S = 0.5  # a process that is killed starts again after a short delay
+CALM, HOT = 30.0, 450.0  # requests a second of the tenant; hot_tenant brings up to 7.5 times the usual 62
+FREEZE_S = 4.0  # largest `for_s` of node_freeze in the site files
 
 
 class Case:
@@ -71,22 +71,24 @@
             world.start_relay(relay)
         await world.await_ready()
         balancer = asyncio.create_task(self.balance())
-        await asyncio.sleep(1.0)
-        await self.load(CALM, 8.0)
+        await asyncio.sleep(2.0)
+        await self.load(CALM, 3.0)
+        victim = next(r for r in world.relays if r.name == os.environ.get("VICTIM", "front-1"))
+        if TROUBLE:
+            world.signal(victim, signal.SIGSTOP)
+        frozen = time.monotonic()
+        await self.load(5.0, 0.6)
+        world.note("the tenant sends 4.5 times its quota")
         hot = asyncio.create_task(self.load(HOT, 5.5))
-        await asyncio.sleep(1.2)
+        await asyncio.sleep(frozen + FREEZE_S - time.monotonic())
         if TROUBLE:
-            for relay in world.relays:
-                world.signal(relay, signal.SIGKILL)
-            await asyncio.sleep(DOWN_S)
-            for relay in world.relays:
-                world.start_relay(relay)
+            world.signal(victim, signal.SIGCONT)
         await hot
         await asyncio.wait(self.tasks, timeout=7.0)
         balancer.cancel()
-        return self.judge()
+        return self.judge(victim)
 
-    def judge(self):
+    def judge(self, victim):
         world = self.world
         runs = [(self.sent[run["id"]], run["t"], run["id"]) for run in world.runs() if run["what"] == "run"]
         for sent, ran, request in sorted(runs):
