Claim the account of a quota from the other relays before its tokens are granted

Cause: an owner that wakes up takes itself for the owner at once and grants the burst that its bucket gained while it stood still, although its substitute granted it meanwhile. What it knows of the others is as old as its freeze, and `is_isolated` looks only at messages that were read.

Change: a relay grants tokens of an account only while it holds it. It holds nothing after its start and after a pause of 0.25 s or longer, on a clock that includes suspensions. It claims the account from all relays that answer, which stop granting and state the level; a claim waits 15 ms at most. Relays that were claimed from name the holder for 0.5 s. Events 1278 to 1280 tell a pause, a claim with its answers, and a relay that gives an account up, which no line told before.

Weighed: lowering the level after a pause by the longest possible grant refuses a burst that is owed where nobody else has granted; asking the others costs one exchange for each account and pause.

--- a/components/control/src/relay/allowance/ledger.rs
+++ b/components/control/src/relay/allowance/ledger.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Whether another relay owns the accounts, since this one is shutting down.
+    pub const fn is_closed(&self) -> bool {
+        self.closed_at.is_some()
+    }
+
     /// Returns the accounts for which this ledger has answered asks lately.
     pub fn active(&self, now: Time) -> Vec<u64> {
         let is_active =
@@ -261,6 +266,31 @@
         }
     }
 
+    /// Returns what another relay that claims an account has to know of its level; `None` if nothing is known.
+    pub fn report(&self, now: Time, account: u64) -> Option<Report> {
+        if self.closed_at.is_some() {
+            return self.closing_report(now, account);
+        }
+        let is_known = |bucket: &&Bucket| bucket.answered_at.is_some() || !bucket.is_assumed;
+        let bucket = self.buckets.get(&account).filter(is_known);
+        let mut bucket = bucket.filter(|bucket| now.since(bucket.asked_at) < WINDOW)?.clone();
+        bucket.fill(now);
+        Some(Report { level_milli: bucket.level_milli(), age: Duration::ZERO })
+    }
+
+    /// Takes over the level of an account that is known here, as another relay states it.
+    pub fn learn(&mut self, now: Time, account: u64, report: Report) {
+        if let Some(bucket) = self.buckets.get_mut(&account) {
+            bucket.fill(now);
+            bucket.adopt(now, report);
+        }
+    }
+
+    /// Creates the bucket of an account, so that it learns its level before the first grant.
+    pub fn prepare(&mut self, now: Time, ask: &Ask) {
+        self.bucket(now, ask.account, ask.limit, ask.configuration);
+    }
+
     /// Returns the level of an account at which the ledger was closed, if it is recent.
     fn closing_report(&self, now: Time, account: u64) -> Option<Report> {
         let age = now.since(self.closed_at?);
--- a/components/control/src/relay/allowance/mod.rs
+++ b/components/control/src/relay/allowance/mod.rs
@@ -3,13 +3,15 @@
 //! One relay, the owner, keeps the token bucket of an account. The others ask it for a token for each request.
 //! A relay that gets no answer admits a small share of the requests by itself.
 
+mod claim;
 mod client;
 mod ledger;
 mod share;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 pub use self::{
+    claim::{Claims, Outcome, Response, Standing},
     client::{BLOCK_TIME, Client, Decision},
     ledger::Ledger,
     share::Shares,
@@ -163,4 +165,24 @@
     },
     /// Tells the relay that owns an account next the level of its bucket.
     Handover(Handover),
+    /// Asks another relay to stop granting tokens of an account, which the sender does from now on.
+    Claim {
+        ticket: u64,
+        account: u64,
+    },
+    /// Answer to a claim: the sender grants no tokens of the account any more.
+    Yielded {
+        ticket: u64,
+        account: u64,
+        /// Level of the bucket, if the sender granted tokens of it or heard of its level lately.
+        report: Option<Report>,
+        /// Time for which the sender remembers its grants, which is the time since its start.
+        memory: Duration,
+    },
+    /// Answer to an ask or a claim: the relay `holder` grants the tokens of the account.
+    Moved {
+        ticket: u64,
+        account: u64,
+        holder: SocketAddr,
+    },
 }
--- a/components/peer/src/slots.rs
+++ b/components/peer/src/slots.rs
@@ -346,6 +346,18 @@
             configuration: handover.configuration,
             report: Some(encode_report(handover.report)),
         }),
+        allowance::Message::Claim { ticket, account } => {
+            Kind::QuotaClaim(wire::QuotaClaim { ticket, account })
+        }
+        allowance::Message::Yielded { ticket, account, report, memory } => {
+            let report = report.map(encode_report);
+            let memory_ms = u64::try_from(memory.as_millis()).unwrap_or(u64::MAX);
+            Kind::QuotaYielded(wire::QuotaYielded { ticket, account, report, memory_ms })
+        }
+        allowance::Message::Moved { ticket, account, holder } => {
+            let holder = holder.to_string();
+            Kind::QuotaMoved(wire::QuotaMoved { ticket, account, holder })
+        }
     }
 }
 
@@ -503,6 +515,21 @@
         Kind::QuotaHandover(handover) => {
             Content::Quota(allowance::Message::Handover(decode_handover(handover)?))
         }
+        Kind::QuotaClaim(claim) => Content::Quota(allowance::Message::Claim {
+            ticket: claim.ticket,
+            account: claim.account,
+        }),
+        Kind::QuotaYielded(yielded) => Content::Quota(allowance::Message::Yielded {
+            ticket: yielded.ticket,
+            account: yielded.account,
+            report: yielded.report.map(decode_report),
+            memory: Duration::from_millis(yielded.memory_ms),
+        }),
+        Kind::QuotaMoved(moved) => Content::Quota(allowance::Message::Moved {
+            ticket: moved.ticket,
+            account: moved.account,
+            holder: moved.holder.parse().ok()?,
+        }),
     };
     Some(Message { incarnation: message.incarnation, content })
 }
--- a/components/relay/src/allowance.rs
+++ b/components/relay/src/allowance.rs
@@ -11,7 +11,9 @@
 use cyclamengrade_control::{
     relay::{
         account::Account,
-        allowance::{Ask, BLOCK_TIME, Client, Decision, Ledger, Limit, Message, Report, Shares},
+        allowance::{
+            Ask, BLOCK_TIME, Claims, Client, Decision, Ledger, Limit, Message, Report, Shares,
+        },
     },
     time::Time,
 };
@@ -24,12 +26,16 @@
 };
 use metrics::counter;
 use tokio::{
-    sync::oneshot::{self, Receiver, Sender},
+    sync::{
+        Notify,
+        oneshot::{self, Receiver, Sender},
+    },
     time::{sleep, timeout},
 };
 
 use crate::shared::{Shared, lock};
 
+mod claim;
 mod owner;
 mod view;
 
@@ -73,6 +79,8 @@
     },
     /// The owner is shutting down and grants no more tokens.
     Closed(Option<Report>),
+    /// Another relay grants the tokens.
+    Moved(SocketAddr),
 }
 
 impl Answer {
@@ -84,7 +92,12 @@
             }
             Message::Refused { wait, level_milli, .. } => Some(Self::Refused { wait, level_milli }),
             Message::Closed { report, .. } => Some(Self::Closed(report)),
-            Message::Ask(_) | Message::Return { .. } | Message::Handover(_) => None,
+            Message::Moved { holder, .. } => Some(Self::Moved(holder)),
+            Message::Ask(_)
+            | Message::Return { .. }
+            | Message::Handover(_)
+            | Message::Claim { .. }
+            | Message::Yielded { .. } => None,
         }
     }
 }
@@ -121,11 +134,29 @@
 }
 
 /// Quotas of client accounts at this relay.
-#[derive(Default)]
 pub struct Allowance {
     state: Mutex<State>,
     /// Buckets of the accounts that this relay owns.
     ledger: Mutex<Ledger>,
+    /// Which of them it may grant tokens of.
+    claims: Mutex<Claims<SocketAddr>>,
+    /// Wakes the asks that wait for the end of a claim.
+    concluded: Notify,
+    /// When this relay started.
+    started_at: Time,
+}
+
+impl Allowance {
+    /// Creates the quotas of a relay that starts now.
+    pub fn new(now: Time) -> Self {
+        Self {
+            state: Mutex::default(),
+            ledger: Mutex::default(),
+            claims: Mutex::default(),
+            concluded: Notify::new(),
+            started_at: now,
+        }
+    }
 }
 
 /// Where a token came from.
@@ -258,7 +289,7 @@
             let left = OWNER_TIMEOUT.saturating_sub(asked_at.since(begin));
             counter!(RELAY_QUOTA_ASKS).increment(1);
             let answer = if name == self.name {
-                Some(self.ask_self(subject, count, owner))
+                Some(self.ask_self(subject, count, owner).await)
             } else {
                 self.ask_owner(subject, count, owner, left, &mut was_late).await
             };
@@ -276,6 +307,10 @@
                 Some(Answer::Closed(report)) => {
                     owners = self.next_owners(subject, owner, report).into();
                 }
+                Some(Answer::Moved(holder)) => {
+                    lock(&self.allowance.state).owners.remove(&subject.id);
+                    owners.push_front((self.relay_name(holder), holder));
+                }
                 None => {
                     counter!(RELAY_QUOTA_OWNERS_UNRESPONSIVE).increment(1);
                     event!(QuotaOwnerSilent, account:% = subject.name, member:% = name);
@@ -342,25 +377,46 @@
         });
     }
 
+    /// Returns the name of the relay with an address; the address if it is not known.
+    fn relay_name(&self, address: SocketAddr) -> String {
+        if address == self.address() {
+            return self.name.clone();
+        }
+        let members = self.members();
+        let member = members.iter().find(|(_, member)| member.address == address);
+        member.map_or_else(|| address.to_string(), |(name, _)| name.clone())
+    }
+
+    /// Returns a number that identifies an ask or a claim among those of this start of the relay.
+    fn next_ticket(&self) -> u64 {
+        let mut state = lock(&self.allowance.state);
+        state.last_ticket += 1;
+        state.last_ticket
+    }
+
     fn new_ask(&self, subject: Subject<'_>, count: u32, owner: SocketAddr) -> Ask {
         let configuration = self.routes.load().version;
         let now = self.clock.now();
-        let mut state = lock(&self.allowance.state);
-        state.last_ticket += 1;
+        let ticket = self.next_ticket();
         Ask {
-            ticket: state.last_ticket,
+            ticket,
             account: subject.id,
             count,
             limit: subject.limit,
             configuration,
-            report: state.client.report(now, subject.id, owner),
+            report: lock(&self.allowance.state).client.report(now, subject.id, owner),
         }
     }
 
     /// Takes tokens from the bucket that this relay keeps as the owner.
-    fn ask_self(&self, subject: Subject<'_>, count: u32, owner: SocketAddr) -> Answer {
+    async fn ask_self(
+        self: &Arc<Self>,
+        subject: Subject<'_>,
+        count: u32,
+        owner: SocketAddr,
+    ) -> Answer {
         let ask = self.new_ask(subject, count, owner);
-        let answer = Answer::new(self.answer_ask(self.incarnation, &ask));
+        let answer = Answer::new(self.settle_ask(self.incarnation, &ask).await);
         answer.unwrap_or(Answer::Closed(None))
     }
 
--- a/components/relay/src/allowance/owner.rs
+++ b/components/relay/src/allowance/owner.rs
@@ -5,7 +5,7 @@
 use cyclamengrade_control::{
     hash,
     relay::{
-        allowance::{Ask, Message},
+        allowance::{Ask, Message, Standing},
         broker::Holder,
     },
 };
@@ -22,8 +22,35 @@
 const TELL_PERIOD: Duration = Duration::from_millis(100);
 
 impl Shared {
+    /// Answers an ask as the owner of an account, after this relay has learned what others granted.
+    pub(super) async fn settle_ask(self: &Arc<Self>, incarnation: u64, ask: &Ask) -> Message {
+        self.update_ledger();
+        if lock(&self.allowance.ledger).is_closed() {
+            return self.answer_ask(incarnation, ask);
+        }
+        let Ask { ticket, account, .. } = *ask;
+        match self.hold(ask).await {
+            None => self.answer_ask(incarnation, ask),
+            Some(holder) => Message::Moved { ticket, account, holder },
+        }
+    }
+
+    /// Answers an ask of another relay, at once if possible.
+    fn serve_ask(self: &Arc<Self>, from: SocketAddr, incarnation: u64, ask: Ask) {
+        if self.standing(ask.account) == Standing::Held {
+            let answer = self.answer_ask(incarnation, &ask);
+            self.send(from, Content::Quota(answer));
+            return;
+        }
+        let shared = self.clone();
+        tokio::spawn(async move {
+            let answer = shared.settle_ask(incarnation, &ask).await;
+            shared.send(from, Content::Quota(answer));
+        });
+    }
+
     /// Answers an ask as the owner of an account.
-    pub(super) fn answer_ask(&self, incarnation: u64, ask: &Ask) -> Message {
+    fn answer_ask(&self, incarnation: u64, ask: &Ask) -> Message {
         let now = self.clock.now();
         let mut ask = *ask;
         if ask.report.is_none() {
@@ -59,7 +86,8 @@
         loop {
             sleep(TELL_PERIOD).await;
             let now = self.clock.now();
-            let active = lock(&self.allowance.ledger).active(now);
+            let mut active = lock(&self.allowance.ledger).active(now);
+            active.retain(|account| self.standing(*account) == Standing::Held);
             if active.is_empty() {
                 continue;
             }
@@ -113,12 +141,9 @@
     }
 
     /// Handles a message about a quota of another relay, the process `incarnation`.
-    pub fn handle_quota(&self, from: SocketAddr, incarnation: u64, message: Message) {
+    pub fn handle_quota(self: &Arc<Self>, from: SocketAddr, incarnation: u64, message: Message) {
         match message {
-            Message::Ask(ask) => {
-                let answer = self.answer_ask(incarnation, &ask);
-                self.send(from, Content::Quota(answer));
-            }
+            Message::Ask(ask) => self.serve_ask(from, incarnation, ask),
             Message::Return { account, count } => {
                 lock(&self.allowance.ledger).give_back(self.clock.now(), account, count);
             }
@@ -140,6 +165,18 @@
                 self.record_leaving(incarnation);
                 let _ = self.handle_answer_to(ticket, incarnation, Answer::Closed(report));
             }
+            Message::Claim { ticket, account } => {
+                let answer = self.answer_claim(from, ticket, account);
+                self.send(from, Content::Quota(answer));
+            }
+            Message::Yielded { ticket, account, report, memory } => {
+                self.record_answer(incarnation, self.clock.now());
+                self.record_yield(from, (account, ticket), report, memory);
+            }
+            Message::Moved { ticket, account, holder } => {
+                self.record_kept((account, ticket), holder);
+                let _ = self.handle_answer_to(ticket, incarnation, Answer::Moved(holder));
+            }
         }
     }
 }
--- a/components/relay/src/clock.rs
+++ b/components/relay/src/clock.rs
@@ -110,6 +110,7 @@
 pub async fn watch_pauses(shared: Arc<Shared>) {
     loop {
         sleep(TICK_PERIOD).await;
+        shared.record_running();
         let pause = lock(&shared.clock.running).tick(shared.clock.now());
         if pause >= MIN_LOGGED_PAUSE {
             event!(RelayPaused, pause_ms = pause.as_millis() as u64);
--- a/components/relay/src/shared.rs
+++ b/components/relay/src/shared.rs
@@ -224,6 +224,8 @@
         objects: Arc<dyn Objects>,
         row_bytes: usize,
     ) -> Self {
+        let clock = Clock::new();
+        let allowance = Allowance::new(clock.now());
         Self {
             name: name.to_owned(),
             incarnation,
@@ -231,7 +233,7 @@
             table,
             objects,
             row_bytes,
-            clock: Clock::new(),
+            clock,
             routes: ArcSwap::from_pointee(route::Table::default()),
             pool: Pool::default(),
             link: link::State::default(),
@@ -259,7 +261,7 @@
             store_connected_since: AtomicU64::new(0),
             origins: Cache::default(),
             quarantine: Ledger::default(),
-            allowance: Allowance::default(),
+            allowance,
             selector: Mutex::new(Selector::new(data_centre)),
             members: Mutex::default(),
             jobs: Mutex::default(),
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -388,6 +388,16 @@
     /// A broker answered a request for a slot after the relay had given it up (event 1226). Fields: `from` (address of the
     /// broker), `elapsed_ms` since the request.
     1277 Info BrokerLate "broker_late" "broker answered too late",
+    /// This relay got no processor time for a quarter of a second or longer. Others may have granted tokens of the quotas
+    /// that it owns, which it claims again before its next grant.
+    1278 Info QuotasUncertain "quotas_uncertain" "levels of quotas are uncertain after a pause",
+    /// This relay claimed an account and grants the tokens of its quota from now on. Fields: `account`, `asked` (number of
+    /// other relays), `answered` (those that answered in time), `memory_ms` (time for which most relays remember their
+    /// grants).
+    1279 Info QuotaClaimed "quota_claimed" "quota of an account was claimed",
+    /// Another relay claimed an account; this one grants no more tokens of its quota. Fields: `account`, `holder`
+    /// (address of that relay).
+    1280 Info QuotaYielded "quota_yielded" "quota of an account was left to another relay",
 }
 
 /// Logs a numbered event with key-value fields.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -133,6 +133,10 @@
         "Requests of a relay to the owners of quotas for tokens, without repeated ones.",
     RELAY_QUOTA_OWNERS_UNRESPONSIVE "relay_quota_owners_unresponsive_total" Counter Count ""
         "Requests to the owners of quotas that were not answered in time.",
+    RELAY_QUOTA_CLAIMS "relay_quota_claims_total" Counter Count ""
+        "Accounts that a relay claimed before it granted tokens of their quotas.",
+    RELAY_QUOTA_YIELDS "relay_quota_yields_total" Counter Count ""
+        "Accounts that a relay left to another one, which claimed them.",
     RELAY_QUOTA_SHARES "relay_quota_shares_total" Counter Count "outcome"
         "Requests that a relay decided by itself because no owner of the quota answered, by outcome: \
          admitted or rejected.",
--- a/tests/relay_quota.rs
+++ b/tests/relay_quota.rs
@@ -15,6 +15,13 @@
 /// Requests a second and burst of the account.
 const RATE: f64 = 40.0;
 const BURST: f64 = 40.0;
+/// Requests a second and burst in a test with a relay that is frozen.
+const LARGE_RATE: f64 = 100.0;
+const LARGE_BURST: f64 = 300.0;
+/// Requests a second that soon use up the burst.
+const HIGH_LOAD: f64 = 700.0;
+/// Time in which the bucket of an account becomes full under a low load.
+const FILL_TIME: Duration = Duration::from_millis(1_800);
 /// Time in which the requests of an account are counted.
 const WINDOW: Duration = Duration::from_secs(5);
 /// Time for which a stopping relay accepts connections, in milliseconds.
@@ -22,10 +29,15 @@
 
 /// Starts relays with an account that has a quota.
 async fn start(relays: usize) -> Result<Harness> {
+    start_with(relays, RATE, BURST).await
+}
+
+/// The same with another quota.
+async fn start_with(relays: usize, rate: f64, burst: f64) -> Result<Harness> {
     let mut harness = Harness::start(0).await?;
     harness.leave_ms = LEAVE_MS;
     harness.accounts =
-        json!([{"Name": "alba", "ApiKeys": [KEY], "RatePerS": RATE, "Burst": BURST}]);
+        json!([{"Name": "alba", "ApiKeys": [KEY], "RatePerS": rate, "Burst": burst}]);
     harness.configure(json!([]));
     for number in 0..relays {
         harness.add_relay(number)?;
@@ -83,6 +95,11 @@
     starts.iter().enumerate().map(in_window).max().unwrap_or(0)
 }
 
+/// Returns how many requests of an account may run in a window.
+fn bound(rate: f64, burst: f64) -> f64 {
+    (rate * WINDOW.as_secs_f64() + burst) * 1.1 + 20.0
+}
+
 async fn stop_in_turn(harness: &Harness, relays: &[usize]) -> Result<()> {
     for relay in relays {
         sleep(Duration::from_millis(900)).await;
@@ -148,3 +165,34 @@
     }
     Ok(())
 }
+
+/// Guards against an owner that wakes up and grants the burst that its bucket gained meanwhile, although its
+/// substitute has granted it. It is frozen with a full bucket, for a time near that after which the others turn to the
+/// substitute, and for a longer one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn woken_owner() -> Result<()> {
+    for frozen_ms in [1_000, 3_400] {
+        let harness = start_with(3, LARGE_RATE, LARGE_BURST).await?;
+        let owner = owners(&harness)[0];
+        send(&harness, "calm", &[0, 1, 2], LARGE_RATE / 10.0, FILL_TIME).await?;
+        harness.pause_relay(owner)?;
+        let wake = async {
+            sleep(Duration::from_millis(frozen_ms)).await;
+            harness.resume_relay(owner)
+        };
+        let load = send(&harness, "hot", &[0, 1, 2], HIGH_LOAD, Duration::from_millis(5_500));
+        let (woken, replies) = tokio::join!(wake, load);
+        woken?;
+        let most = most_in_window(&harness) as f64;
+        expect_that!(most, le(bound(LARGE_RATE, LARGE_BURST)), "{frozen_ms} ms");
+        // The account still gets its quota.
+        let admitted = replies?.into_iter().filter(|status| *status == 200).count();
+        expect_that!(
+            admitted as f64,
+            ge((LARGE_BURST + LARGE_RATE * 5.5) * 0.95),
+            "{frozen_ms} ms"
+        );
+    }
+    Ok(())
+}
