Begin buckets and shares of quotas with what is certain after a restart of the fleet

Cause: a bucket of which nothing is known began with half of the burst, at each relay that took itself for the owner before it knew the others, and each start brought a new half of a relay's share of the excess. One half alone exceeds the bound where the burst is large, or after two starts in 5 s.

Change: an answer to a claim says for how long its sender remembers its grants. Where most relays remember only a short time, the level is at most a quarter of the excess of the shares and the rate for that time. Shares of relays that have just started begin at nothing. Requests of accounts with quotas wait up to 0.25 s for the rows of the other relays.

Weighed: an empty bucket refuses the first requests of small accounts; grants only with the answers of most listed relays refuse accounts within their quota for seconds after a loss of most; see docs/design/quotas.md.

--- a/components/control/src/relay/allowance/ledger.rs
+++ b/components/control/src/relay/allowance/ledger.rs
@@ -291,6 +291,18 @@
         self.bucket(now, ask.account, ask.limit, ask.configuration);
     }
 
+    /// Limits the level of an account to what is certain if only the grants in the time `memory` are known.
+    /// Returns the level.
+    pub fn doubt(&mut self, now: Time, ask: &Ask, memory: Duration) -> f64 {
+        let bucket = self.bucket(now, ask.account, ask.limit, ask.configuration);
+        let certain = bucket.limit.certain_level(memory);
+        if certain < bucket.level {
+            bucket.level = certain;
+            bucket.is_assumed = false;
+        }
+        bucket.level
+    }
+
     /// Returns the level of an account at which the ledger was closed, if it is recent.
     fn closing_report(&self, now: Time, account: u64) -> Option<Report> {
         let age = now.since(self.closed_at?);
--- a/components/control/src/relay/allowance/mod.rs
+++ b/components/control/src/relay/allowance/mod.rs
@@ -29,6 +29,9 @@
 const JITTER: Duration = Duration::from_millis(100);
 /// Tokens beyond the burst, for small accounts whose requests arrive closer together than they were sent.
 const EXTRA_TOKENS: f64 = 2.0;
+/// Part of the excess beyond the tolerance with which a bucket starts whose earlier grants are not known, so that
+/// several starts in a window stay within the excess.
+const START_DIVISOR: f64 = 4.0;
 /// Part of the requests in a window that may be run in excess of the quota, and their number for small accounts.
 const EXCESS: (f64, f64) = (0.1, 20.0);
 
@@ -74,6 +77,12 @@
         self.excess() - self.tolerance()
     }
 
+    /// Returns the level of a bucket of which only the grants in the time `memory` are known. Before it, an earlier
+    /// owner may have used up the quota.
+    fn certain_level(self, memory: Duration) -> f64 {
+        (self.spare() / START_DIVISOR + self.gain(memory)).min(self.capacity())
+    }
+
     /// Returns the time in which the bucket gains tokens.
     fn time_for(self, tokens: f64) -> Duration {
         let seconds = (tokens / self.rate()).clamp(0.0, MAX_WAIT.as_secs_f64());
--- a/components/control/src/relay/allowance/share.rs
+++ b/components/control/src/relay/allowance/share.rs
@@ -21,13 +21,17 @@
     /// Creates a share of which `random`, a number between 0 and 1, decides the level. All relays together
     /// begin with half of what they may admit in a window. With buckets of one token, that number are full;
     /// the others are filled evenly, so that they become full one after the other.
-    fn new(now: Time, half: f64, random: f64) -> Self {
+    ///
+    /// `gained`, between 0 and 1, is the part of it that the relay may use: one that has just started may have used its
+    /// share before.
+    fn new(now: Time, half: f64, random: f64, gained: f64) -> Self {
+        let part = half * gained;
         let level = if half >= 1.0 {
-            half
-        } else if random < half {
+            part
+        } else if random < part {
             1.0
         } else {
-            (random - half) / (1.0 - half)
+            (random - part) / (1.0 - part) * gained
         };
         Self { level, filled_at: now, used_at: now }
     }
@@ -41,6 +45,8 @@
 pub struct Shares {
     by_account: BTreeMap<u64, Share>,
     pruned_at: Time,
+    /// When this relay started.
+    started_at: Time,
 }
 
 impl Shares {
@@ -49,6 +55,11 @@
         Self::default()
     }
 
+    /// Sets when this relay started.
+    pub fn with_start(self, started_at: Time) -> Self {
+        Self { started_at, ..self }
+    }
+
     /// Admits a request of an account as one of `relays` relays. `random` is a number between 0 and 1.
     ///
     /// # Errors
@@ -69,7 +80,10 @@
         // Half of the excess may come at once, the other half is gained in the window.
         let half = limit.spare() / 2.0 / relays.max(1) as f64;
         let rate = half / WINDOW.as_secs_f64();
-        let share = self.by_account.entry(account).or_insert_with(|| Share::new(now, half, random));
+        let age = now.since(self.started_at).min(WINDOW);
+        let gained_since_start = age.as_secs_f64() / WINDOW.as_secs_f64();
+        let new = || Share::new(now, half, random, gained_since_start);
+        let share = self.by_account.entry(account).or_insert_with(new);
         let gained = rate * now.since(share.filled_at).as_secs_f64();
         share.level = (share.level + gained).min(half.max(1.0));
         share.filled_at = now;
--- a/components/control/tests/relay_claim.rs
+++ b/components/control/tests/relay_claim.rs
@@ -7,7 +7,7 @@
 
 use cyclamengrade_control::{
     relay::{
-        allowance::{Ask, Claims, Ledger, Limit, Message, Report, Response, Standing},
+        allowance::{Ask, Claims, Ledger, Limit, Message, Report, Response, Shares, Standing},
         broker::Holder,
     },
     time::Time,
@@ -137,6 +137,46 @@
     verify_that!(outcome.map(|outcome| outcome.memory), some(eq(Duration::ZERO)))
 }
 
+/// Relays that start several times in a window, each time without a memory, and grant what they can. Guards against
+/// starts whose tokens add up to more than the excess.
+#[gtest]
+fn repeated_starts() -> Result<()> {
+    for (rate, burst) in [(1.0, 1.0), (10.0, 20.0), (100.0, 100.0), (100.0, 500.0), (230.0, 230.0)]
+    {
+        let limit =
+            Limit { rate_milli: (rate * 1_000.0) as u64, burst_milli: (burst * 1_000.0) as u64 };
+        let ask = Ask { limit, ..ask(1, 10_000) };
+        let mut total = 0;
+        for number in 0..4 {
+            let now = START + SECOND * number;
+            let mut ledger = Ledger::new();
+            ledger.doubt(now, &ask, Duration::ZERO);
+            let answer = ledger.ask(now, Holder(1), &ask);
+            total += if let Message::Granted { count, .. } = answer { count } else { 0 };
+        }
+        expect_that!(f64::from(total), le(limit.excess()), "{rate} and {burst}");
+        expect_that!(total, ge(4), "{rate} and {burst}: the first request after a start is served");
+    }
+    Ok(())
+}
+
+/// Guards against a level that is limited although most relays remember, and against a report that raises one that is
+/// limited for good reason.
+#[gtest]
+fn doubtful_levels() -> Result<()> {
+    let mut ledger = Ledger::new();
+    ledger.prepare(START, &ask(1, 1));
+    let assumed = ledger.doubt(START, &ask(1, 1), LONG);
+    expect_that!(assumed, eq(50.0));
+    let limited = ledger.doubt(START, &ask(1, 1), SECOND / 10);
+    expect_that!(limited, all![ge(10.0), le(40.0)]);
+    ledger.learn(START, ACCOUNT, Report { level_milli: 90_000, age: Duration::ZERO });
+    expect_that!(f64::from(granted(&mut ledger, START, 1)), le(limited));
+    // An account without a bucket has nothing to learn.
+    ledger.learn(START, 8, Report { level_milli: 0, age: Duration::ZERO });
+    verify_that!(ledger.len(), eq(1))
+}
+
 /// Guards against a claimant that is told a level that was only assumed, or that is old, in place of one that was
 /// granted from.
 #[gtest]
@@ -155,3 +195,22 @@
     let closed = Report { level_milli: 10_000, age: SECOND };
     verify_that!(ledger.report(later + SECOND, ACCOUNT), some(eq(closed)))
 }
+
+/// Relays that have just started and have no owner. Guards against the share of a window from each start.
+#[gtest]
+fn shares_after_start() -> Result<()> {
+    let mut admitted = 0;
+    for number in 0..10 {
+        let now = START + SECOND / 2 * number;
+        let mut shares = Shares::new().with_start(now);
+        for step in 0..100 {
+            let now = now + Duration::from_millis(2) * step;
+            admitted += u32::from(shares.take(now, ACCOUNT, LIMIT, 3, 0.5).is_ok());
+        }
+    }
+    expect_that!(admitted, le(10));
+    let mut shares = Shares::new().with_start(START);
+    let later = START + SECOND * 10;
+    let count = (0..100).filter(|_| shares.take(later, ACCOUNT, LIMIT, 3, 0.5).is_ok()).count();
+    verify_that!(count, ge(10))
+}
--- a/components/relay/src/allowance.rs
+++ b/components/relay/src/allowance.rs
@@ -52,6 +52,10 @@
 /// Time without a message of any other relay after which this one grants itself no tokens as an owner.
 /// Several times the period of the regular messages.
 const ISOLATION_TIME: Duration = Duration::from_millis(1_600);
+/// Time for which a request waits until a relay that starts knows the others.
+const FLEET_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which a caller may retry that met a relay which did not know the others in time.
+const FLEET_RETRY: Duration = Duration::from_millis(500);
 /// Time for which late answers are expected.
 const LATE_ANSWER_TIME: Duration = Duration::from_secs(10);
 /// Limit on the asks whose late answers are expected.
@@ -149,8 +153,9 @@
 impl Allowance {
     /// Creates the quotas of a relay that starts now.
     pub fn new(now: Time) -> Self {
+        let state = State { shares: Shares::new().with_start(now), ..State::default() };
         Self {
-            state: Mutex::default(),
+            state: Mutex::new(state),
             ledger: Mutex::default(),
             claims: Mutex::default(),
             concluded: Notify::new(),
@@ -277,6 +282,7 @@
         subject: Subject<'_>,
         count: u32,
     ) -> Result<Token, Duration> {
+        self.await_fleet().await?;
         let begin = self.clock.now();
         let mut was_late = false;
         let mut asked = BTreeSet::new();
@@ -377,6 +383,23 @@
         });
     }
 
+    /// Waits until the other relays are known. A relay that has just started would take itself for the only one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may retry if they are not known in time.
+    async fn await_fleet(&self) -> Result<(), Duration> {
+        if self.readiness.borrow().fleet {
+            return Ok(());
+        }
+        let mut readiness = self.readiness.subscribe();
+        let known = readiness.wait_for(|readiness| readiness.fleet);
+        match timeout(FLEET_TIMEOUT, known).await {
+            Ok(_) => Ok(()),
+            Err(_) => Err(FLEET_RETRY),
+        }
+    }
+
     /// Returns the name of the relay with an address; the address if it is not known.
     fn relay_name(&self, address: SocketAddr) -> String {
         if address == self.address() {
--- a/components/relay/src/allowance/claim.rs
+++ b/components/relay/src/allowance/claim.rs
@@ -73,21 +73,23 @@
             (outcome, claims.time_left(now, ask.account))
         };
         if let Some(outcome) = outcome {
-            self.record_claim(ask, outcome);
+            self.apply_outcome(now, ask, outcome);
             self.allowance.concluded.notify_waiters();
         }
         left.unwrap_or_default()
     }
 
-    fn record_claim(&self, ask: &Ask, outcome: Outcome) {
+    fn apply_outcome(&self, now: Time, ask: &Ask, outcome: Outcome) {
         let Outcome { asked, answered, memory } = outcome;
+        let level = lock(&self.allowance.ledger).doubt(now, ask, memory);
         counter!(RELAY_QUOTA_CLAIMS).increment(1);
         event!(
             QuotaClaimed,
             account:% = self.account_name(ask.account),
             asked = asked,
             answered = answered,
-            memory_ms = memory.as_millis() as u64
+            memory_ms = memory.as_millis() as u64,
+            level = level
         );
     }
 
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -393,7 +393,7 @@
     1278 Info QuotasUncertain "quotas_uncertain" "levels of quotas are uncertain after a pause",
     /// This relay claimed an account and grants the tokens of its quota from now on. Fields: `account`, `asked` (number of
     /// other relays), `answered` (those that answered in time), `memory_ms` (time for which most relays remember their
-    /// grants).
+    /// grants), `level` of the bucket.
     1279 Info QuotaClaimed "quota_claimed" "quota of an account was claimed",
     /// Another relay claimed an account; this one grants no more tokens of its quota. Fields: `account`, `holder`
     /// (address of that relay).
--- a/tests/relay_quota.rs
+++ b/tests/relay_quota.rs
@@ -15,15 +15,17 @@
 /// Requests a second and burst of the account.
 const RATE: f64 = 40.0;
 const BURST: f64 = 40.0;
-/// Requests a second and burst in a test with a relay that is frozen.
+/// Requests a second and burst in tests with relays that are frozen or start again.
 const LARGE_RATE: f64 = 100.0;
 const LARGE_BURST: f64 = 300.0;
 /// Requests a second that soon use up the burst.
 const HIGH_LOAD: f64 = 700.0;
-/// Time in which the bucket of an account becomes full under a low load.
-const FILL_TIME: Duration = Duration::from_millis(1_800);
+/// Time in which an empty bucket becomes full under a tenth of the rate.
+const FILL_TIME: Duration = Duration::from_millis(3_500);
 /// Time in which the requests of an account are counted.
 const WINDOW: Duration = Duration::from_secs(5);
+/// Time after which a killed relay starts again.
+const DOWN_TIME: Duration = Duration::from_millis(200);
 /// Time for which a stopping relay accepts connections, in milliseconds.
 const LEAVE_MS: u64 = 3_000;
 
@@ -100,6 +102,27 @@
     (rate * WINDOW.as_secs_f64() + burst) * 1.1 + 20.0
 }
 
+/// Sends requests to all relays at `rate` a second for `time`, and once more each time after all relays were killed and
+/// have started again, `restarts` times. Returns their statuses.
+async fn send_over_restarts(
+    harness: &mut Harness,
+    restarts: usize,
+    rate: f64,
+    time: Duration,
+) -> Result<Vec<u16>> {
+    let relays: Vec<usize> = (0..harness.relays()).collect();
+    let mut statuses = send(harness, "load-0", &relays, rate, time).await?;
+    for number in 1..=restarts {
+        harness.kill_relays(&relays)?;
+        sleep(DOWN_TIME).await;
+        for relay in &relays {
+            harness.start_relay(*relay)?;
+        }
+        statuses.extend(send(harness, &format!("load-{number}"), &relays, rate, time).await?);
+    }
+    Ok(statuses)
+}
+
 async fn stop_in_turn(harness: &Harness, relays: &[usize]) -> Result<()> {
     for relay in relays {
         sleep(Duration::from_millis(900)).await;
@@ -196,3 +219,31 @@
     }
     Ok(())
 }
+
+/// Guards against relays that start without knowing each other, of which each grants a part of the burst that their
+/// predecessors have granted.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_relays() -> Result<()> {
+    for restarts in [1, 2] {
+        let mut harness = start_with(3, LARGE_RATE, LARGE_BURST).await?;
+        send(&harness, "calm", &[0, 1, 2], LARGE_RATE / 10.0, FILL_TIME).await?;
+        let time = Duration::from_millis(1_200);
+        send_over_restarts(&mut harness, restarts, HIGH_LOAD, time).await?;
+        let most = most_in_window(&harness) as f64;
+        expect_that!(most, le(bound(LARGE_RATE, LARGE_BURST)), "{restarts} restarts");
+    }
+    Ok(())
+}
+
+/// Guards against requests within the quota that relays reject after a restart because they do not know what their
+/// predecessors have granted.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_within() -> Result<()> {
+    let mut harness = start_with(3, LARGE_RATE, LARGE_RATE).await?;
+    let rate = LARGE_RATE * 0.9;
+    let statuses = send_over_restarts(&mut harness, 2, rate, Duration::from_secs(2)).await?;
+    expect_that!(statuses.len(), ge(450));
+    verify_that!(statuses, not(contains(eq(&429))))
+}
