Empty the buckets of limits after a pause of their broker

Upstreams saw: two that name a limit of 20 requests a second got 144 and 145 requests in 4 s, where 125 are allowed, while the relay that is their broker was frozen three times for a second.

Cause: the same as of the frozen owner of a quota. The broker kept the tokens that its buckets gained during the pause and granted them beside its substitute. A new broker starts with empty buckets for this reason; one that wakes up did not.

Change: a pause of 0.25 s or longer is noticed before the next message is handled, and empties the buckets. What is lost is a second of the limit at most, so that no exchange with the others is worth it.

The slots of a woken broker are suspected of the same and were not measured.

--- a/components/control/src/relay/allowance/claim.rs
+++ b/components/control/src/relay/allowance/claim.rs
@@ -105,8 +105,8 @@
         Self::default()
     }
 
-    /// Records that this process runs, at the time `boot_time` since the vm was started. Has to be called several
-    /// times in [`MIN_PAUSE`]. After a longer pause all accounts have to be claimed again, since others may have
+    /// Records that this process runs, at the time `boot_time` since the vm was started. Has to be called more
+    /// often than every quarter of a second. After a longer pause all accounts have to be claimed again, since others may have
     /// granted their tokens. Returns whether there was one.
     pub fn record_running(&mut self, boot_time: Time) -> bool {
         let former = self.seen_running.replace(boot_time);
--- a/components/control/src/relay/broker/mod.rs
+++ b/components/control/src/relay/broker/mod.rs
@@ -258,6 +258,11 @@
         self.release(now, from, tickets)
     }
 
+    /// Records that this relay got no processor time for a while, in which another one may have been the broker.
+    pub fn record_pause(&mut self, now: Time) {
+        self.limits.empty(now);
+    }
+
     /// Returns what is known of the limits of upstreams, for the other relays.
     pub fn limits(&self, now: Time) -> Vec<limit::News> {
         self.limits.news(now)
--- a/components/control/src/relay/limit.rs
+++ b/components/control/src/relay/limit.rs
@@ -151,6 +151,14 @@
         }
     }
 
+    /// Empties the buckets after a time in which another broker may have granted what they gained.
+    pub fn empty(&mut self, now: Time) {
+        for bucket in self.by_upstream.values_mut() {
+            bucket.add(now, 0.0);
+            bucket.tokens = bucket.tokens.min(0.0);
+        }
+    }
+
     /// Drops the upstreams that are no longer listed.
     pub fn retain(&mut self, is_listed: impl Fn(u32) -> bool) {
         self.by_upstream.retain(|upstream, _| is_listed(*upstream));
--- a/components/control/tests/relay_limit.rs
+++ b/components/control/tests/relay_limit.rs
@@ -124,6 +124,19 @@
     expect_that!(grants.len(), ge(25));
 }
 
+/// Guards against tokens that are granted after a pause in which another broker may have granted them, and against a
+/// rate that does not go on afterwards.
+#[gtest]
+fn paused_broker() {
+    let mut broker = broker(1);
+    broker.sync(NOW, Holder(0), limited(&[0], Duration::ZERO));
+    let woken = NOW + Duration::from_secs(3);
+    broker.record_pause(woken);
+    expect_that!(grant(&mut broker, woken, Holder(1), 1), none());
+    let later = woken + Duration::from_secs(1);
+    expect_that!(grant(&mut broker, later, Holder(1), 2), some(eq(0)));
+}
+
 /// Guards against requests that wait for an upstream at its limit while another one has room.
 #[gtest]
 fn free_upstream() {
--- a/components/relay/src/allowance/claim.rs
+++ b/components/relay/src/allowance/claim.rs
@@ -23,6 +23,7 @@
     /// Records that this process runs. What others granted in its pauses is unknown.
     pub(crate) fn record_running(&self) {
         if lock(&self.allowance.claims).record_running(clock::boot_time()) {
+            self.broker_state().record_pause(self.clock.now());
             event!(QuotasUncertain);
         }
     }
--- a/components/relay/src/peers.rs
+++ b/components/relay/src/peers.rs
@@ -121,6 +121,8 @@
             }
         };
         if let Some((from, message)) = received {
+            // What waited during a pause of this process is not answered from what it knew before.
+            shared.record_running();
             // A message that cannot be handled is as one that was lost.
             let _ = task::catch_step("message", || server.handle(from, message));
         }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -389,8 +389,9 @@
     /// broker), `elapsed_ms` since the request.
     1277 Info BrokerLate "broker_late" "broker answered too late",
     /// This relay got no processor time for a quarter of a second or longer. Others may have granted tokens of the quotas
-    /// that it owns, which it claims again before its next grant.
-    1278 Info QuotasUncertain "quotas_uncertain" "levels of quotas are uncertain after a pause",
+    /// that it owns, which it claims again before its next grant, and requests to upstreams that name a limit, of which
+    /// it grants none that were gained before.
+    1278 Info QuotasUncertain "quotas_uncertain" "levels of quotas and limits are uncertain after a pause",
     /// This relay claimed an account and grants the tokens of its quota from now on. Fields: `account`, `asked` (number of
     /// other relays), `answered` (those that answered in time), `memory_ms` (time for which most relays remember their
     /// grants), `level` of the bucket.
--- a/tests/relay_limited.rs
+++ b/tests/relay_limited.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use cyclamengrade_control::{hash, relay::shard};
 use cyclamengrade_standins::{
     bridge::{Harness, Runner},
     client::Client,
@@ -17,6 +18,10 @@
 
 /// Limit that the upstreams of these tests name, in requests a second.
 const LIMIT: f64 = 2.0;
+/// The same in a test with a frozen broker.
+const HIGH_LIMIT: f64 = 20.0;
+/// Number of times that the broker is frozen, within a window.
+const FREEZES: usize = 3;
 /// Time from the first naming of a limit until it binds.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Span of time in which the requests at an upstream are counted.
@@ -24,8 +29,8 @@
 
 /// Returns the most requests that an upstream may get in a window: one and a half times its limit, and
 /// five.
-fn allowed() -> usize {
-    (1.5 * LIMIT * WINDOW.as_secs_f64()) as usize + 5
+fn allowed(limit: f64) -> usize {
+    (1.5 * limit * WINDOW.as_secs_f64()) as usize + 5
 }
 
 /// Returns the largest number of requests that reached a runner within one window after `from`.
@@ -82,7 +87,7 @@
     let begin = Instant::now();
     let outcomes = load(&harness, &[0, 1, 2], 20, CONTACT + WINDOW * 2).await;
     for runner in &harness.runners {
-        expect_that!(most_in_window(runner, begin + CONTACT), le(allowed()));
+        expect_that!(most_in_window(runner, begin + CONTACT), le(allowed(LIMIT)));
     }
     // A limit is not a reason to stop sending.
     verify_that!(outcomes.served.load(Ordering::Relaxed), ge(20))
@@ -108,7 +113,7 @@
         load(&harness, &[0, 1, 2], 20, Duration::from_millis(1_500)).await;
     }
     for runner in &harness.runners {
-        expect_that!(most_in_window(runner, begin + CONTACT), le(allowed()));
+        expect_that!(most_in_window(runner, begin + CONTACT), le(allowed(LIMIT)));
     }
     Ok(())
 }
@@ -147,3 +152,40 @@
     expect_that!(begin.elapsed(), lt(Duration::from_millis(200)));
     verify_that!(reply.headers.contains_key("retry-after"), eq(true))
 }
+
+/// Returns the relay that grants the requests to the upstreams of these tests.
+fn broker(harness: &Harness) -> Option<usize> {
+    let names: Vec<String> = (0..harness.relays()).map(|number| format!("vm-{number}")).collect();
+    let key = format!("broker {}", shard::id("model", 0));
+    let owner = hash::owner(names.iter().map(String::as_str), &key)?;
+    names.iter().position(|name| name == owner)
+}
+
+/// Guards against a broker that wakes up and grants what the limit gained meanwhile, although another one has
+/// granted it.
+#[gtest]
+#[tokio::test]
+async fn woken_broker() -> Result<()> {
+    let harness = Harness::start(3).await?;
+    for runner in &harness.runners {
+        runner.set_limit(Some(HIGH_LIMIT));
+    }
+    let broker = broker(&harness).unwrap_or_default();
+    let begin = Instant::now();
+    let freezes = async {
+        sleep(CONTACT).await;
+        for _ in 0..FREEZES {
+            harness.pause_relay(broker)?;
+            sleep(Duration::from_millis(1_000)).await;
+            harness.resume_relay(broker)?;
+            sleep(Duration::from_millis(300)).await;
+        }
+        Ok::<_, cyclamengrade_standins::fleet::Error>(())
+    };
+    let (frozen, _) = tokio::join!(freezes, load(&harness, &[0, 1, 2], 240, CONTACT + WINDOW * 2));
+    frozen?;
+    for runner in &harness.runners {
+        expect_that!(most_in_window(runner, begin + CONTACT), le(allowed(HIGH_LIMIT)));
+    }
+    Ok(())
+}
