Resolve claims that reach a relay which was frozen when they were sent

Cause: found in a review of the change. A relay that wakes up claims an account, and then reads the claim that its substitute sent during the freeze. If its address is the higher one, it yields to the old claim, while the substitute yields to the new one: each names the other as the holder for 0.5 s, and requests get only shares. Besides, two threads could begin a claim each, and a third one could take tokens between the end of a claim and the limit on the level.

Change: a relay that yielded with a claim of its own open takes it up again when the other one yields to it. A claim begins only where none is open, and the level is limited before another thread finds the account held.

Ruled out: a term in each claim; a restarted relay would have to learn it by a second exchange.

Measured: relay_claim::old_claim, which the former state machine does not pass, since it dropped the open claim.

--- a/components/control/src/relay/allowance/claim.rs
+++ b/components/control/src/relay/allowance/claim.rs
@@ -51,6 +51,8 @@
     Released {
         holder: R,
         at: Time,
+        /// Claim of this relay that was open then.
+        claim: Option<Claim<R>>,
     },
 }
 
@@ -106,8 +108,8 @@
     }
 
     /// Records that this process runs, at the time `boot_time` since the vm was started. Has to be called more
-    /// often than every quarter of a second. After a longer pause all accounts have to be claimed again, since others may have
-    /// granted their tokens. Returns whether there was one.
+    /// often than every quarter of a second. After a longer pause all accounts have to be claimed again, since
+    /// others may have granted their tokens. Returns whether there was one.
     pub fn record_running(&mut self, boot_time: Time) -> bool {
         let former = self.seen_running.replace(boot_time);
         let was_paused = former.is_some_and(|former| boot_time.since(former) >= MIN_PAUSE);
@@ -122,22 +124,25 @@
         match self.by_account.get(&account) {
             Some(State::Held) => Standing::Held,
             Some(State::Claiming(_)) => Standing::Claiming,
-            Some(State::Released { holder, at }) if now.since(*at) < RELEASE_TIME => {
+            Some(State::Released { holder, at, .. }) if now.since(*at) < RELEASE_TIME => {
                 Standing::Released(*holder)
             }
             None | Some(State::Released { .. }) => Standing::Unclaimed,
         }
     }
 
-    /// Begins a claim, of which all `others` are told under this ticket. `memory` is the time since the start of this
-    /// relay.
+    /// Begins a claim of an account that is unclaimed. All `others` are to be told under this ticket. `memory` is the
+    /// time since the start of this relay. Returns whether the claim has begun.
     pub fn begin(
         &mut self,
         now: Time,
         (account, ticket): (u64, u64),
         memory: Duration,
         others: BTreeSet<R>,
-    ) {
+    ) -> bool {
+        if self.standing(now, account) != Standing::Unclaimed {
+            return false;
+        }
         if self.by_account.len() >= MAX_ACCOUNTS && !self.by_account.contains_key(&account) {
             self.by_account.pop_first();
         }
@@ -149,6 +154,7 @@
             memories: vec![memory],
         };
         self.by_account.insert(account, State::Claiming(claim));
+        true
     }
 
     /// Records that another relay yields an account to this one, which remembers its own grants for `memory`. Returns
@@ -159,11 +165,20 @@
         from: R,
         memory: Duration,
     ) -> bool {
-        let Some(State::Claiming(claim)) = self.by_account.get_mut(&account) else { return false };
+        let Some(state) = self.by_account.get_mut(&account) else { return false };
+        let (claim, holder) = match state {
+            State::Claiming(claim) => (claim, None),
+            State::Released { holder, claim: Some(claim), .. } => (claim, Some(*holder)),
+            State::Held | State::Released { claim: None, .. } => return false,
+        };
         if claim.ticket == ticket && claim.unanswered.remove(&from) {
             claim.memories.push(memory);
+            if holder == Some(from) {
+                // This relay has yielded to an old message of the other one, which yields to this one now.
+                *state = State::Claiming(claim.clone());
+            }
         }
-        claim.unanswered.is_empty()
+        matches!(state, State::Claiming(claim) if claim.unanswered.is_empty())
     }
 
     /// Records that another relay goes first with its own claim. Returns whether this ends a claim.
@@ -172,7 +187,7 @@
             Some(state @ State::Claiming(_)) => {
                 let is_current = matches!(state, State::Claiming(claim) if claim.ticket == ticket);
                 if is_current {
-                    *state = State::Released { holder, at: now };
+                    *state = State::Released { holder, at: now, claim: None };
                 }
                 is_current
             }
@@ -209,7 +224,11 @@
         match self.by_account.get_mut(&account) {
             Some(State::Claiming(_)) if own < other => Response::Keep,
             Some(state) => {
-                *state = State::Released { holder: other, at: now };
+                let claim = match state {
+                    State::Claiming(claim) => Some(claim.clone()),
+                    State::Held | State::Released { .. } => None,
+                };
+                *state = State::Released { holder: other, at: now, claim };
                 Response::Yield
             }
             None => Response::Yield,
--- a/components/control/tests/relay_claim.rs
+++ b/components/control/tests/relay_claim.rs
@@ -60,8 +60,8 @@
 #[gtest]
 fn stale_answers() -> Result<()> {
     let mut claims = Claims::new();
-    claims.begin(START, (ACCOUNT, 1), LONG, relays(&[2, 3]));
-    claims.begin(START, (ACCOUNT, 2), LONG, relays(&[2, 3]));
+    expect_that!(claims.begin(START, (ACCOUNT, 2), LONG, relays(&[2, 3])), eq(true));
+    expect_that!(claims.begin(START, (ACCOUNT, 3), LONG, relays(&[2, 3])), eq(false));
     expect_that!(claims.record_yield((ACCOUNT, 1), 2, LONG), eq(false));
     expect_that!(claims.record_kept(START, (ACCOUNT, 1), 3), eq(false));
     expect_that!(claims.record_yield((ACCOUNT, 2), 2, LONG), eq(false));
@@ -93,6 +93,28 @@
     verify_that!(first.standing(later + SECOND, ACCOUNT), eq(Standing::Unclaimed))
 }
 
+/// A relay that wakes up claims an account, and then reads a claim that was sent to it while it was frozen. Guards
+/// against two relays that leave the account to each other.
+#[gtest]
+fn old_claim() -> Result<()> {
+    let (mut woken, mut holder) = (Claims::new(), Claims::new());
+    holder.begin(START, (ACCOUNT, 1), LONG, relays(&[2]));
+    holder.conclude(START + PATIENCE, ACCOUNT);
+    let now = START + SECOND * 4;
+    woken.begin(now, (ACCOUNT, 9), LONG, relays(&[1, 3]));
+    expect_that!(woken.respond(now, ACCOUNT, 2, 1), eq(Response::Yield));
+    expect_that!(woken.standing(now, ACCOUNT), eq(Standing::Released(1)));
+    expect_that!(holder.respond(now, ACCOUNT, 1, 2), eq(Response::Yield));
+    // Only the answer of that relay to this claim changes anything.
+    woken.record_yield((ACCOUNT, 9), 3, LONG);
+    woken.record_yield((ACCOUNT, 8), 1, LONG);
+    expect_that!(woken.standing(now, ACCOUNT), eq(Standing::Released(1)));
+    woken.record_yield((ACCOUNT, 9), 1, LONG);
+    expect_that!(woken.standing(now, ACCOUNT), eq(Standing::Claiming));
+    expect_that!(woken.conclude(now + PATIENCE, ACCOUNT), some(anything()));
+    verify_that!(woken.standing(now + PATIENCE, ACCOUNT), eq(Standing::Held))
+}
+
 /// Guards against a relay that goes on to grant after a pause, and against claims that are repeated without one.
 #[gtest]
 fn pauses() -> Result<()> {
--- a/components/relay/src/allowance/claim.rs
+++ b/components/relay/src/allowance/claim.rs
@@ -59,8 +59,10 @@
         let others = self.answering_members(now);
         let memory = self.grant_memory(now);
         lock(&self.allowance.ledger).prepare(now, ask);
-        lock(&self.allowance.claims).begin(now, (account, ticket), memory, others.clone());
-        for address in others {
+        let mut claims = lock(&self.allowance.claims);
+        let has_begun = claims.begin(now, (account, ticket), memory, others.clone());
+        drop(claims);
+        for address in others.into_iter().filter(|_| has_begun) {
             self.send(address, Content::Quota(Message::Claim { ticket, account }));
         }
     }
@@ -68,21 +70,20 @@
     /// Ends the claim of an account if it waits no longer. Returns how long it waits.
     fn conclude_claim(&self, ask: &Ask) -> Duration {
         let now = self.clock.now();
-        let (outcome, left) = {
-            let mut claims = lock(&self.allowance.claims);
-            let outcome = claims.conclude(now, ask.account);
-            (outcome, claims.time_left(now, ask.account))
-        };
-        if let Some(outcome) = outcome {
-            self.apply_outcome(now, ask, outcome);
+        let mut claims = lock(&self.allowance.claims);
+        if let Some(outcome) = claims.conclude(now, ask.account) {
+            // Before another thread finds the account held.
+            let level = lock(&self.allowance.ledger).doubt(now, ask, outcome.memory);
+            drop(claims);
             self.allowance.concluded.notify_waiters();
+            self.record_claim(ask, outcome, level);
+            return Duration::ZERO;
         }
-        left.unwrap_or_default()
+        claims.time_left(now, ask.account).unwrap_or_default()
     }
 
-    fn apply_outcome(&self, now: Time, ask: &Ask, outcome: Outcome) {
+    fn record_claim(&self, ask: &Ask, outcome: Outcome, level: f64) {
         let Outcome { asked, answered, memory } = outcome;
-        let level = lock(&self.allowance.ledger).doubt(now, ask, memory);
         counter!(RELAY_QUOTA_CLAIMS).increment(1);
         event!(
             QuotaClaimed,
