Play losses of all relays and frozen owners in the soak with accounts

Cause: the soak with accounts killed all relays in turn only, so that it never met a fleet that starts without knowing the level of a quota, and seldom an owner that wakes up under load.

Change: a series of its own generator kills all relays at once or freezes the owner of the account that exceeds its quota, every 0.8 to 4 s. The rest of the plan of a seed stays what it was.

--- a/components/standins/src/bridge/plan.rs
+++ b/components/standins/src/bridge/plan.rs
@@ -181,6 +181,10 @@
         planner.random = StdRng::seed_from_u64(seed.rotate_left(32));
         planner.now = planner.time(0..3_000);
         planner.series(&[Disturbance::RollingRestart], 4_000..8_000, &mut disturbances);
+        planner.random = StdRng::seed_from_u64(!seed);
+        planner.now = planner.time(500..4_000);
+        let lost_owners = [Disturbance::KillAll, Disturbance::OwnerPaused];
+        planner.series(&lost_owners, 800..4_000, &mut disturbances);
         planner.finish(disturbances)
     }
 }
