--- a/components/control/src/relay/allowance/claim.rs
+++ b/components/control/src/relay/allowance/claim.rs
@@ -2,7 +2,8 @@
 //!
 //! A relay that has just started, or that got no processor time for a while, may take itself for the owner of an
 //! account whose tokens another relay grants meanwhile. It claims the account before its first grant. The others
-//! stop granting and state the level of their bucket. What most relays do not vouch for counts as granted.
+//! stop granting and state the level of their bucket. What may have been granted before the time that most relays
+//! remember counts as granted.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -80,8 +81,9 @@
 /// Result of a claim that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outcome {
-    /// Number of relays that were asked, and of those that answered.
+    /// Number of other relays that were asked.
     pub asked: usize,
+    /// Number of those that answered in time.
     pub answered: usize,
     /// Time for which most of the relays remember their grants. What was granted before is unknown.
     pub memory: Duration,
